--- /dev/null
+++ b/pimentowick/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside each target."""
--- /dev/null
+++ b/pimentowick/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: records, ledger, ownership, dispatch."""
--- /dev/null
+++ b/pimentowick/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/pimentowick/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Templates and workspaces, folded from the configuration stream."""
--- /dev/null
+++ b/pimentowick/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that takes requests from callers and operators."""
--- /dev/null
+++ b/pimentowick/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts and targets take work."""
--- /dev/null
+++ b/pimentowick/replication/__init__.py
@@ -0,0 +1,1 @@
+"""State folded from a log stream, and its copies."""
--- /dev/null
+++ b/pimentowick/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing a target, retrying, limiting."""
--- /dev/null
+++ b/pimentowick/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""What an agent admits to its target, and in which order."""
