--- /dev/null
+++ b/pimentowick/fakes/__main__.py
@@ -0,0 +1,67 @@
+"""Run one stand-in as a process."""
+
+import argparse
+import asyncio
+import json
+import signal
+
+from pimentowick.fakes import engine, hosts, log, service, weights
+
+__all__ = ["run"]
+
+KINDS = {
+    "engine": engine.Engine,
+    "hosts": hosts.HostList,
+    "log": log.Log,
+    "service": service.Service,
+    "weights": weights.WeightStore,
+}
+
+
+def parse_setting(text):
+    """Return name and value of `name=value`; the value is JSON or else a string."""
+    name, separator, value = text.partition("=")
+    if not separator:
+        raise argparse.ArgumentTypeError(f"not name=value: {text!r}")
+    try:
+        return name, json.loads(value)
+    except ValueError:
+        return name, value
+
+
+def make_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m pimentowick.fakes")
+    parser.add_argument("kind", choices=sorted(KINDS))
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument(
+        "--set", dest="settings", type=parse_setting, action="append", default=[]
+    )
+    return parser
+
+
+async def serve(stand_in):
+    """Serve until SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stand_in.start()
+    print(json.dumps({"listening": stand_in.address}), flush=True)
+    await stopped.wait()
+    await stand_in.close()
+
+
+def run(arguments=None):
+    """Run the stand-in that the command line names."""
+    parser = make_parser()
+    options = parser.parse_args(arguments)
+    try:
+        stand_in = KINDS[options.kind](options.port, **dict(options.settings))
+    except TypeError as error:
+        parser.error(str(error))
+    asyncio.run(serve(stand_in))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/pimentowick/fakes/server.py
@@ -0,0 +1,75 @@
+"""Base of the stand-ins: one HTTP server with an explicit start and close."""
+
+import abc
+import asyncio
+
+from tornado import httpserver, netutil, web
+
+from pimentowick.fakes import faults
+
+__all__ = ["Server"]
+
+LOOPBACK = "127.0.0.1"
+BACKLOG = 1024
+CLOSE_TIMEOUT_S = 1.0
+
+
+class _TrackingServer(httpserver.HTTPServer):
+    # HTTPServer is configurable: initialize takes the place of __init__.
+    def initialize(self, application, board, **settings):
+        super().initialize(application, **settings)
+        self.board = board
+
+    def handle_stream(self, stream, address):
+        self.board.connections[stream] = ""
+        super().handle_stream(stream, address)
+
+
+class Server(abc.ABC):
+    """One stand-in of an outside system.
+
+    Args:
+        port: Port on 127.0.0.1 to listen on; 0 lets the kernel choose.
+
+    Attributes:
+        address: `127.0.0.1:PORT` once started.
+        board: The fault orders in force.
+    """
+
+    def __init__(self, port=0):
+        self.port = port
+        self.address = None
+        self.board = faults.FaultBoard()
+        self._http = None
+
+    @abc.abstractmethod
+    def list_routes(self):
+        """Return pairs of a path pattern and a handler class."""
+
+    def make_application(self):
+        """Return the tornado application."""
+        routes = [("/fault", faults.FaultHandler), *self.list_routes()]
+        rules = [(path, handler, {"server": self}) for path, handler in routes]
+        return web.Application(rules, log_function=_ignore_request)
+
+    async def start(self):
+        """Listen; `address` is set when this returns."""
+        sockets = netutil.bind_sockets(self.port, LOOPBACK, backlog=BACKLOG)
+        self.address = f"{LOOPBACK}:{sockets[0].getsockname()[1]}"
+        self._http = _TrackingServer(self.make_application(), self.board)
+        self._http.add_sockets(sockets)
+
+    async def close(self):
+        """Stop listening and close every connection."""
+        if self._http is None:
+            return
+        self._http.stop()
+        for connection in list(self.board.connections):
+            connection.close()
+        closing = self._http.close_all_connections()
+        await asyncio.wait_for(closing, CLOSE_TIMEOUT_S)
+        self._http = None
+
+
+def _ignore_request(handler):
+    pass
--- /dev/null
+++ b/pimentowick/fakes/service.py
@@ -0,0 +1,75 @@
+"""Stand-in of a plain service."""
+
+import asyncio
+import collections
+
+from pimentowick.fakes import faults, server
+
+__all__ = ["Service"]
+
+
+class Service(server.Server):
+    """A plain service that counts its runs.
+
+    Args:
+        port: Port to listen on; 0 lets the kernel choose.
+    """
+
+    def __init__(self, port=0):
+        super().__init__(port)
+        self.runs = collections.Counter()
+        self.keys = collections.Counter()
+        self.total = 0
+
+    def list_routes(self):
+        """Return the routes of the service."""
+        return [
+            ("/runs", RunsHandler),
+            ("/confirm", ConfirmHandler),
+            ("/.*", EchoHandler),
+        ]
+
+    def count_run(self, headers):
+        """Count a run by its request id and key; return its number, from 1."""
+        self.total += 1
+        if "X-Request-Id" in headers:
+            self.runs[headers["X-Request-Id"]] += 1
+        if "Idempotency-Key" in headers:
+            self.keys[headers["Idempotency-Key"]] += 1
+        return self.total
+
+
+class RunsHandler(faults.Handler):
+    """`GET /runs`."""
+
+    async def get(self):
+        """Answer the runs by request id and by key."""
+        await self.answer({"runs": self.server.runs, "keys": self.server.keys})
+
+
+class EchoHandler(faults.Handler):
+    """Any other method and path."""
+
+    async def echo(self):
+        """Answer the request's own method, path and body."""
+        run = self.server.count_run(self.request.headers)
+        body = {
+            "method": self.request.method,
+            "path": self.request.path,
+            "body": self.request.body.decode(errors="replace"),
+            "run": run,
+        }
+        await self.answer(body)
+
+    get = head = post = put = patch = delete = options = echo
+
+
+class ConfirmHandler(EchoHandler):
+    """`POST /confirm`."""
+
+    async def post(self):
+        """Count the run, hold it for `hold_s` seconds, confirm the object."""
+        body = self.read_object()
+        run = self.server.count_run(self.request.headers)
+        await asyncio.sleep(float(body.get("hold_s") or 0.0))
+        await self.answer({"confirmed": body, "run": run})
