--- /dev/null
+++ b/pimentowick/configuration/document.py
@@ -0,0 +1,176 @@
+"""Documents of the configuration, and the records that change them."""
+
+import copy
+import dataclasses
+import json
+import typing
+
+import pydantic
+
+from pimentowick import exception
+from pimentowick.configuration import border, tokens
+
+__all__ = [
+    "KINDS",
+    "AuditEntry",
+    "Document",
+    "Envelope",
+    "Fleet",
+    "FleetBody",
+    "OperatorBody",
+    "WorkspaceBody",
+    "make_entries",
+    "parse_envelope",
+    "parse_fleet",
+]
+
+KINDS = ("template", "workspace", "fleet")
+FLEET_NAME = "fleet"
+# The field of the same name hides the module within the class.
+EntryBody = tokens.EntryBody
+BODY_LIMIT = 150_000
+"""Bytes that a body may have as JSON, so that it fits one part of a dump."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """A version of a document.
+
+    Attributes:
+        kind: One of `KINDS`.
+        name: Name of the document.
+        version: Offset of the record that made this version.
+        id: Id of that record.
+        by: Operator who made it.
+        at: Time in seconds since the epoch, as the operator's host told it.
+        body: JSON body; not to be changed.
+    """
+
+    kind: str
+    name: str
+    version: int
+    id: str
+    by: str
+    at: float
+    body: dict = dataclasses.field(repr=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditEntry:
+    """What became of a record.
+
+    Attributes:
+        offset: Offset of the record.
+        at: Time that it states, in seconds since the epoch; 0 if unreadable.
+        by: Operator that it states; empty if unreadable.
+        kind: Kind of the document; empty if unreadable.
+        name: Name of the document; empty if unreadable.
+        version_before: Version of the document before the record, 0 if none.
+        version_after: Version of the document after it, 0 if none.
+        accepted: Whether the record took effect.
+        reason: Why not; empty if accepted.
+        id: Id of the record; empty if unreadable.
+    """
+
+    offset: int
+    at: float
+    by: str
+    kind: str
+    name: str
+    version_before: int
+    version_after: int
+    accepted: bool
+    reason: str
+    id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """What holds for the whole fleet.
+
+    Attributes:
+        operators: `tokens.Entry` by token id.
+        shards: Number of shards of the batch work.
+    """
+
+    operators: dict = dataclasses.field(default_factory=dict, repr=False)
+    shards: int = 8
+
+
+class Envelope(border.Model):
+    """Border model of a record."""
+
+    id: str = pydantic.Field(pattern=r"^[0-9a-f]{8,64}$")
+    type: typing.Literal["template", "workspace", "fleet"]
+    name: str = pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+    amends: int = pydantic.Field(ge=0)
+    by: str = pydantic.Field(min_length=1, max_length=100)
+    at: float = pydantic.Field(ge=0)
+    body: dict[str, typing.Any]
+
+
+class WorkspaceBody(border.Model):
+    """Border model of the body of a workspace document."""
+
+    template: str
+    template_version: int
+    parameters: dict[str, typing.Any] = {}
+    tokens: list[EntryBody] = []
+    stopped: bool = False
+
+
+class OperatorBody(tokens.EntryBody):
+    """Border model of an operator's token entry."""
+
+    name: str = pydantic.Field(min_length=1, max_length=100)
+
+
+class FleetBody(border.Model):
+    """Border model of the body of the fleet document."""
+
+    operators: list[OperatorBody] = []
+    shards: int = pydantic.Field(default=8, ge=1, le=4096)
+
+
+def parse_envelope(offset, record):
+    """Return a record as the `Document` that it asks for, and what it amends.
+
+    Raises:
+        exception.ValidationError: If the record lacks the documented form.
+    """
+    border.check_json(record)
+    envelope = border.validate(Envelope, record)
+    if envelope.type == FLEET_NAME and envelope.name != FLEET_NAME:
+        raise exception.ValidationError(f"name: the fleet's is {FLEET_NAME!r}")
+    if len(json.dumps(envelope.body)) > BODY_LIMIT:
+        raise exception.ValidationError(f"body: larger than {BODY_LIMIT} bytes")
+    body = copy.deepcopy(record["body"])
+    document = Document(
+        envelope.type,
+        envelope.name,
+        offset,
+        envelope.id,
+        envelope.by,
+        envelope.at,
+        body,
+    )
+    return document, envelope.amends
+
+
+def parse_fleet(body):
+    """Return the body of the fleet document as a `Fleet`.
+
+    Raises:
+        exception.ValidationError: If it lacks the documented form.
+    """
+    parsed = border.validate(FleetBody, body)
+    return Fleet(make_entries(parsed.operators), parsed.shards)
+
+
+def make_entries(bodies):
+    """Return token entries by id from their border models."""
+    entries = [
+        tokens.Entry(body.id, body.salt, body.hash, getattr(body, "name", ""))
+        for body in bodies
+    ]
+    return tokens.index_entries(entries)
--- /dev/null
+++ b/pimentowick/configuration/tests/test_fold.py
@@ -0,0 +1,331 @@
+import json
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from pimentowick import exception
+from pimentowick.configuration import document, fold, tokens
+
+SETTINGS = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+TEMPLATE = {
+    "parameters": {"size": {"type": "integer", "default": 2, "maximum": 9}},
+    "workspace": {"max_jobs_open": "${size}"},
+}
+GARBLED = [
+    None,
+    [],
+    "text",
+    {},
+    {"type": "template"},
+    {"id": "ab" * 8, "type": "lorry", "at": float("nan"), "name": "\ud800"},
+    {"id": 7, "type": ["template"], "name": {}, "at": 10**400, "by": None},
+    {"id": "cd" * 8, "type": "checkpoint"},
+]
+
+
+def make_record(number, kind, name, amends, body):
+    return {
+        "id": f"{number:016x}",
+        "type": kind,
+        "name": name,
+        "amends": amends,
+        "by": "ada",
+        "at": 5.0,
+        "body": body,
+    }
+
+
+def make_body(version, size=2, entries=()):
+    return {
+        "template": "small",
+        "template_version": version,
+        "parameters": {"size": size},
+        "tokens": [entry.to_dict() for entry in entries],
+    }
+
+
+def fold_records(records, first=1):
+    state = fold.ConfigurationFold()
+    for offset, record in enumerate(records, first):
+        state.apply(offset, record)
+    return state
+
+
+def copy_state(state):
+    copied = fold.ConfigurationFold()
+    copied.load(json.loads(json.dumps(state.dump())))
+    return copied
+
+
+def assert_equal(left, right):
+    assert left.dump() == right.dump()
+    for name in ("version", "templates", "workspaces", "fleet", "audit"):
+        assert getattr(left, name) == getattr(right, name)
+    for name in ("_outcomes", "_seen", "_token_owners", "_template_uses"):
+        assert getattr(left, name) == getattr(right, name)
+
+
+@strategies.composite
+def draw_records(draw):
+    """A stream in which writers race, repeat themselves and write rubbish."""
+    records = []
+    for number in range(draw(strategies.integers(0, 30))):
+        versions = strategies.integers(0, len(records) + 2)
+        choice = draw(strategies.integers(0, 9))
+        if choice == 0:
+            record = draw(strategies.sampled_from(GARBLED))
+        elif choice == 1 and records:
+            record = draw(strategies.sampled_from(records))
+        elif choice <= 4:
+            record = make_record(number, "template", "small", 0, TEMPLATE)
+        elif choice == 5:
+            body = {"operators": [], "shards": draw(strategies.integers(-1, 9))}
+            record = make_record(number, "fleet", "fleet", draw(versions), body)
+        else:
+            body = make_body(draw(versions), draw(strategies.integers(1, 11)))
+            name = draw(strategies.sampled_from(["one", "two"]))
+            record = make_record(number, "workspace", name, 0, body)
+        if choice > 1 and draw(strategies.booleans()):
+            state = fold_records(records)
+            current = state.get_document(record["type"], record["name"])
+            record["amends"] = current.version if current else 0
+        records.append(record)
+    return records
+
+
+@SETTINGS
+@hypothesis.given(draw_records(), strategies.integers(0, 30))
+def test_dump_at_any_point_equals_start(records, cut):
+    """A reader starts from the dump of another one in the middle of the log.
+
+    If the two differed, hosts would serve a customer by different settings.
+    """
+    whole = fold.ConfigurationFold()
+    other = fold.ConfigurationFold()
+    for offset, record in enumerate(records):
+        if offset == cut:
+            other = copy_state(other)
+        whole.apply(offset, record)
+        other.apply(offset, json.loads(json.dumps(record)))
+        assert_equal(whole, other)
+
+
+@SETTINGS
+@hypothesis.given(draw_records())
+def test_versions_grow_and_one_change_wins(records):
+    """Writers race, and the log holds what each of them asked for.
+
+    A version that fell back, or two winners over one version, would undo a
+    change without anyone seeing it.
+    """
+    state = fold.ConfigurationFold()
+    won = set()
+    for offset, record in enumerate(records, 1):
+        before = state.version
+        documents = dict(state._documents)
+        state.apply(offset, record)
+        assert state.version in (before, offset)
+        note = state.audit[-1] if state.audit else None
+        if note is None or note.offset != offset:
+            assert record["type"] == "checkpoint"
+            continue
+        assert note.accepted == (state.version == offset)
+        if note.accepted:
+            key = (note.kind, note.name, record["amends"])
+            assert key not in won
+            won.add(key)
+            assert note.version_before == record["amends"]
+        else:
+            assert note.reason
+            assert state._documents == documents
+
+
+@SETTINGS
+@hypothesis.given(draw_records(), strategies.randoms(use_true_random=False))
+def test_repeated_offsets_change_nothing(records, choose):
+    """A reader gets records again after it reconnected to the log.
+
+    Applying them twice would fill the audit with false duplicates.
+    """
+    once = fold_records(records)
+    again = fold.ConfigurationFold()
+    for offset, record in enumerate(records, 1):
+        again.apply(offset, record)
+        back = choose.randint(1, offset)
+        again.apply(back, records[back - 1])
+    assert_equal(once, again)
+
+
+def test_records_never_alias_the_callers_objects():
+    record = make_record(1, "template", "small", 0, json.loads(json.dumps(TEMPLATE)))
+    state = fold_records([record])
+    record["body"]["workspace"]["max_jobs_open"] = "changed"
+    assert state.get_document("template", "small").body == TEMPLATE
+
+
+def test_conflict_names_the_winner():
+    """Two operators change the same template from the same version.
+
+    The second one has to learn whose change stands, instead of undoing it.
+    """
+    records = [make_record(n, "template", "small", 0, TEMPLATE) for n in (1, 2)]
+    state = fold_records(records)
+    found = state.find_record(records[1]["id"])
+    assert not found.accepted
+    assert found.reason.startswith("conflict: version 1 by ada")
+    assert records[0]["id"] in found.reason
+    assert state.find_record(records[0]["id"]).accepted
+    assert state.find_record("unknown") is None
+
+
+def test_duplicate_hides_no_outcome_and_stays_void():
+    """A workspace is published before its template, and the append is repeated.
+
+    The repeat comes when the template is there; it must not take effect behind
+    the back of the operator, who was told that the change was rejected.
+    """
+    early = make_record(1, "workspace", "one", 0, make_body(2))
+    records = [early, make_record(2, "template", "small", 0, TEMPLATE), early]
+    state = fold_records(records)
+    assert state.workspaces == {}
+    assert state.audit[-1].reason == fold.DUPLICATE
+    assert "template small version 2" in state.find_record(early["id"]).reason
+
+
+def test_offset_zero_is_rejected():
+    state = fold_records([make_record(1, "template", "small", 0, TEMPLATE)], first=0)
+    assert state.version == 0
+    assert "offset 0" in state.audit[0].reason
+
+
+def test_template_versions_stay_while_referred_to():
+    records = [
+        make_record(1, "template", "small", 0, TEMPLATE),
+        make_record(2, "workspace", "one", 0, make_body(1)),
+        make_record(3, "template", "small", 1, TEMPLATE),
+        make_record(4, "template", "small", 3, TEMPLATE),
+    ]
+    state = fold_records(records)
+    assert sorted(state.templates["small"]) == [1, 4]
+    state.apply(5, make_record(5, "workspace", "one", 2, make_body(4, 9)))
+    assert sorted(state.templates["small"]) == [4]
+    assert state.workspaces["one"].max_jobs_open == 9
+    state.apply(6, make_record(6, "workspace", "two", 0, make_body(1)))
+    assert "expected one of the versions [4]" in state.audit[-1].reason
+    assert [item.version for item in state.documents_since(4)] == [5]
+
+
+def test_tokens_rotate_without_a_gap_and_belong_to_one():
+    """A workspace changes its token while a rival tries to enter the same id.
+
+    Callers of the first one must be let in throughout, and never as the rival.
+    """
+    old_text, old = tokens.make_token()
+    new_text, new = tokens.make_token()
+    state = fold_records(
+        [
+            make_record(1, "template", "small", 0, TEMPLATE),
+            make_record(2, "workspace", "one", 0, make_body(1, entries=[old])),
+            make_record(3, "workspace", "two", 0, make_body(1, entries=[old])),
+            make_record(4, "workspace", "one", 2, make_body(1, entries=[old, new])),
+        ]
+    )
+    assert "belongs to another workspace" in state.audit[2].reason
+    assert state.find_workspace_by_token(old_text).name == "one"
+    assert state.find_workspace_by_token(new_text).name == "one"
+    state.apply(5, make_record(5, "workspace", "one", 4, make_body(1, entries=[new])))
+    assert state.find_workspace_by_token(old_text) is None
+    assert state.find_workspace_by_token(new_text).version == 5
+    for wrong in (None, "", ".", new.id, new_text + "\ud800", new_text[:-1]):
+        assert state.find_workspace_by_token(wrong) is None
+
+
+def test_operator_tokens():
+    text, entry = tokens.make_token("ada")
+    body = {"operators": [entry.to_dict()]}
+    state = fold_records([make_record(1, "fleet", "fleet", 0, body)])
+    assert state.find_operator_by_token(text).name == "ada"
+    assert state.fleet.shards == 8
+    twice = {"operators": [entry.to_dict(), entry.to_dict()]}
+    state.apply(2, make_record(2, "fleet", "fleet", 1, twice))
+    assert "occurs twice" in state.audit[-1].reason
+    state.apply(3, make_record(3, "fleet", "other", 0, body))
+    assert not state.audit[-1].accepted
+
+
+def test_notes_and_dumps_are_bounded(monkeypatch):
+    """A broken writer fills the log with rejected records for hours.
+
+    The memory of the readers must stay bounded, and the copies stay equal.
+    """
+    monkeypatch.setattr(fold, "SEEN_LIMIT", 3000)
+    wide = make_record(0, "template", "wide", 0, {"workspace": {"a": "x" * 140_000}})
+    records = [wide]
+    choose = random.Random(3)
+    for number in range(1, 4000):
+        repeated = choose.randint(0, number)
+        records.append(make_record(repeated, "workspace", "one", 0, make_body(1)))
+    state = fold_records(records)
+    assert len(state.audit) == fold.AUDIT_LIMIT
+    assert len(state._seen) <= 3000
+    assert max(len(json.dumps(part)) for part in state.dump()) < 210_000
+    assert_equal(state, copy_state(state))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"workspace": {"a": "x" * 200_000}},
+        {"workspace": {"a": 2**60}},
+        {"workspace": {"a": float("inf")}},
+        {"workspace": {"a": "\ud800"}},
+        {"workspace": {"a": json.loads("[" * 200 + "]" * 200)}},
+        {"workspace": {"a": "${lost}"}},
+    ],
+)
+def test_hostile_bodies_are_noted(body):
+    state = fold_records([make_record(1, "template", "small", 0, body)])
+    assert state.version == 0
+    assert state.audit[0].reason
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [],
+        [{"part": "head", "items": []}],
+        [{"part": "documents", "items": [{"kind": "template"}]}],
+        [3],
+    ],
+)
+def test_broken_dump_leaves_state(parts):
+    state = fold_records([make_record(1, "template", "small", 0, TEMPLATE)])
+    before = state.dump()
+    with pytest.raises(exception.ValidationError):
+        state.load(parts)
+    assert state.dump() == before
+
+
+def test_hashes_stay_out_of_reprs_and_reasons():
+    _, entry = tokens.make_token()
+    broken = {**entry.to_dict(), "hash": "not-a-hash", "secret": "hidden-value"}
+    body = {**make_body(1), "tokens": [broken]}
+    records = [
+        make_record(1, "template", "small", 0, TEMPLATE),
+        make_record(2, "workspace", "one", 0, body),
+        make_record(3, "workspace", "one", 0, make_body(1, entries=[entry])),
+    ]
+    state = fold_records(records)
+    shown = repr((state.audit, state.workspaces, state.get_document(*WORKSPACE_ONE)))
+    assert "tokens.0.hash" in shown
+    for hidden in (entry.hash, entry.salt, "not-a-hash", "hidden-value"):
+        assert hidden not in shown
+
+
+WORKSPACE_ONE = ("workspace", "one")
+
+
+def test_kinds():
+    assert document.KINDS == ("template", "workspace", "fleet")
