--- a/pimentowick/configuration/document.py
+++ b/pimentowick/configuration/document.py
@@ -105,7 +105,7 @@
     name: str = pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
     amends: int = pydantic.Field(ge=0)
     by: str = pydantic.Field(min_length=1, max_length=100)
-    at: float = pydantic.Field(ge=0)
+    at: float = pydantic.Field(ge=0, le=border.INTEGER_LIMIT)
     body: dict[str, typing.Any]
 
 
