--- a/pimentowick/configuration/tests/test_fold.py
+++ b/pimentowick/configuration/tests/test_fold.py
@@ -241,6 +241,9 @@
     state.apply(5, make_record(5, "workspace", "one", 4, make_body(1, entries=[new])))
     assert state.find_workspace_by_token(old_text) is None
     assert state.find_workspace_by_token(new_text).version == 5
+    assert_equal(state, copy_state(state))
+    state.apply(6, make_record(6, "workspace", "two", 0, make_body(1, entries=[old])))
+    assert state.find_workspace_by_token(old_text).name == "two"
     for wrong in (None, "", ".", new.id, new_text + "\ud800", new_text[:-1]):
         assert state.find_workspace_by_token(wrong) is None
 
