--- /dev/null
+++ b/pimentowick/agent/daemon.py
@@ -0,0 +1,364 @@
+"""The agent: the only way to the target beside it.
+
+Whoever reaches the target by another way voids the promises of this package: the
+order of requests, the leases and the fencing are kept here.
+"""
+
+import asyncio
+import collections
+import time
+
+from loguru import logger
+from tornado import iostream, web
+
+from pimentowick import client as http_client
+from pimentowick import exception, supervisor, verdict
+from pimentowick import metrics as process_metrics
+from pimentowick import web as http_web
+from pimentowick.agent import work as agent_work
+from pimentowick.platform import engine as platform_engine
+from pimentowick.platform import service as platform_service
+from pimentowick.scheduling import admission as scheduling_admission
+from pimentowick.scheduling import lease as scheduling_lease
+from pimentowick.scheduling import limiter as scheduling_limiter
+
+__all__ = ["Agent"]
+
+READY = "ready"
+DRAINING = "draining"
+STARTING = "starting"
+
+LOAD_POLL_S = 0.25
+LEASE_CHECK_S = 0.1
+DRAIN_CHECK_S = 0.05
+CONTROL_CONNECTIONS = 16
+MAX_STOPPED_JOBS = 10_000
+LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
+
+
+class Agent:
+    """The daemon beside one target.
+
+    Args:
+        settings: `pimentowick.settings.AgentSettings`.
+
+    Attributes:
+        address: ``IP:port`` once started.
+        state: ``starting``, ``ready`` or ``draining``.
+        running: The connections whose request is at work.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.state = STARTING
+        self.running = set()
+        self.load = platform_engine.EngineLoad()
+        self.metrics = process_metrics.AgentMetrics()
+        self.leases = scheduling_lease.LeaseTable(settings.lease_s)
+        self.stopped_jobs = collections.OrderedDict()
+        target = settings.target
+        limiter = scheduling_limiter.YieldingLimiter(
+            target.max_batch, LOW_SHARE[settings.batch_harm]
+        )
+        self.admission = scheduling_admission.Admission(
+            target.max_online, target.max_queue, limiter
+        )
+        self._client = http_client.Client(target.max_online + target.max_batch)
+        self._control = http_client.Client(CONTROL_CONNECTIONS)
+        self.target = self._make_target()
+        self._supervisor = supervisor.Supervisor("agent")
+        self._server = http_web.Server(
+            self._make_application(), settings.address, settings.port
+        )
+
+    @property
+    def address(self):
+        """``IP:port`` that the agent listens on."""
+        return self._server.address
+
+    def _make_target(self):
+        target = self.settings.target
+        if target.kind == "service":
+            return platform_service.HttpService(target.address, self._client)
+        return platform_engine.HttpEngine(
+            target.address, self._client, self._control, self.settings.idle_s
+        )
+
+    def _make_application(self):
+        shared = {"agent": self}
+        return web.Application(
+            [
+                ("/work", WorkHandler, shared),
+                ("/heartbeat", HeartbeatHandler, shared),
+                ("/stop-job", StopJobHandler, shared),
+                ("/health", HealthHandler, shared),
+                ("/ready", ReadyHandler, shared),
+                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+            ],
+            log_function=lambda handler: None,
+        )
+
+    async def start(self):
+        """Listen, and begin to watch the target."""
+        await self._client.start()
+        await self._control.start()
+        await self._supervisor.start()
+        await self._server.start()
+        self._supervisor.start_child("leases", self._watch_leases)
+        self._supervisor.start_child("alive", self._send_alive)
+        if self.settings.target.kind == "engine":
+            self._supervisor.start_child("load", self._watch_load)
+        self.state = READY
+        logger.info("agent: {} listens on {}.", self.settings.name, self.address)
+
+    async def drain(self):
+        """Refuse new work, and wait for what runs.
+
+        Returns:
+            Whether all of it ended within the bound of the settings.
+        """
+        logger.info("agent: Draining. {} requests run.", len(self.running))
+        self.state = DRAINING
+        # Entries learn of it with their next heartbeat; until then a refusal that
+        # says not run sends their requests elsewhere.
+        await asyncio.sleep(self.settings.lame_duck_s)
+        deadline = time.monotonic() + self.settings.drain_s
+        while self.running and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_CHECK_S)
+        if self.running:
+            logger.warning("agent: {} requests are cut.", len(self.running))
+        return not self.running
+
+    async def close(self):
+        """Stop listening and drop all connections."""
+        await self._supervisor.close()
+        for handler in list(self.running):
+            handler.cancel()
+        await self._server.close()
+        await self._client.close()
+        await self._control.close()
+        logger.info("agent: {} is closed.", self.settings.name)
+
+    async def _watch_leases(self):
+        """Cancel the batch items of entries whose lease has lapsed."""
+        while True:
+            await asyncio.sleep(LEASE_CHECK_S)
+            for holder in self.leases.pop_lapsed():
+                self._cancel_batch_of(holder)
+
+    async def stop_job(self, job):
+        """Cancel the items of a job and refuse those that still arrive.
+
+        An item may be on its way in a socket when the job is cancelled; without the
+        note of the job it would start after the cancellation was acknowledged.
+
+        Returns:
+            How many items were cancelled.
+        """
+        self.stopped_jobs[job] = None
+        if len(self.stopped_jobs) > MAX_STOPPED_JOBS:
+            self.stopped_jobs.popitem(last=False)
+        items = [each for each in self.running if each.work.envelope.job == job]
+        for handler in items:
+            handler.cancel()
+        while not self.running.isdisjoint(items):
+            await asyncio.sleep(0)
+        return len(items)
+
+    def _cancel_batch_of(self, holder):
+        stale = [
+            handler
+            for handler in self.running
+            if handler.work.is_batch and handler.work.envelope.entry == holder
+        ]
+        if stale:
+            logger.warning(
+                "agent: The lease of {} lapsed. {} batch items are cancelled.",
+                holder,
+                len(stale),
+            )
+        for handler in stale:
+            handler.cancel()
+
+    async def _send_alive(self):
+        while True:
+            await asyncio.sleep(self.settings.alive_s)
+            for handler in list(self.running):
+                handler.send_alive()
+
+    async def _watch_load(self):
+        while True:
+            await asyncio.sleep(LOAD_POLL_S)
+            try:
+                self.load = await self.target.read_load()
+            except exception.PimentowickError:
+                continue
+            online = self.admission.count_online()
+            self.admission.limiter.note_step(self.load.step_ms, online)
+            self.admission.apply_limit()
+
+    def describe(self):
+        """Return what heartbeat answers say about this agent."""
+        target = self.settings.target
+        admission = self.admission
+        return {
+            "agent": self.settings.name,
+            "state": self.state,
+            "kind": target.kind,
+            "service": target.service,
+            "target": target.name,
+            "models": list(self.load.models),
+            "online": admission.count_online(),
+            "max_online": admission.max_online,
+            "batch": len(admission.batch),
+            "batch_free": admission.count_free_batch(),
+            "wait_s": admission.estimate_wait(),
+            "entries": max(1, self.leases.count()),
+            "lease_s": self.settings.lease_s,
+        }
+
+    def check(self, work):
+        """Refuse work that must not begin.
+
+        Raises:
+            RefusedError: The agent drains, or the sender's lease has lapsed.
+        """
+        if self.state != READY:
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    503,
+                    "draining",
+                    "The target is leaving. Try again.",
+                    retry_after=0.1,
+                )
+            )
+        envelope = work.envelope
+        if envelope.job in self.stopped_jobs:
+            raise exception.RefusedError(
+                verdict.Refusal(410, "job_stopped", "The job was cancelled.")
+            )
+        if work.is_batch and not self.leases.is_valid(envelope.entry, envelope.lease):
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    409, "lease_lapsed", "The lease has lapsed.", retry_after=0.1
+                )
+            )
+
+
+class WorkHandler(http_web.JsonHandler):
+    """One request at work; its connection's task runs it."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+        self.work = None
+        self._task = None
+        self._idle = False
+
+    async def post(self):
+        """Run a request and answer with its lines."""
+        work = agent_work.parse_work(self.read_json())
+        self.work = work
+        self.set_header("Content-Type", "application/x-ndjson")
+        try:
+            self.agent.check(work)
+        except exception.RefusedError as error:
+            self._count(error.refusal)
+            self.finish(work.make_refusal(error.refusal))
+            return
+        self._task = asyncio.ensure_future(self._run(work))
+        self.agent.running.add(self)
+        try:
+            await self._task
+        except asyncio.CancelledError:
+            # The lease lapsed, or the entry is gone: without a last line the entry
+            # sees the answer as broken, which is what it is.
+            self.request.connection.close()
+        except iostream.StreamClosedError:
+            return
+        finally:
+            self.agent.running.discard(self)
+
+    async def _run(self, work):
+        try:
+            async for line in work.run(self.agent.target, self.agent.admission):
+                self._idle = False
+                self.write(line)
+                # Flushing what came together at once; the loop goes on to other
+                # connections while the kernel takes it.
+                await self.flush()
+        except exception.RefusedError as error:
+            self._count(error.refusal)
+            self.write(work.make_refusal(error.refusal))
+        else:
+            self.agent.metrics.count_admitted(work.envelope.priority)
+        self.finish()
+
+    def _count(self, refusal):
+        self.agent.metrics.count_refused(refusal.code, refusal.verdict)
+
+    def send_alive(self):
+        """Send a keep-alive line if nothing was sent since the last call."""
+        if self._idle and not self._finished:
+            self.write(self.work.make_alive())
+            self.flush()
+        self._idle = True
+
+    def cancel(self):
+        """End the request."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def on_connection_close(self):
+        """End the request: nobody waits for it any more."""
+        self.cancel()
+
+
+class HeartbeatHandler(http_web.JsonHandler):
+    """Tells an entry how the agent is, and renews the entry's lease."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def post(self):
+        """Answer a heartbeat."""
+        data = self.read_json()
+        answer = self.agent.describe()
+        if data.get("renew") is not None:
+            answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
+        self.write_json(answer)
+
+
+class StopJobHandler(http_web.JsonHandler):
+    """Ends the items of a cancelled job."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    async def post(self):
+        """Answer once no item of the job runs here."""
+        job = self.read_json()["job"]
+        self.write_json({"cancelled": await self.agent.stop_job(job)})
+
+
+class HealthHandler(http_web.JsonHandler):
+    """Liveness: the loop turns."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def get(self):
+        """Answer that the process lives."""
+        self.write_json({"state": self.agent.state})
+
+
+class ReadyHandler(HealthHandler):
+    """Readiness: new work is taken."""
+
+    def get(self):
+        """Answer 200 while new work is taken, 503 otherwise."""
+        status = 200 if self.agent.state == READY else 503
+        self.write_json(self.agent.describe(), status)
--- /dev/null
+++ b/pimentowick/agent/work.py
@@ -0,0 +1,206 @@
+"""Runs one request at the agent's target.
+
+Each run is one task, that of the connection which asked for it. It takes its place
+from the admission, passes the request to the target and yields the lines of the
+answer. A batch item that is preempted ends at the engine, waits for a place, and
+goes on from the tokens that it had.
+"""
+
+import asyncio
+import dataclasses
+
+from pimentowick import exception, verdict
+from pimentowick.agent import frame
+from pimentowick.platform import engine as platform_engine
+from pimentowick.platform import service as platform_service
+from pimentowick.scheduling import admission as scheduling_admission
+
+__all__ = ["GenerateWork", "ServiceWork", "parse_work"]
+
+ONLINE = "online"
+BATCH = "batch"
+
+
+@dataclasses.dataclass(slots=True)
+class Envelope:
+    """What an entry tells about a request, besides the request itself."""
+
+    request_id: str
+    attempt: int
+    entry: str
+    workspace: str
+    priority: str
+    deadline_s: float
+    weight: float = 1.0
+    lease: int = 0
+    cost: float = 1.0
+    job: str | None = None
+
+
+def parse_work(data):
+    """Return the `GenerateWork` or `ServiceWork` that an entry asks for.
+
+    Raises:
+        RefusedError: The message is malformed.
+    """
+    try:
+        envelope = Envelope(**data["envelope"])
+        if "generate" in data:
+            fields = data["generate"]
+            return GenerateWork(
+                envelope,
+                platform_engine.Generation(
+                    request_id=envelope.request_id, attempt=envelope.attempt, **fields
+                ),
+            )
+        fields = dict(data["call"])
+        fields["body"] = fields["body"].encode("latin-1")
+        call = platform_service.ServiceCall(
+            request_id=envelope.request_id, deadline_s=envelope.deadline_s, **fields
+        )
+        return ServiceWork(envelope, call)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise exception.RefusedError(
+            verdict.Refusal(400, "bad_request", f"Malformed work: {error!r}.")
+        ) from error
+
+
+class _Work:
+    """What both kinds of work share."""
+
+    def __init__(self, envelope):
+        self.envelope = envelope
+        self.ticket = scheduling_admission.Ticket(
+            workspace=envelope.workspace,
+            weight=envelope.weight,
+            cost=envelope.cost,
+            holder=envelope.entry,
+        )
+
+    @property
+    def is_batch(self):
+        """Whether this is a batch item."""
+        return self.envelope.priority == BATCH
+
+    def make_alive(self):
+        """Return the keep-alive line of this work."""
+        return frame.make_alive(self.envelope.request_id, self.envelope.attempt)
+
+    def make_refusal(self, refusal):
+        """Return the line that refuses this work."""
+        return frame.make_refusal(
+            self.envelope.request_id, self.envelope.attempt, refusal
+        )
+
+
+class GenerateWork(_Work):
+    """A generation at the engine."""
+
+    def __init__(self, envelope, generation):
+        super().__init__(envelope)
+        self.generation = generation
+
+    async def run(self, target, admission):
+        """Yield the lines of the answer.
+
+        Raises:
+            RefusedError: The request got no whole answer.
+        """
+        if self.is_batch:
+            lines = self._run_batch(target, admission)
+        else:
+            lines = self._run_online(target, admission)
+        async for line in lines:
+            yield line
+
+    async def _run_online(self, target, admission):
+        await admission.admit_online(self.ticket, self.envelope.deadline_s)
+        try:
+            async for event in target.generate(self.generation):
+                yield self._make_line(event)
+        finally:
+            admission.release_online(self.ticket)
+
+    async def _run_batch(self, target, admission):
+        admission.try_admit_batch(self.ticket)
+        generation = self.generation
+        try:
+            while True:
+                async for event in self._run_until_preempted(target, generation):
+                    if isinstance(event, platform_engine.Tokens):
+                        produced = event.index + len(event.texts)
+                        generation = dataclasses.replace(
+                            generation, resume_tokens=produced
+                        )
+                    yield self._make_line(event)
+                    if isinstance(event, platform_engine.End):
+                        return
+                await admission.readmit_batch(self.ticket)
+        finally:
+            admission.release_batch(self.ticket)
+
+    async def _run_until_preempted(self, target, generation):
+        events = target.generate(generation)
+        preempted = asyncio.ensure_future(self.ticket.preempted.wait())
+        following = None
+        try:
+            while True:
+                following = asyncio.ensure_future(anext(events, None))
+                await asyncio.wait(
+                    {following, preempted}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if preempted.done():
+                    return
+                event = following.result()
+                if event is None:
+                    return
+                yield event
+        finally:
+            preempted.cancel()
+            await _cancel(following)
+            await events.aclose()
+            if preempted.done() and not preempted.cancelled():
+                # The engine would go on with its step until it saw the closed
+                # connection; the order frees the place for online work at once.
+                await target.cancel(generation.request_id)
+
+    def _make_line(self, event):
+        request_id = self.envelope.request_id
+        attempt = self.envelope.attempt
+        if isinstance(event, platform_engine.Tokens):
+            return frame.make_tokens(request_id, attempt, event.index, event.texts)
+        return frame.make_end(request_id, attempt, event.finish_reason, event.tokens)
+
+
+async def _cancel(future):
+    if future is None or future.done():
+        return
+    future.cancel()
+    await asyncio.gather(future, return_exceptions=True)
+
+
+class ServiceWork(_Work):
+    """A call to a plain service."""
+
+    def __init__(self, envelope, call):
+        super().__init__(envelope)
+        self.call = call
+
+    async def run(self, target, admission):
+        """Yield the line of the answer.
+
+        Raises:
+            RefusedError: The call got no whole answer.
+        """
+        await admission.admit_online(self.ticket, self.envelope.deadline_s)
+        try:
+            answer = await target.call(self.call)
+        finally:
+            admission.release_online(self.ticket)
+        yield frame.make_answer(
+            self.envelope.request_id,
+            self.envelope.attempt,
+            answer.status,
+            answer.headers,
+            answer.body,
+        )
--- /dev/null
+++ b/pimentowick/batch/item.py
@@ -0,0 +1,136 @@
+"""One attempt of a batch item at an agent, and what it means."""
+
+import dataclasses
+import enum
+
+from pimentowick import completion, exception, verdict
+from pimentowick.routing import attempt as routing_attempt
+
+__all__ = ["Outcome", "Progress", "Result", "make_failure", "run_item"]
+
+BATCH = "batch"
+ITEM_DEADLINE_S = 3600.0
+# Answers that blame the item itself; it would get them from every target.
+HOPELESS_STATUSES = frozenset([400, 404, 413, 422])
+
+
+class Outcome(enum.Enum):
+    """How an attempt of an item ended."""
+
+    DONE = "done"
+    """There is a result, a good one or a final failure."""
+    NOT_RUN = "not_run"
+    """The target never saw it; it waits for another place."""
+    LOST = "lost"
+    """The target or the connection died while it ran."""
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What earlier attempts of an item left.
+
+    Attributes:
+        texts: Tokens that were produced; the next attempt goes on after them.
+        attempts: Attempts begun.
+    """
+
+    texts: list = dataclasses.field(default_factory=list)
+    attempts: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """The end of an attempt.
+
+    Attributes:
+        outcome: `Outcome`.
+        status: ``succeeded`` or ``failed`` when done.
+        body: Result of the item when done.
+        refusal: Why there is none.
+    """
+
+    outcome: Outcome
+    status: str | None = None
+    body: dict | None = None
+    refusal: object = None
+
+
+async def run_item(client, peer, owner, job, item, body, progress, weight, idle_s):
+    """Run one attempt of an item at `peer`.
+
+    Args:
+        client: `pimentowick.client.Client` of batch traffic.
+        peer: `pimentowick.membership.fleet.Peer`.
+        owner: Name under which this process holds its leases.
+        job: `pimentowick.batch.ledger.Job`.
+        item: Number of the item.
+        body: The item as it stands in the log.
+        progress: `Progress` of the item; tokens are added to it.
+        weight: Share of the workspace.
+        idle_s: Longest silence of the agent, in seconds.
+
+    Returns:
+        The `Result`.
+    """
+    progress.attempts += 1
+    request_id = f"{job.id}-{item}"
+    envelope = routing_attempt.make_envelope(
+        request_id,
+        progress.attempts,
+        owner,
+        job.workspace,
+        BATCH,
+        ITEM_DEADLINE_S,
+        weight=weight,
+        lease=peer.lease,
+        cost=body["max_tokens"],
+        job=job.id,
+    )
+    generation = {name: body[name] for name in ("model", "adapter", "prompt")}
+    generation["max_tokens"] = body["max_tokens"]
+    generation["resume_tokens"] = len(progress.texts)
+    message = {"envelope": envelope, "generate": generation}
+    end = None
+    try:
+        async for frames in routing_attempt.read_frames(client, peer, message, idle_s):
+            for each in frames:
+                if "texts" in each and each["index"] == len(progress.texts):
+                    progress.texts.extend(each["texts"])
+                elif each.get("end"):
+                    end = each
+    except exception.RefusedError as error:
+        return _judge(body, error.refusal)
+    if end["finish_reason"] == "cancelled" or end["tokens"] != len(progress.texts):
+        # The engine ended it for a reason of its own; what came is not whole.
+        return Result(Outcome.NOT_RUN)
+    return _succeed(request_id, body, progress, end)
+
+
+def _succeed(request_id, body, progress, end):
+    text = "".join(progress.texts)
+    answer = completion.make_chat_body(
+        request_id, body, text, end["finish_reason"], end["tokens"]
+    )
+    response = {"status_code": 200, "request_id": request_id, "body": answer}
+    return Result(
+        Outcome.DONE,
+        "succeeded",
+        {"custom_id": body["custom_id"], "response": response, "error": None},
+    )
+
+
+def _judge(body, refusal):
+    if refusal.status in HOPELESS_STATUSES:
+        return Result(Outcome.DONE, "failed", make_failure(body, refusal), refusal)
+    if refusal.verdict is verdict.Verdict.NOT_RUN:
+        return Result(Outcome.NOT_RUN, refusal=refusal)
+    return Result(Outcome.LOST, refusal=refusal)
+
+
+def make_failure(body, refusal):
+    """Return the result of an item that can't be done."""
+    return {
+        "custom_id": body["custom_id"],
+        "response": None,
+        "error": refusal.to_dict()["error"],
+    }
--- /dev/null
+++ b/pimentowick/batch/ownership.py
@@ -0,0 +1,171 @@
+"""Who owns which shard.
+
+The log decides: a claim is in force or not, for every reader alike. The times here
+only decide when a claim is worth trying. An owner shows itself alive by its records;
+one that is silent while jobs are open is replaced. Silence is counted in the turns
+of an own loop, so that a process that was frozen doesn't take its own absence for
+that of the others.
+"""
+
+import asyncio
+import time
+
+from loguru import logger
+
+from pimentowick import exception, supervisor
+from pimentowick.batch import record as batch_record
+
+__all__ = ["Ownership"]
+
+TICK_S = 0.1
+RANK_DELAY_S = 1.0
+GONE_DELAY_S = 1.0
+RENEWS_PER_TAKEOVER = 3
+CLAIM_PAUSE_S = 1.0
+
+
+class _Watch:
+    """What one shard's owner was last seen to do."""
+
+    def __init__(self):
+        self.owner_offset = None
+        self.silent_s = 0.0
+        self.idle_s = 0.0
+        self.renewed_at = 0.0
+        self.claimed_at = 0.0
+
+
+class Ownership:
+    """Claims shards, shows them owned, and gives them up.
+
+    Args:
+        table: `pimentowick.batch.shard.ShardTable`.
+        fleet: `pimentowick.membership.fleet.Fleet`.
+        settings: `pimentowick.settings.EntrySettings`.
+        owner: Name of this process as an owner, another one after each start.
+        metrics: `pimentowick.metrics.EntryMetrics`.
+    """
+
+    def __init__(self, table, fleet, settings, owner, metrics):
+        self._table = table
+        self._fleet = fleet
+        self._settings = settings
+        self._owner = owner
+        self._metrics = metrics
+        self._watches = {}
+        self._releasing = False
+        self._supervisor = supervisor.Supervisor("ownership")
+
+    async def start(self):
+        """Begin to watch the owners."""
+        await self._supervisor.start()
+        self._supervisor.start_child("watch", self._watch)
+
+    async def close(self):
+        """Stop watching; what is owned stays owned until it is claimed."""
+        await self._supervisor.close()
+
+    async def release_all(self):
+        """Give all shards up, so that others claim them at once."""
+        self._releasing = True
+        for shard in self._table.list_owned():
+            release = batch_record.make_release(shard.ledger.epoch)
+            try:
+                await shard.replica.append([release], self._settings.append_s)
+            except exception.LogError as error:
+                # Others then wait for the silence of this owner, as after a crash.
+                logger.warning("ownership: Shard {}: {}", shard.number, error)
+
+    async def _watch(self):
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(TICK_S)
+            elapsed = min(time.monotonic() - began, 2 * TICK_S)
+            for shard in list(self._table.followed.values()):
+                watch = self._watches.setdefault(shard.number, _Watch())
+                await self._watch_shard(shard, watch, elapsed)
+
+    async def _watch_shard(self, shard, watch, elapsed):
+        ledger = shard.ledger
+        if not shard.replica.ready or self._releasing:
+            return
+        if ledger.owner == self._owner:
+            await self._renew(shard, watch)
+            return
+        self._count_silence(shard, watch, elapsed)
+        if not ledger.list_open_jobs():
+            return
+        if watch.silent_s >= self._get_patience(shard):
+            await self._claim(shard, watch)
+
+    def _count_silence(self, shard, watch, elapsed):
+        if shard.ledger.owner_offset != watch.owner_offset:
+            watch.owner_offset = shard.ledger.owner_offset
+            watch.silent_s = 0.0
+        elif self._reads(shard):
+            watch.silent_s += elapsed
+        if not shard.ledger.list_open_jobs():
+            # An owner without work has nothing to say.
+            watch.silent_s = 0.0
+
+    def _reads(self, shard):
+        age = time.monotonic() - shard.replica.fresh_at
+        return age < self._settings.takeover_s / RENEWS_PER_TAKEOVER
+
+    def _get_patience(self, shard):
+        """Return how long the owner may be silent before this entry claims."""
+        names = self._table.list_followers(shard.number)
+        rank = names.index(self._settings.name) if self._settings.name in names else 9
+        owner = shard.ledger.owner
+        if owner is None:
+            return rank * RANK_DELAY_S
+        host = get_host_name(owner)
+        if host == self._settings.name:
+            # An earlier process of this host; it can't be alive beside this one.
+            return 0.0
+        if host not in self._table.list_names():
+            return GONE_DELAY_S + rank * RANK_DELAY_S
+        return self._settings.takeover_s + rank * RANK_DELAY_S
+
+    async def _claim(self, shard, watch):
+        now = time.monotonic()
+        if now - watch.claimed_at < CLAIM_PAUSE_S:
+            return
+        watch.claimed_at = now
+        epoch = shard.ledger.epoch + 1
+        claim = batch_record.make_claim(epoch, self._owner, time.time())
+        try:
+            await shard.replica.append([claim], self._settings.append_s)
+        except exception.LogError as error:
+            logger.warning("ownership: Shard {} not claimed. {}", shard.number, error)
+            return
+        if shard.ledger.owner == self._owner:
+            logger.info("ownership: Shard {} is ours, epoch {}.", shard.number, epoch)
+            self._metrics.count_claim()
+            self._fleet.changed.set()
+
+    async def _renew(self, shard, watch):
+        if not shard.ledger.list_open_jobs():
+            return
+        now = time.monotonic()
+        if shard.ledger.owner_offset != watch.owner_offset:
+            watch.owner_offset = shard.ledger.owner_offset
+            watch.renewed_at = now
+        if now - watch.renewed_at < self._settings.takeover_s / RENEWS_PER_TAKEOVER:
+            return
+        watch.renewed_at = now
+        renew = batch_record.make_renew(shard.ledger.epoch)
+        try:
+            await shard.replica.log.append(shard.stream, [renew])
+        except exception.LogError as error:
+            logger.warning("ownership: Shard {} not renewed. {}", shard.number, error)
+
+
+def get_host_name(owner):
+    """Return the host of an owner.
+
+    Examples:
+        >>> get_host_name("entry-1#a1b2")
+        'entry-1'
+    """
+    return owner.partition("#")[0]
--- /dev/null
+++ b/pimentowick/batch/record.py
@@ -0,0 +1,158 @@
+"""The records of a shard's stream.
+
+Each function makes one record; `pimentowick.batch.ledger` says what it does. A
+shard's stream holds all that must be ordered together: who owns the shard, and the
+jobs and keyed calls that fall to it.
+"""
+
+import hashlib
+
+from pimentowick.platform import log as platform_log
+
+__all__ = [
+    "CALL_CLAIMED",
+    "CALL_ENDED",
+    "CANCELLED",
+    "CHUNK",
+    "CLAIM",
+    "EXPIRED",
+    "RELEASE",
+    "RENEW",
+    "RESULTS",
+    "SUBMITTED",
+    "SUSPECT",
+    "make_call_id",
+    "make_job_id",
+]
+
+CLAIM = "claim"
+RELEASE = "release"
+RENEW = "renew"
+CHUNK = "chunk"
+SUBMITTED = "submitted"
+CANCELLED = "cancelled"
+RESULTS = "results"
+SUSPECT = "suspect"
+EXPIRED = "expired"
+CALL_CLAIMED = "call_claimed"
+CALL_ENDED = "call_ended"
+
+ID_DIGITS = 24
+
+
+def make_job_id(workspace, key):
+    """Return the id of the job that `workspace` submits under `key`.
+
+    Entries that receive the same submission twice derive the same id, so the first
+    record in the log wins for both without a message between them.
+
+    Examples:
+        >>> make_job_id("a", "k") == make_job_id("a", "k")
+        True
+        >>> make_job_id("a", "k") == make_job_id("b", "k")
+        False
+    """
+    return "batch_" + _digest("job", workspace, key)
+
+
+def make_call_id(workspace, service, key):
+    """Return the id of a call to `service` under an idempotency key."""
+    return "call_" + _digest("call", workspace, service, key)
+
+
+def _digest(*parts):
+    hashed = hashlib.sha256()
+    for part in parts:
+        data = part.encode()
+        # The length keeps ("ab", "c") and ("a", "bc") apart.
+        hashed.update(len(data).to_bytes(4, "big"))
+        hashed.update(data)
+    return hashed.hexdigest()[:ID_DIGITS]
+
+
+def _make(kind, **fields):
+    return {"id": platform_log.make_id(), "type": kind, **fields}
+
+
+def make_claim(epoch, owner, at):
+    """Claim the shard: in force only if `epoch` is one above the one in force."""
+    return _make(CLAIM, epoch=epoch, owner=owner, at=at)
+
+
+def make_release(epoch):
+    """Give the shard up, so that another entry claims it without waiting."""
+    return _make(RELEASE, epoch=epoch)
+
+
+def make_renew(epoch):
+    """Show that the owner of `epoch` lives."""
+    return _make(RENEW, epoch=epoch)
+
+
+def make_chunk(submission, index, items):
+    """Hold some items of a submission; `items` is a list of request bodies."""
+    return _make(CHUNK, submission=submission, index=index, items=items)
+
+
+def make_submitted(job, submission, workspace, key, digest, items, chunks, **fields):
+    """Submit a job whose chunks were appended before.
+
+    Args:
+        job: Id of the job.
+        submission: Random id that its chunks carry.
+        workspace: Name of the workspace.
+        key: Idempotency key.
+        digest: Hash of the content, to tell a resend from another job.
+        items: Number of items.
+        chunks: Number of chunks.
+        **fields: ``model``, and ``deadline`` and ``at`` in epoch seconds.
+    """
+    return _make(
+        SUBMITTED,
+        job=job,
+        submission=submission,
+        workspace=workspace,
+        key=key,
+        digest=digest,
+        items=items,
+        chunks=chunks,
+        **fields,
+    )
+
+
+def make_cancelled(job, by):
+    """Cancel a job; results after this record are void."""
+    return _make(CANCELLED, job=job, by=by)
+
+
+def make_results(epoch, results):
+    """Complete items.
+
+    Args:
+        epoch: Epoch of the owner that ran them.
+        results: List of ``[job, item, outcome, body]``; outcome is ``succeeded`` or
+            ``failed``.
+    """
+    return _make(RESULTS, epoch=epoch, results=results)
+
+
+def make_suspect(epoch, job, item, attempts):
+    """Note that an item was in flight when its target died, `attempts` times."""
+    return _make(SUSPECT, epoch=epoch, job=job, item=item, attempts=attempts)
+
+
+def make_expired(job):
+    """Drop a finished job whose results are no longer owed."""
+    return _make(EXPIRED, job=job)
+
+
+def make_call_claimed(call, request, owner, digest, at):
+    """Claim the right to run a call that must not run twice."""
+    return _make(
+        CALL_CLAIMED, call=call, request=request, owner=owner, digest=digest, at=at
+    )
+
+
+def make_call_ended(call, request, verdict, answer):
+    """State how a claimed call ended; `not_run` gives the claim up."""
+    return _make(CALL_ENDED, call=call, request=request, verdict=verdict, answer=answer)
--- /dev/null
+++ b/pimentowick/daemon.py
@@ -0,0 +1,53 @@
+"""Running a daemon as a process: settings, signals, a graceful stop."""
+
+import asyncio
+import json
+import signal
+import sys
+
+from pimentowick import exception, logs
+from pimentowick import settings as process_settings
+
+__all__ = ["run_daemon"]
+
+EXIT_SETTINGS = 2
+
+
+def run_daemon(model, make, arguments):
+    """Run a daemon until it is told to stop.
+
+    The process prints one line with its address once it listens. SIGTERM and SIGINT
+    make it drain and close; a second one makes it close without waiting.
+
+    Args:
+        model: Class of its settings.
+        make: Function that makes the daemon from its settings.
+        arguments: Command line without the program: the path of the settings file.
+    """
+    if len(arguments) != 1:
+        print("Give one argument: the path of a settings file.", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    try:
+        settings = process_settings.load_settings(model, arguments[0])
+    except exception.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    logs.configure_logs(settings.log_level, settings.log_json)
+    asyncio.run(_serve(make(settings)))
+
+
+async def _serve(daemon):
+    signals = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    await daemon.start()
+    print(json.dumps({"listening": daemon.address}), flush=True)
+    await signals.get()
+    draining = asyncio.ensure_future(daemon.drain())
+    again = asyncio.ensure_future(signals.get())
+    await asyncio.wait({draining, again}, return_when=asyncio.FIRST_COMPLETED)
+    again.cancel()
+    draining.cancel()
+    await asyncio.gather(draining, again, return_exceptions=True)
+    await daemon.close()
--- /dev/null
+++ b/pimentowick/entry/handler.py
@@ -0,0 +1,170 @@
+"""What the handlers of callers and operators have in common."""
+
+import secrets
+
+import pydantic
+
+from pimentowick import client as http_client
+from pimentowick import exception, verdict
+from pimentowick import web as http_web
+
+__all__ = ["CallerHandler", "OperatorHandler", "forward"]
+
+FORWARDED = "X-Pimentowick-Forwarded"
+FORWARD_TIMEOUT_S = 60.0
+FORWARD_HEADERS = ("Authorization", "Idempotency-Key", "Content-Type", "X-Deadline")
+
+
+class EntryHandler(http_web.JsonHandler):
+    """Knows the entry, and gives every request an id."""
+
+    def initialize(self, entry):
+        """Take the entry."""
+        self.entry = entry
+        self.request_id = "req_" + secrets.token_hex(12)
+
+    def set_default_headers(self):
+        """Name the request in the answer."""
+        self.set_header("X-Request-Id", getattr(self, "request_id", ""))
+
+    def get_token(self):
+        """Return the bearer token of the request, or None."""
+        scheme, _, text = self.request.headers.get("Authorization", "").partition(" ")
+        return text.strip() if scheme.lower() == "bearer" else None
+
+    def check_ready(self):
+        """Refuse while no configuration is known.
+
+        Raises:
+            RefusedError: This entry has not read the configuration yet.
+        """
+        if not self.entry.configuration_replica.ready:
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    503,
+                    "not_ready",
+                    "This entry has no configuration yet. Try again.",
+                    retry_after=1.0,
+                )
+            )
+
+
+class CallerHandler(EntryHandler):
+    """Handles requests of a workspace.
+
+    Attributes:
+        workspace: `pimentowick.configuration.workspace.Workspace` of the caller.
+    """
+
+    def prepare(self):
+        """Find the workspace that the token names."""
+        self.check_ready()
+        configuration = self.entry.configuration
+        self.workspace = configuration.find_workspace_by_token(self.get_token())
+        if self.workspace is None:
+            raise exception.RefusedError(_refuse_token())
+        if self.workspace.stopped:
+            raise exception.RefusedError(
+                verdict.Refusal(403, "stopped", "This workspace is stopped.")
+            )
+
+
+class OperatorHandler(EntryHandler):
+    """Handles requests of operators.
+
+    Attributes:
+        operator: `pimentowick.configuration.tokens.Entry` of the operator.
+    """
+
+    def prepare(self):
+        """Find the operator that the token names."""
+        self.check_ready()
+        self.operator = self.entry.find_operator(self.get_token())
+        if self.operator is None:
+            raise exception.RefusedError(_refuse_token())
+
+
+def _refuse_token():
+    return verdict.Refusal(
+        401, "wrong_token", "The bearer token is missing or wrong. Check it."
+    )
+
+
+async def forward(handler, number):
+    """Pass a request on to an entry that follows a shard, and its answer back.
+
+    Args:
+        handler: Handler of the request.
+        number: Number of the shard.
+
+    Raises:
+        RefusedError: No such entry answered.
+    """
+    entry = handler.entry
+    if FORWARDED in handler.request.headers:
+        raise exception.RefusedError(_refuse_moving())
+    for name in entry.table.list_followers(number):
+        host = entry.fleet.entries.get(name)
+        if host is None or name == entry.settings.name:
+            continue
+        try:
+            answer = await _send(handler, host)
+        except http_client.TransportError as error:
+            if error.verdict is verdict.Verdict.NOT_RUN:
+                continue
+            raise exception.RefusedError(
+                verdict.Refusal(502, "entry_lost", str(error), error.verdict, 1.0)
+            ) from error
+        handler.set_status(answer.status)
+        for field in ("Content-Type", "Retry-After"):
+            if field in answer.headers:
+                handler.set_header(field, answer.headers[field])
+        handler.finish(answer.body)
+        return
+    raise exception.RefusedError(_refuse_moving())
+
+
+async def _send(handler, host):
+    request = handler.request
+    headers = {
+        name: request.headers[name]
+        for name in FORWARD_HEADERS
+        if name in request.headers
+    }
+    for name in request.headers:
+        if name.lower().startswith("x-idempotent"):
+            headers[name] = request.headers[name]
+    headers[FORWARDED] = handler.entry.settings.name
+    body = request.body if request.method in ("POST", "PUT", "PATCH") else None
+    return await handler.entry.client.fetch(
+        request.method,
+        host.address,
+        request.uri,
+        body,
+        headers,
+        timeout_s=FORWARD_TIMEOUT_S,
+        fresh=request.method != "GET",
+    )
+
+
+def _refuse_moving():
+    return verdict.Refusal(
+        503,
+        "moving",
+        "No entry that keeps this answers now. Try again.",
+        retry_after=1.0,
+    )
+
+
+def validate(model, data):
+    """Return `data` checked by a pydantic model.
+
+    Raises:
+        RefusedError: It does not fit; the message names the first fault.
+    """
+    try:
+        return model.model_validate(data)
+    except pydantic.ValidationError as error:
+        fault = error.errors()[0]
+        place = ".".join(str(part) for part in fault["loc"])
+        raise http_web.refuse_input(f"{place}: {fault['msg']}.") from error
--- /dev/null
+++ b/pimentowick/entry/online.py
@@ -0,0 +1,169 @@
+"""Online completions, in the form that OpenAI's clients know."""
+
+import asyncio
+import time
+
+import orjson
+from tornado import iostream
+
+from pimentowick import completion, exception, verdict
+from pimentowick import web as http_web
+from pimentowick.entry import handler
+from pimentowick.platform import engine as platform_engine
+from pimentowick.routing import router
+
+__all__ = ["ChatHandler", "ModelsHandler", "TextHandler", "read_deadline"]
+
+END_MARK = b"data: [DONE]\n\n"
+
+
+def read_deadline(request, limit_s):
+    """Return the seconds until a request has to be answered.
+
+    Args:
+        request: The HTTP request; its header X-Deadline may name epoch seconds.
+        limit_s: Seconds that the configuration allows.
+
+    Raises:
+        RefusedError: The deadline is malformed or has passed.
+    """
+    text = request.headers.get("X-Deadline")
+    if text is None:
+        return limit_s
+    try:
+        left = float(text) - time.time()
+    except ValueError as error:
+        raise http_web.refuse_input("X-Deadline must be epoch seconds.") from error
+    if not left > 0:
+        raise http_web.refuse_input("X-Deadline has passed.", "deadline_passed")
+    return min(left, limit_s)
+
+
+class _CompletionHandler(handler.CallerHandler):
+    """Runs one generation and writes its answer."""
+
+    async def post(self):
+        """Answer a completion, whole or as a stream of events."""
+        try:
+            await self._answer()
+        except exception.RefusedError as error:
+            self.entry.metrics.count_request(error.refusal.code)
+            self._refuse(error.refusal)
+        except iostream.StreamClosedError:
+            self.entry.metrics.count_request("caller_gone")
+        else:
+            self.entry.metrics.count_request("answered")
+
+    def on_connection_close(self):
+        """Stop generating for a caller that has gone."""
+        if self._answering is not None:
+            self._answering.cancel()
+
+    _answering = None
+
+    async def _answer(self):
+        data = self.read_json()
+        generation = completion.parse_generation(data, self.workspace)
+        use = self.workspace.models[generation["model"]]
+        deadline_s = read_deadline(self.request, use.deadline_s)
+        request = router.make_generate_request(
+            self.request_id, self.workspace, generation, deadline_s
+        )
+        write = self._write_stream if data.get("stream") else self._write_whole
+        with self.entry.limits.hold(self.workspace):
+            self._answering = asyncio.ensure_future(write(request, generation))
+            try:
+                await self._answering
+            except asyncio.CancelledError:
+                raise iostream.StreamClosedError from None
+
+    async def _write_whole(self, request, generation):
+        texts = []
+        end = None
+        async for event in self.entry.router.generate(request):
+            if isinstance(event, platform_engine.Tokens):
+                texts.extend(event.texts)
+            else:
+                end = event
+        _check_whole(end, len(texts))
+        body = self.make_body(
+            self.request_id, generation, "".join(texts), end.finish_reason, end.tokens
+        )
+        self.write_json(body)
+
+    async def _write_stream(self, request, generation):
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-store")
+        count = 0
+        async for event in self.entry.router.generate(request):
+            if isinstance(event, platform_engine.Tokens):
+                count += len(event.texts)
+                # Tokens that arrived together go on as one event and one write.
+                chunk = self.make_chunk(
+                    self.request_id, generation, "".join(event.texts)
+                )
+                self.write(_make_event(chunk))
+                await self.flush()
+                continue
+            _check_whole(event, count)
+            last = self.make_chunk(self.request_id, generation, "", event.finish_reason)
+            self.write(_make_event(last))
+        self.finish(END_MARK)
+
+    def _refuse(self, refusal):
+        if not self._headers_written:
+            self.clear_header("Cache-Control")
+            self.write_refusal(refusal)
+            return
+        # Part of the answer is with the caller. The event says so, and the missing
+        # end mark keeps a client from taking it for whole.
+        self.finish(_make_event(refusal.to_dict()))
+
+
+def _make_event(data):
+    return b"data: " + orjson.dumps(data) + b"\n\n"
+
+
+def _check_whole(end, count):
+    """Refuse to hand over an answer that lacks tokens or its end.
+
+    Raises:
+        RefusedError: The answer is not whole.
+    """
+    if end is not None and end.tokens == count and end.finish_reason != "cancelled":
+        return
+    raise exception.RefusedError(
+        verdict.Refusal(
+            502,
+            "incomplete",
+            "The target ended the answer early. Try again.",
+            verdict.Verdict.MAY_HAVE_RUN,
+            retry_after=1.0,
+        )
+    )
+
+
+class ChatHandler(_CompletionHandler):
+    """``POST /v1/chat/completions``."""
+
+    make_body = staticmethod(completion.make_chat_body)
+    make_chunk = staticmethod(completion.make_chat_chunk)
+
+
+class TextHandler(_CompletionHandler):
+    """``POST /v1/completions``."""
+
+    make_body = staticmethod(completion.make_text_body)
+    make_chunk = staticmethod(completion.make_text_chunk)
+
+
+class ModelsHandler(handler.CallerHandler):
+    """``GET /v1/models``: what the workspace may use."""
+
+    def get(self):
+        """List the models."""
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "pimentowick"}
+            for name in sorted(self.workspace.models)
+        ]
+        self.write_json({"object": "list", "data": data})
--- /dev/null
+++ b/pimentowick/entry/service.py
@@ -0,0 +1,131 @@
+"""Calls to plain services."""
+
+import hashlib
+import time
+
+from pimentowick import exception, verdict
+from pimentowick.batch import record as batch_record
+from pimentowick.batch import shard as batch_shard
+from pimentowick.entry import handler, online
+from pimentowick.routing import router
+
+__all__ = ["ServiceHandler"]
+
+IDEMPOTENT_METHODS = frozenset(["GET", "HEAD", "OPTIONS"])
+PASSED_HEADERS = ("Content-Type", "Accept")
+
+
+class ServiceHandler(handler.CallerHandler):
+    """``/v1/services/{service}/{path}``, with any method."""
+
+    async def _answer(self, service, path):
+        try:
+            await self._run(service, path)
+        except exception.RefusedError as error:
+            self.entry.metrics.count_request(error.refusal.code)
+            self.write_refusal(error.refusal)
+        else:
+            self.entry.metrics.count_request("answered")
+
+    get = post = put = patch = delete = _answer
+
+    async def _run(self, service, path):
+        use = self.workspace.services.get(service)
+        if use is None:
+            raise _refuse_unknown(service, self.workspace)
+        deadline_s = online.read_deadline(self.request, use.deadline_s)
+        idempotent = self._is_idempotent(use)
+        key = self.request.headers.get("Idempotency-Key")
+        request = self._make_request(service, path, idempotent, key, deadline_s)
+        if idempotent or key is None:
+            with self.entry.limits.hold(self.workspace):
+                self._write_answer(await self.entry.router.call(request))
+            return
+        await self._run_once(service, key, request)
+
+    async def _run_once(self, service, key, request):
+        call_id = batch_record.make_call_id(self.workspace.name, service, key)
+        shard = self.entry.table.find(call_id)
+        if shard is None:
+            number = batch_shard.find_shard(call_id, self.entry.settings.shards)
+            await handler.forward(self, number)
+            return
+        with self.entry.limits.hold(self.workspace):
+            digest = self._make_digest()
+            known = await self.entry.calls.claim(shard, call_id, request.id, digest)
+            if known is not None:
+                self.set_header("Idempotent-Replayed", "true")
+                self._write_answer(known)
+                return
+            await self._run_claimed(shard, call_id, request)
+
+    async def _run_claimed(self, shard, call_id, request):
+        found = verdict.Verdict.MAY_HAVE_RUN
+        answer = None
+        try:
+            answer = await self.entry.router.call(request)
+            found = verdict.Verdict.RAN
+        except exception.RefusedError as error:
+            found = error.refusal.verdict
+            raise
+        finally:
+            # The caller has its answer at once; the log has the end a moment later.
+            # Whoever asks in between hears that the call is in progress.
+            self.entry.calls.settle(shard, call_id, request.id, found, answer)
+        self._write_answer(answer)
+
+    def _is_idempotent(self, use):
+        text = self.request.headers.get("X-Idempotent")
+        if text is not None:
+            return text.lower() == "true"
+        return use.idempotent or self.request.method in IDEMPOTENT_METHODS
+
+    def _make_digest(self):
+        hashed = hashlib.sha256()
+        for part in (self.request.method, self.request.uri):
+            hashed.update(part.encode() + b"\0")
+        hashed.update(self.request.body)
+        return hashed.hexdigest()
+
+    def _make_request(self, service, path, idempotent, key, deadline_s):
+        query = f"?{self.request.query}" if self.request.query else ""
+        headers = {
+            name: self.request.headers[name]
+            for name in PASSED_HEADERS
+            if name in self.request.headers
+        }
+        call = {
+            "method": self.request.method,
+            "path": f"/{path}{query}",
+            "headers": headers,
+            "body": self.request.body.decode("latin-1"),
+            "idempotency_key": key,
+            "idempotent": idempotent,
+        }
+        return router.Request(
+            id=self.request_id,
+            workspace=self.workspace,
+            service=service,
+            kind="service",
+            idempotent=idempotent,
+            deadline=time.monotonic() + deadline_s,
+            cost=1.0,
+            work={"call": call},
+        )
+
+    def _write_answer(self, answer):
+        self.set_status(answer["status"])
+        for name, value in answer["headers"].items():
+            self.set_header(name, value)
+        self.finish(answer["body"].encode("latin-1"))
+
+
+def _refuse_unknown(service, workspace):
+    names = ", ".join(sorted(workspace.services)) or "none"
+    return exception.RefusedError(
+        verdict.Refusal(
+            404,
+            "unknown_service",
+            f"This workspace has no service {service!r}. It has: {names}.",
+        )
+    )
--- /dev/null
+++ b/pimentowick/fakes/deployment.py
@@ -0,0 +1,320 @@
+"""Starts a whole deployment as separate processes on loopback.
+
+This is for the demo, for tests and for trials; no daemon uses it. Everything that it
+starts is ended by `Deployment.close`.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+
+import yaml
+
+from pimentowick import client as http_client
+from pimentowick import exception
+from pimentowick.configuration import tokens
+
+__all__ = ["Deployment", "Process", "load_topology"]
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+READY_POLL_S = 0.05
+PACKAGE_ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """One process of a deployment.
+
+    Attributes:
+        name: Name of the host, or of the outside system.
+        address: ``IP:port`` that it listens on.
+        handle: The process.
+        fields: What the host list says of it, for hosts.
+    """
+
+    name: str
+    address: str
+    handle: asyncio.subprocess.Process
+    fields: dict | None = None
+
+    def send_signal(self, number):
+        """Send a signal to this process."""
+        self.handle.send_signal(number)
+
+
+def load_topology(path):
+    """Return a deployment's description from a YAML file."""
+    return yaml.safe_load(pathlib.Path(path).read_text(encoding="utf-8"))
+
+
+class Deployment:
+    """The processes of one deployment.
+
+    Args:
+        topology: Dictionary as `load_topology` returns it.
+        entry_settings: Settings that all entries get besides the needed ones.
+        agent_settings: The same for agents.
+        fakes: Dictionary from the kind of a stand-in to its settings.
+        log_level: Log level of the daemons.
+
+    Attributes:
+        processes: `Process` by name.
+        operator_token: Token of an operator.
+        workspace_tokens: Token of each workspace, once `publish` was called.
+    """
+
+    def __init__(
+        self,
+        topology,
+        entry_settings=None,
+        agent_settings=None,
+        fakes=None,
+        log_level="WARNING",
+    ):
+        self.topology = topology
+        self.processes = {}
+        self.workspace_tokens = {}
+        self.operator_token, self._operator = tokens.make_token("demo")
+        self.client = http_client.Client(256)
+        self._entry_settings = entry_settings or {}
+        self._agent_settings = agent_settings or {}
+        self._fakes = fakes or {}
+        self._log_level = log_level
+        self._directory = tempfile.TemporaryDirectory(prefix="pimentowick-")
+        self._counters = {}
+
+    async def start(self):
+        """Start everything, and return once every entry sees every agent."""
+        await self.client.start()
+        await asyncio.gather(*(self.start_fake(k, k) for k in ("log", "hosts")))
+        starts = []
+        for group in self.topology["targets"]:
+            for index in range(group["replicas"]):
+                starts.append(self.start_target(group, index))
+        for index in range(self.topology["entries"]):
+            starts.append(self.start_entry(index))
+        await asyncio.gather(*starts)
+        await self.wait_ready()
+
+    async def close(self):
+        """End all processes."""
+        await asyncio.gather(*(self.stop(name) for name in list(self.processes)))
+        await self.client.close()
+        self._directory.cleanup()
+
+    @property
+    def entries(self):
+        """The running entries."""
+        return [each for each in self.processes.values() if _has_role(each, "entry")]
+
+    @property
+    def agents(self):
+        """The running agents."""
+        return [each for each in self.processes.values() if _has_role(each, "agent")]
+
+    def _get_domain(self, index):
+        domains = self.topology["failure_domains"]
+        return domains[index % len(domains)]
+
+    async def start_fake(self, name, kind, **fields):
+        """Start a stand-in of an outside system."""
+        arguments = ["-m", "pimentowick.fakes", kind]
+        for key, value in {**self._fakes.get(kind, {}), **fields}.items():
+            arguments += ["--set", f"{key}={json.dumps(value)}"]
+        return await self._spawn(name, arguments)
+
+    async def start_target(self, group, index):
+        """Start a target and its agent."""
+        name = f"{group['service']}-{index}"
+        kind = group["kind"]
+        fields = {"models": [group["service"]]} if kind == "engine" else {}
+        target = await self.start_fake(name, kind, **fields)
+        await self.start_agent(name, group, index, target.address)
+
+    async def start_agent(self, name, group, index, address):
+        """Start the agent of a target that runs."""
+        settings = {
+            "name": f"agent-{name}",
+            "failure_domain": self._get_domain(index),
+            "log_level": self._log_level,
+            "batch_harm": self.topology.get("batch_harm", "averse"),
+            **self._agent_settings,
+        }
+        target = {
+            "name": name,
+            "address": address,
+            "kind": group["kind"],
+            "service": group["service"],
+            **self._agent_settings.get("target", {}),
+        }
+        settings["target"] = target
+        await self._start_host("agent", settings)
+
+    async def start_entry(self, index):
+        """Start an entry."""
+        settings = {
+            "name": f"entry-{index}",
+            "failure_domain": self._get_domain(index),
+            "log_level": self._log_level,
+            "operators": [self._operator.to_dict()],
+            **self._entry_settings,
+        }
+        platform = {
+            "log": self.processes["log"].address,
+            "hosts": self.processes["hosts"].address,
+            **self._entry_settings.get("platform", {}),
+        }
+        settings["platform"] = platform
+        await self._start_host("entry", settings)
+
+    async def _start_host(self, role, settings):
+        name = settings["name"]
+        path = pathlib.Path(self._directory.name) / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        process = await self._spawn(name, ["-m", f"pimentowick.{role}", str(path)])
+        process.fields = {
+            "role": role,
+            "address": process.address,
+            "failure_domain": settings["failure_domain"],
+            "state": "live",
+        }
+        await self.list_host(name, **process.fields)
+
+    async def _spawn(self, name, arguments):
+        environment = {**os.environ, "PYTHONPATH": str(PACKAGE_ROOT)}
+        handle = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            env=environment,
+        )
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                line = await handle.stdout.readline()
+            address = json.loads(line)["listening"]
+        except (TimeoutError, ValueError) as error:
+            handle.kill()
+            raise exception.UnavailableError(f"{name} did not start.") from error
+        process = Process(name, address, handle)
+        self.processes[name] = process
+        return process
+
+    async def list_host(self, name, **fields):
+        """Put a host into the host list, or change what is said of it."""
+        await self.client.fetch(
+            "PUT", self.processes["hosts"].address, f"/hosts/{name}", fields
+        )
+
+    async def unlist_host(self, name):
+        """Take a host off the host list."""
+        await self.client.fetch(
+            "DELETE", self.processes["hosts"].address, f"/hosts/{name}"
+        )
+
+    async def kill(self, name):
+        """Kill a process without warning; the host list does not learn of it."""
+        process = self.processes.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            process.handle.kill()
+        await process.handle.wait()
+
+    async def stop(self, name):
+        """Ask a process to stop, wait for it, and return its exit code."""
+        process = self.processes.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            process.handle.send_signal(signal.SIGCONT)
+            process.handle.terminate()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                return await process.handle.wait()
+        except TimeoutError:
+            process.handle.kill()
+            return await process.handle.wait()
+
+    async def order_fault(self, name, kind, **fields):
+        """Give a stand-in a fault order; see docs/PLATFORM.md."""
+        await self.client.fetch(
+            "POST", self.processes[name].address, "/fault", {"kind": kind, **fields}
+        )
+
+    async def fetch(self, entry, method, path, body=None, token=None, **fields):
+        """Send a request to an entry, by its number among the running ones."""
+        headers = dict(fields.pop("headers", {}))
+        headers["Authorization"] = f"Bearer {token or self.operator_token}"
+        address = self.entries[entry % len(self.entries)].address
+        return await self.client.fetch(method, address, path, body, headers, **fields)
+
+    async def wait_for(self, check, timeout_s=START_TIMEOUT_S):
+        """Wait until the coroutine function `check` returns something true.
+
+        Returns:
+            What it returned.
+
+        Raises:
+            UnavailableError: It did not within `timeout_s` seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    found = await check()
+                    if found:
+                        return found
+                    await asyncio.sleep(READY_POLL_S)
+        except TimeoutError as error:
+            raise exception.UnavailableError(
+                f"{check.__name__} stayed false."
+            ) from error
+
+    async def wait_ready(self):
+        """Wait until every entry is ready and sees every agent as usable."""
+        await self.wait_for(self._sees_all)
+
+    async def _sees_all(self):
+        wanted = {agent.name for agent in self.agents}
+        names = {entry.name for entry in self.entries}
+        for index in range(len(self.entries)):
+            answer = await self.fetch(index, "GET", "/v1/admin/status")
+            if answer.status != 200:
+                return False
+            status = answer.decode()
+            usable = {n for n, agent in status["agents"].items() if agent["usable"]}
+            if not wanted <= usable or not names <= set(status["entries"]):
+                return False
+            if not all(shard["ready"] for shard in status["shards"].values()):
+                return False
+        return True
+
+    async def publish(self):
+        """Publish the template and the workspaces of the topology."""
+        template = self.topology["template"]
+        version = await self.change("template", template["name"], 0, template["body"])
+        for name, parameters in self.topology["workspaces"].items():
+            text, entry = tokens.make_token()
+            body = {
+                "template": template["name"],
+                "template_version": version,
+                "parameters": parameters,
+                "tokens": [entry.to_dict()],
+                "stopped": False,
+            }
+            await self.change("workspace", name, 0, body)
+            self.workspace_tokens[name] = text
+
+    async def change(self, kind, name, amends, body, entry=0):
+        """Publish one change, wait until it is in force, and return its version."""
+        message = {"amends": amends, "body": body, "wait": True}
+        answer = await self.fetch(entry, "PUT", f"/v1/admin/{kind}/{name}", message)
+        if answer.status != 200:
+            raise exception.ConflictError(answer.body.decode())
+        return answer.decode()["version"]
+
+
+def _has_role(process, role):
+    return process.fields is not None and process.fields["role"] == role
--- /dev/null
+++ b/pimentowick/platform/engine.py
@@ -0,0 +1,256 @@
+"""The model engine beside an agent."""
+
+import abc
+import dataclasses
+
+import orjson
+
+from pimentowick import client as http_client
+from pimentowick import exception, verdict
+
+__all__ = ["End", "Engine", "EngineLoad", "Generation", "HttpEngine", "Tokens"]
+
+ORDER_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 2.0
+LOAD_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Generation:
+    """What an engine is asked to generate."""
+
+    request_id: str
+    attempt: int
+    model: str
+    adapter: str | None
+    prompt: str
+    max_tokens: int
+    resume_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tokens:
+    """Some consecutive tokens; `index` is that of the first."""
+
+    index: int
+    texts: list
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """The end of a generation: ``stop``, ``length`` or ``cancelled``."""
+
+    finish_reason: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """The engine's own report, some time old.
+
+    Attributes:
+        running: Sequences in the running batch.
+        waiting: Sequences that wait for it.
+        step_ms: Time of a step, in milliseconds.
+        models: Names of the loaded models and adapters.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    step_ms: float = 0.0
+    models: tuple = ()
+
+
+class Engine(abc.ABC):
+    """A model engine as the agent sees it."""
+
+    @abc.abstractmethod
+    def generate(self, generation):
+        """Yield `Tokens` and at last one `End`, asynchronously.
+
+        Closing the iterator early ends the stream at the engine, too.
+
+        Raises:
+            RefusedError: The engine refused, or its answer broke off; the refusal
+                carries the verdict.
+        """
+
+    @abc.abstractmethod
+    async def cancel(self, request_id):
+        """Ask the engine to end a stream; errors are passed over."""
+
+    @abc.abstractmethod
+    async def read_load(self):
+        """Return the `EngineLoad`.
+
+        Raises:
+            UnavailableError: No answer came.
+        """
+
+    @abc.abstractmethod
+    async def send_order(self, fence, action, **fields):
+        """Give a fenced order.
+
+        Raises:
+            ConflictError: The engine has seen a higher fencing number.
+            UnavailableError: It is not known whether the order was carried out.
+        """
+
+
+class HttpEngine(Engine):
+    """An engine over HTTP, as docs/PLATFORM.md describes it.
+
+    Args:
+        address: ``IP:port`` of the engine.
+        client: `pimentowick.client.Client` for the streams.
+        control: Client for everything else, so that a cancellation does not wait
+            behind the streams that it is to end.
+        idle_s: Longest silence within a stream, in seconds.
+    """
+
+    def __init__(self, address, client, control, idle_s):
+        self.address = address
+        self._client = client
+        self._control = control
+        self._idle_s = idle_s
+
+    async def generate(self, generation):
+        """Yield what the engine generates; see `Engine.generate`."""
+        stream = self._client.open_stream(
+            "POST",
+            self.address,
+            "/generate",
+            dataclasses.asdict(generation),
+            idle_s=self._idle_s,
+        )
+        ended = False
+        try:
+            async for event in _parse_stream(stream, generation):
+                ended = isinstance(event, End)
+                yield event
+        except http_client.TransportError as error:
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    502, "target_lost", str(error), error.verdict, retry_after=1.0
+                )
+            ) from error
+        finally:
+            if not ended:
+                stream.abort()
+        if not ended:
+            raise exception.RefusedError(_explain_status(stream))
+
+    async def cancel(self, request_id):
+        """Ask the engine to end a stream; see `Engine.cancel`."""
+        try:
+            await self._control.fetch(
+                "POST",
+                self.address,
+                "/cancel",
+                {"request_id": request_id},
+                timeout_s=CANCEL_TIMEOUT_S,
+            )
+        except exception.UnavailableError:
+            return
+
+    async def read_load(self):
+        """Return the engine's report; see `Engine.read_load`."""
+        answer = await self._control.fetch(
+            "GET", self.address, "/load", timeout_s=LOAD_TIMEOUT_S
+        )
+        if answer.status != 200:
+            raise exception.UnavailableError(f"The engine answered {answer.status}.")
+        data = answer.decode()
+        return EngineLoad(
+            running=data["running"],
+            waiting=data["waiting"],
+            step_ms=data["step_ms"],
+            models=tuple(data["models"]),
+        )
+
+    async def send_order(self, fence, action, **fields):
+        """Give a fenced order; see `Engine.send_order`."""
+        answer = await self._control.fetch(
+            "POST",
+            self.address,
+            "/orders",
+            {"fence": fence, "action": action, **fields},
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        if answer.status == 409:
+            raise exception.ConflictError("The engine has seen a newer order.")
+        if answer.status != 200:
+            raise exception.UnavailableError(f"The engine answered {answer.status}.")
+
+
+async def _parse_stream(stream, generation):
+    position = generation.resume_tokens
+    while True:
+        lines = await stream.read_lines()
+        if not lines:
+            return
+        texts = []
+        end = None
+        for line in lines:
+            event = _parse_line(line, generation)
+            if event is None:
+                continue
+            if event.get("done"):
+                end = End(event["finish_reason"], event["tokens"])
+                break
+            # A token that comes twice, or before its turn, would garble the answer.
+            if event.get("index") == position + len(texts):
+                texts.append(event["text"])
+        if texts:
+            yield Tokens(position, texts)
+            position += len(texts)
+        if end is not None:
+            yield end
+            return
+
+
+def _parse_line(line, generation):
+    """Return a line of this very attempt, or None.
+
+    An engine may still send what an earlier attempt asked for, or mix up two
+    answers; a caller would read another caller's text.
+    """
+    try:
+        event = orjson.loads(line)
+    except ValueError:
+        return None
+    if not isinstance(event, dict):
+        return None
+    if event.get("request_id") != generation.request_id:
+        return None
+    if event.get("attempt") != generation.attempt:
+        return None
+    return event
+
+
+def _explain_status(stream):
+    if stream.status == 404:
+        return verdict.Refusal(
+            503,
+            "not_loaded",
+            "The model is not loaded there. Try again.",
+            retry_after=1,
+        )
+    if stream.status == 400:
+        return verdict.Refusal(
+            400, "bad_prompt", "The engine can't run this prompt. Change the request."
+        )
+    if stream.status in (429, 503):
+        return verdict.Refusal(
+            503,
+            "target_busy",
+            "The target takes no work now. Try again.",
+            retry_after=1,
+        )
+    return verdict.Refusal(
+        502,
+        "target_lost",
+        "The target's answer broke off. Try again if the request is idempotent.",
+        verdict.Verdict.MAY_HAVE_RUN,
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/pimentowick/routing/retry.py
@@ -0,0 +1,57 @@
+"""When a request is tried again."""
+
+from pimentowick import verdict
+
+__all__ = ["RetryBudget", "is_retryable"]
+
+FIRST_TOKENS = 10.0
+MAX_TOKENS = 50.0
+
+
+class RetryBudget:
+    """Allows retries as a share of recent requests.
+
+    Retries of everybody would multiply the load in the very outage that causes
+    them; a budget bounds that to a share of the traffic.
+
+    Args:
+        share: Retries allowed for each request.
+
+    Examples:
+        >>> budget = RetryBudget(0.1, first=0.0)
+        >>> for _ in range(10):
+        ...     budget.note_request()
+        >>> budget.take(), budget.take()
+        (True, False)
+    """
+
+    def __init__(self, share, first=FIRST_TOKENS):
+        self._share = share
+        self._tokens = first
+
+    def note_request(self):
+        """Count a first attempt."""
+        self._tokens = min(self._tokens + self._share, MAX_TOKENS)
+
+    def take(self):
+        """Return whether a retry is allowed, and count it."""
+        # Ten tenths add up to a little less than one.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def is_retryable(refusal, idempotent):
+    """Return whether another attempt may follow a refused one.
+
+    Examples:
+        >>> lost = verdict.Refusal(502, "lost", "Lost.", verdict.Verdict.MAY_HAVE_RUN)
+        >>> is_retryable(lost, idempotent=True), is_retryable(lost, idempotent=False)
+        (True, False)
+    """
+    if refusal.status < 500 and refusal.status not in (409, 429):
+        return False
+    if refusal.verdict is verdict.Verdict.NOT_RUN:
+        return True
+    return idempotent
--- /dev/null
+++ b/pimentowick/scheduling/fairness.py
@@ -0,0 +1,88 @@
+"""A queue that is fair between workspaces, counted in tokens.
+
+Notes:
+    Start-time fair queueing: each request gets a start tag, the larger of the
+    queue's virtual time and the finish tag of its workspace's previous request, and
+    a finish tag, which lies its cost divided by its weight further. The request with
+    the least start tag goes first. A workspace that floods the queue pushes only its
+    own tags ahead.
+
+References:
+    P. Goyal, H. M. Vin and H. Cheng, "Start-time fair queueing: a scheduling
+    algorithm for integrated services packet switching networks", IEEE/ACM
+    Transactions on Networking 5(5), 1997.
+"""
+
+import heapq
+import itertools
+
+__all__ = ["FairQueue"]
+
+
+class FairQueue:
+    """Holds entries of several workspaces and returns them in a fair order.
+
+    Examples:
+        >>> queue = FairQueue()
+        >>> for i in range(3):
+        ...     queue.push("flood", f"f{i}", cost=10)
+        >>> queue.push("calm", "c0", cost=10)
+        >>> [queue.pop() for _ in range(4)]
+        ['f0', 'c0', 'f1', 'f2']
+    """
+
+    def __init__(self):
+        self._heap = []
+        self._order = itertools.count()
+        self._finish = {}
+        self._virtual = 0.0
+        self._removed = set()
+        self._size = 0
+
+    def __len__(self):
+        return self._size
+
+    def push(self, workspace, entry, cost, weight=1.0):
+        """Add an entry.
+
+        Args:
+            workspace: Name of the workspace that it belongs to.
+            entry: Anything hashable.
+            cost: Expected tokens.
+            weight: Share of the workspace.
+        """
+        start = max(self._virtual, self._finish.get(workspace, 0.0))
+        self._finish[workspace] = start + cost / weight
+        heapq.heappush(self._heap, (start, next(self._order), entry))
+        self._size += 1
+
+    def pop(self):
+        """Remove and return the next entry.
+
+        Raises:
+            IndexError: The queue is empty.
+        """
+        while True:
+            start, _, entry = heapq.heappop(self._heap)
+            if entry in self._removed:
+                self._removed.discard(entry)
+                continue
+            self._size -= 1
+            self._virtual = start
+            if self._size == 0:
+                self._forget()
+            return entry
+
+    def remove(self, entry):
+        """Drop an entry that waits."""
+        self._removed.add(entry)
+        self._size -= 1
+        if self._size == 0:
+            self._forget()
+
+    def _forget(self):
+        # Nobody is backlogged: tags of the past would punish the next one to come.
+        self._heap.clear()
+        self._removed.clear()
+        self._finish.clear()
+        self._virtual = 0.0
--- /dev/null
+++ b/pimentowick/scheduling/lease.py
@@ -0,0 +1,83 @@
+"""Leases that let an entry dispatch batch items to an agent.
+
+A lease is counted by the agent's clock alone and renewed by heartbeats. An entry
+that was frozen, or cut off, holds a lapsed lease when it comes back: what it sends
+is refused before it reaches the engine, and what it left running was cancelled.
+That bounds how long a stale owner can start items of a job that was cancelled.
+"""
+
+import dataclasses
+import time
+
+__all__ = ["LeaseTable"]
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    number: int
+    expires_at: float
+
+
+class LeaseTable:
+    """The leases that one agent granted.
+
+    Args:
+        duration_s: How long a lease holds without a heartbeat, in seconds.
+        clock: Function that returns monotonic seconds.
+
+    Examples:
+        >>> now = [0.0]
+        >>> table = LeaseTable(2.0, clock=lambda: now[0])
+        >>> number = table.renew("entry-1", 0)
+        >>> table.is_valid("entry-1", number)
+        True
+        >>> now[0] = 2.5
+        >>> table.is_valid("entry-1", number)
+        False
+        >>> table.renew("entry-1", number) == number
+        False
+    """
+
+    def __init__(self, duration_s, clock=time.monotonic):
+        self.duration_s = duration_s
+        self._clock = clock
+        self._leases = {}
+        # Numbers of an earlier process of this agent must not be valid again.
+        self._next_number = time.time_ns() // 1_000_000
+
+    def renew(self, entry, number):
+        """Extend the lease `number` of `entry`, or grant a new one.
+
+        Returns:
+            The number of the lease that now holds; another than `number` if that
+            one had lapsed.
+        """
+        now = self._clock()
+        lease = self._leases.get(entry)
+        if lease is None or lease.number != number or lease.expires_at <= now:
+            self._next_number += 1
+            lease = _Lease(self._next_number, now)
+            self._leases[entry] = lease
+        lease.expires_at = now + self.duration_s
+        return lease.number
+
+    def is_valid(self, entry, number):
+        """Return whether `entry` holds the lease `number` now."""
+        lease = self._leases.get(entry)
+        if lease is None or lease.number != number:
+            return False
+        return self._clock() < lease.expires_at
+
+    def pop_lapsed(self):
+        """Forget the lapsed leases and return their holders."""
+        now = self._clock()
+        lapsed = [
+            name for name, lease in self._leases.items() if lease.expires_at <= now
+        ]
+        for name in lapsed:
+            del self._leases[name]
+        return lapsed
+
+    def count(self):
+        """Return the number of holders."""
+        return len(self._leases)
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,184 @@
+"""The main job on an embedded deployment: ``make demo``.
+
+Starts a deployment on loopback, sends prompts and a batch job made from the text of
+docs/, kills an agent midway, and checks that every item completed exactly once and
+every online call was answered.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import sys
+import time
+
+from pimentowick.fakes import deployment, engine
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+ITEMS = 300
+ONLINE_CALLS = 60
+MAX_TOKENS = 24
+TIMEOUT_S = 120.0
+SEED = 7
+
+
+def read_sentences(count):
+    """Return `count` sentences from the pages of docs/."""
+    pages = [path.read_text(encoding="utf-8") for path in (ROOT / "docs").glob("*.md")]
+    text = " ".join(" ".join(pages).split())
+    sentences = [part.strip() for part in text.split(". ") if len(part) > 20]
+    random.Random(SEED).shuffle(sentences)
+    return [f"{i}: {sentences[i % len(sentences)]}" for i in range(count)]
+
+
+def make_lines(model, sentences):
+    """Return the JSON lines of a batch job."""
+    lines = []
+    for number, sentence in enumerate(sentences):
+        messages = [{"role": "user", "content": f"Summarise: {sentence}"}]
+        body = {"model": model, "messages": messages, "max_tokens": MAX_TOKENS}
+        lines.append(json.dumps({"custom_id": f"item-{number}", "body": body}))
+    return "\n".join(lines).encode()
+
+
+def expect_answer(content):
+    """Return the answer that the stand-in engine gives to one user message."""
+    return engine.expect_text(f"user: {content}", MAX_TOKENS)
+
+
+async def call_online(fleet, model, token, sentence, number):
+    """Send one chat request and return what is wrong with its answer, or None."""
+    content = f"Answer: {sentence}"
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": content}],
+        "max_tokens": MAX_TOKENS,
+    }
+    path = "/v1/chat/completions"
+    answer = await fleet.fetch(number, "POST", path, body, token, timeout_s=30.0)
+    if answer.status != 200:
+        return f"online call {number}: {answer.status} {answer.body.decode()}"
+    text = answer.decode()["choices"][0]["message"]["content"]
+    if text != expect_answer(content):
+        return f"online call {number}: another answer than its own"
+    return None
+
+
+async def confirm(fleet, service, token, number):
+    """Send one call that must not run twice, and return what is wrong, or None."""
+    headers = {"Idempotency-Key": f"stand-{number}", "Content-Type": "application/json"}
+    path = f"/v1/services/{service}/confirm"
+    body = {"stand": number}
+    answer = await fleet.fetch(number, "POST", path, body, token, headers=headers)
+    return None if answer.status == 200 else f"call {number}: {answer.body.decode()}"
+
+
+async def submit(fleet, token, lines):
+    """Submit the batch job twice, as a client does that lost its answer."""
+    headers = {"Idempotency-Key": "nightly"}
+    ids = set()
+    for number in range(2):
+        answer = await fleet.fetch(
+            number, "POST", "/v1/batches", lines, token, headers=headers
+        )
+        if answer.status != 202:
+            raise SystemExit(f"The job was not taken: {answer.body.decode()}")
+        ids.add(answer.decode()["id"])
+    if len(ids) != 1:
+        raise SystemExit(f"Two jobs from one key: {ids}")
+    return ids.pop()
+
+
+async def wait_for_job(fleet, token, job_id, done):
+    """Wait until `done` items of the job have ended, and return its description."""
+    deadline = time.monotonic() + TIMEOUT_S
+    while True:
+        answer = await fleet.fetch(0, "GET", f"/v1/batches/{job_id}", token=token)
+        job = answer.decode()
+        counts = job["request_counts"]
+        if counts["completed"] + counts["failed"] >= done:
+            return job
+        if time.monotonic() > deadline:
+            raise SystemExit(f"The job did not get on: {job}")
+        await asyncio.sleep(0.1)
+
+
+async def check_results(fleet, token, job_id, sentences):
+    """Return what is wrong with the results of the job."""
+    path = f"/v1/batches/{job_id}/results"
+    answer = await fleet.fetch(1, "GET", path, token=token)
+    results = [json.loads(line) for line in answer.body.splitlines()]
+    faults = []
+    seen = set()
+    for result in results:
+        number = int(result["custom_id"].removeprefix("item-"))
+        if number in seen:
+            faults.append(f"item {number} completed twice")
+        seen.add(number)
+        if result["response"] is None:
+            faults.append(f"item {number} failed: {result['error']}")
+            continue
+        message = result["response"]["body"]["choices"][0]["message"]
+        if message["content"] != expect_answer(f"Summarise: {sentences[number]}"):
+            faults.append(f"item {number} has another answer than its own")
+    faults.extend(f"item {n} is missing" for n in range(ITEMS) if n not in seen)
+    return faults
+
+
+async def run(path):
+    """Run the main job, and return the list of what went wrong."""
+    topology = deployment.load_topology(path)
+    model = next(t["service"] for t in topology["targets"] if t["kind"] == "engine")
+    service = next(t["service"] for t in topology["targets"] if t["kind"] == "service")
+    fleet = deployment.Deployment(topology)
+    began = time.monotonic()
+    try:
+        await fleet.start()
+        await fleet.publish()
+        count = len(fleet.processes)
+        print(f"{count} processes run after {time.monotonic() - began:.1f} s.")
+        names = list(topology["workspaces"])
+        token = fleet.workspace_tokens[names[0]]
+        sentences = read_sentences(ITEMS)
+        job_id = await submit(fleet, token, make_lines(model, sentences))
+        print(f"Job {job_id} with {ITEMS} items is accepted, once for two submissions.")
+        calls = [
+            asyncio.create_task(
+                call_online(
+                    fleet, model, fleet.workspace_tokens[names[i % len(names)]], s, i
+                )
+            )
+            for i, s in enumerate(read_sentences(ONLINE_CALLS))
+        ]
+        calls += [
+            asyncio.create_task(confirm(fleet, service, token, i)) for i in range(10)
+        ]
+        await wait_for_job(fleet, token, job_id, ITEMS // 4)
+        victim = f"agent-{model}-0"
+        await fleet.kill(victim)
+        print(f"Killed {victim} with work in flight.")
+        faults = [fault for fault in await asyncio.gather(*calls) if fault]
+        print(f"{len(calls) - len(faults)} of {len(calls)} online calls answered.")
+        job = await wait_for_job(fleet, token, job_id, ITEMS)
+        print(f"The job is {job['status']}: {job['request_counts']}.")
+        faults += await check_results(fleet, token, job_id, sentences)
+        print(f"It took {time.monotonic() - began:.1f} s in all.")
+        return faults
+    finally:
+        await fleet.close()
+
+
+def main():
+    """Run the demo from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--deployment", default=str(ROOT / "deployments/bajio.yaml"))
+    faults = asyncio.run(run(parser.parse_args().deployment))
+    for fault in faults:
+        print(f"FAULT: {fault}")
+    print("Not all is well." if faults else "Every item once, every call answered.")
+    sys.exit(1 if faults else 0)
+
+
+if __name__ == "__main__":
+    main()
