--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -89,6 +89,14 @@
         return verdict.Verdict.NOT_RUN
 
 
+class _CurlClient(curl_httpclient.CurlAsyncHTTPClient):
+    """Tornado's client, quiet about a timer that fires once more when closed."""
+
+    def _handle_timeout(self):
+        if self._multi is not None:
+            super()._handle_timeout()
+
+
 class Client:
     """A pool of connections for one class of traffic.
 
@@ -108,9 +116,7 @@
 
     async def start(self):
         """Make the pool."""
-        self._curl = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=self.max_connections
-        )
+        self._curl = _CurlClient(force_instance=True, max_clients=self.max_connections)
 
     async def close(self):
         """Drop all connections."""
--- a/pimentowick/fakes/deployment.py
+++ b/pimentowick/fakes/deployment.py
@@ -104,8 +104,14 @@
         await self.wait_ready()
 
     async def close(self):
-        """End all processes."""
-        await asyncio.gather(*(self.stop(name) for name in list(self.processes)))
+        """End all processes, those that need the others first."""
+        for role in ("entry", "agent", None):
+            names = [
+                name
+                for name, process in self.processes.items()
+                if role is None or _has_role(process, role)
+            ]
+            await asyncio.gather(*(self.stop(name) for name in names))
         await self.client.close()
         self._directory.cleanup()
 
