--- /dev/null
+++ b/pimentowick/fakes/embedded.py
@@ -0,0 +1,294 @@
+"""A small deployment within one event loop, for tests of failures.
+
+Entries and agents are the real ones, behind real sockets; only the processes are
+left out, so that a test can look inside, and starts within milliseconds. What needs
+a kill or a freeze of a process uses `pimentowick.fakes.deployment`.
+"""
+
+import asyncio
+
+import orjson
+
+from pimentowick import client as http_client
+from pimentowick import exception
+from pimentowick import settings as process_settings
+from pimentowick.agent import daemon as agent_daemon
+from pimentowick.configuration import tokens
+from pimentowick.entry import daemon as entry_daemon
+from pimentowick.fakes import engine, hosts, log, service
+
+__all__ = ["Embedded", "make_job_lines"]
+
+MODEL = "lm"
+SERVICE = "desk"
+WAIT_S = 20.0
+POLL_S = 0.01
+TEMPLATE = {
+    "parameters": {"share": {"type": "number", "default": 1.0}},
+    "workspace": {
+        "weight": "${share}",
+        "models": {MODEL: {"deadline_s": 10.0, "max_tokens": 512}},
+        "services": {SERVICE: {"idempotent": False, "deadline_s": 5.0}},
+    },
+}
+# Shorter than those of a real deployment, so that tests wait less.
+ENTRY_SETTINGS = {
+    "shards": 2,
+    "host_poll_s": 0.1,
+    "heartbeat_s": 0.1,
+    "takeover_s": 1.5,
+    "flush_s": 0.05,
+    "append_s": 2.0,
+    "lame_duck_s": 0.2,
+    "drain_s": 5.0,
+    "idle_s": 1.0,
+}
+AGENT_SETTINGS = {
+    "lease_s": 1.0,
+    "alive_s": 0.2,
+    "lame_duck_s": 0.2,
+    "drain_s": 5.0,
+    "idle_s": 2.0,
+}
+
+
+class Embedded:
+    """A deployment in this process.
+
+    Args:
+        entries: Number of entries.
+        engines: Number of engines, each with an agent.
+        services: Number of plain services, each with an agent.
+        entry_settings: Settings of the entries that differ from `ENTRY_SETTINGS`.
+        agent_settings: Settings of the agents that differ from `AGENT_SETTINGS`.
+        engine_settings: Settings of the stand-in engines.
+        log_settings: Settings of the stand-in log.
+
+    Attributes:
+        log: The stand-in log.
+        hosts: The stand-in host list.
+        entries: Entries by name; `entry-0` and so on.
+        agents: Agents by name; `agent-lm-0`, `agent-desk-0` and so on.
+        targets: Stand-in engines and services by name; `lm-0`, `desk-0` and so on.
+        tokens: Token of each workspace, `a` and `b`.
+    """
+
+    def __init__(
+        self,
+        entries=2,
+        engines=2,
+        services=1,
+        entry_settings=None,
+        agent_settings=None,
+        engine_settings=None,
+        log_settings=None,
+    ):
+        self.log = log.Log(**(log_settings or {}))
+        self.hosts = hosts.HostList(lag_s=0.0)
+        self.entries = {}
+        self.agents = {}
+        self.targets = {}
+        self.tokens = {}
+        self.client = http_client.Client(256)
+        self.operator_token, self._operator = tokens.make_token("test")
+        self._counts = (entries, engines, services)
+        self._entry_settings = {**ENTRY_SETTINGS, **(entry_settings or {})}
+        self._agent_settings = {**AGENT_SETTINGS, **(agent_settings or {})}
+        self._engine_settings = {"base_step_ms": 2, **(engine_settings or {})}
+
+    async def start(self):
+        """Start everything and publish two workspaces, `a` and `b`."""
+        await self.client.start()
+        await self.log.start()
+        await self.hosts.start()
+        entries, engines, services = self._counts
+        for index in range(engines):
+            target = engine.Engine(models=[MODEL], **self._engine_settings)
+            await self.add_target(f"{MODEL}-{index}", "engine", MODEL, target)
+        for index in range(services):
+            target = service.Service()
+            await self.add_target(f"{SERVICE}-{index}", "service", SERVICE, target)
+        for index in range(entries):
+            await self.add_entry(f"entry-{index}")
+        await self.wait_for(self.is_ready)
+        await self.publish()
+
+    async def close(self):
+        """Close everything."""
+        for group in (self.entries, self.agents, self.targets):
+            for name in list(group):
+                await group.pop(name).close()
+        await self.hosts.close()
+        await self.log.close()
+        await self.client.close()
+
+    async def add_target(self, name, kind, served, target):
+        """Start a stand-in and an agent beside it."""
+        await target.start()
+        self.targets[name] = target
+        await self.add_agent(f"agent-{name}", name, kind, served)
+
+    async def add_agent(self, name, target_name, kind, served):
+        """Start an agent beside a stand-in that runs."""
+        fields = dict(self._agent_settings)
+        target = {
+            "name": target_name,
+            "address": self.targets[target_name].address,
+            "kind": kind,
+            "service": served,
+            **fields.pop("target", {}),
+        }
+        settings = process_settings.AgentSettings(
+            name=name, failure_domain="here", target=target, **fields
+        )
+        agent = agent_daemon.Agent(settings)
+        await agent.start()
+        self.agents[name] = agent
+        await self.list_host(name, "agent", agent.address)
+
+    async def add_entry(self, name):
+        """Start an entry."""
+        platform = {"log": self.log.address, "hosts": self.hosts.address}
+        fields = dict(self._entry_settings)
+        platform.update(fields.pop("platform", {}))
+        settings = process_settings.EntrySettings(
+            name=name,
+            failure_domain="here",
+            platform=platform,
+            operators=[self._operator.to_dict()],
+            **fields,
+        )
+        entry = entry_daemon.Entry(settings)
+        await entry.start()
+        self.entries[name] = entry
+        await self.list_host(name, "entry", entry.address)
+        return entry
+
+    async def list_host(self, name, role, address, state="live"):
+        """Put a host into the host list, or change its state."""
+        fields = {
+            "role": role,
+            "address": address,
+            "failure_domain": "here",
+            "state": state,
+        }
+        await self.client.fetch("PUT", self.hosts.address, f"/hosts/{name}", fields)
+
+    async def unlist_host(self, name):
+        """Take a host off the host list."""
+        await self.client.fetch("DELETE", self.hosts.address, f"/hosts/{name}")
+
+    async def crash(self, name):
+        """Lose an entry, an agent or a target without a word to anybody."""
+        for group in (self.entries, self.agents, self.targets):
+            if name in group:
+                await group.pop(name).close()
+
+    def is_ready(self):
+        """Return whether every entry sees every agent and reads the log."""
+        for entry in self.entries.values():
+            if not entry.is_ready or set(entry.fleet.entries) != set(self.entries):
+                return False
+            if set(entry.fleet.peers) != set(self.agents):
+                return False
+            if not all(map(entry.fleet.is_usable, entry.fleet.peers.values())):
+                return False
+            if len(entry.table.followed) < entry.settings.shards:
+                return False
+            if not all(each.replica.ready for each in entry.table.followed.values()):
+                return False
+        return True
+
+    async def publish(self):
+        """Publish the template and the workspaces `a` and `b`."""
+        version = await self.change("template", "plain", 0, TEMPLATE)
+        for name in ("a", "b"):
+            text, entry = tokens.make_token()
+            body = {
+                "template": "plain",
+                "template_version": version,
+                "parameters": {},
+                "tokens": [entry.to_dict()],
+                "stopped": False,
+            }
+            await self.change("workspace", name, 0, body)
+            self.tokens[name] = text
+
+    async def change(self, kind, name, amends, body):
+        """Publish one change, wait until it is in force, and return its version."""
+        message = {"amends": amends, "body": body, "wait": True}
+        path = f"/v1/admin/{kind}/{name}"
+        answer = await self.fetch("PUT", path, message, token=self.operator_token)
+        if answer.status != 200:
+            raise exception.ConflictError(answer.body.decode())
+        return answer.decode()["version"]
+
+    async def fetch(
+        self, method, path, body=None, entry=None, token=None, headers=None, **fields
+    ):
+        """Send a request to an entry, by default the first, as workspace `a`."""
+        name = next(iter(self.entries)) if entry is None else entry
+        headers = dict(headers or {})
+        headers["Authorization"] = f"Bearer {token or self.tokens.get('a')}"
+        address = self.entries[name].address
+        return await self.client.fetch(method, address, path, body, headers, **fields)
+
+    async def chat(self, content, max_tokens=8, **fields):
+        """Send a chat completion and return the answer."""
+        messages = [{"role": "user", "content": content}]
+        body = {"model": MODEL, "messages": messages, "max_tokens": max_tokens}
+        return await self.fetch("POST", "/v1/chat/completions", body, **fields)
+
+    async def submit(self, lines, key, **fields):
+        """Submit a batch job and return the answer."""
+        headers = {"Idempotency-Key": key, **fields.pop("headers", {})}
+        return await self.fetch("POST", "/v1/batches", lines, headers=headers, **fields)
+
+    async def read_results(self, job_id, **fields):
+        """Return the results of a job as a list of dictionaries."""
+        answer = await self.fetch("GET", f"/v1/batches/{job_id}/results", **fields)
+        if answer.status != 200:
+            raise exception.UnavailableError(answer.body.decode())
+        return [orjson.loads(line) for line in answer.body.splitlines()]
+
+    async def wait_for(self, predicate, timeout_s=WAIT_S):
+        """Wait until a function or coroutine function returns something true.
+
+        Returns:
+            What it returned.
+
+        Raises:
+            UnavailableError: It did not within `timeout_s` seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    found = predicate()
+                    if asyncio.iscoroutine(found):
+                        found = await found
+                    if found:
+                        return found
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError as error:
+            raise exception.UnavailableError(f"{predicate} stayed false.") from error
+
+    async def wait_for_job(self, job_id, status="completed", **fields):
+        """Wait until a job has a status, and return its description."""
+
+        async def has_status():
+            answer = await self.fetch("GET", f"/v1/batches/{job_id}", **fields)
+            job = answer.decode() if answer.status == 200 else {}
+            return job if job.get("status") == status else None
+
+        return await self.wait_for(has_status)
+
+
+def make_job_lines(count, max_tokens=4, prefix="item", model=MODEL):
+    """Return the JSON lines of a job whose items are `{prefix}-0` and so on."""
+    rows = []
+    for number in range(count):
+        name = f"{prefix}-{number}"
+        messages = [{"role": "user", "content": name}]
+        body = {"model": model, "messages": messages, "max_tokens": max_tokens}
+        rows.append(orjson.dumps({"custom_id": name, "body": body}))
+    return b"\n".join(rows)
