--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -27,6 +27,7 @@
 
 FRESH_S = 2.0
 TURN_S = 0.25
+READ_PAUSE_S = 0.5
 SERVED_LIMIT = 10_000
 
 
@@ -195,8 +196,12 @@
             current = shard is work.shard and shard.ledger.epoch == work.epoch
             if not current:
                 self._writer.drop(work.shard.number)
-            if not current or work.job.state != "open":
-                del self._works[job_id]
+            # A copy that loaded a checkpoint has new objects; the old one would
+            # stay open for ever, also after a cancellation.
+            known = current and shard.ledger.jobs.get(job_id) is work.job
+            if not known or work.job.state != "open":
+                # Whoever stops a job while this waits has taken its work away.
+                self._works.pop(job_id, None)
                 await self._cancel_work(work)
         for shard in owned.values():
             for job in shard.ledger.list_open_jobs():
@@ -277,8 +282,14 @@
     async def _run(self, work, item, peer, solo):
         try:
             body = await self._read_body(work, item)
+        except exception.LogTruncatedError as error:
+            self._take_gone(work, item, error)
+            return
         except exception.LogError as error:
             logger.warning("dispatch: {} item {}: {}", work.job.id, item, error)
+            # Started again at once, it would ask a log that is down without a
+            # pause, as often as the loop turns.
+            await asyncio.sleep(READ_PAUSE_S)
             work.pending.append(item)
             return
         progress = work.progress.setdefault(item, batch_item.Progress())
@@ -341,6 +352,19 @@
         failure = batch_item.make_failure(body, final)
         self._finish(work, item, "failed", failure)
 
+    def _take_gone(self, work, item, error):
+        """End an item whose body the log has dropped; no attempt can run it."""
+        logger.error("dispatch: {} item {} is lost. {}", work.job.id, item, error)
+        ran = item in work.progress or item in work.lost
+        refusal = verdict.Refusal(
+            410,
+            "item_lost",
+            f"Item {item} passed out of the log before it could run. Submit it again.",
+            verdict.Verdict.MAY_HAVE_RUN if ran else verdict.Verdict.NOT_RUN,
+        )
+        failure = batch_item.make_failure({"custom_id": None}, refusal)
+        self._finish(work, item, "failed", {**failure, "item": item})
+
     async def _note_suspect(self, work, item, lost):
         """Keep the count of attempts for the next owner of the shard."""
         note = batch_record.make_suspect(work.epoch, work.job.id, item, lost)
@@ -363,16 +387,23 @@
             return work.chunk[1][item - work.bounds[number]]
 
     async def _read_chunk(self, work, number):
-        offset, _ = work.shard.ledger.find_chunk(work.job, number)
-        page = await work.shard.replica.log.read(work.shard.stream, offset, limit=1)
-        if not page.records or page.records[0][0] != offset:
+        shard = work.shard
+        offset = shard.ledger.find_chunk(work.job, number).offset
+        page = await shard.replica.log.read(shard.stream, offset, limit=1)
+        if page.records and page.records[0][0] == offset:
+            return page.records[0][1]["items"]
+        # It may have been appended again further on. Only a copy that is up to date
+        # and still names a place that the log has dropped proves the loss.
+        await shard.replica.catch_up(self._settings.append_s)
+        offset = shard.ledger.find_chunk(work.job, number).offset
+        if offset < shard.replica.first:
             raise exception.LogTruncatedError(f"Chunk {number} is gone from the log.")
-        return page.records[0][1]["items"]
+        raise exception.LogUnavailableError(f"Chunk {number} has moved.")
 
 
 def _make_work(shard, job):
     ledger = shard.ledger
-    sizes = [ledger.find_chunk(job, i)[1] for i in range(ledger.count_chunks(job))]
+    sizes = [ledger.find_chunk(job, i).size for i in range(ledger.count_chunks(job))]
     bounds = [0, *itertools.accumulate(sizes)][:-1]
     waiting = [item for item, outcome in enumerate(job.outcomes) if outcome == 0]
     return _Work(
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -12,15 +12,20 @@
 
 Bodies stay in the log: the ledger keeps the offsets of the records that hold items
 and results. A record that is appended again under its id, to carry it over the end
-of retention, only moves that offset.
+of retention, only moves that offset, whatever epoch it carries.
+
+A record is checked whole before any of it is applied: one that broke off half-way
+would leave items that count as complete without a result to read.
 """
 
 import dataclasses
+import math
 
+from pimentowick import exception
 from pimentowick.batch import record as batch_record
 from pimentowick.replication import fold
 
-__all__ = ["Call", "Job", "Ledger"]
+__all__ = ["Call", "Chunk", "Job", "Ledger"]
 
 PENDING = 0
 SUCCEEDED = 1
@@ -54,8 +59,10 @@
         state: ``open``, ``cancelled`` or ``done``.
         outcomes: One byte for each item: 0 pending, 1 succeeded, 2 failed.
         refs: For each item the id of the record that holds its result, or None.
+        pending: Number of items without a result.
         suspects: Attempts during which the target died, by item.
         cancelled_by: Who cancelled the job.
+        ended_at: When it was done or cancelled, in epoch seconds, or None.
     """
 
     id: str
@@ -70,8 +77,10 @@
     state: str = OPEN
     outcomes: bytearray = dataclasses.field(default_factory=bytearray)
     refs: list = dataclasses.field(default_factory=list)
+    pending: int = 0
     suspects: dict = dataclasses.field(default_factory=dict)
     cancelled_by: str | None = None
+    ended_at: float | None = None
 
     @property
     def succeeded(self):
@@ -83,10 +92,25 @@
         """Number of items that ended as failed."""
         return self.outcomes.count(FAILED)
 
-    @property
-    def pending(self):
-        """Number of items without a result."""
-        return self.outcomes.count(PENDING)
+    def end(self, state, at):
+        """Close the job at a time that a record states, in epoch seconds."""
+        self.state = state
+        self.ended_at = max(self.at, at)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """Where some items of a submission are.
+
+    Attributes:
+        offset: Offset of the record.
+        size: Number of items in it.
+        id: Id of the record.
+    """
+
+    offset: int
+    size: int
+    id: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,29 +163,33 @@
         self.owner_offset = -1
         self.jobs = {}
         self.calls = {}
-        # Offsets of the chunks by submission and index, and of results by record.
+        # `Chunk` by submission and index; offsets of results by record, and how
+        # many items have their result there.
         self.chunks = {}
         self.results = {}
+        self._uses = {}
+        self._used_submissions = set()
 
     # The handlers, by type of record.
 
     def apply(self, offset, record):
         """Apply one record; see `pimentowick.replication.fold.Fold.apply`."""
-        handle = self._HANDLERS.get(record.get("type"))
-        if handle is None:
-            return
         try:
-            handle(self, offset, record)
+            handle = self._HANDLERS.get(record.get("type"))
+            if handle is not None:
+                handle(self, offset, record)
         except (KeyError, TypeError, ValueError, IndexError, AttributeError):
             # Anything may be on the stream; what does not have the form of a
             # record has no effect on any reader.
             return
 
     def _apply_claim(self, offset, record):
-        if record["epoch"] != self.epoch + 1:
+        epoch = _get(record, "epoch", int)
+        owner = _get(record, "owner", str)
+        if epoch != self.epoch + 1:
             return
-        self.owner = str(record["owner"])
-        self.epoch = record["epoch"]
+        self.owner = owner
+        self.epoch = epoch
         self.owner_offset = offset
 
     def _apply_release(self, offset, record):
@@ -177,99 +205,110 @@
         return self.owner is not None and record["epoch"] == self.epoch
 
     def _apply_chunk(self, offset, record):
-        submission = record["submission"]
-        index = int(record["index"])
-        if not isinstance(record["items"], list) or not isinstance(submission, str):
+        submission = _get(record, "submission", str)
+        index = _get(record, "index", int)
+        chunk = Chunk(offset, len(_get(record, "items", list)), _get(record, "id", str))
+        known = self.chunks.get(submission, {})
+        if index in known:
+            # Appended again it has the same id. Another one would put other items
+            # in the place of those that were accepted.
+            if known[index].id == chunk.id and known[index].size == chunk.size:
+                known[index] = chunk
+            return
+        if submission in self._used_submissions:
             return
-        known = self.chunks.setdefault(submission, {})
-        # A chunk that is appended again has the same items, at a new place.
-        known[index] = (offset, len(record["items"]))
-        if len(self.chunks) > MAX_SUBMISSIONS_WITHOUT_JOB + len(self.jobs):
+        self.chunks.setdefault(submission, {})[index] = chunk
+        orphans = len(self.chunks) - len(self._used_submissions)
+        if orphans > MAX_SUBMISSIONS_WITHOUT_JOB:
             self._drop_oldest_submission()
 
     def _drop_oldest_submission(self):
-        wanted = {job.submission for job in self.jobs.values()}
         for submission in self.chunks:
-            if submission not in wanted:
+            if submission not in self._used_submissions:
                 del self.chunks[submission]
                 return
 
     def _apply_submitted(self, offset, record):
-        job_id = record["job"]
-        if job_id in self.jobs:
-            return
         chunks = self.chunks.get(record["submission"], {})
-        count = sum(size for _, size in chunks.values())
-        if sorted(chunks) != list(range(record["chunks"])) or count != record["items"]:
+        count = sum(chunk.size for chunk in chunks.values())
+        is_whole = sorted(chunks) == list(range(len(chunks)))
+        if not is_whole or (len(chunks), count) != (record["chunks"], record["items"]):
             return
-        self.jobs[job_id] = Job(
-            id=job_id,
-            submission=record["submission"],
-            workspace=record["workspace"],
-            key=record["key"],
-            digest=record["digest"],
-            model=record["model"],
-            items=record["items"],
-            deadline=record.get("deadline"),
-            at=record["at"],
-            state=OPEN if record["items"] else DONE,
-            outcomes=bytearray(record["items"]),
-            refs=[None] * record["items"],
-        )
+        job = _make_job(record)
+        if job.id in self.jobs or job.submission in self._used_submissions:
+            return
+        if not job.items:
+            job.end(DONE, job.at)
+        self._put_job(job)
+
+    def _put_job(self, job):
+        self.jobs[job.id] = job
+        self.chunks.setdefault(job.submission, {})
+        self._used_submissions.add(job.submission)
 
     def _apply_cancelled(self, offset, record):
         job = self.jobs[record["job"]]
+        by = _get(record, "by", str)
         if job.state == OPEN:
-            job.state = CANCELLED
-            job.cancelled_by = str(record["by"])
+            job.end(CANCELLED, _get_time(record, job.at))
+            job.cancelled_by = by
 
     def _apply_results(self, offset, record):
-        record_id = record["id"]
+        record_id = _get(record, "id", str)
         if record_id in self.results:
             self.results[record_id] = offset
             return
         if not self._is_current(record):
             return
+        rows = _parse_results(record)
+        at = _get_time(record, 0.0)
         self.owner_offset = offset
-        used = False
-        for job_id, item, outcome, _ in record["results"]:
-            used = self._complete(record_id, job_id, item, outcome) or used
-        if used:
+        uses = sum(self._complete(record_id, at, *row) for row in rows)
+        if uses:
             self.results[record_id] = offset
+            self._uses[record_id] = uses
 
-    def _complete(self, record_id, job_id, item, outcome):
+    def _complete(self, record_id, at, job_id, item, outcome):
         job = self.jobs.get(job_id)
         if job is None or job.state != OPEN or not 0 <= item < job.items:
             return False
         if job.outcomes[item] != PENDING:
             return False
-        job.outcomes[item] = OUTCOMES[outcome]
+        job.outcomes[item] = outcome
         job.refs[item] = record_id
         job.suspects.pop(item, None)
+        job.pending -= 1
         if job.pending == 0:
-            job.state = DONE
+            job.end(DONE, at)
         return True
 
     def _apply_suspect(self, offset, record):
         if not self._is_current(record):
             return
-        self.owner_offset = offset
         job = self.jobs[record["job"]]
-        item = record["item"]
-        if job.outcomes[item] == PENDING:
-            job.suspects[item] = int(record["attempts"])
+        item = _get(record, "item", int)
+        attempts = _get(record, "attempts", int)
+        self.owner_offset = offset
+        if 0 <= item < job.items and job.outcomes[item] == PENDING:
+            job.suspects[item] = attempts
 
     def _apply_expired(self, offset, record):
         job = self.jobs[record["job"]]
-        if job.state == OPEN:
+        # A copy that lands late must not drop a later job of the same key.
+        if job.state == OPEN or job.submission != record["submission"]:
             return
         del self.jobs[job.id]
-        self.chunks.pop(job.submission, None)
-        wanted = set()
-        for other in self.jobs.values():
-            wanted.update(other.refs)
-        for record_id in set(job.refs) - wanted:
-            self.results.pop(record_id, None)
+        del self.chunks[job.submission]
+        self._used_submissions.discard(job.submission)
+        for ref in job.refs:
+            if ref is not None:
+                self._release_result(ref)
+
+    def _release_result(self, record_id):
+        self._uses[record_id] -= 1
+        if not self._uses[record_id]:
+            del self._uses[record_id]
+            del self.results[record_id]
 
     def _apply_call_claimed(self, offset, record):
         known = self.calls.get(record["call"])
@@ -319,7 +358,7 @@
         return [job for job in self.jobs.values() if job.state == OPEN]
 
     def find_chunk(self, job, index):
-        """Return ``(offset, size)`` of a chunk of a job."""
+        """Return the `Chunk` of a job with a number."""
         return self.chunks[job.submission][index]
 
     def count_chunks(self, job):
@@ -332,11 +371,15 @@
         return None if ref is None else self.results[ref]
 
     def list_needed_offsets(self):
-        """Return the sorted offsets of the records whose bodies are still needed."""
+        """Return the sorted offsets of the records whose bodies are still needed.
+
+        These are the results of all jobs, and the items of the open ones.
+        """
         offsets = set(self.results.values())
-        for job in self.jobs.values():
-            for offset, _ in self.chunks[job.submission].values():
-                offsets.add(offset)
+        for job in self.list_open_jobs():
+            offsets.update(
+                chunk.offset for chunk in self.chunks[job.submission].values()
+            )
         return sorted(offsets)
 
     # Carrying the state forward.
@@ -359,11 +402,10 @@
         return parts
 
     def _dump_orphans(self):
-        wanted = {job.submission for job in self.jobs.values()}
         return {
             submission: _dump_chunks(chunks)
             for submission, chunks in self.chunks.items()
-            if submission not in wanted
+            if submission not in self._used_submissions
         }
 
     def _dump_results(self, job):
@@ -391,6 +433,7 @@
             "at": job.at,
             "state": job.state,
             "cancelled_by": job.cancelled_by,
+            "ended_at": job.ended_at,
             "suspects": sorted(job.suspects.items()),
             "failed": _make_ranges(
                 [i for i, outcome in enumerate(job.outcomes) if outcome == FAILED]
@@ -399,18 +442,31 @@
         }
 
     def load(self, parts):
-        """Replace the state by a dumped one; see `Ledger.dump`."""
-        self._reset()
-        for part in parts:
-            if "epoch" in part:
-                self._load_head(part)
-            elif "job" in part:
-                self._load_job(part["job"])
-            elif "results_of" in part:
-                self._load_results(part)
-            else:
-                for call in part["calls"]:
-                    self.calls[call["id"]] = Call(**call)
+        """Replace the state by a dumped one; see `Ledger.dump`.
+
+        Raises:
+            ValidationError: If `parts` is not a whole dump; the state then stays.
+        """
+        loaded = Ledger()
+        try:
+            for part in parts:
+                loaded._load_part(part)
+        except (AttributeError, KeyError, TypeError, ValueError, IndexError) as error:
+            raise exception.ValidationError(f"dump: {error!r}") from error
+        for job in loaded.jobs.values():
+            job.pending = job.outcomes.count(PENDING)
+        self.__dict__.update(loaded.__dict__)
+
+    def _load_part(self, part):
+        if "epoch" in part:
+            self._load_head(part)
+        elif "job" in part:
+            self._load_job(part["job"])
+        elif "results_of" in part:
+            self._load_results(part)
+        else:
+            for call in part["calls"]:
+                self.calls[call["id"]] = Call(**call)
 
     def _load_head(self, part):
         self.epoch = part["epoch"]
@@ -420,44 +476,81 @@
             self.chunks[submission] = _load_chunks(chunks)
 
     def _load_job(self, data):
-        job = Job(
-            id=data["id"],
-            submission=data["submission"],
-            workspace=data["workspace"],
-            key=data["key"],
-            digest=data["digest"],
-            model=data["model"],
-            items=data["items"],
-            deadline=data["deadline"],
-            at=data["at"],
-            state=data["state"],
-            outcomes=bytearray(data["items"]),
-            refs=[None] * data["items"],
-            suspects={item: attempts for item, attempts in data["suspects"]},
-            cancelled_by=data["cancelled_by"],
-        )
+        job = _make_job({**data, "job": data["id"]})
+        job.state = data["state"]
+        job.cancelled_by = data["cancelled_by"]
+        job.ended_at = data["ended_at"]
+        job.suspects = dict(data["suspects"])
         for first, last in data["failed"]:
             for item in range(first, last + 1):
                 job.outcomes[item] = FAILED
-        self.jobs[job.id] = job
+        self._put_job(job)
         self.chunks[job.submission] = _load_chunks(data["chunks"])
 
     def _load_results(self, part):
         job = self.jobs[part["results_of"]]
         for ref, offset, first, last in part["rows"]:
             self.results[ref] = offset
+            self._uses[ref] = self._uses.get(ref, 0) + last + 1 - first
             for item in range(first, last + 1):
                 job.refs[item] = ref
                 if job.outcomes[item] == PENDING:
                     job.outcomes[item] = SUCCEEDED
 
 
+def _get(record, name, kind):
+    value = record[name]
+    if type(value) is not kind:
+        raise TypeError(f"{name} is no {kind.__name__}")
+    return value
+
+
+def _get_time(record, default):
+    value = record.get("at", default)
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise TypeError("at is no time")
+    return value
+
+
+def _make_job(record):
+    items = _get(record, "items", int)
+    deadline = record.get("deadline")
+    if deadline is not None and type(deadline) not in (int, float):
+        raise TypeError("deadline is no time")
+    model = record.get("model")
+    if model is not None and type(model) is not str:
+        raise TypeError("model is no text")
+    return Job(
+        id=_get(record, "job", str),
+        submission=_get(record, "submission", str),
+        workspace=_get(record, "workspace", str),
+        key=_get(record, "key", str),
+        digest=_get(record, "digest", str),
+        model=model,
+        items=items,
+        deadline=deadline,
+        at=_get_time(record, 0.0),
+        outcomes=bytearray(items),
+        refs=[None] * items,
+        pending=items,
+    )
+
+
+def _parse_results(record):
+    rows = []
+    for job_id, item, outcome, _ in _get(record, "results", list):
+        if type(job_id) is not str or type(item) is not int:
+            raise TypeError("a result names no item")
+        rows.append((job_id, item, OUTCOMES[outcome]))
+    return rows
+
+
 def _dump_chunks(chunks):
-    return [[index, offset, size] for index, (offset, size) in chunks.items()]
+    return [[index, c.offset, c.size, c.id] for index, c in chunks.items()]
 
 
 def _load_chunks(rows):
-    return {index: (offset, size) for index, offset, size in rows}
+    return {index: Chunk(*fields) for index, *fields in rows}
 
 
 def _make_ranges(items):
--- a/pimentowick/batch/ownership.py
+++ b/pimentowick/batch/ownership.py
@@ -30,7 +30,6 @@
     def __init__(self):
         self.owner_offset = None
         self.silent_s = 0.0
-        self.idle_s = 0.0
         self.renewed_at = 0.0
         self.claimed_at = 0.0
 
@@ -52,7 +51,6 @@
         self._settings = settings
         self._owner = owner
         self._metrics = metrics
-        self._watches = {}
         self._releasing = False
         self._supervisor = supervisor.Supervisor("ownership")
 
@@ -68,6 +66,8 @@
     async def release_all(self):
         """Give all shards up, so that others claim them at once."""
         self._releasing = True
+        # A claim on its way would make this process an owner again once it is gone.
+        await self._supervisor.close()
         for shard in self._table.list_owned():
             release = batch_record.make_release(shard.ledger.epoch)
             try:
@@ -77,13 +77,30 @@
                 logger.warning("ownership: Shard {}: {}", shard.number, error)
 
     async def _watch(self):
+        """Keep one task for each shard that is followed.
+
+        A slow append for one shard would otherwise hold back the renewals of the
+        others, and other entries would take these from a living owner.
+        """
+        watched = {}
+        while True:
+            followed = dict(self._table.followed)
+            for number, shard in followed.items():
+                if watched.get(number) is not shard:
+                    name = f"shard {number}"
+                    self._supervisor.start_child(name, self._watch_always, shard)
+            for number in set(watched) - set(followed):
+                self._supervisor.stop_child(f"shard {number}")
+            watched = followed
+            await asyncio.sleep(TICK_S)
+
+    async def _watch_always(self, shard):
+        watch = _Watch()
         while True:
             began = time.monotonic()
             await asyncio.sleep(TICK_S)
             elapsed = min(time.monotonic() - began, 2 * TICK_S)
-            for shard in list(self._table.followed.values()):
-                watch = self._watches.setdefault(shard.number, _Watch())
-                await self._watch_shard(shard, watch, elapsed)
+            await self._watch_shard(shard, watch, elapsed)
 
     async def _watch_shard(self, shard, watch, elapsed):
         ledger = shard.ledger
--- a/pimentowick/batch/record.py
+++ b/pimentowick/batch/record.py
@@ -120,20 +120,21 @@
     )
 
 
-def make_cancelled(job, by):
-    """Cancel a job; results after this record are void."""
-    return _make(CANCELLED, job=job, by=by)
+def make_cancelled(job, by, at):
+    """Cancel a job at `at` epoch seconds; results after this record are void."""
+    return _make(CANCELLED, job=job, by=by, at=at)
 
 
-def make_results(epoch, results):
+def make_results(epoch, results, at):
     """Complete items.
 
     Args:
         epoch: Epoch of the owner that ran them.
         results: List of ``[job, item, outcome, body]``; outcome is ``succeeded`` or
             ``failed``.
+        at: Epoch seconds, from which the time is counted that results are kept.
     """
-    return _make(RESULTS, epoch=epoch, results=results)
+    return _make(RESULTS, epoch=epoch, results=results, at=at)
 
 
 def make_suspect(epoch, job, item, attempts):
@@ -141,9 +142,9 @@
     return _make(SUSPECT, epoch=epoch, job=job, item=item, attempts=attempts)
 
 
-def make_expired(job):
+def make_expired(job, submission):
     """Drop a finished job whose results are no longer owed."""
-    return _make(EXPIRED, job=job)
+    return _make(EXPIRED, job=job, submission=submission)
 
 
 def make_call_claimed(call, request, owner, digest, at):
--- a/pimentowick/batch/writer.py
+++ b/pimentowick/batch/writer.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import time
 
 import orjson
 from loguru import logger
@@ -84,6 +85,10 @@
             body = _make_oversized(body)
             size = len(orjson.dumps(body)) + len(job) + 32
         buffer = self._buffers.get(shard.number)
+        if buffer is not None and buffer.epoch > epoch:
+            # A result of an epoch that is over is void. Taking it would drop what
+            # waits under the new one, and those items would never complete.
+            return
         if buffer is None or buffer.epoch != epoch:
             self.drop(shard.number)
             buffer = _Buffer(shard, epoch)
@@ -114,7 +119,7 @@
         if buffer.unknown is None:
             count = self._count_fitting(buffer)
             buffer.unknown = batch_record.make_results(
-                buffer.epoch, buffer.results[:count]
+                buffer.epoch, buffer.results[:count], time.time()
             )
             buffer.unknown_count = count
         self.appends += 1
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -10,14 +10,14 @@
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
 from pimentowick.batch import call as batch_call
-from pimentowick.batch import dispatch, ownership, shard, writer
+from pimentowick.batch import carry, dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
-from pimentowick.entry import configuration, job, online, service
+from pimentowick.entry import configuration, job, online, peer, service
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.platform import hosts as platform_hosts
 from pimentowick.platform import log as platform_log
-from pimentowick.replication import replica
+from pimentowick.replication import keeper, replica
 from pimentowick.routing import balance, limits, router
 
 __all__ = ["Entry"]
@@ -68,6 +68,13 @@
         )
         self.writer = writer.ResultWriter(settings)
         self.dispatcher = self._make_dispatcher()
+        carrier = carry.Carrier(
+            self.table, self.configuration_replica, settings, self.metrics
+        )
+        self.keeper = keeper.Keeper(settings, carrier.list_kept, self.metrics)
+        self.bootstrap = peer.Bootstrap(
+            self.configuration_replica, self.fleet, self.client, settings.name
+        )
         self.calls = batch_call.CallBook(settings, self.owner)
         self.router = self._make_router()
         self._operators = {
@@ -134,6 +141,7 @@
                     shared,
                 ),
                 ("/peer/version", configuration.VersionHandler, shared),
+                ("/peer/configuration", peer.DumpHandler, shared),
                 ("/peer/stop-job", job.StopHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
@@ -154,6 +162,8 @@
         await self.writer.start()
         await self.dispatcher.start()
         await self.calls.start()
+        await self.keeper.start()
+        await self.bootstrap.start()
         await self._server.start()
         self.state = READY
         logger.info("entry: {} listens on {}.", self.settings.name, self.address)
@@ -178,6 +188,8 @@
         """Stop listening and drop all connections."""
         await self._server.close()
         for part in (
+            self.bootstrap,
+            self.keeper,
             self.dispatcher,
             self.ownership,
             self.writer,
--- a/pimentowick/entry/job.py
+++ b/pimentowick/entry/job.py
@@ -8,18 +8,17 @@
 
 from pimentowick import exception, verdict
 from pimentowick import web as http_web
-from pimentowick.batch import intake
+from pimentowick.batch import dispatch, intake
 from pimentowick.batch import record as batch_record
 from pimentowick.batch import shard as batch_shard
 from pimentowick.entry import handler
+from pimentowick.membership import fleet as membership_fleet
 
 __all__ = ["CancelHandler", "JobHandler", "JobsHandler", "ResultsHandler"]
 
 STOP_TIMEOUT_S = 2.0
 # Beside lease and freshness: what the clocks of two processes may differ in rate.
 STOP_MARGIN_S = 0.5
-FRESH_S = 2.0
-RESULT_PAGE = 50
 
 
 class _ShardHandler(handler.CallerHandler):
@@ -70,7 +69,7 @@
         if job is None:
             self._check_open_jobs()
             await self._append(shard, job_id, key, submission, deadline)
-            job = shard.ledger.jobs[job_id]
+            job = self._get_accepted(shard, job_id)
         if job.digest != submission.digest:
             raise exception.RefusedError(
                 verdict.Refusal(
@@ -98,6 +97,15 @@
         except exception.LogError as error:
             raise _refuse_log(error, verdict.Verdict.MAY_HAVE_RUN) from error
 
+    def _get_accepted(self, shard, job_id):
+        # The ledger forgets the oldest submissions without a job. One that was so
+        # slow that it lost its chunks has no effect, which the caller has to know.
+        job = shard.ledger.jobs.get(job_id)
+        if job is None:
+            error = exception.LogUnavailableError("The submission was dropped.")
+            raise _refuse_log(error, verdict.Verdict.NOT_RUN)
+        return job
+
     def _read_deadline(self):
         text = self.request.headers.get("X-Deadline")
         if text is None:
@@ -182,10 +190,9 @@
         job = self.get_job(shard, job_id)
         self.set_header("Content-Type", "application/jsonl")
         wanted = {ref for ref in job.refs if ref is not None}
-        offsets = sorted({shard.ledger.results[ref] for ref in wanted})
         try:
-            for offset in offsets:
-                await self._write_results(shard, job, offset)
+            for ref in sorted(wanted, key=shard.ledger.results.get):
+                await self._write_results(shard, job, ref)
         except exception.LogError as error:
             if self._headers_written:
                 # Cut off, so that the caller sees that lines are missing.
@@ -195,16 +202,54 @@
             raise _refuse_log(error, verdict.Verdict.NOT_RUN) from error
         self.finish()
 
-    async def _write_results(self, shard, job, offset):
-        page = await shard.replica.log.read(shard.stream, offset, limit=1)
-        if not page.records or page.records[0][0] != offset:
-            raise exception.LogTruncatedError("Results have passed out of retention.")
-        record = page.records[0][1]
+    async def _write_results(self, shard, job, ref):
+        record = await self._read_record(shard, ref)
+        if record is None:
+            self._write_lost(job, ref)
+            return
+        written = set()
         for job_id, item, _, body in record["results"]:
-            if job_id == job.id and job.refs[item] == record["id"]:
+            if job_id != job.id or job.refs[item] != ref:
+                continue
+            # The first one counts, also within a record.
+            if item not in written:
+                written.add(item)
                 self.write(orjson.dumps(body) + b"\n")
         await self.flush()
 
+    async def _read_record(self, shard, ref):
+        """Return the record with some results, or None if the log dropped it."""
+        offset = None
+        while offset != shard.ledger.results[ref]:
+            # It may be appended again further on while this reads.
+            offset = shard.ledger.results[ref]
+            page = await shard.replica.log.read(shard.stream, offset, limit=1)
+            if page.records and page.records[0][0] == offset:
+                return page.records[0][1]
+        if page.first <= offset:
+            raise exception.LogUnavailableError("The log gave no results.")
+        return None
+
+    def _write_lost(self, job, ref):
+        # The other results are still good; a caller has to know which ones are not.
+        logger.error("results: Results of {} are gone from the log.", job.id)
+        refusal = verdict.Refusal(
+            410,
+            "result_lost",
+            "The result passed out of the log's retention.",
+            verdict.Verdict.RAN,
+        )
+        error = refusal.to_dict()["error"]
+        for item, each in enumerate(job.refs):
+            if each == ref:
+                line = {
+                    "custom_id": None,
+                    "item": item,
+                    "response": None,
+                    "error": error,
+                }
+                self.write(orjson.dumps(line) + b"\n")
+
 
 class CancelHandler(_ShardHandler):
     """``POST /v1/batches/{id}/cancel``: stop a job."""
@@ -217,30 +262,52 @@
         job = self.get_job(shard, job_id)
         if job.state == "open":
             await self._cancel(shard, job)
+            job = self.get_job(shard, job_id)
+        if job.state == "cancelled":
+            # Also when another request cancelled it: that one may still wait for
+            # the owner, or may have failed while it did.
+            await self._wait_until_stopped(shard, job)
         self.write_json(describe_job(job))
 
     async def _cancel(self, shard, job):
         by = f"{self.workspace.name}/{self.request_id}"
-        cancelled = batch_record.make_cancelled(job.id, by)
+        cancelled = batch_record.make_cancelled(job.id, by, time.time())
         try:
             await shard.replica.append([cancelled], self.entry.settings.append_s)
         except exception.LogError as error:
             # Agents are not told before: they would refuse the items of a job that
             # stays open if the record never comes into the log.
             raise _refuse_log(error, verdict.Verdict.MAY_HAVE_RUN) from error
-        await self._wait_until_stopped(shard, job)
 
     async def _wait_until_stopped(self, shard, job):
         """Return once the owner has stopped, or can't dispatch any more."""
         if await self._ask_owner(shard, job):
             return
-        leases = [peer.report.get("lease_s", 0.0) for peer in self._list_peers()]
-        # An owner that does not answer knew the log FRESH_S ago at the latest when
-        # it renewed its leases for the last time; then they lapse.
-        await asyncio.sleep(FRESH_S + max(leases, default=0.0) + STOP_MARGIN_S)
-
-    def _list_peers(self):
-        return self.entry.fleet.peers.values()
+        await self._order_agents(job)
+        # An owner that does not answer has either read the cancellation or can't
+        # renew a lease later than FRESH_S after it. The last heartbeat may be on
+        # its way for as long as it may take; then the lease lapses.
+        renewed_s = dispatch.FRESH_S + membership_fleet.HEARTBEAT_TIMEOUT_S
+        await asyncio.sleep(renewed_s + self._get_longest_lease() + STOP_MARGIN_S)
+
+    async def _order_agents(self, job):
+        # The owner in force may not be the one whose items still run. Agents that
+        # take the order refuse the job whoever sends it.
+        try:
+            await self.entry.stop_job(job.id)
+        except exception.UnavailableError as error:
+            logger.warning("cancel: {} is not stopped everywhere. {}", job.id, error)
+
+    def _get_longest_lease(self):
+        leases = [
+            peer.report.get("lease_s") for peer in self.entry.fleet.peers.values()
+        ]
+        known = [lease for lease in leases if lease is not None]
+        if leases and not known:
+            # An entry that just started: how long leases hold is not known.
+            error = exception.LogUnavailableError("No agent is known yet.")
+            raise _refuse_log(error, verdict.Verdict.MAY_HAVE_RUN)
+        return max(known, default=0.0)
 
     async def _ask_owner(self, shard, job):
         owner = shard.ledger.owner
--- a/pimentowick/metrics.py
+++ b/pimentowick/metrics.py
@@ -60,11 +60,26 @@
         self._claims = self._add_counter(
             "pimentowick_entry_claims_total", "Shards that this entry claimed."
         )
+        self._checkpoints = self._add_counter(
+            "pimentowick_entry_checkpoints_total", "Checkpoints that this entry wrote."
+        )
+        self._carried = self._add_counter(
+            "pimentowick_entry_carried_total",
+            "Records appended again before the log drops them.",
+        )
         self.configuration_version = self._add_gauge(
             "pimentowick_entry_configuration_version_offset",
             "Version of the configuration in force.",
         )
 
+    def count_checkpoint(self):
+        """Count a checkpoint that was written whole."""
+        self._checkpoints.inc({})
+
+    def count_carried(self, number):
+        """Count records that were appended again."""
+        self._carried.add({}, number)
+
     def count_request(self, outcome):
         """Count an online request: ``answered`` or the code of its refusal."""
         self._requests.inc({"outcome": outcome})
--- a/pimentowick/platform/log.py
+++ b/pimentowick/platform/log.py
@@ -7,6 +7,7 @@
 
 import abc
 import dataclasses
+import json
 import secrets
 
 from pimentowick import client as http_client
@@ -110,11 +111,27 @@
             raise exception.LogUnavailableError(str(error)) from error
         if answer.status != 200:
             raise exception.LogUnavailableError(f"The log answered {answer.status}.")
-        data = answer.decode()
+        data = _decode(answer)
         records = [(entry["offset"], entry["record"]) for entry in data["records"]]
         return Page(records, data["first"], data["head"])
 
 
+def _decode(answer):
+    """Return the data of an answer.
+
+    One record with broken text, such as half of a surrogate pair, must not keep
+    the readers from all that comes after it. The strict decoder refuses it.
+    """
+    try:
+        return answer.decode()
+    except exception.ValidationError:
+        pass
+    try:
+        return json.loads(answer.body)
+    except ValueError as error:
+        raise exception.LogUnavailableError("The log's answer is broken.") from error
+
+
 def make_id():
     """Return a random id for a record, which makes a repeated append harmless.
 
--- a/pimentowick/replication/checkpoint.py
+++ b/pimentowick/replication/checkpoint.py
@@ -6,45 +6,72 @@
 checkpoint is true whoever wrote it and however late it arrives.
 """
 
+import base64
 import dataclasses
+import json
+import math
+import zlib
 
 from pimentowick.platform import log as platform_log
 
-__all__ = ["CHECKPOINT", "Collector", "make_checkpoint"]
+__all__ = ["CHECKPOINT", "Checkpoint", "Collector", "make_checkpoint"]
 
 CHECKPOINT = "checkpoint"
+# Room in a record for what stands beside the data.
+RECORD_MARGIN_BYTES = 512
+COMPRESSION = 1
 
 
-def make_checkpoint(fold, covers):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """A whole checkpoint.
+
+    Attributes:
+        covers: Offset of the first record that the state does not hold.
+        at: When it was written, in epoch seconds of the writer.
+        parts: The dump of the fold.
+    """
+
+    covers: int
+    at: float
+    parts: list
+
+
+def make_checkpoint(parts, covers, at, record_bytes):
     """Return the records of a checkpoint.
 
     Args:
-        fold: The `pimentowick.replication.fold.Fold` to carry forward.
-        covers: Offset of the first record that `fold` has not applied.
+        parts: What `pimentowick.replication.fold.Fold.dump` returned.
+        covers: Offset of the first record that the fold had not applied.
+        at: The time in epoch seconds.
+        record_bytes: Largest record that the log takes, in bytes.
+
+    Examples:
+        >>> records = make_checkpoint([{"version": 7}], 9, 5.0, 4096)
+        >>> Collector().add(records[0])
+        Checkpoint(covers=9, at=5.0, parts=[{'version': 7}])
     """
+    # The codec that takes any text and number that a record may have brought.
+    packed = zlib.compress(json.dumps(parts).encode(), COMPRESSION)
+    text = base64.b64encode(packed).decode()
+    size = record_bytes - RECORD_MARGIN_BYTES
+    slices = [text[start : start + size] for start in range(0, len(text), size)]
     name = platform_log.make_id()
-    parts = fold.dump()
     return [
         {
             "id": platform_log.make_id(),
             "type": CHECKPOINT,
             "checkpoint": name,
             "covers": covers,
+            "at": at,
             "part": index,
-            "parts": len(parts),
-            "state": part,
+            "parts": len(slices),
+            "data": data,
         }
-        for index, part in enumerate(parts)
+        for index, data in enumerate(slices)
     ]
 
 
-@dataclasses.dataclass(slots=True)
-class _Partial:
-    covers: int
-    parts: int
-    states: dict
-
-
 class Collector:
     """Puts the parts of checkpoints together as they are read."""
 
@@ -57,20 +84,29 @@
         """Take one part.
 
         Returns:
-            ``(covers, states)`` once the checkpoint is whole, otherwise None. A
-            malformed part is passed over.
+            The `Checkpoint` once it is whole, otherwise None. What is malformed is
+            passed over.
         """
         try:
-            name = record["checkpoint"]
-            index = int(record["part"])
-            fresh = _Partial(int(record["covers"]), int(record["parts"]), {})
-            partial = self._partial.setdefault(name, fresh)
-            partial.states[index] = record["state"]
-        except (KeyError, TypeError, ValueError):
+            name, index = record["checkpoint"], record["part"]
+            slices = self._partial.setdefault(name, {})
+            slices[index] = record["data"]
+            if len(slices) != record["parts"]:
+                self._forget_oldest()
+                return None
+            del self._partial[name]
+            return _unpack(record, "".join(slices[i] for i in range(len(slices))))
+        except (KeyError, TypeError, ValueError, OverflowError, zlib.error):
             return None
+
+    def _forget_oldest(self):
         if len(self._partial) > self.MAX_PARTIAL:
             self._partial.pop(next(iter(self._partial)))
-        if len(partial.states) < partial.parts:
-            return None
-        self._partial.pop(name, None)
-        return partial.covers, [partial.states[i] for i in sorted(partial.states)]
+
+
+def _unpack(record, text):
+    covers, at = record["covers"], record["at"]
+    if type(covers) is not int or not math.isfinite(at):
+        raise ValueError("covers or at is wrong")
+    parts = json.loads(zlib.decompress(base64.b64decode(text, validate=True)))
+    return Checkpoint(covers, at, parts)
--- /dev/null
+++ b/pimentowick/replication/keeper.py
@@ -0,0 +1,150 @@
+"""Writes checkpoints before the log drops what they carry forward.
+
+Any process that holds the state may write a checkpoint, since it is true whoever
+wrote it. To keep the number of appends low, the entry that ranks first for a stream
+does it, and the next ones only when they have seen none for longer.
+"""
+
+import asyncio
+import dataclasses
+import math
+import random
+import time
+
+from loguru import logger
+
+from pimentowick import exception, supervisor
+
+__all__ = ["Keeper", "Kept", "append_patiently", "get_period"]
+
+PERIODS_PER_RETENTION = 4
+# A stream without any checkpoint may be nearly as old as the retention time.
+FIRST_SHARE = 1 / 16
+RANK_SHARE = 1 / 4
+PAUSE_SHARE = 1 / 8
+TICK_SHARE = 1 / 40
+MAX_TICK_S = 30.0
+FRESH_S = 5.0
+# Claims, results and changes go before: a refused append waits, and each append is
+# followed by a pause, so that one entry makes at most 20 of them a second.
+PACE_S = 0.05
+RETRY_S = 1.0
+TRIES = 10
+RECORDS_PER_APPEND = 4
+
+
+@dataclasses.dataclass(slots=True)
+class Kept:
+    """One stream whose state is carried forward.
+
+    Attributes:
+        replica: `pimentowick.replication.replica.Replica` of the stream.
+        rank: Place of this entry among those that follow the stream, from 0.
+        carry: Coroutine function to call before the checkpoint, or None.
+    """
+
+    replica: object
+    rank: int
+    carry: object = None
+
+
+def get_period(settings):
+    """Return the time between two checkpoints of a stream, in seconds.
+
+    Args:
+        settings: `pimentowick.settings.EntrySettings`.
+    """
+    return settings.platform.log_retention_s / PERIODS_PER_RETENTION
+
+
+class Keeper:
+    """Writes the checkpoints that fall to this entry.
+
+    Args:
+        settings: `pimentowick.settings.EntrySettings`.
+        list_kept: Function that returns the `Kept` streams.
+        metrics: `pimentowick.metrics.EntryMetrics`.
+    """
+
+    def __init__(self, settings, list_kept, metrics):
+        self._settings = settings
+        self._list_kept = list_kept
+        self._metrics = metrics
+        self._period = get_period(settings)
+        self._tried_at = {}
+        self._supervisor = supervisor.Supervisor("keeper")
+
+    async def start(self):
+        """Begin to watch the ages of the checkpoints."""
+        await self._supervisor.start()
+        self._supervisor.start_child("keep", self._keep_always)
+
+    async def close(self):
+        """Stop; others write what falls due."""
+        await self._supervisor.close()
+
+    async def _keep_always(self):
+        tick = min(self._period * TICK_SHARE, MAX_TICK_S)
+        while True:
+            for kept in self._list_kept():
+                if self._is_due(kept):
+                    await self._keep(kept)
+            await asyncio.sleep(tick)
+
+    def _is_due(self, kept):
+        replica = kept.replica
+        now = time.monotonic()
+        if not replica.ready or replica.fresh_at is None or not replica.offset:
+            return False
+        if now - replica.fresh_at > FRESH_S:
+            return False
+        # Where the clocks of two entries differ by days, each would find the
+        # checkpoints of the other one too old at every turn.
+        tried_at = self._tried_at.get(replica.stream, -math.inf)
+        if now - tried_at < self._period * PAUSE_SHARE:
+            return False
+        age = replica.get_checkpoint_age()
+        limit = self._period
+        if age == math.inf:
+            age = now - replica.started_at
+            limit = self._period * FIRST_SHARE
+        return age >= limit * (1 + kept.rank * RANK_SHARE)
+
+    async def _keep(self, kept):
+        replica = kept.replica
+        self._tried_at[replica.stream] = time.monotonic()
+        try:
+            if kept.carry is not None:
+                await kept.carry()
+            await self._write(replica)
+        except exception.LogError as error:
+            # A part of a checkpoint has no effect; the next turn writes a whole one.
+            logger.warning("keeper: No checkpoint of {}. {}", replica.stream, error)
+            return
+        self._metrics.count_checkpoint()
+
+    async def _write(self, replica):
+        record_bytes = self._settings.platform.log_record_bytes
+        records = await replica.make_checkpoint(record_bytes)
+        covers = records[0]["covers"]
+        for start in range(0, len(records), RECORDS_PER_APPEND):
+            group = records[start : start + RECORDS_PER_APPEND]
+            await append_patiently(replica, group)
+        logger.info("keeper: {} has a checkpoint at {}.", replica.stream, covers)
+
+
+async def append_patiently(replica, records):
+    """Append records that may come late, and may come twice.
+
+    Raises:
+        LogError: The log refused or did not answer `TRIES` times.
+    """
+    for attempt in range(1, TRIES + 1):
+        try:
+            await replica.log.append(replica.stream, records)
+            break
+        except exception.LogError:
+            if attempt == TRIES:
+                raise
+            await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.0))
+    await asyncio.sleep(PACE_S)
--- a/pimentowick/replication/replica.py
+++ b/pimentowick/replication/replica.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import time
 
@@ -37,6 +38,8 @@
         fresh_at: Monotonic time at which the last read that reached the head
             began; what was in the log then is in the fold. None before.
         first: Oldest offset that the log kept at the last read.
+        recovering: Whether records are missing and a checkpoint is looked for.
+        checkpoint_covers: What the newest checkpoint in the log covers.
     """
 
     def __init__(self, log, stream, fold, wait_s=READ_WAIT_S):
@@ -47,11 +50,13 @@
         self.ready = False
         self.fresh_at = None
         self.first = 0
+        self.recovering = False
         self.checkpoint_covers = 0
-        self.checkpoint_at = time.monotonic()
+        self.started_at = time.monotonic()
+        self._checkpoint_at = None
+        self._checkpoint_read_at = None
         self.applied = asyncio.Condition()
         self._wait_s = wait_s
-        self._recovering = False
         self._scan = 0
         self._collector = checkpoint.Collector()
         self._reading = asyncio.Lock()
@@ -89,12 +94,12 @@
         """
         async with self._reading:
             began = time.monotonic()
-            position = self._scan if self._recovering else self.offset
+            position = self._scan if self.recovering else self.offset
             page = await self.log.read(self.stream, position, wait_s=wait_s)
             self.first = page.first
-            if not self._recovering and page.first > self.offset:
+            if not self.recovering and page.first > self.offset:
                 self._begin_recovery(page.first)
-            if self._recovering:
+            if self.recovering:
                 reached = self._scan_page(page)
             else:
                 reached = self._apply_page(page)
@@ -122,8 +127,25 @@
             return
         whole = self._collector.add(record)
         if whole is not None:
-            self.checkpoint_covers = whole[0]
-            self.checkpoint_at = time.monotonic()
+            self._note_checkpoint(whole)
+
+    def _note_checkpoint(self, found):
+        if found.covers >= self.checkpoint_covers:
+            self.checkpoint_covers = found.covers
+            self._checkpoint_at = found.at
+            self._checkpoint_read_at = time.monotonic()
+
+    def get_checkpoint_age(self):
+        """Return the age of the newest checkpoint in seconds, infinite if none.
+
+        Two clocks are asked and the greater age is taken. The time that a record
+        states may come from a clock that is wrong, and the time of reading says
+        nothing about a record that was old when it was read.
+        """
+        if self._checkpoint_at is None:
+            return math.inf
+        stated = time.time() - self._checkpoint_at
+        return max(stated, time.monotonic() - self._checkpoint_read_at)
 
     def _begin_recovery(self, first):
         # What was between our offset and the oldest kept record is gone. Only a
@@ -134,7 +156,7 @@
             self.offset,
             first - 1,
         )
-        self._recovering = True
+        self.recovering = True
         self.ready = False
         self._scan = first
         self._collector = checkpoint.Collector()
@@ -151,19 +173,34 @@
                 break
         return False
 
-    def _adopt(self, whole, first):
-        covers, states = whole
-        # An older checkpoint would take the copy back; one that covers less than
-        # the oldest kept record would leave a gap again.
-        if covers < self.offset or covers < first:
+    def _adopt(self, found, first):
+        # One that covers less than the oldest kept record would leave a gap again.
+        if found.covers < first or not self.adopt(found.covers, found.parts):
+            return False
+        self._note_checkpoint(found)
+        return True
+
+    def adopt(self, covers, parts):
+        """Take over the state that another copy of this stream dumped.
+
+        Args:
+            covers: Offset of the first record that it had not applied.
+            parts: What its fold dumped.
+
+        Returns:
+            Whether it was taken: never if that would take this copy back.
+        """
+        if covers < self.offset:
+            return False
+        try:
+            self.fold.load(parts)
+        except exception.ValidationError as error:
+            logger.warning("replica {}: A dump is broken. {}", self.stream, error)
             return False
-        self.fold.load(states)
         self.offset = covers
-        self.checkpoint_covers = covers
-        self.checkpoint_at = time.monotonic()
-        self._recovering = False
+        self.recovering = False
         self._collector = checkpoint.Collector()
-        logger.info("replica {}: loaded a checkpoint at {}.", self.stream, covers)
+        logger.info("replica {}: loaded a state at {}.", self.stream, covers)
         return True
 
     async def catch_up(self, timeout_s):
@@ -220,13 +257,16 @@
         for record in records:
             record.setdefault("id", platform_log.make_id())
         deadline = time.monotonic() + timeout_s
+        # Where the answer is lost, the follower may have passed the records by the
+        # time that the loss is noticed; the search begins before them.
+        position = self.offset
         first = await self._try_append(records, timeout_s)
         left = max(deadline - time.monotonic(), RETRY_S)
         if first is not None:
             last = first + len(records) - 1
             await self._wait_until_applied(last, left)
             return first
-        last = await self._find(records[-1]["id"], left)
+        last = await self._find(records[-1]["id"], position, left)
         return last - len(records) + 1
 
     async def _wait_until_applied(self, offset, timeout_s):
@@ -243,10 +283,9 @@
         except exception.LogUnavailableError:
             return None
 
-    async def _find(self, record_id, timeout_s):
+    async def _find(self, record_id, position, timeout_s):
         # The append that got no answer may still land; where it has landed
         # already, a few reads of the head show it.
-        position = self.offset
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             try:
@@ -266,12 +305,17 @@
             "It is not known whether the log took an append."
         )
 
-    async def write_checkpoint(self):
-        """Append a checkpoint of the fold as it is now.
+    async def make_checkpoint(self, record_bytes):
+        """Return the records of a checkpoint of the fold as it is now.
 
-        Raises:
-            LogError: It was not appended, or that is not known; both are harmless.
+        Args:
+            record_bytes: Largest record that the log takes, in bytes.
         """
-        records = checkpoint.make_checkpoint(self.fold, self.offset)
-        for record in records:
-            await self.log.append(self.stream, [record])
+        # Packing takes long for a large state; the loop has callers to answer.
+        return await asyncio.to_thread(
+            checkpoint.make_checkpoint,
+            self.fold.dump(),
+            self.offset,
+            time.time(),
+            record_bytes,
+        )
--- /dev/null
+++ b/pimentowick/replication/tests/memory.py
@@ -0,0 +1,58 @@
+"""A log within the process, whose answers and effects a test can hold back."""
+
+import json
+
+from pimentowick import exception
+from pimentowick.fakes import log as fake_log
+from pimentowick.platform import log as platform_log
+
+__all__ = ["MemoryLog"]
+
+
+class MemoryLog(platform_log.Log):
+    """The stand-in log without a socket.
+
+    Attributes:
+        kept: The `pimentowick.fakes.log.Log` that holds the streams.
+        down: Whether nothing gets an answer.
+        lose_answers: Number of appends that take effect without an answer.
+        late: Appends that got no answer and have not landed, while it is a list.
+    """
+
+    def __init__(self, **settings):
+        self.kept = fake_log.Log(**settings)
+        self.down = False
+        self.lose_answers = 0
+        self.late = None
+
+    async def append(self, stream, records):
+        self._check()
+        if self.late is not None:
+            self.late.append((stream, records))
+            raise exception.LogUnavailableError("no answer")
+        try:
+            first, _ = self.kept.append(stream, records)
+        except fake_log.RateError as error:
+            raise exception.LogFullError(str(error)) from error
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise exception.LogUnavailableError("no answer")
+        return first
+
+    async def read(self, stream, offset, limit=500, wait_s=0.0):
+        self._check()
+        await self.kept.wait(stream, offset, wait_s)
+        self._check()
+        rows = self.kept.read(stream, offset, limit)
+        records = [(at, json.loads(text)) for at, text in rows]
+        return platform_log.Page(records, *self.kept.measure(stream))
+
+    def land_late(self):
+        """Let the held appends take effect."""
+        late, self.late = self.late, None
+        for stream, records in late:
+            self.kept.append(stream, records)
+
+    def _check(self):
+        if self.down:
+            raise exception.LogUnavailableError("down")
--- /dev/null
+++ b/pimentowick/replication/tests/test_replica.py
@@ -0,0 +1,204 @@
+"""Copies of a stream through lost answers, outages and the end of retention."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from pimentowick import exception
+from pimentowick.replication import checkpoint, fold, replica
+from pimentowick.replication.tests import memory
+
+STREAM = "s"
+
+
+class Trace(fold.Fold):
+    """Keeps the ids that it applied, in their order."""
+
+    def __init__(self):
+        self.ids = []
+
+    def apply(self, offset, record):
+        self.ids.append(record["id"])
+
+    def dump(self):
+        return [{"ids": list(self.ids)}]
+
+    def load(self, parts):
+        if not isinstance(parts, list):
+            raise exception.ValidationError("dump")
+        self.ids = list(parts[0]["ids"])
+
+
+def run(check, **settings):
+    async def run_check():
+        log = memory.MemoryLog(**settings)
+        async with contextlib.AsyncExitStack() as stack:
+
+            async def follow():
+                copy = replica.Replica(log, STREAM, Trace(), wait_s=0.05)
+                await copy.start()
+                stack.push_async_callback(copy.close)
+                return copy
+
+            async with asyncio.timeout(20):
+                await check(log, follow)
+
+    asyncio.run(run_check())
+
+
+def fill(log, *names):
+    log.kept.append(STREAM, [{"id": name, "type": "x"} for name in names])
+
+
+async def write_checkpoint(log, copy):
+    for record in await copy.make_checkpoint(4096):
+        log.kept.append(STREAM, [record])
+
+
+def test_lost_answer_of_an_append_is_settled():
+    """The log takes an append and its answer is lost; the follower reads it first.
+
+    The search for it began where the follower stood and so behind the record: the
+    caller was told that nothing is known of a job that was safe.
+    """
+
+    async def check(log, follow):
+        copy = await follow()
+        taken = log.append
+
+        async def append_and_let_read(stream, records):
+            try:
+                return await taken(stream, records)
+            finally:
+                await copy.wait_for(lambda: copy.offset > 0, 5)
+
+        log.append = append_and_let_read
+        log.lose_answers = 1
+        assert await copy.append([{"id": "a", "type": "x"}], 2.0) == 0
+        assert copy.fold.ids == ["a"]
+
+    run(check)
+
+
+def test_append_that_lands_late_is_found_or_reported_as_unknown():
+    """An append gets no answer, the head shows nothing, and the record lands later.
+
+    To call that a failure would be untrue: the job runs though its user was told
+    that it does not.
+    """
+
+    async def check(log, follow):
+        copy = await follow()
+        log.late = []
+        waiting = asyncio.create_task(copy.append([{"id": "a", "type": "x"}], 10))
+        await copy.wait_for(lambda: log.late, 5)
+        await copy.catch_up(5)
+        log.land_late()
+        assert await waiting == 0
+        log.late = []
+        with pytest.raises(exception.LogUnavailableError):
+            await copy.append([{"id": "b", "type": "x"}], 0.2)
+        log.land_late()
+        await copy.wait_for(lambda: copy.fold.ids == ["a", "b"], 5)
+
+    run(check)
+
+
+def test_copies_agree_over_the_end_of_retention():
+    """Records pass out of retention while one reader is behind and one is new.
+
+    Without a checkpoint they would stay without a state, or take one with a gap.
+    """
+
+    async def check(log, follow):
+        ahead = await follow()
+        fill(log, "a", "b")
+        await ahead.catch_up(5)
+        behind = replica.Replica(log, STREAM, Trace())
+        fill(log, "c", "d")
+        await ahead.catch_up(5)
+        await write_checkpoint(log, ahead)
+        fill(log, "e")
+        log.kept.truncate(STREAM, 4)
+        new = await follow()
+        for copy in (behind, new):
+            await copy.catch_up(5)
+            assert copy.fold.ids == ["a", "b", "c", "d", "e"]
+            assert copy.ready and not copy.recovering
+        await ahead.catch_up(5)
+        assert ahead.fold.ids == new.fold.ids
+
+    run(check)
+
+
+def test_copy_never_goes_back():
+    """An old or broken checkpoint is found in the stream or offered by a peer.
+
+    Taking it would undo what was in force, such as a token that was withdrawn.
+    """
+
+    async def check(log, follow):
+        copy = await follow()
+        fill(log, "a")
+        await copy.catch_up(5)
+        old = await copy.make_checkpoint(4096)
+        fill(log, "b", "c")
+        await copy.catch_up(5)
+        log.kept.append(STREAM, old)
+        await copy.catch_up(5)
+        assert copy.fold.ids == ["a", "b", "c"]
+        assert not copy.adopt(1, [{"ids": ["a"]}])
+        assert not copy.adopt(9, None)
+        # A reader that lost records needs one that covers up to what is kept.
+        log.kept.truncate(STREAM, 3)
+        new = replica.Replica(log, STREAM, Trace())
+        await new.read_once()
+        await new.read_once()
+        assert new.recovering and not new.ready and new.fold.ids == []
+        await write_checkpoint(log, copy)
+        await new.catch_up(5)
+        assert new.fold.ids == ["a", "b", "c"]
+
+    run(check)
+
+
+def test_broken_records_stop_no_reader():
+    """Somebody writes what is no record, or half a checkpoint.
+
+    A reader that fails on it would stand still, and with it all that it serves.
+    """
+
+    async def check(log, follow):
+        copy = await follow()
+        log.kept.append(STREAM, [None, [], "x", {"type": "checkpoint"}])
+        part = checkpoint.make_checkpoint([{"ids": []}], 9, 1.0, 4096)[0]
+        broken = [{"data": "?"}, {"parts": 10**30}, {"part": []}, {"covers": "x"}]
+        log.kept.append(STREAM, [{**part, **fields} for fields in broken])
+        fill(log, "a")
+        await copy.wait_for(lambda: copy.fold.ids[-1:] == ["a"], 5)
+
+    run(check)
+
+
+def test_outage_is_waited_for_and_never_read_as_an_answer():
+    """The log is down for longer than every wait.
+
+    A copy that took silence for an empty log would show a state without the newest
+    records as up to date.
+    """
+
+    async def check(log, follow):
+        copy = await follow()
+        fill(log, "a")
+        await copy.catch_up(5)
+        log.down = True
+        for attempt in (copy.catch_up(0.2), copy.append([{"type": "x"}], 0.2)):
+            with pytest.raises(exception.LogUnavailableError):
+                await attempt
+        log.down = False
+        fill(log, "b")
+        await copy.catch_up(5)
+        assert copy.fold.ids == ["a", "b"]
+
+    run(check)
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -109,6 +109,11 @@
     flush_s: float = pydantic.Field(
         0.25, gt=0, description="Time over which results are grouped, in seconds."
     )
+    result_keep_s: float = pydantic.Field(
+        604_800.0,
+        gt=0,
+        description="How long the results of a job are kept after its end, in seconds.",
+    )
     append_s: float = pydantic.Field(
         5.0, gt=0, description="Longest wait for an append to be read back, in seconds."
     )
