--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -16,8 +16,8 @@
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
 from pimentowick.agent import work as agent_work
+from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
-from pimentowick.platform import service as platform_service
 from pimentowick.scheduling import admission as scheduling_admission
 from pimentowick.scheduling import lease as scheduling_lease
 from pimentowick.scheduling import limiter as scheduling_limiter
@@ -78,11 +78,10 @@
 
     def _make_target(self):
         target = self.settings.target
+        make = platform_adapter.find_adapter(target.kind, target.adapter)
         if target.kind == "service":
-            return platform_service.HttpService(target.address, self._client)
-        return platform_engine.HttpEngine(
-            target.address, self._client, self._control, self.settings.idle_s
-        )
+            return make(target.address, self._client)
+        return make(target.address, self._client, self._control, self.settings.idle_s)
 
     def _make_application(self):
         shared = {"agent": self}
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -15,8 +15,7 @@
 from pimentowick.configuration import tokens
 from pimentowick.entry import configuration, job, online, service
 from pimentowick.membership import fleet as membership_fleet
-from pimentowick.platform import hosts as platform_hosts
-from pimentowick.platform import log as platform_log
+from pimentowick.platform import adapter
 from pimentowick.replication import replica
 from pimentowick.routing import balance, limits, router
 
@@ -53,8 +52,7 @@
         self.client = http_client.Client(CONTROL_CONNECTIONS)
         self._online_client = http_client.Client(settings.max_online)
         self._batch_client = http_client.Client(settings.max_batch)
-        log = platform_log.HttpLog(settings.platform.log, self.client)
-        hosts = platform_hosts.HttpHostList(settings.platform.hosts, self.client)
+        log, hosts = self._make_platform()
         self.configuration = configuration_fold.ConfigurationFold()
         self.configuration_replica = replica.Replica(
             log, configuration.CONFIGURATION_STREAM, self.configuration
@@ -86,6 +84,13 @@
         """``IP:port`` that the entry listens on."""
         return self._server.address
 
+    def _make_platform(self):
+        platform = self.settings.platform
+        make_log = adapter.find_adapter("log", platform.log_adapter)
+        make_hosts = adapter.find_adapter("hosts", platform.hosts_adapter)
+        log = make_log(platform.log, self.client)
+        return log, make_hosts(platform.hosts, self.client)
+
     def _is_fresh(self):
         return self.dispatcher.is_fresh()
 
--- /dev/null
+++ b/pimentowick/platform/tests/test_adapter.py
@@ -0,0 +1,67 @@
+"""Another log behind the same abstract class, and nothing else changed."""
+
+import asyncio
+import collections
+
+import pytest
+
+from pimentowick import exception
+from pimentowick.fakes import embedded
+from pimentowick.platform import adapter
+from pimentowick.platform import log as platform_log
+
+
+class MemoryLog(platform_log.Log):
+    """A log that all entries of this process share, without any HTTP."""
+
+    streams = collections.defaultdict(list)
+    appended = asyncio.Event()
+
+    def __init__(self, address, client):
+        self.address = address
+
+    async def append(self, stream, records):
+        """Append `records`."""
+        kept = self.streams[stream]
+        kept.extend(records)
+        self.appended.set()
+        return len(kept) - len(records)
+
+    async def read(self, stream, offset, limit=500, wait_s=0.0):
+        """Return records."""
+        if offset >= len(self.streams[stream]) and wait_s:
+            await self._wait(wait_s)
+        kept = self.streams[stream]
+        page = list(enumerate(kept))[offset : offset + limit]
+        return platform_log.Page(page, 0, len(kept))
+
+    async def _wait(self, wait_s):
+        self.appended.clear()
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.appended.wait()
+        except TimeoutError:
+            return
+
+
+def test_job_runs_on_another_log():
+    async def check():
+        platform = {"log_adapter": f"{__name__}:MemoryLog"}
+        fleet = embedded.Embedded(entry_settings={"platform": platform})
+        try:
+            await fleet.start()
+            answer = await fleet.submit(embedded.make_job_lines(10), "k")
+            await fleet.wait_for_job(answer.decode()["id"])
+            assert len(await fleet.read_results(answer.decode()["id"])) == 10
+            assert not fleet.log._streams
+        finally:
+            await fleet.close()
+
+    MemoryLog.streams.clear()
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("name", ["other", "json:loads", "no.such:Log"])
+def test_unknown_adapter_is_named(name):
+    with pytest.raises(exception.SettingsError, match=name):
+        adapter.find_adapter("log", name)
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -28,6 +28,12 @@
     weights: str | None = pydantic.Field(
         None, description="IP:port of the weight store."
     )
+    log_adapter: str = pydantic.Field(
+        "http", description="http, or module:Class of another adapter of the log."
+    )
+    hosts_adapter: str = pydantic.Field(
+        "http", description="http, or module:Class of another adapter of the hosts."
+    )
     log_retention_s: float = pydantic.Field(
         86_400.0, gt=0, description="How long the log keeps a record, in seconds."
     )
@@ -147,6 +153,9 @@
         min_length=1,
         description="Name of the model or service that the target serves.",
     )
+    adapter: str = pydantic.Field(
+        "http", description="http, or module:Class of another adapter of the target."
+    )
     checks_fence: bool = pydantic.Field(
         False, description="Whether the target refuses an old fencing number."
     )
