--- /dev/null
+++ b/pimentowick/load/__init__.py
@@ -0,0 +1,1 @@
+"""A load and experiment tool: open-loop traffic, percentiles, comparisons."""
--- /dev/null
+++ b/pimentowick/load/arrival.py
@@ -0,0 +1,81 @@
+"""When requests arrive.
+
+Arrivals don't wait for answers (an open loop): a slow system gets no fewer requests,
+as with real callers, so that its queue shows.
+"""
+
+import abc
+
+__all__ = ["Arrival", "BurstArrival", "PoissonArrival", "SteadyArrival"]
+
+
+class Arrival(abc.ABC):
+    """A pattern of arrivals."""
+
+    @abc.abstractmethod
+    def generate(self, rng, duration_s):
+        """Yield the arrival times in seconds from the start, growing.
+
+        Args:
+            rng: `random.Random`.
+            duration_s: Time after which none arrive, in seconds.
+        """
+
+
+class SteadyArrival(Arrival):
+    """One arrival after each equal interval.
+
+    Examples:
+        >>> import random
+        >>> list(SteadyArrival(rate=2.0).generate(random.Random(0), 1.5))
+        [0.0, 0.5, 1.0]
+    """
+
+    def __init__(self, rate):
+        self._rate = rate
+
+    def generate(self, rng, duration_s):
+        """Yield the arrival times; see `Arrival.generate`."""
+        number = 0
+        while number / self._rate < duration_s:
+            yield number / self._rate
+            number += 1
+
+
+class PoissonArrival(Arrival):
+    """Independent arrivals at a mean rate a second."""
+
+    def __init__(self, rate):
+        self._rate = rate
+
+    def generate(self, rng, duration_s):
+        """Yield the arrival times; see `Arrival.generate`."""
+        at = rng.expovariate(self._rate)
+        while at < duration_s:
+            yield at
+            at += rng.expovariate(self._rate)
+
+
+class BurstArrival(Arrival):
+    """Independent arrivals during `on_s`, none during `off_s`, in turn.
+
+    Examples:
+        >>> import random
+        >>> times = list(BurstArrival(50.0, 1.0, 3.0).generate(random.Random(0), 8.0))
+        >>> all(at % 4.0 < 1.0 for at in times)
+        True
+    """
+
+    def __init__(self, rate, on_s, off_s):
+        self._inner = PoissonArrival(rate)
+        self._on_s = on_s
+        self._off_s = off_s
+
+    def generate(self, rng, duration_s):
+        """Yield the arrival times; see `Arrival.generate`."""
+        start = 0.0
+        while start < duration_s:
+            for at in self._inner.generate(rng, self._on_s):
+                if start + at < duration_s:
+                    yield start + at
+            start += self._on_s + self._off_s
--- /dev/null
+++ b/pimentowick/load/runner.py
@@ -0,0 +1,185 @@
+"""Runs an experiment against the entries of a fleet."""
+
+import asyncio
+import random
+import time
+
+import orjson
+
+from pimentowick import client as http_client
+from pimentowick import exception, verdict
+from pimentowick.load import experiment as load_experiment
+from pimentowick.load import report
+
+__all__ = ["Runner"]
+
+CHAT_PATH = "/v1/chat/completions"
+IDLE_S = 30.0
+MAX_CONNECTIONS = 1000
+
+
+class Runner:
+    """Sends the traffic of an experiment and measures the answers.
+
+    Args:
+        experiment: `pimentowick.load.experiment.Experiment`.
+        entries: Addresses of entries, ``IP:port``, used in turn.
+        tokens: Token of each workspace, by its name.
+        check: Function from prompt, maximum of tokens and text of the answer to
+            whether the answer is right, or None to take any whole answer.
+    """
+
+    def __init__(self, experiment, entries, tokens, check=None):
+        self.samples = []
+        self.jobs = {}
+        self._experiment = experiment
+        self._entries = entries
+        self._tokens = tokens
+        self._check = check
+        self._client = http_client.Client(MAX_CONNECTIONS)
+        self._turn = 0
+
+    async def start(self):
+        """Open the connection pool."""
+        await self._client.start()
+
+    async def close(self):
+        """Close the connection pool."""
+        await self._client.close()
+
+    async def run(self):
+        """Run the experiment, and return the report."""
+        began = time.monotonic()
+        jobs = [await self._submit(batch) for batch in self._experiment.batch]
+        streams = [self._send_all(traffic) for traffic in self._experiment.traffic]
+        await asyncio.gather(*streams)
+        for batch, job_id in zip(self._experiment.batch, jobs, strict=True):
+            self.jobs[batch.name] = await self._look_up(batch, job_id)
+        return report.make_report(self.samples, self.jobs, time.monotonic() - began)
+
+    def _get_entry(self):
+        self._turn += 1
+        return self._entries[self._turn % len(self._entries)]
+
+    def _make_headers(self, workspace, **fields):
+        return {"Authorization": f"Bearer {self._tokens[workspace]}", **fields}
+
+    async def _send_all(self, traffic):
+        # A stream's own generator: the arrivals of one do not depend on the others.
+        rng = random.Random(f"{self._experiment.seed}/{traffic.name}")
+        prompts = load_experiment.make_prompts(traffic.prompt)
+        arrival = load_experiment.make_arrival(traffic.arrival)
+        began = time.monotonic()
+        calls = []
+        for at in arrival.generate(rng, self._experiment.duration_s):
+            prompt = prompts.make(rng)
+            await asyncio.sleep(max(0.0, began + at - time.monotonic()))
+            calls.append(asyncio.create_task(self._send(traffic, prompt)))
+        await asyncio.gather(*calls)
+
+    async def _send(self, traffic, prompt):
+        sample = report.Sample(traffic.name, "answered")
+        began = time.monotonic()
+        try:
+            text = await self._read(traffic, prompt, sample, began)
+        except http_client.TransportError as error:
+            sample.outcome = "no_answer"
+            sample.verdict = str(error.verdict)
+        except exception.RefusedError as error:
+            sample.outcome = error.refusal.code
+            sample.verdict = str(error.refusal.verdict)
+        else:
+            if self._check and not self._check(prompt, traffic.max_tokens, text):
+                sample.outcome = "wrong"
+        sample.total_s = time.monotonic() - began
+        self.samples.append(sample)
+
+    async def _read(self, traffic, prompt, sample, began):
+        body = {
+            "model": traffic.model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": traffic.max_tokens,
+            "stream": True,
+        }
+        stream = self._client.open_stream(
+            "POST",
+            self._get_entry(),
+            CHAT_PATH,
+            body,
+            self._make_headers(traffic.workspace),
+            timeout_s=self._experiment.timeout_s,
+            idle_s=IDLE_S,
+        )
+        texts = []
+        previous = None
+        while True:
+            lines = await stream.read_lines()
+            if not lines:
+                raise exception.RefusedError(_make_broken())
+            now = time.monotonic()
+            if _take_lines(lines, texts):
+                return "".join(texts)
+            if previous is None:
+                sample.first_token_s = now - began
+            else:
+                sample.gaps_s.append(now - previous)
+            previous = now
+            sample.tokens += len(lines)
+
+    async def _submit(self, batch):
+        rng = random.Random(f"{self._experiment.seed}/{batch.name}")
+        prompts = load_experiment.make_prompts(load_experiment.PromptSettings())
+        rows = []
+        for number in range(batch.items):
+            messages = [{"role": "user", "content": prompts.make(rng)}]
+            body = {
+                "model": batch.model,
+                "messages": messages,
+                "max_tokens": batch.max_tokens,
+            }
+            rows.append(orjson.dumps({"custom_id": str(number), "body": body}))
+        key = f"{batch.name}-{time.time_ns()}"
+        headers = self._make_headers(batch.workspace, **{"Idempotency-Key": key})
+        answer = await self._client.fetch(
+            "POST",
+            self._get_entry(),
+            "/v1/batches",
+            b"\n".join(rows),
+            headers,
+            timeout_s=self._experiment.timeout_s,
+        )
+        if answer.status != 202:
+            raise exception.ValidationError(answer.body.decode())
+        return answer.decode()["id"]
+
+    async def _look_up(self, batch, job_id):
+        answer = await self._client.fetch(
+            "GET",
+            self._get_entry(),
+            f"/v1/batches/{job_id}",
+            headers=self._make_headers(batch.workspace),
+        )
+        return answer.decode()
+
+
+def _take_lines(lines, texts):
+    """Add the tokens in some event lines, and return whether the answer ended.
+
+    Raises:
+        RefusedError: One of them is a refusal.
+    """
+    for line in lines:
+        data = line.removeprefix(b"data: ")
+        if data == b"[DONE]":
+            return True
+        event = orjson.loads(data)
+        if "error" in event:
+            raise exception.RefusedError(verdict.Refusal.from_dict(event))
+        texts.append(event["choices"][0]["delta"].get("content") or "")
+    return False
+
+
+def _make_broken():
+    return verdict.Refusal(
+        502, "broken", "The answer broke off.", verdict.Verdict.MAY_HAVE_RUN
+    )
