Free handles of abandoned requests at once and tell deadlines from silence

A request whose caller had left kept its curl handle until libcurl's next check, a second later, or its time limit; a call to a service kept it to the end. A stream that outlived its caller's deadline was taken for a silent agent, so that callers with little time could eject healthy targets. Generators that a consumer left early were closed by the garbage collector only, and a flush overtaken by a keep-alive line was never finished. A stopping entry cut what it had not counted, and took requests on open connections up to the bound.

Requests are aborted at once, generators are closed where they are used, the deadline has a refusal of its own, keep-alive lines wait for the flush that is under way, and both daemons drain until every answer is out to the last byte. Bodies over the limit are refused with 413 once the client has sent them.

--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import collections
-import time
+import contextlib
 
 from loguru import logger
 from tornado import iostream, web
@@ -30,7 +30,6 @@
 
 LOAD_POLL_S = 0.25
 LEASE_CHECK_S = 0.1
-DRAIN_CHECK_S = 0.05
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
 LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
@@ -95,6 +94,7 @@
                 ("/ready", ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
             ],
+            default_handler_class=http_web.UnknownPathHandler,
             log_function=lambda handler: None,
         )
 
@@ -122,12 +122,11 @@
         # Entries learn of it with their next heartbeat; until then a refusal that
         # says not run sends their requests elsewhere.
         await asyncio.sleep(self.settings.lame_duck_s)
-        deadline = time.monotonic() + self.settings.drain_s
-        while self.running and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_CHECK_S)
-        if self.running:
-            logger.warning("agent: {} requests are cut.", len(self.running))
-        return not self.running
+        self._server.stop_listening()
+        cut = await self._server.drain(self.settings.drain_s)
+        if cut:
+            logger.warning("agent: {} requests are cut.", cut)
+        return not cut
 
     async def close(self):
         """Stop listening and drop all connections."""
@@ -254,6 +253,7 @@
         self.work = None
         self._task = None
         self._idle = False
+        self._flushing = False
 
     async def post(self):
         """Run a request and answer with its lines."""
@@ -281,12 +281,10 @@
 
     async def _run(self, work):
         try:
-            async for line in work.run(self.agent.target, self.agent.admission):
-                self._idle = False
-                self.write(line)
-                # Flushing what came together at once; the loop goes on to other
-                # connections while the kernel takes it.
-                await self.flush()
+            lines = work.run(self.agent.target, self.agent.admission)
+            async with contextlib.aclosing(lines):
+                async for line in lines:
+                    await self._send(line)
         except exception.RefusedError as error:
             self._count(error.refusal)
             self.write(work.make_refusal(error.refusal))
@@ -294,12 +292,26 @@
             self.agent.metrics.count_admitted(work.envelope.priority)
         self.finish()
 
+    async def _send(self, line):
+        # What came together is flushed at once; the loop goes on to other
+        # connections while the kernel takes it.
+        self._idle = False
+        self.write(line)
+        self._flushing = True
+        await self.flush()
+        self._flushing = False
+
     def _count(self, refusal):
         self.agent.metrics.count_refused(refusal.code, refusal.verdict)
 
     def send_alive(self):
         """Send a keep-alive line if nothing was sent since the last call."""
-        if self._idle and not self._finished:
+        if self._flushing or self._finished:
+            # Tornado forgets a flush that another one overtakes: an entry that was
+            # slow to read would never get the rest. What waits in the socket
+            # already shows that this end lives.
+            return
+        if self._idle:
             self.write(self.work.make_alive())
             self.flush()
         self._idle = True
--- a/pimentowick/agent/work.py
+++ b/pimentowick/agent/work.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 
 from pimentowick import exception, verdict
@@ -110,14 +111,18 @@
             lines = self._run_batch(target, admission)
         else:
             lines = self._run_online(target, admission)
-        async for line in lines:
-            yield line
+        # Closed here, not by the garbage collector: the place at the target would
+        # stay taken until then.
+        async with contextlib.aclosing(lines):
+            async for line in lines:
+                yield line
 
     async def _run_online(self, target, admission):
         await admission.admit_online(self.ticket, self.envelope.deadline_s)
         try:
-            async for event in target.generate(self.generation):
-                yield self._make_line(event)
+            async with contextlib.aclosing(target.generate(self.generation)) as events:
+                async for event in events:
+                    yield self._make_line(event)
         finally:
             admission.release_online(self.ticket)
 
@@ -126,15 +131,17 @@
         generation = self.generation
         try:
             while True:
-                async for event in self._run_until_preempted(target, generation):
-                    if isinstance(event, platform_engine.Tokens):
-                        produced = event.index + len(event.texts)
-                        generation = dataclasses.replace(
-                            generation, resume_tokens=produced
-                        )
-                    yield self._make_line(event)
-                    if isinstance(event, platform_engine.End):
-                        return
+                events = self._run_until_preempted(target, generation)
+                async with contextlib.aclosing(events):
+                    async for event in events:
+                        if isinstance(event, platform_engine.Tokens):
+                            produced = event.index + len(event.texts)
+                            generation = dataclasses.replace(
+                                generation, resume_tokens=produced
+                            )
+                        yield self._make_line(event)
+                        if isinstance(event, platform_engine.End):
+                            return
                 await admission.readmit_batch(self.ticket)
         finally:
             admission.release_batch(self.ticket)
--- a/pimentowick/batch/call.py
+++ b/pimentowick/batch/call.py
@@ -53,7 +53,7 @@
         while self._unsettled and time.monotonic() < deadline:
             await asyncio.sleep(SETTLE_PAUSE_S / 10)
 
-    async def claim(self, shard, call_id, request_id, digest):
+    async def claim(self, shard, call_id, request_id, digest, timeout_s):
         """Claim a call for a request.
 
         Args:
@@ -61,6 +61,7 @@
             call_id: Id derived from workspace, service and key.
             request_id: Id of the request that wants to run.
             digest: Hash of the content.
+            timeout_s: Seconds that are left to the request.
 
         Returns:
             None if the request may run; otherwise the answer of the one that ran.
@@ -76,7 +77,9 @@
             call_id, request_id, self._owner, digest, time.time()
         )
         try:
-            await shard.replica.append([claim], self._settings.append_s)
+            # A claim that is in force after the caller's deadline serves nobody.
+            bound = min(self._settings.append_s, timeout_s)
+            await shard.replica.append([claim], bound)
         except exception.LogFullError as error:
             raise _refuse_unclaimed(str(error)) from error
         except exception.LogUnavailableError as error:
@@ -163,7 +166,8 @@
         verdict.Refusal(
             503,
             "log_unavailable",
-            f"The call can't be protected from running twice now. {reason}",
+            "This request did not run: it can't be protected from running twice now."
+            f" One sent before under its key may have run. {reason}",
             retry_after=1.0,
         )
     )
--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -23,9 +23,13 @@
 
 DEFAULT_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
-# libcurl looks at a transfer at least once a second while a low speed limit is
-# set; that is what ends an aborted transfer whose connection is silent.
+# libcurl's own timeout comes first wherever the request has left, since its error
+# says more.
+TIMEOUT_MARGIN_S = 0.2
+# A peer that has sent the end of its answer but never closes the exchange would
+# keep a handle of the pool; libcurl ends such a transfer after this.
 LOW_SPEED_BYTES = 1
+LOW_SPEED_MARGIN_S = 2
 MAX_IDLE_CONNECTION_S = 60
 MAX_DISTRUSTED = 10_000
 
@@ -35,13 +39,16 @@
 
     Attributes:
         verdict: Whether the request may have run at the peer.
-        silent: Whether the connection was open but nothing came.
+        silent: Whether a stream was open but nothing came for its idle time.
+        expired: Whether the time that the request was given is over; the peer may
+            be well.
     """
 
-    def __init__(self, message, verdict, silent=False):
+    def __init__(self, message, verdict, silent=False, expired=False):
         super().__init__(message)
         self.verdict = verdict
         self.silent = silent
+        self.expired = expired
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,10 +85,6 @@
         self.sent = True
         return pycurl.PREREQFUNC_OK
 
-    def check_progress(self, *counts):
-        """Make libcurl end the transfer once it was aborted."""
-        return 1 if self.aborted else 0
-
     def get_verdict(self):
         """Return what is known while no whole answer came."""
         if self.sent:
@@ -90,9 +93,41 @@
 
 
 class _CurlClient(curl_httpclient.CurlAsyncHTTPClient):
-    """Tornado's client, quiet about a timer that fires once more when closed."""
+    """Tornado's client, with requests that can be aborted.
+
+    Tornado lets an abandoned request go on until it ends by itself. On a silent
+    connection that is the time limit, and until then the request keeps its handle:
+    with enough of them the pool is empty and new requests wait unseen.
+    """
+
+    @property
+    def waiting(self):
+        """Number of requests that wait for a handle."""
+        return len(self._requests)
+
+    def abort(self, request):
+        """End a request now and close its connection; unknown ones are let be."""
+        if self._multi is None:
+            return
+        for curl in self._curls:
+            info = getattr(curl, "info", None)
+            if info is not None and info["request"] is request:
+                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "aborted")
+                self._process_queue()
+                return
+        self._drop_waiting(request)
+
+    def _drop_waiting(self, request):
+        for entry in list(self._requests):
+            if entry[0] is request:
+                self._requests.remove(entry)
+                error = curl_httpclient.CurlError(
+                    pycurl.E_ABORTED_BY_CALLBACK, "aborted"
+                )
+                entry[1](httpclient.HTTPResponse(request, 599, error=error))
 
     def _handle_timeout(self):
+        # The timer may fire once more after the client is closed.
         if self._multi is not None:
             super()._handle_timeout()
 
@@ -106,10 +141,14 @@
     Args:
         max_connections: How many requests may be open at once.
         tls: `pimentowick.tls.ClientTls` for encrypted peers, or None.
+
+    Attributes:
+        peak_waiting: Most requests that waited for a free connection at once.
     """
 
     def __init__(self, max_connections=64, tls=None):
         self.max_connections = max_connections
+        self.peak_waiting = 0
         self._tls = tls
         self._curl = None
         self._distrusted = {}
@@ -158,14 +197,43 @@
         request = self._build(
             transfer, method, address, path, body, headers, timeout_s, fresh
         )
+        task = self._send(request)
         try:
-            response = await self._curl.fetch(request, raise_error=False)
+            # libcurl counts the time from when the request got a handle of the
+            # pool; the caller's time runs while it waits for one, too.
+            async with asyncio.timeout(timeout_s + TIMEOUT_MARGIN_S):
+                response = await asyncio.shield(task)
         except httpclient.HTTPError as error:
-            raise self._explain(transfer, address, error) from error
-        if response.error is not None and response.code == 599:
-            raise self._explain(transfer, address, response.error)
+            found = self._explain(transfer, address, error)
+            if found.expired:
+                # The peer may be slow or the connection dead; nothing tells which,
+                # and a new connection costs little.
+                self.distrust(address)
+            raise found from error
+        except TimeoutError as error:
+            raise TransportError(
+                f"No free connection to {address} in time.",
+                transfer.get_verdict(),
+                expired=True,
+            ) from error
+        finally:
+            if not task.done():
+                self._abort(transfer, request)
         return Answer(response.code, response.body, response.headers)
 
+    def _send(self, request):
+        task = asyncio.ensure_future(self._curl.fetch(request, raise_error=False))
+        # An aborted request ends with an error that nobody waits for.
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        self.peak_waiting = max(self.peak_waiting, self._curl.waiting)
+        return task
+
+    def _abort(self, transfer, request):
+        transfer.aborted = True
+        # Not from here: this may run within a callback of libcurl, which must not
+        # be asked to drop the very transfer that it is working on.
+        asyncio.get_running_loop().call_soon(self._curl.abort, request)
+
     def open_stream(
         self,
         method,
@@ -201,10 +269,7 @@
             fresh,
             stream=stream,
         )
-        stream.task = asyncio.ensure_future(
-            self._curl.fetch(request, raise_error=False)
-        )
-        stream.task.add_done_callback(stream.finish)
+        stream.start(self._send(request), request)
         return stream
 
     def _build(
@@ -247,11 +312,11 @@
 
     def _explain(self, transfer, address, error):
         number = getattr(error, "errno", None)
-        silent = transfer.sent and number == pycurl.E_OPERATION_TIMEDOUT
-        if silent:
-            self.distrust(address)
+        expired = transfer.sent and number == pycurl.E_OPERATION_TIMEDOUT
         return TransportError(
-            f"No answer from {address}: {error}.", transfer.get_verdict(), silent
+            f"No answer from {address}: {error}.",
+            transfer.get_verdict(),
+            expired=expired,
         )
 
 
@@ -259,14 +324,14 @@
     # Handles are used again, so every option is set for every request.
     curl.setopt(pycurl.NOPROXY, "*")
     curl.setopt(pycurl.PREREQFUNCTION, transfer.allow_send)
-    curl.setopt(pycurl.NOPROGRESS, 0)
-    curl.setopt(pycurl.XFERINFOFUNCTION, transfer.check_progress)
     curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_CONNECTION_S)
     curl.setopt(pycurl.LOW_SPEED_LIMIT, 0)
     curl.setopt(pycurl.LOW_SPEED_TIME, 0)
     lifetime = 0
     if distrusted_at is not None:
-        lifetime = int(time.monotonic() - distrusted_at)
+        # libcurl compares whole seconds and lets a connection of exactly the limit
+        # pass; one second less keeps out all that are older than the distrust.
+        lifetime = max(0, int(time.monotonic() - distrusted_at) - 1)
         fresh = fresh or lifetime == 0
     curl.setopt(pycurl.MAXLIFETIME_CONN, lifetime)
     curl.setopt(pycurl.FRESH_CONNECT, 1 if fresh else 0)
@@ -286,16 +351,22 @@
         self.transfer = _Transfer()
         self.task = None
         self._client = client
+        self._request = None
         self._pieces = []
         self._rest = b""
         self._arrived = asyncio.Event()
-        self._closed = False
+
+    def start(self, task, request):
+        """Take the task that sends the request."""
+        self.task = task
+        self._request = request
+        task.add_done_callback(self._finish)
 
     def attach(self, curl):
         """Direct the answer of the handle to this stream."""
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.LOW_SPEED_LIMIT, LOW_SPEED_BYTES)
-        curl.setopt(pycurl.LOW_SPEED_TIME, int(self.idle_s) + 2)
+        curl.setopt(pycurl.LOW_SPEED_TIME, int(self.idle_s) + LOW_SPEED_MARGIN_S)
 
     def _write(self, piece):
         if self.transfer.aborted:
@@ -304,8 +375,7 @@
         self._arrived.set()
         return len(piece)
 
-    def finish(self, task):
-        """Note that libcurl is done with the request."""
+    def _finish(self, task):
         if not task.cancelled() and task.exception() is None:
             self.status = task.result().code
         self._arrived.set()
@@ -324,20 +394,25 @@
             if lines:
                 return lines
             if self.task.done():
-                self._check_end()
-                return []
+                return self._take_end()
             self._arrived.clear()
             try:
                 async with asyncio.timeout(self.idle_s):
                     await self._arrived.wait()
             except TimeoutError:
                 self.abort()
-                self._client.distrust(self.address)
-                raise TransportError(
-                    f"Nothing came from {self.address} for {self.idle_s:g} s.",
-                    self.transfer.get_verdict(),
-                    silent=True,
-                ) from None
+                raise self._explain_silence() from None
+
+    def _explain_silence(self):
+        # A request that still waited for a connection says nothing about the peer.
+        silent = self.transfer.sent
+        if silent:
+            self._client.distrust(self.address)
+        return TransportError(
+            f"Nothing came from {self.address} for {self.idle_s:g} s.",
+            self.transfer.get_verdict(),
+            silent,
+        )
 
     def _take_lines(self):
         if not self._pieces:
@@ -348,19 +423,21 @@
         self._rest = lines.pop()
         return [line for line in lines if line]
 
-    def _check_end(self):
+    def _take_end(self):
         error = self.task.exception()
         if error is not None:
             raise self._client._explain(self.transfer, self.address, error)
-        response = self.task.result()
-        if response.code == 599:
-            raise self._client._explain(self.transfer, self.address, response.error)
-        if self._rest:
+        self.status = self.task.result().code
+        rest, self._rest = self._rest, b""
+        if rest and self.status == 200:
             raise TransportError(
                 f"The answer of {self.address} broke off.",
                 verdict.Verdict.MAY_HAVE_RUN,
             )
+        # An error has a body that need not be made of lines.
+        return [rest] if rest else []
 
     def abort(self):
         """End the transfer and close its connection; may be called twice."""
-        self.transfer.aborted = True
+        if not self.transfer.aborted and not self.task.done():
+            self._client._abort(self.transfer, self._request)
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -25,8 +25,8 @@
 STARTING = "starting"
 READY = "ready"
 DRAINING = "draining"
+STOPPING = "stopping"
 CONTROL_CONNECTIONS = 64
-DRAIN_CHECK_S = 0.05
 OPENING = "opening"
 
 
@@ -39,7 +39,8 @@
     Attributes:
         owner: Name of this process as an owner: the host's, and what tells this
             process from earlier ones there.
-        state: ``starting``, ``ready`` or ``draining``.
+        state: ``starting``, ``ready``, ``draining`` while readiness fails but
+            requests are still taken, then ``stopping``.
         configuration: The `pimentowick.configuration.fold.ConfigurationFold`.
     """
 
@@ -53,6 +54,9 @@
         self.client = http_client.Client(CONTROL_CONNECTIONS)
         self._online_client = http_client.Client(settings.max_online)
         self._batch_client = http_client.Client(settings.max_batch)
+        # What is passed on to other entries may take long; heartbeats and appends
+        # must not wait for it.
+        self.forward_client = http_client.Client(settings.max_online)
         log = platform_log.HttpLog(settings.platform.log, self.client)
         hosts = platform_hosts.HttpHostList(settings.platform.hosts, self.client)
         self.configuration = configuration_fold.ConfigurationFold()
@@ -139,13 +143,13 @@
                 ("/ready", ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
             ],
-            default_handler_class=http_web.JsonHandler,
+            default_handler_class=http_web.UnknownPathHandler,
             log_function=lambda handler: None,
         )
 
     async def start(self):
         """Listen, and begin to follow the platform."""
-        for part in (self.client, self._online_client, self._batch_client):
+        for part in self._list_clients():
             await part.start()
         await self.configuration_replica.start()
         await self.fleet.start()
@@ -158,21 +162,33 @@
         self.state = READY
         logger.info("entry: {} listens on {}.", self.settings.name, self.address)
 
+    def _list_clients(self):
+        return (
+            self.client,
+            self._online_client,
+            self._batch_client,
+            self.forward_client,
+        )
+
     async def drain(self):
         """Fail readiness, finish what runs, and hand the shards over."""
-        logger.info("entry: Draining. {} online requests run.", self.limits.running)
+        logger.info("entry: Draining. {} requests run.", self._server.count_busy())
         self.state = DRAINING
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_s
         # The balancer goes on sending until it has seen that readiness fails.
         await asyncio.sleep(self.settings.lame_duck_s)
+        # From here on no new connection is taken, and requests on those that are
+        # open are refused as not run: callers that go on sending would otherwise
+        # hold the process up to the bound, and then be cut.
+        self.state = STOPPING
+        self._server.stop_listening()
         await self.dispatcher.drain(max(0.0, deadline - loop.time()))
         await self.ownership.release_all()
-        while self.limits.running and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_CHECK_S)
+        cut = await self._server.drain(max(0.0, deadline - loop.time()))
         await self.calls.drain(max(0.0, deadline - loop.time()))
-        if self.limits.running:
-            logger.warning("entry: {} requests are cut.", self.limits.running)
+        if cut:
+            logger.warning("entry: {} requests are cut.", cut)
 
     async def close(self):
         """Stop listening and drop all connections."""
@@ -185,13 +201,16 @@
             self.table,
             self.fleet,
             self.configuration_replica,
-            self._batch_client,
-            self._online_client,
-            self.client,
+            *self._list_clients(),
         ):
             await part.close()
         logger.info("entry: {} is closed.", self.settings.name)
 
+    @property
+    def is_stopping(self):
+        """Whether requests that come now are refused."""
+        return self.state == STOPPING
+
     @property
     def is_ready(self):
         """Whether callers should be sent here."""
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -7,12 +7,19 @@
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
 from pimentowick import web as http_web
+from pimentowick.platform import service as platform_service
 
 __all__ = ["CallerHandler", "OperatorHandler", "forward"]
 
 FORWARDED = "X-Pimentowick-Forwarded"
 FORWARD_TIMEOUT_S = 60.0
-FORWARD_HEADERS = ("Authorization", "Idempotency-Key", "Content-Type", "X-Deadline")
+FORWARD_HEADERS = (
+    "Accept",
+    "Authorization",
+    "Content-Type",
+    "Idempotency-Key",
+    "X-Deadline",
+)
 
 
 class EntryHandler(http_web.JsonHandler):
@@ -22,10 +29,19 @@
         """Take the entry."""
         self.entry = entry
         self.request_id = "req_" + secrets.token_hex(12)
+        self.set_default_headers()
 
     def set_default_headers(self):
-        """Name the request in the answer."""
-        self.set_header("X-Request-Id", getattr(self, "request_id", ""))
+        """Name the request in the answer; tornado asks again for refusals."""
+        if self.request_id is None:
+            return
+        self.set_header("X-Request-Id", self.request_id)
+        if self.entry.state != "ready":
+            # The caller's next request goes by a new connection to another entry.
+            self.set_header("Connection", "close")
+
+    # Tornado asks for the headers once before `initialize`, too.
+    request_id = None
 
     def get_token(self):
         """Return the bearer token of the request, or None."""
@@ -33,11 +49,21 @@
         return text.strip() if scheme.lower() == "bearer" else None
 
     def check_ready(self):
-        """Refuse while no configuration is known.
+        """Refuse while no configuration is known, and when stopping.
 
         Raises:
-            RefusedError: This entry has not read the configuration yet.
+            RefusedError: This entry has not read the configuration yet, or takes
+                no request any more.
         """
+        if self.entry.is_stopping:
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    503,
+                    "stopping",
+                    "This entry stops. Send the request again.",
+                    retry_after=1.0,
+                )
+            )
         if not self.entry.configuration_replica.ready:
             raise exception.RefusedError(
                 verdict.Refusal(
@@ -90,12 +116,13 @@
     )
 
 
-async def forward(handler, number):
+async def forward(handler, number, timeout_s=FORWARD_TIMEOUT_S):
     """Pass a request on to an entry that follows a shard, and its answer back.
 
     Args:
         handler: Handler of the request.
         number: Number of the shard.
+        timeout_s: Seconds until the request has to be answered.
 
     Raises:
         RefusedError: No such entry answered.
@@ -108,7 +135,7 @@
         if host is None or name == entry.settings.name:
             continue
         try:
-            answer = await _send(handler, host)
+            answer = await _send(handler, host, timeout_s)
         except http_client.TransportError as error:
             if error.verdict is verdict.Verdict.NOT_RUN:
                 continue
@@ -116,15 +143,15 @@
                 verdict.Refusal(502, "entry_lost", str(error), error.verdict, 1.0)
             ) from error
         handler.set_status(answer.status)
-        for field in ("Content-Type", "Retry-After"):
-            if field in answer.headers:
-                handler.set_header(field, answer.headers[field])
+        for field, value in answer.headers.items():
+            if field.lower() not in platform_service.HOP_HEADERS:
+                handler.set_header(field, value)
         handler.finish(answer.body)
         return
     raise exception.RefusedError(_refuse_moving())
 
 
-async def _send(handler, host):
+async def _send(handler, host, timeout_s):
     request = handler.request
     headers = {
         name: request.headers[name]
@@ -136,13 +163,13 @@
             headers[name] = request.headers[name]
     headers[FORWARDED] = handler.entry.settings.name
     body = request.body if request.method in ("POST", "PUT", "PATCH") else None
-    return await handler.entry.client.fetch(
+    return await handler.entry.forward_client.fetch(
         request.method,
         host.address,
         request.uri,
         body,
         headers,
-        timeout_s=FORWARD_TIMEOUT_S,
+        timeout_s=timeout_s,
         fresh=request.method != "GET",
     )
 
--- a/pimentowick/entry/online.py
+++ b/pimentowick/entry/online.py
@@ -15,6 +15,7 @@
 __all__ = ["ChatHandler", "ModelsHandler", "TextHandler", "read_deadline"]
 
 END_MARK = b"data: [DONE]\n\n"
+DEADLINE_MARGIN_S = 0.5
 
 
 def read_deadline(request, limit_s):
@@ -73,7 +74,13 @@
         with self.entry.limits.hold(self.workspace):
             self._answering = asyncio.ensure_future(write(request, generation))
             try:
-                await self._answering
+                # The router keeps to the deadline, but a caller that reads nothing
+                # more would hold the writing, and a place, for ever.
+                async with asyncio.timeout(deadline_s + DEADLINE_MARGIN_S):
+                    await self._answering
+            except TimeoutError as error:
+                expired = verdict.make_expired(verdict.Verdict.MAY_HAVE_RUN)
+                raise exception.RefusedError(expired) from error
             except asyncio.CancelledError:
                 raise iostream.StreamClosedError from None
 
@@ -115,6 +122,11 @@
             self.clear_header("Cache-Control")
             self.write_refusal(refusal)
             return
+        stream = self.request.connection.stream
+        if stream.writing():
+            # The caller has stopped reading; an event would wait there, too.
+            stream.close()
+            return
         # Part of the answer is with the caller. The event says so, and the missing
         # end mark keeps a client from taking it for whole.
         self.finish(_make_event(refusal.to_dict()))
--- a/pimentowick/entry/service.py
+++ b/pimentowick/entry/service.py
@@ -1,5 +1,6 @@
 """Calls to plain services."""
 
+import asyncio
 import hashlib
 import time
 
@@ -13,6 +14,8 @@
 
 IDEMPOTENT_METHODS = frozenset(["GET", "HEAD", "OPTIONS"])
 PASSED_HEADERS = ("Content-Type", "Accept")
+# "/v1/services/{service}/{path}" split at its first four slashes.
+SERVICE_PATH_PART = 4
 
 
 class ServiceHandler(handler.CallerHandler):
@@ -24,9 +27,21 @@
         except exception.RefusedError as error:
             self.entry.metrics.count_request(error.refusal.code)
             self.write_refusal(error.refusal)
+        except asyncio.CancelledError:
+            self.entry.metrics.count_request("caller_gone")
         else:
             self.entry.metrics.count_request("answered")
 
+    def on_connection_close(self):
+        """Stop an idempotent call for a caller that has gone.
+
+        Another one goes on: whether it ran must be recorded for whoever asks again.
+        """
+        if self._calling is not None:
+            self._calling.cancel()
+
+    _calling = None
+
     get = post = put = patch = delete = _answer
 
     async def _run(self, service, path):
@@ -39,20 +54,25 @@
         request = self._make_request(service, path, idempotent, key, deadline_s)
         if idempotent or key is None:
             with self.entry.limits.hold(self.workspace):
-                self._write_answer(await self.entry.router.call(request))
+                call = asyncio.ensure_future(self.entry.router.call(request))
+                if idempotent:
+                    self._calling = call
+                self._write_answer(await call)
             return
-        await self._run_once(service, key, request)
+        await self._run_once(service, key, request, deadline_s)
 
-    async def _run_once(self, service, key, request):
+    async def _run_once(self, service, key, request, deadline_s):
         call_id = batch_record.make_call_id(self.workspace.name, service, key)
         shard = self.entry.table.find(call_id)
         if shard is None:
             number = batch_shard.find_shard(call_id, self.entry.settings.shards)
-            await handler.forward(self, number)
+            await handler.forward(self, number, deadline_s)
             return
         with self.entry.limits.hold(self.workspace):
             digest = self._make_digest()
-            known = await self.entry.calls.claim(shard, call_id, request.id, digest)
+            known = await self.entry.calls.claim(
+                shard, call_id, request.id, digest, deadline_s
+            )
             if known is not None:
                 self.set_header("Idempotent-Replayed", "true")
                 self._write_answer(known)
@@ -96,7 +116,7 @@
         }
         call = {
             "method": self.request.method,
-            "path": f"/{path}{query}",
+            "path": f"{self._get_raw_path()}{query}",
             "headers": headers,
             "body": self.request.body.decode("latin-1"),
             "idempotency_key": key,
@@ -113,6 +133,11 @@
             work={"call": call},
         )
 
+    def _get_raw_path(self):
+        # As the caller wrote it: with the escapes undone, a path could hold what no
+        # request line may, fail at every target, and eject each of them.
+        return "/" + self.request.path.split("/", SERVICE_PATH_PART)[-1]
+
     def _write_answer(self, answer):
         self.set_status(answer["status"])
         for name, value in answer["headers"].items():
--- a/pimentowick/platform/engine.py
+++ b/pimentowick/platform/engine.py
@@ -1,6 +1,7 @@
 """The model engine beside an agent."""
 
 import abc
+import contextlib
 import dataclasses
 
 import orjson
@@ -125,9 +126,11 @@
         )
         ended = False
         try:
-            async for event in _parse_stream(stream, generation):
-                ended = isinstance(event, End)
-                yield event
+            events = _parse_stream(stream, generation)
+            async with contextlib.aclosing(events):
+                async for event in events:
+                    ended = isinstance(event, End)
+                    yield event
         except http_client.TransportError as error:
             raise exception.RefusedError(
                 verdict.Refusal(
--- a/pimentowick/platform/service.py
+++ b/pimentowick/platform/service.py
@@ -18,6 +18,8 @@
         "server",
         "transfer-encoding",
         "upgrade",
+        # Added by tornado's client, not by the peer.
+        "x-http-reason",
     ]
 )
 
@@ -79,11 +81,17 @@
                 body,
                 headers,
                 timeout_s=call.deadline_s,
-                # A pooled connection may be dead without anybody knowing; a call
-                # that can't be tried again must not be lost to that.
-                fresh=not call.idempotent,
+                # A pooled connection may be dead without anybody knowing, and a
+                # service sends nothing while it works: the call would be lost, and
+                # that would show at its deadline only. The service is on this host,
+                # so that a connection costs little.
+                fresh=True,
             )
         except http_client.TransportError as error:
+            if error.expired:
+                # A caller that allows little time is no sign of a lost service.
+                expired = verdict.make_expired(error.verdict)
+                raise exception.RefusedError(expired) from error
             raise exception.RefusedError(
                 verdict.Refusal(
                     502, "target_lost", str(error), error.verdict, retry_after=1.0
--- a/pimentowick/routing/attempt.py
+++ b/pimentowick/routing/attempt.py
@@ -1,7 +1,10 @@
 """One attempt of a request at one agent."""
 
+import orjson
+
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
+from pimentowick import web as http_web
 from pimentowick.agent import frame
 
 __all__ = ["make_envelope", "read_frames"]
@@ -43,11 +46,14 @@
     """
     envelope = message["envelope"]
     request_id, attempt = envelope["request_id"], envelope["attempt"]
+    body = orjson.dumps(message)
+    if len(body) > http_web.MAX_BODY_BYTES:
+        raise exception.RefusedError(_refuse_large())
     stream = client.open_stream(
         "POST",
         peer.address,
         WORK_PATH,
-        message,
+        body,
         timeout_s=envelope["deadline_s"],
         idle_s=idle_s,
         fresh=fresh,
@@ -58,14 +64,9 @@
             lines = await stream.read_lines()
             if not lines:
                 break
-            frames = [frame.parse_frame(line, request_id, attempt) for line in lines]
-            frames = [each for each in frames if each is not None]
-            for each in frames:
-                if "refusal" in each:
-                    raise exception.RefusedError(
-                        verdict.Refusal.from_dict(each["refusal"])
-                    )
-            ended = any(each.get("end") for each in frames)
+            if stream.status not in (None, 200):
+                raise exception.RefusedError(_read_rejection(peer, lines))
+            frames, ended = _parse_frames(lines, request_id, attempt)
             if frames:
                 yield frames
     except http_client.TransportError as error:
@@ -74,18 +75,53 @@
         if not ended:
             stream.abort()
     if not ended:
-        raise exception.RefusedError(
-            verdict.Refusal(
-                502,
-                "agent_lost",
-                f"The answer of {peer.name} broke off.",
-                verdict.Verdict.MAY_HAVE_RUN,
-                retry_after=1.0,
-            )
-        )
+        raise exception.RefusedError(_refuse_broken(peer))
+
+
+def _parse_frames(lines, request_id, attempt):
+    """Return the frames of this attempt up to its end, and whether that is there."""
+    frames = []
+    for line in lines:
+        each = frame.parse_frame(line, request_id, attempt)
+        if each is None:
+            continue
+        if "refusal" in each:
+            raise exception.RefusedError(verdict.Refusal.from_dict(each["refusal"]))
+        frames.append(each)
+        if each.get("end"):
+            return frames, True
+    return frames, False
+
+
+def _refuse_large():
+    # An agent would close the connection in the middle of it: the request would
+    # count as lost, and one caller could eject every target.
+    return verdict.Refusal(
+        413, "too_large", "The request is too large for a target. Shorten it."
+    )
+
+
+def _refuse_broken(peer):
+    return verdict.Refusal(
+        502,
+        "agent_lost",
+        f"The answer of {peer.name} broke off.",
+        verdict.Verdict.MAY_HAVE_RUN,
+        retry_after=1.0,
+    )
+
+
+def _read_rejection(peer, lines):
+    """Return the refusal of an agent that did not take the message up at all."""
+    try:
+        return verdict.Refusal.from_dict(orjson.loads(b"".join(lines)))
+    except (ValueError, KeyError, TypeError):
+        return _refuse_broken(peer)
 
 
 def _explain_loss(peer, error):
+    if error.expired:
+        return verdict.make_expired(error.verdict)
     code = "agent_silent" if error.silent else "agent_lost"
     return verdict.Refusal(
         502,
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -1,6 +1,7 @@
 """Takes an online request to a target, and to another one where that is right."""
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
@@ -82,14 +83,17 @@
             RefusedError: The request got no whole answer.
         """
         produced = 0
-        async for frames in self._try_all(request):
-            for each in frames:
-                if "texts" in each and each["index"] == produced:
-                    produced += len(each["texts"])
-                    request.work["generate"]["resume_tokens"] = produced
-                    yield platform_engine.Tokens(each["index"], each["texts"])
-                elif each.get("end"):
-                    yield platform_engine.End(each["finish_reason"], each["tokens"])
+        # Closed here and not by the garbage collector: until then the target would
+        # go on for a caller that has left.
+        async with contextlib.aclosing(self._try_all(request)) as answer:
+            async for frames in answer:
+                for each in frames:
+                    if "texts" in each and each["index"] == produced:
+                        produced += len(each["texts"])
+                        request.work["generate"]["resume_tokens"] = produced
+                        yield platform_engine.Tokens(each["index"], each["texts"])
+                    elif each.get("end"):
+                        yield platform_engine.End(each["finish_reason"], each["tokens"])
 
     async def call(self, request):
         """Return the frame with the answer of a plain service.
@@ -97,19 +101,22 @@
         Raises:
             RefusedError: The call got no whole answer.
         """
-        async for frames in self._try_all(request):
-            for each in frames:
-                if each.get("end"):
-                    return each
-        raise AssertionError("The last attempt yields an end or raises.")
+        end = None
+        # Read to its end, since only then the success of the peer is noted.
+        async with contextlib.aclosing(self._try_all(request)) as answer:
+            async for frames in answer:
+                end = frames[-1]
+        return end
 
     async def _try_all(self, request):
         self._budget.note_request()
         while True:
+            self._check_deadline(request)
             peer = self._choose(request)
             try:
-                async for frames in self._try_one(request, peer):
-                    yield frames
+                async with contextlib.aclosing(self._try_one(request, peer)) as answer:
+                    async for frames in answer:
+                        yield frames
                 return
             except exception.RefusedError as error:
                 self._note_refusal(request, peer, error.refusal)
@@ -128,13 +135,13 @@
             self._owner,
             request.workspace.name,
             ONLINE,
-            max(request.deadline - time.monotonic(), 0.001),
+            request.deadline - time.monotonic(),
             weight=request.workspace.weight,
             cost=request.cost,
         )
         peer.online += 1
         try:
-            async for frames in routing_attempt.read_frames(
+            frames_of_peer = routing_attempt.read_frames(
                 self._client,
                 peer,
                 {"envelope": envelope, **request.work},
@@ -143,12 +150,19 @@
                 # connection that died unnoticed; after a failure, neither may any
                 # request.
                 fresh=request.attempts > 1 or not request.idempotent,
-            ):
-                yield frames
+            )
+            async with contextlib.aclosing(frames_of_peer) as answer:
+                async for frames in answer:
+                    yield frames
         finally:
             peer.online -= 1
         self._fleet.note_success(peer)
 
+    def _check_deadline(self, request):
+        if time.monotonic() >= request.deadline:
+            found = verdict.combine(request.verdicts)
+            raise exception.RefusedError(verdict.make_expired(found))
+
     def _choose(self, request):
         candidates = self._fleet.list_candidates(request.service, request.kind)
         others = [peer for peer in candidates if peer.name not in request.excluded]
--- a/pimentowick/verdict.py
+++ b/pimentowick/verdict.py
@@ -4,7 +4,10 @@
 import enum
 import math
 
-__all__ = ["Refusal", "Verdict", "combine"]
+__all__ = ["Refusal", "Verdict", "combine", "make_expired"]
+
+# A request that came too late for its own deadline may come again at once.
+EXPIRED_RETRY_AFTER_S = 1.0
 
 
 class Verdict(enum.StrEnum):
@@ -79,6 +82,21 @@
         return {"Retry-After": str(max(1, math.ceil(self.retry_after)))}
 
 
+def make_expired(found):
+    """Return the refusal of a request whose deadline has passed.
+
+    Args:
+        found: `Verdict` on the request.
+    """
+    return Refusal(
+        504,
+        "deadline_passed",
+        "There was no whole answer by the deadline. Allow more time.",
+        found,
+        EXPIRED_RETRY_AFTER_S,
+    )
+
+
 def combine(verdicts):
     """Return the verdict on a request from those of its attempts.
 
--- a/pimentowick/web.py
+++ b/pimentowick/web.py
@@ -1,17 +1,25 @@
 """What the HTTP servers of both daemons have in common."""
 
 import asyncio
+import time
 
 import orjson
 from loguru import logger
-from tornado import httpserver, netutil, web
+from tornado import httpserver, httputil, netutil, web
 
 from pimentowick import exception, verdict
 
-__all__ = ["JsonHandler", "Server"]
+__all__ = ["JsonHandler", "Server", "UnknownPathHandler"]
 
 MAX_HEADER_BYTES = 32_768
 MAX_BODY_BYTES = 67_108_864
+# Bodies up to this many times the limit are read and passed over, so that the
+# refusal arrives; larger ones end with the connection.
+PASSED_OVER = 4
+DRAIN_CHECK_S = 0.02
+# Longer than clients of this package keep an idle connection.
+IDLE_CONNECTION_S = 120
+BODY_TIMEOUT_S = 120
 
 
 class JsonHandler(web.RequestHandler):
@@ -60,6 +68,14 @@
         self.write_refusal(_explain_status(status_code))
 
 
+class UnknownPathHandler(JsonHandler):
+    """Answers what no other handler is for."""
+
+    def prepare(self):
+        """Answer 404 whatever the method."""
+        raise web.HTTPError(404)
+
+
 def _explain_status(status):
     if status == 404:
         return verdict.Refusal(
@@ -85,6 +101,87 @@
     return exception.RefusedError(verdict.Refusal(status, code, message))
 
 
+class _OversizedDelegate(httputil.HTTPMessageDelegate):
+    """Passes a body over and then refuses it.
+
+    A client that is still sending does not read: closed at once, it would see its
+    connection reset and never the refusal.
+    """
+
+    def __init__(self, request_conn):
+        self._request_conn = request_conn
+
+    def finish(self):
+        refusal = verdict.Refusal(
+            413, "too_large", "The body is larger than this entry takes. Split it."
+        )
+        data = orjson.dumps(refusal.to_dict())
+        headers = httputil.HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(data))}
+        )
+        line = httputil.ResponseStartLine("HTTP/1.1", 413, "Content Too Large")
+        self._request_conn.write_headers(line, headers, data)
+        self._request_conn.finish()
+
+
+class _BusyDelegate(httputil.HTTPMessageDelegate):
+    """Notes that a request has begun to arrive on a connection."""
+
+    def __init__(self, delegate, server, server_conn, request_conn):
+        self._delegate = delegate
+        self._server = server
+        self._server_conn = server_conn
+        self._request_conn = request_conn
+        self._received = 0
+
+    def headers_received(self, start_line, headers):
+        self._server.busy.add(self._server_conn)
+        length = headers.get("Content-Length", "")
+        if length.isdecimal() and int(length) > self._server.max_body_bytes:
+            self._delegate = _OversizedDelegate(self._request_conn)
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk):
+        self._received += len(chunk)
+        too_large = self._received > self._server.max_body_bytes
+        if too_large and not isinstance(self._delegate, _OversizedDelegate):
+            # Sent in chunks, with no length to refuse it by beforehand.
+            raise httputil.HTTPInputError("The body is too large.")
+        return self._delegate.data_received(chunk)
+
+    def finish(self):
+        self._delegate.finish()
+
+    def on_connection_close(self):
+        self._delegate.on_connection_close()
+
+
+class _CountingServer(httpserver.HTTPServer):
+    """Knows the connections whose request is not answered to the last byte."""
+
+    # HTTPServer is configurable: initialize takes the place of __init__.
+    def initialize(self, application, max_body_bytes, **kwargs):
+        super().initialize(
+            application,
+            max_body_size=max_body_bytes * PASSED_OVER,
+            max_buffer_size=max_body_bytes + MAX_HEADER_BYTES,
+            **kwargs,
+        )
+        self.max_body_bytes = max_body_bytes
+        self.busy = set()
+
+    def start_request(self, server_conn, request_conn):
+        # Tornado waits for the next request once the kernel has taken the whole
+        # answer to the one before.
+        self.busy.discard(server_conn)
+        delegate = super().start_request(server_conn, request_conn)
+        return _BusyDelegate(delegate, self, server_conn, request_conn)
+
+    def on_close(self, server_conn):
+        self.busy.discard(server_conn)
+        super().on_close(server_conn)
+
+
 class Server:
     """An HTTP server on one address.
 
@@ -118,21 +215,42 @@
     async def start(self):
         """Listen."""
         sockets = netutil.bind_sockets(self._port, self._ip)
-        self._server = httpserver.HTTPServer(
+        self._server = _CountingServer(
             self._application,
+            self._max_body_bytes,
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=self._max_body_bytes,
-            max_buffer_size=self._max_body_bytes + MAX_HEADER_BYTES,
+            # A connection that fell silent, in the middle of a request or between
+            # two, would keep its socket and what has come of the body for ever.
+            idle_connection_timeout=IDLE_CONNECTION_S,
+            body_timeout=BODY_TIMEOUT_S,
             ssl_options=self._ssl_context,
         )
         self._server.add_sockets(sockets)
         port = sockets[0].getsockname()[1]
         self.address = f"{self._ip}:{port}"
 
-    async def stop_listening(self):
+    def stop_listening(self):
         """Take no new connection; those that are open go on."""
         self._server.stop()
 
+    def count_busy(self):
+        """Return how many requests are not answered to the last byte."""
+        return 0 if self._server is None else len(self._server.busy)
+
+    async def drain(self, timeout_s):
+        """Wait until every request is answered to the last byte.
+
+        Args:
+            timeout_s: Longest wait, in seconds.
+
+        Returns:
+            Number of requests that are not.
+        """
+        deadline = time.monotonic() + timeout_s
+        while self.count_busy() and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_CHECK_S)
+        return self.count_busy()
+
     async def close(self):
         """Close all connections."""
         if self._server is None:
