--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -111,7 +111,7 @@
             return
         for curl in self._curls:
             info = getattr(curl, "info", None)
-            if info is not None and info["request"] is request:
+            if info is not None and info["request"].request is request:
                 self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "aborted")
                 self._process_queue()
                 return
@@ -119,7 +119,7 @@
 
     def _drop_waiting(self, request):
         for entry in list(self._requests):
-            if entry[0] is request:
+            if entry[0].request is request:
                 self._requests.remove(entry)
                 error = curl_httpclient.CurlError(
                     pycurl.E_ABORTED_BY_CALLBACK, "aborted"
@@ -329,9 +329,7 @@
     curl.setopt(pycurl.LOW_SPEED_TIME, 0)
     lifetime = 0
     if distrusted_at is not None:
-        # libcurl compares whole seconds and lets a connection of exactly the limit
-        # pass; one second less keeps out all that are older than the distrust.
-        lifetime = max(0, int(time.monotonic() - distrusted_at) - 1)
+        lifetime = int(time.monotonic() - distrusted_at)
         fresh = fresh or lifetime == 0
     curl.setopt(pycurl.MAXLIFETIME_CONN, lifetime)
     curl.setopt(pycurl.FRESH_CONNECT, 1 if fresh else 0)
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -43,6 +43,12 @@
     # Tornado asks for the headers once before `initialize`, too.
     request_id = None
 
+    def describe_refusal(self, refusal):
+        """Return the body that states a refusal, with the request it is about."""
+        data = refusal.to_dict()
+        data["error"]["request_id"] = self.request_id
+        return data
+
     def get_token(self):
         """Return the bearer token of the request, or None."""
         scheme, _, text = self.request.headers.get("Authorization", "").partition(" ")
--- a/pimentowick/entry/online.py
+++ b/pimentowick/entry/online.py
@@ -129,7 +129,7 @@
             return
         # Part of the answer is with the caller. The event says so, and the missing
         # end mark keeps a client from taking it for whole.
-        self.finish(_make_event(refusal.to_dict()))
+        self.finish(_make_event(self.describe_refusal(refusal)))
 
 
 def _make_event(data):
--- a/pimentowick/fakes/callers.py
+++ b/pimentowick/fakes/callers.py
@@ -155,9 +155,9 @@
         except http_client.TransportError:
             return None
         outcome.status = answer.status
-        outcome.request_id = answer.headers.get("X-Request-Id")
+        outcome.request_id = answer.headers["X-Request-Id"]
         if answer.status != 200:
-            outcome.error = answer.decode()["error"]
+            _take_error(outcome, answer.decode())
         return answer
 
     def count_runs(self, request_id):
@@ -204,18 +204,24 @@
                 assert keys[outcome.key] == 1, outcome
 
 
+def _take_error(outcome, data):
+    outcome.error = data["error"]
+    outcome.request_id = data["error"]["request_id"]
+
+
 def _take_event(outcome, line):
     if line == END_MARK:
         outcome.whole = True
         return
     if not line.startswith(DATA):
         data = orjson.loads(line)
-        outcome.status, outcome.error = data["status"], data["error"]
+        outcome.status = data["status"]
+        _take_error(outcome, data)
         return
     data = orjson.loads(line.removeprefix(DATA))
     outcome.status = 200
     if "error" in data:
-        outcome.error = data["error"]
+        _take_error(outcome, data)
         return
     outcome.request_id = data["id"]
     outcome.text += data["choices"][0]["delta"].get("content") or ""
--- a/pimentowick/web.py
+++ b/pimentowick/web.py
@@ -35,7 +35,11 @@
         """Answer with a `pimentowick.verdict.Refusal`."""
         for name, value in refusal.headers().items():
             self.set_header(name, value)
-        self.write_json(refusal.to_dict(), refusal.status)
+        self.write_json(self.describe_refusal(refusal), refusal.status)
+
+    def describe_refusal(self, refusal):
+        """Return the body that states a refusal."""
+        return refusal.to_dict()
 
     def read_json(self):
         """Return the body as a JSON object.
