Parse and encode large bodies in small turns; count what online requests wait for

Lines were counted for each turn of the loop, not bytes: a job with few long lines was parsed in one turn, and its chunks were always encoded in one. Online bodies are bounded for the same reason.

--- a/pimentowick/batch/intake.py
+++ b/pimentowick/batch/intake.py
@@ -15,8 +15,11 @@
 __all__ = ["Submission", "append_submission", "parse_items"]
 
 MAX_ITEMS = 65_000
-# Lines parsed in one turn of the loop; more would delay online requests.
+# What is parsed or encoded in one turn of the loop, in lines and in bytes; more
+# would delay online requests.
 LINES_PER_TURN = 100
+TURN_BYTES = 262_144
+MAX_LINE_BYTES = 1_048_576
 RECORDS_PER_APPEND = 8
 # Room in a record for what stands beside the items.
 RECORD_MARGIN_BYTES = 2048
@@ -58,11 +61,13 @@
     known = set()
     model = None
     hashed = hashlib.sha256()
-    for number, line in enumerate(data.split(b"\n"), start=1):
-        if number % LINES_PER_TURN == 0:
-            await asyncio.sleep(0)
+    turn = _Turn()
+    for number, line in enumerate(_split_lines(data), start=1):
+        await turn.take(len(line))
         if not line.strip():
             continue
+        if len(line) > MAX_LINE_BYTES:
+            raise _refuse_line(number, f"longer than {MAX_LINE_BYTES} bytes")
         item = _parse_line(number, line, workspace)
         if item["custom_id"] in known:
             raise _refuse_line(number, f"custom_id {item['custom_id']!r} occurs twice")
@@ -79,6 +84,31 @@
     return Submission(items, model, hashed.hexdigest())
 
 
+def _split_lines(data):
+    """Yield the lines of `data` one by one, so that no turn copies all of them."""
+    start = 0
+    while start <= len(data):
+        stop = data.find(b"\n", start)
+        stop = len(data) if stop < 0 else stop
+        yield data[start:stop]
+        start = stop + 1
+
+
+class _Turn:
+    """Lets the loop go on to other tasks after a certain amount of work."""
+
+    def __init__(self):
+        self._lines = 0
+        self._bytes = 0
+
+    async def take(self, size):
+        self._lines += 1
+        self._bytes += size
+        if self._lines >= LINES_PER_TURN or self._bytes >= TURN_BYTES:
+            self._lines = self._bytes = 0
+            await asyncio.sleep(0)
+
+
 def _parse_line(number, line, workspace):
     try:
         parsed = _Line.model_validate_json(line)
@@ -95,7 +125,7 @@
     return http_web.refuse_input(f"Line {number}: {message}.", "bad_line")
 
 
-def make_chunks(submission_id, items, record_bytes):
+async def make_chunks(submission_id, items, record_bytes):
     """Return the chunk records that hold `items`.
 
     Raises:
@@ -104,8 +134,10 @@
     limit = record_bytes - RECORD_MARGIN_BYTES
     chunks = [[]]
     size = 0
+    turn = _Turn()
     for item in items:
         length = len(orjson.dumps(item)) + 1
+        await turn.take(length)
         if length > limit:
             raise http_web.refuse_input(
                 f"Item {item['custom_id']!r} is larger than {limit} bytes. Shorten it.",
@@ -139,7 +171,7 @@
     """
     submission_id = platform_log.make_id()
     record_bytes = settings.platform.log_record_bytes
-    chunks = make_chunks(submission_id, submission.items, record_bytes)
+    chunks = await make_chunks(submission_id, submission.items, record_bytes)
     for start in range(0, len(chunks), RECORDS_PER_APPEND):
         group = chunks[start : start + RECORDS_PER_APPEND]
         await shard.replica.append(group, settings.append_s)
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -9,7 +9,11 @@
 from pimentowick import web as http_web
 from pimentowick.platform import service as platform_service
 
-__all__ = ["CallerHandler", "OperatorHandler", "forward"]
+__all__ = ["CallerHandler", "OperatorHandler", "check_online_size", "forward"]
+
+# An online body is parsed and encoded in one turn of the loop each, here and at the
+# agent, where it grows by escapes: six times at worst, which an agent still takes.
+MAX_ONLINE_BYTES = 8_388_608
 
 FORWARDED = "X-Pimentowick-Forwarded"
 FORWARD_TIMEOUT_S = 60.0
@@ -122,6 +126,20 @@
     )
 
 
+def check_online_size(body):
+    """Refuse the body of an online request that would delay all others.
+
+    Raises:
+        RefusedError: It is larger than `MAX_ONLINE_BYTES`.
+    """
+    if len(body) > MAX_ONLINE_BYTES:
+        raise http_web.refuse_input(
+            f"An online body holds at most {MAX_ONLINE_BYTES} bytes. Shorten it.",
+            "too_large",
+            413,
+        )
+
+
 async def forward(handler, number, timeout_s=FORWARD_TIMEOUT_S):
     """Pass a request on to an entry that follows a shard, and its answer back.
 
--- a/pimentowick/entry/online.py
+++ b/pimentowick/entry/online.py
@@ -63,6 +63,7 @@
     _answering = None
 
     async def _answer(self):
+        handler.check_online_size(self.request.body)
         data = self.read_json()
         generation = completion.parse_generation(data, self.workspace)
         use = self.workspace.models[generation["model"]]
--- a/pimentowick/entry/service.py
+++ b/pimentowick/entry/service.py
@@ -45,6 +45,7 @@
     get = post = put = patch = delete = _answer
 
     async def _run(self, service, path):
+        handler.check_online_size(self.request.body)
         use = self.workspace.services.get(service)
         if use is None:
             raise _refuse_unknown(service, self.workspace)
--- a/pimentowick/routing/attempt.py
+++ b/pimentowick/routing/attempt.py
@@ -4,7 +4,6 @@
 
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
-from pimentowick import web as http_web
 from pimentowick.agent import frame
 
 __all__ = ["make_envelope", "read_frames"]
@@ -46,14 +45,11 @@
     """
     envelope = message["envelope"]
     request_id, attempt = envelope["request_id"], envelope["attempt"]
-    body = orjson.dumps(message)
-    if len(body) > http_web.MAX_BODY_BYTES:
-        raise exception.RefusedError(_refuse_large())
     stream = client.open_stream(
         "POST",
         peer.address,
         WORK_PATH,
-        body,
+        message,
         timeout_s=envelope["deadline_s"],
         idle_s=idle_s,
         fresh=fresh,
@@ -93,14 +89,6 @@
     return frames, False
 
 
-def _refuse_large():
-    # An agent would close the connection in the middle of it: the request would
-    # count as lost, and one caller could eject every target.
-    return verdict.Refusal(
-        413, "too_large", "The request is too large for a target. Shorten it."
-    )
-
-
 def _refuse_broken(peer):
     return verdict.Refusal(
         502,
