Choose targets from an index, by cached prefix within bounds

Cause: each choice listed all peers and ranked all of them for the prefix, so its cost grew with the fleet: 35, 252 and 4,672 us among 10, 100 and 1,900 targets. The home of a prefix had a fixed load limit and no second home, only the first 256 characters counted, and a target that fails at once looked empty.

Change: the fleet keeps a pool for each service as reports come in: members, members by failure domain, a ring. A choice draws eight and compares four, or walks the ring. Affinity goes by the longest prefix that this entry sent somewhere itself, then by the ring, while the load is below 1.5 times the mean. What was sent since the last report counts once for each entry, as all of them send a prefix to one home. Failing targets are ejected, at most half of a pool, and come back by rationed probes.

Ruled out: a penalty on the load of failed targets, since one that was mended was then never tried again.

--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -17,7 +17,7 @@
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
-from pimentowick.routing import balance, limits, router
+from pimentowick.routing import affinity, balance, limits, router
 
 __all__ = ["Entry"]
 
@@ -108,10 +108,12 @@
         )
 
     def _make_router(self):
-        near = balance.TwoChoiceBalancer(self.settings.failure_domain)
+        near = balance.TwoChoiceBalancer(
+            self.settings.failure_domain, self.fleet.is_usable
+        )
         return router.Router(
             self.fleet,
-            balance.AffinityBalancer(near),
+            affinity.AffinityBalancer(near),
             self._online_client,
             self.settings,
             self.owner,
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -14,6 +14,7 @@
 
 from pimentowick import client as http_client
 from pimentowick import exception, supervisor
+from pimentowick.membership import pool as membership_pool
 
 __all__ = ["Fleet", "Peer"]
 
@@ -21,7 +22,6 @@
 SILENT_AFTER_HEARTBEATS = 4
 EJECT_FIRST_S = 0.5
 EJECT_LAST_S = 10.0
-EJECT_SHARE = 0.5
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -33,6 +33,7 @@
         report: The last heartbeat answer.
         heard_at: Monotonic time of the last heartbeat answer; 0 before.
         online: Online requests of this entry in flight there.
+        online_at_report: What `online` was when the last report came.
         batch: Batch items of this entry in flight there.
         window: Batch items that this entry may have in flight there.
         lease: Number of the lease, 0 while there is none.
@@ -46,6 +47,7 @@
     report: dict = dataclasses.field(default_factory=dict)
     heard_at: float = 0.0
     online: int = 0
+    online_at_report: int = 0
     batch: int = 0
     window: int = 0
     lease: int = 0
@@ -73,14 +75,28 @@
         """Return whether the target is of `kind` and serves `name`."""
         return self.report.get("kind") == kind and self.service == name
 
-    def estimate_load(self):
+    def estimate_load(self, alike=1):
         """Return how full the target is: the report, and what was sent since.
 
         The report counts the requests of all entries, but is as old as the last
-        heartbeat; own requests in flight are exact. The larger one is nearer.
+        heartbeat; own requests are exact. So the report is corrected by what the
+        own ones have become since, and is never below these.
+
+        Args:
+            alike: How many entries are taken to have sent as many more.
         """
-        limit = max(1, self.report.get("max_online", 1))
-        return max(self.report.get("online", 0), self.online) / limit
+        since = self.online - self.online_at_report
+        if since > 0:
+            since *= alike
+        reported = self.report.get("online", 0)
+        return max(reported + since, self.online) / self._get_limit()
+
+    def get_reported_load(self):
+        """Return how full the target was at the last report."""
+        return self.report.get("online", 0) / self._get_limit()
+
+    def _get_limit(self):
+        return max(1, self.report.get("max_online", 1))
 
 
 class Fleet:
@@ -104,6 +120,7 @@
         self.peers = {}
         self.entries = {}
         self.changed = asyncio.Event()
+        self._pools = {}
         self.read_at = None
         self._hosts = hosts
         self._client = client
@@ -144,8 +161,14 @@
     def _take_agent(self, name, host):
         peer = self.peers.get(name)
         if peer is not None and peer.address == host.address:
-            peer.host = host
+            if peer.host != host:
+                # The failure domain or the state may be another one.
+                self._leave_pools(peer)
+                peer.host = host
+                self._index(peer)
             return
+        if peer is not None:
+            self._leave_pools(peer)
         peer = Peer(host)
         self.peers[name] = peer
         logger.info("fleet: Agent {} is at {}.", name, host.address)
@@ -154,7 +177,23 @@
     def _drop_agent(self, name):
         logger.info("fleet: Agent {} is gone.", name)
         self._supervisor.stop_child(name)
-        del self.peers[name]
+        self._leave_pools(self.peers.pop(name))
+
+    def _index(self, peer):
+        """Put a peer into the pool of what it serves, if it is ready."""
+        if self.peers.get(peer.name) is not peer:
+            return
+        if peer.host.leaving or peer.report.get("state") != "ready":
+            self._leave_pools(peer)
+            return
+        key = (peer.service, peer.report.get("kind"))
+        if peer not in self._pools.get(key, ()):
+            self._leave_pools(peer)
+        self._pools.setdefault(key, membership_pool.Pool()).add(peer)
+
+    def _leave_pools(self, peer):
+        for pool in self._pools.values():
+            pool.discard(peer)
 
     async def _send_heartbeats(self, peer):
         while True:
@@ -180,6 +219,8 @@
     def _take_report(self, peer, report, sent_at):
         peer.report = report
         peer.heard_at = time.monotonic()
+        peer.online_at_report = peer.online
+        self._index(peer)
         lease = report.get("lease", peer.lease)
         if lease != peer.lease:
             peer.lease = lease
@@ -204,22 +245,22 @@
         silence = SILENT_AFTER_HEARTBEATS * self._settings.heartbeat_s
         return now - peer.heard_at < silence + HEARTBEAT_TIMEOUT_S
 
+    def get_pool(self, name, kind):
+        """Return the `pimentowick.membership.pool.Pool` of a service."""
+        return self._pools.get((name, kind)) or membership_pool.Pool()
+
     def list_candidates(self, name, kind):
         """Return the peers that serve `name` and may get new work.
 
-        Ejected ones are left out unless most would be: the few that remain would
-        drown in everybody's work, and the cause is then seldom with the targets.
+        Ejected ones are left out; the pool bounds how many may be ejected.
         """
         now = time.monotonic()
         usable = [
             peer
-            for peer in self.peers.values()
-            if peer.serves(name, kind) and self.is_usable(peer, now)
+            for peer in self.get_pool(name, kind).members
+            if self.is_usable(peer, now)
         ]
-        healthy = [peer for peer in usable if peer.ejected_until <= now]
-        if len(healthy) < len(usable) * (1 - EJECT_SHARE):
-            return usable
-        return healthy
+        return [peer for peer in usable if peer.ejected_until <= now] or usable
 
     def list_served(self, kind):
         """Return the names of what the known targets of `kind` serve."""
@@ -235,10 +276,19 @@
 
     def note_failure(self, peer):
         """Take notice of a failed request; eject the peer for a while."""
+        pool = self.get_pool(peer.service, peer.report.get("kind"))
+        self.eject(pool, peer, time.monotonic())
+
+    def eject(self, pool, peer, now):
+        """Count a failure of a member of `pool`, and eject it if that may be."""
         peer.failures += 1
+        if not pool.may_eject(peer, now):
+            return
         pause = min(EJECT_FIRST_S * 2 ** (peer.failures - 1), EJECT_LAST_S)
-        peer.ejected_until = time.monotonic() + pause * random.uniform(0.8, 1.2)
+        peer.ejected_until = now + pause * random.uniform(0.8, 1.2)
+        pool.note_ejected(peer, peer.ejected_until)
 
     def note_draining(self, peer):
         """Take notice of an agent that refused because it drains."""
         peer.report = {**peer.report, "state": "draining"}
+        self._index(peer)
--- /dev/null
+++ b/pimentowick/membership/tests/test_pool.py
@@ -0,0 +1,41 @@
+import collections
+import random
+
+from pimentowick.membership import fleet, pool
+from pimentowick.platform import hosts
+
+
+def make_peer(index):
+    host = hosts.Host(f"agent-{index}", "agent", "", f"domain-{index % 3}")
+    return fleet.Peer(host, {"online": index, "max_online": 100})
+
+
+def test_members_come_and_go_as_in_a_plain_set():
+    rng = random.Random(7)
+    peers = [make_peer(index) for index in range(30)]
+    made, kept = pool.Pool(random.Random(3)), set()
+    for _ in range(2000):
+        peer = rng.choice(peers)
+        if rng.random() < 0.5:
+            made.add(peer)
+            kept.add(peer)
+        else:
+            made.discard(peer)
+            kept.discard(peer)
+        assert set(made.members) == kept
+        assert set(made.find_successors("key", 30)) <= kept
+        domain = {p for p in kept if p.host.failure_domain == "domain-1"}
+        assert set(made.draw("domain-1")) <= domain
+        loads = [p.get_reported_load() for p in kept]
+        assert abs(made.mean_load * max(1, len(kept)) - sum(loads)) < 1e-6
+
+
+def test_the_ring_gives_everybody_a_share():
+    made = pool.Pool()
+    for index in range(50):
+        made.add(make_peer(index))
+    counts = collections.Counter(
+        made.find_successors(str(key), 1)[0].name for key in range(5000)
+    )
+    assert len(counts) == 50
+    assert max(counts.values()) < 2.5 * 100
--- a/pimentowick/routing/balance.py
+++ b/pimentowick/routing/balance.py
@@ -1,4 +1,4 @@
-"""Choosing the target of a request.
+"""Choosing the target of a request by load and failure domain.
 
 Notes:
     Two candidates are drawn and the emptier one is taken: load reports lag, and
@@ -10,97 +10,112 @@
 """
 
 import abc
-import hashlib
-import random
+import time
 
-__all__ = ["AffinityBalancer", "Balancer", "TwoChoiceBalancer", "hash_prefix"]
+from pimentowick.routing import retry
 
-PREFIX_CHARACTERS = 256
-REMOTE_PENALTY = 0.25
-AFFINITY_LOAD = 0.75
+__all__ = ["Balancer", "TwoChoiceBalancer", "is_healthy"]
+
+CHOICES = 2
+REMOTE_PENALTY = 0.1
+PROBE_SHARE = 0.05
+"""Most of the choices that may fall on targets whose last request failed."""
 
 
 class Balancer(abc.ABC):
-    """Chooses one of several candidates."""
+    """Chooses one of the targets of a service."""
 
     @abc.abstractmethod
-    def choose(self, candidates, prefix=None):
-        """Return one of the candidates.
+    def choose(self, pool, prefix=(), excluded=frozenset(), now=None):
+        """Return a `pimentowick.membership.fleet.Peer`, or None if none may work.
 
         Args:
-            candidates: Non-empty list of `pimentowick.membership.fleet.Peer`.
-            prefix: Hash of the beginning of the prompt, or None.
+            pool: `pimentowick.membership.pool.Pool` of the service.
+            prefix: Hashes of the prompt's prefixes, the shortest first.
+            excluded: Names of peers that are taken only if there are no others.
+            now: Monotonic time, if the caller has it at hand.
         """
 
 
 class TwoChoiceBalancer(Balancer):
-    """The emptier one of two random candidates, near ones before far ones.
+    """The emptiest of two near candidates and two from anywhere.
+
+    A far one is taken once the near ones are fuller by more than the way to it
+    costs.
 
     Args:
         failure_domain: Failure domain of the chooser.
-        rng: `random.Random`.
+        is_usable: Function of a peer and a monotonic time that says whether the
+            peer may get work.
+        remote_penalty: What the way to another failure domain costs, as a share of
+            a target's places.
     """
 
-    def __init__(self, failure_domain, rng=None):
+    def __init__(self, failure_domain, is_usable, remote_penalty=REMOTE_PENALTY):
         self._failure_domain = failure_domain
-        self._rng = rng or random.Random()
-
-    def choose(self, candidates, prefix=None):
-        """Return one of the candidates; see `Balancer.choose`."""
-        if len(candidates) == 1:
-            return candidates[0]
-        first, second = self._rng.sample(candidates, 2)
-        return min(first, second, key=self.get_cost)
+        self._is_usable = is_usable
+        self._remote_penalty = remote_penalty
+        self._probes = retry.RetryBudget(PROBE_SHARE, first=1.0)
+
+    def choose(self, pool, prefix=(), excluded=frozenset(), now=None):
+        """Return one of the members; see `Balancer.choose`."""
+        now = time.monotonic() if now is None else now
+        near = pool.draw(self._failure_domain)
+        anywhere = pool.draw()
+        found = self._take_healthy(near, pool, excluded, now)
+        found += self._take_healthy(anywhere, pool, excluded, now)
+        if not found:
+            found = self._take_any(near + anywhere, pool, excluded, now)
+        chosen = min(found, key=self.get_cost, default=None)
+        self.note_choice(chosen)
+        return chosen
 
     def get_cost(self, peer):
         """Return the load of `peer`, with a penalty for another failure domain."""
         cost = peer.estimate_load()
         if peer.host.failure_domain != self._failure_domain:
-            cost += REMOTE_PENALTY
+            cost += self._remote_penalty
         return cost
 
-
-class AffinityBalancer(Balancer):
-    """The target that had the prefix before, unless it is too full.
-
-    Args:
-        fallback: `TwoChoiceBalancer` for all other cases.
-
-    Notes:
-        Rendezvous hashing: every entry ranks the targets for a prefix alike without
-        a message, and a target that goes moves only its own prefixes.
-
-    References:
-        D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase
-        hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
-    """
-
-    def __init__(self, fallback):
-        self._fallback = fallback
-
-    def choose(self, candidates, prefix=None):
-        """Return one of the candidates; see `Balancer.choose`."""
-        if prefix is None:
-            return self._fallback.choose(candidates)
-        home = max(candidates, key=lambda peer: rank(prefix, peer.name))
-        if home.estimate_load() < AFFINITY_LOAD:
-            return home
-        return self._fallback.choose(candidates)
-
-
-def rank(key, name):
-    """Return the rendezvous weight of `name` for `key`."""
-    return hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
-
-
-def hash_prefix(prompt):
-    """Return a hash of the beginning of a prompt, or None if it is short.
-
-    Examples:
-        >>> hash_prefix("short") is None
-        True
+    def may_take(self, peer, pool, excluded, now):
+        """Return whether `peer` is a candidate of the first choice."""
+        if peer.name in excluded or not is_healthy(peer, now):
+            return False
+        # A target that fails at once looks empty and would draw everybody. Its
+        # probes are rationed, unless so many fail that the others need relief.
+        if peer.failures and not self._probes.has_token() and not pool.is_short:
+            return False
+        return self._is_usable(peer, now)
+
+    def note_choice(self, peer):
+        """Count a choice towards the share of probes."""
+        self._probes.note_request()
+        if peer is not None and peer.failures:
+            self._probes.take()
+
+    def _take_healthy(self, drawn, pool, excluded, now):
+        found = []
+        for peer in drawn:
+            if self.may_take(peer, pool, excluded, now):
+                found.append(peer)
+                if len(found) == CHOICES:
+                    break
+        return found
+
+    def _take_any(self, drawn, pool, excluded, now):
+        """Return usable peers although they fail, are excluded or were not drawn."""
+        usable = [peer for peer in drawn if self._is_usable(peer, now)]
+        if not usable:
+            usable = [peer for peer in pool.members if self._is_usable(peer, now)]
+        return [peer for peer in usable if peer.name not in excluded] or usable
+
+
+def is_healthy(peer, now):
+    """Return whether nothing speaks against sending `peer` one more request.
+
+    After its ejection a peer gets one request at a time until one ends well: if it
+    still fails, the others would fail with that one.
     """
-    if len(prompt) < PREFIX_CHARACTERS:
-        return None
-    data = prompt[:PREFIX_CHARACTERS].encode("utf-8", "surrogatepass")
-    return hashlib.blake2b(data, digest_size=8).hexdigest()
+    if peer.ejected_until > now:
+        return False
+    return not peer.failures or not peer.online
--- a/pimentowick/routing/retry.py
+++ b/pimentowick/routing/retry.py
@@ -33,10 +33,14 @@
         """Count a first attempt."""
         self._tokens = min(self._tokens + self._share, MAX_TOKENS)
 
+    def has_token(self):
+        """Return whether a retry is allowed."""
+        # Ten tenths add up to a little less than one.
+        return self._tokens >= 1.0 - 1e-9
+
     def take(self):
         """Return whether a retry is allowed, and count it."""
-        # Ten tenths add up to a little less than one.
-        if self._tokens < 1.0 - 1e-9:
+        if not self.has_token():
             return False
         self._tokens -= 1.0
         return True
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -7,7 +7,8 @@
 from pimentowick import exception, verdict
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import attempt as routing_attempt
-from pimentowick.routing import balance, retry
+from pimentowick.routing import prefix as routing_prefix
+from pimentowick.routing import retry
 
 __all__ = ["Request", "Router"]
 
@@ -30,7 +31,7 @@
         idempotent: Whether it may run twice.
         deadline: Monotonic time by which the answer has to be whole.
         cost: Expected tokens.
-        prefix: Hash of the beginning of the prompt, or None.
+        prefix: Hashes of the prompt's prefixes, the shortest first.
         work: The part of the message that says what to do.
         verdicts: Verdicts of the attempts that failed.
         excluded: Names of the peers that failed.
@@ -45,7 +46,7 @@
     deadline: float
     cost: float
     work: dict
-    prefix: str | None = None
+    prefix: tuple = ()
     verdicts: list = dataclasses.field(default_factory=list)
     excluded: set = dataclasses.field(default_factory=set)
     attempts: int = 0
@@ -150,21 +151,21 @@
         self._fleet.note_success(peer)
 
     def _choose(self, request):
-        candidates = self._fleet.list_candidates(request.service, request.kind)
-        others = [peer for peer in candidates if peer.name not in request.excluded]
-        if not others and not candidates:
-            raise exception.RefusedError(
-                _conclude(
-                    request,
-                    verdict.Refusal(
-                        503,
-                        "no_target",
-                        f"No target of {request.service} takes work now. Try later.",
-                        retry_after=NO_TARGET_RETRY_AFTER_S,
-                    ),
-                )
+        pool = self._fleet.get_pool(request.service, request.kind)
+        peer = self._balancer.choose(pool, request.prefix, request.excluded)
+        if peer is not None:
+            return peer
+        raise exception.RefusedError(
+            _conclude(
+                request,
+                verdict.Refusal(
+                    503,
+                    "no_target",
+                    f"No target of {request.service} takes work now. Try later.",
+                    retry_after=NO_TARGET_RETRY_AFTER_S,
+                ),
             )
-        return self._balancer.choose(others or candidates, request.prefix)
+        )
 
     def _note_refusal(self, request, peer, refusal):
         request.verdicts.append(refusal.verdict)
@@ -209,6 +210,12 @@
         idempotent=True,
         deadline=time.monotonic() + deadline_s,
         cost=generation["max_tokens"],
-        prefix=balance.hash_prefix(generation["prompt"]),
+        prefix=_hash_prefix(generation),
         work={"generate": dict(generation)},
     )
+
+
+def _hash_prefix(generation):
+    # The cache of one model or adapter is of no use to another.
+    seed = f"{generation['model']}/{generation.get('adapter') or ''}"
+    return routing_prefix.hash_levels(generation["prompt"], seed)
--- /dev/null
+++ b/pimentowick/routing/tests/conftest.py
@@ -0,0 +1,26 @@
+import random
+
+import pytest
+
+from pimentowick.membership import fleet, pool
+from pimentowick.platform import hosts
+
+PLACES = 32
+
+
+def make_peer(name, failure_domain="here", online=0):
+    host = hosts.Host(name, "agent", "127.0.0.1:1", failure_domain)
+    report = {"online": online, "max_online": PLACES, "state": "ready"}
+    return fleet.Peer(host, report)
+
+
+@pytest.fixture
+def make_pool():
+    def make(count, failure_domains=("here",)):
+        made = pool.Pool(random.Random(5))
+        for index in range(count):
+            domain = failure_domains[index % len(failure_domains)]
+            made.add(make_peer(f"agent-{index}", domain))
+        return made
+
+    return make
