Let each entry talk to a bounded number of agents of a service

Cause: every entry sent every agent a heartbeat each 0.5 s. At 360 entries and 1,900 agents that is 3,800 heartbeats a second from each entry, and the host list of 2,260 hosts was read whole each second by every entry. Ruled out: choosing by the host list alone, since it does not say what a target serves; shuffled rounds, which are perfectly even but move many pairs when a host goes; a ranking by the agents, which gives entries uneven numbers of targets. Change: membership/subset.py ranks entry-agent pairs by rendezvous hashing, own failure domain first; each new agent is asked once what it serves, the peers of each service get heartbeats. Only entries with batch work ask for leases and send heartbeats at heartbeat_s; others at idle_heartbeat_s, and all together at most heartbeats_per_s. Answers leave out what the entry knows already. The host list is read with an entity tag. Shards are ranked only when the entries changed. Conclusion: pairs grow with entries times services, no longer with agents.

--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import secrets
 import time
 
 from loguru import logger
@@ -33,6 +34,8 @@
 DRAIN_CHECK_S = 0.05
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
+# Entries don't read these; a heartbeat answer is smaller without them.
+UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
 
 
@@ -51,6 +54,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.state = STARTING
+        self._process = secrets.token_hex(4)
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.metrics = process_metrics.AgentMetrics()
@@ -197,25 +201,43 @@
             self.admission.apply_limit()
 
     def describe(self):
-        """Return what heartbeat answers say about this agent."""
+        """Return all that there is to say about this agent."""
         target = self.settings.target
-        admission = self.admission
         return {
             "agent": self.settings.name,
-            "state": self.state,
+            "process": self._process,
             "kind": target.kind,
             "service": target.service,
             "target": target.name,
+            "max_online": self.admission.max_online,
+            "lease_s": self.settings.lease_s,
             "models": list(self.load.models),
+            **self.describe_changing(),
+        }
+
+    def describe_changing(self):
+        """Return what heartbeat answers say to an entry that knows the rest."""
+        admission = self.admission
+        return {
+            "state": self.state,
             "online": admission.count_online(),
-            "max_online": admission.max_online,
             "batch": len(admission.batch),
             "batch_free": admission.count_free_batch(),
-            "wait_s": admission.estimate_wait(),
+            "wait_s": round(admission.estimate_wait(), 3),
             "entries": max(1, self.leases.count()),
-            "lease_s": self.settings.lease_s,
         }
 
+    def answer_heartbeat(self, known):
+        """Return what to tell an entry.
+
+        Args:
+            known: Name of the process of this agent that told the entry the rest,
+                or None.
+        """
+        if known != self._process:
+            return self.describe()
+        return self.describe_changing()
+
     def check(self, work):
         """Refuse work that must not begin.
 
@@ -323,11 +345,16 @@
     def post(self):
         """Answer a heartbeat."""
         data = self.read_json()
-        answer = self.agent.describe()
+        answer = self.agent.answer_heartbeat(data.get("known"))
         if data.get("renew") is not None:
             answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
+        for name in UNUSED_HEADERS:
+            self.clear_header(name)
         self.write_json(answer)
 
+    def compute_etag(self):
+        """Return None: no answer is asked for again."""
+
 
 class StopJobHandler(http_web.JsonHandler):
     """Ends the items of a cancelled job."""
--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -202,6 +202,7 @@
             for job in shard.ledger.list_open_jobs():
                 if job.id not in self._works:
                     self._works[job.id] = _make_work(shard, job)
+        self._fleet.want_batch({work.job.model for work in self._works.values()})
 
     def _start_next(self):
         """Start one item, and return whether there was one to start."""
--- a/pimentowick/batch/shard.py
+++ b/pimentowick/batch/shard.py
@@ -80,6 +80,7 @@
 
     def __init__(self, log, fleet, settings, owner):
         self.followed = {}
+        self._wanted = 0
         self._log = log
         self._fleet = fleet
         self._settings = settings
@@ -98,17 +99,24 @@
             await shard.replica.close()
 
     async def _watch(self):
-        seen_at = None
+        seen = None
         while True:
-            if self._fleet.read_at is not None and self._fleet.read_at != seen_at:
-                seen_at = self._fleet.read_at
+            names = self.list_names()
+            if self._fleet.read_at is not None and names != seen:
                 await self._follow_all()
+                # What is still owned is left once it has been given up.
+                seen = names if len(self.followed) == self._wanted else None
             await asyncio.sleep(WATCH_S)
 
     async def _follow_all(self):
+        self._wanted = 0
         for number in range(self._settings.shards):
+            # With hundreds of entries one shard takes about a millisecond to rank;
+            # all of them at once would hold up the requests of the moment.
+            await asyncio.sleep(0)
             followers = self.list_followers(number)
             wanted = self._settings.name in followers
+            self._wanted += wanted
             if wanted and number not in self.followed:
                 shard = Shard(number, self._log)
                 self.followed[number] = shard
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -1,11 +1,16 @@
 """The agents that an entry knows, and how each of them is.
 
 The host list says which agents exist; it lags. What an agent says of itself in its
-heartbeat answers, and how requests to it end, count before it. One task for each
-agent sends the heartbeats.
+heartbeat answers, and how requests to it end, count before it.
+
+The host list does not say what an agent's target serves. Each new agent is asked
+once, and now and then again; of each service the entry then keeps a bounded number
+of agents, its peers. One task for each peer sends the heartbeats: often while batch
+items of its service wait or run, since the lease has to be renewed, seldom otherwise.
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import time
@@ -14,14 +19,22 @@
 
 from pimentowick import client as http_client
 from pimentowick import exception, supervisor
+from pimentowick.membership import subset
 
 __all__ = ["Fleet", "Peer"]
 
 HEARTBEAT_TIMEOUT_S = 1.0
 SILENT_AFTER_HEARTBEATS = 4
+SILENT_AFTER_SELDOM = 2.4
 EJECT_FIRST_S = 0.5
 EJECT_LAST_S = 10.0
 EJECT_SHARE = 0.5
+WORK_FLOWS_S = 5.0
+"""Time for which a peer counts as in use after a request to it, in seconds."""
+SURVEY_AT_ONCE = 8
+SURVEY_CHECK_S = 60.0
+SURVEY_AGAIN_S = 3600.0
+"""Time after which an agent that is no peer is asked again what it serves."""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -40,6 +53,9 @@
         failures: Failed requests in a row.
         ejected_until: Monotonic time until which the agent gets no work.
         solo: Whether a suspected batch item runs alone there.
+        used_at: Monotonic time at which the last request there ended.
+        interval_s: Time until the next heartbeat, in seconds.
+        wake: Set to send the next heartbeat at once.
     """
 
     host: object
@@ -53,6 +69,9 @@
     failures: int = 0
     ejected_until: float = 0.0
     solo: bool = False
+    used_at: float = -WORK_FLOWS_S
+    interval_s: float = 0.0
+    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     @property
     def name(self):
@@ -83,8 +102,34 @@
         return max(self.report.get("online", 0), self.online) / limit
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _Agent:
+    """One agent of the host list, whether or not this entry talks to it.
+
+    Attributes:
+        host: `pimentowick.platform.hosts.Host`.
+        rank: Its weight in the ranking of this entry.
+        report: Answer to the question what it serves, or None.
+        asked_at: Monotonic time of that question.
+        tries: Questions without an answer.
+    """
+
+    host: object
+    rank: bytes
+    report: dict | None = None
+    asked_at: float = 0.0
+    tries: int = 0
+
+    @property
+    def served(self):
+        """Kind and name of what the target serves, or None if that is unknown."""
+        if self.report is None:
+            return None
+        return self.report.get("kind"), self.report.get("service")
+
+
 class Fleet:
-    """All agents of the host list, and the other entries.
+    """The agents that this entry talks to, and the other entries.
 
     Args:
         hosts: `pimentowick.platform.hosts.HostList`.
@@ -95,12 +140,15 @@
             a moment ago, without which it must not renew a lease.
 
     Attributes:
-        peers: `Peer` by the name of its host.
+        peers: `Peer` by the name of its host: a bounded number for each service.
         entries: `pimentowick.platform.hosts.Host` of each entry, by name.
         changed: Set whenever work may have become possible.
     """
 
     def __init__(self, hosts, client, settings, owner, is_fresh):
+        self._agents = {}
+        self._listed = asyncio.Event()
+        self._batch_services = frozenset()
         self.peers = {}
         self.entries = {}
         self.changed = asyncio.Event()
@@ -116,6 +164,7 @@
         """Begin to read the host list."""
         await self._supervisor.start()
         self._supervisor.start_child("hosts", self._watch_hosts)
+        self._supervisor.start_child("survey", self._survey)
 
     async def close(self):
         """Stop all heartbeats."""
@@ -137,53 +186,184 @@
         agents = {host.name: host for host in hosts if host.role == "agent"}
         for name, host in agents.items():
             self._take_agent(name, host)
+        for name in set(self._agents) - set(agents):
+            del self._agents[name]
+        self._choose_peers({agent.served for agent in self._agents.values()})
         for name in set(self.peers) - set(agents):
-            self._drop_agent(name)
+            self._drop_peer(name)
         self.changed.set()
 
     def _take_agent(self, name, host):
-        peer = self.peers.get(name)
+        agent = self._agents.get(name)
+        if agent is None or agent.host.address != host.address:
+            rank = subset.rank_agent(self._settings.name, name)
+            self._agents[name] = _Agent(host, rank)
+            self._listed.set()
+            return
+        agent.host = host
+        if name in self.peers:
+            self.peers[name].host = host
+
+    async def _survey(self):
+        """Ask the agents what they serve, those first that come first as peers."""
+        while True:
+            waiting = self._list_unknown()
+            if not waiting:
+                await self._wait_for_agents()
+                continue
+            group = waiting[:SURVEY_AT_ONCE]
+            await asyncio.gather(*map(self._ask, group))
+            self._choose_peers({agent.served for agent in group})
+            if any(agent.report is None for agent in group):
+                # An agent that does not answer is asked again, after the others.
+                await asyncio.sleep(self._settings.heartbeat_s)
+
+    async def _wait_for_agents(self):
+        self._listed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SURVEY_CHECK_S):
+                await self._listed.wait()
+
+    def _list_unknown(self):
+        now = time.monotonic()
+        unknown = [
+            agent
+            for name, agent in self._agents.items()
+            if agent.report is None
+            or (name not in self.peers and now - agent.asked_at > SURVEY_AGAIN_S)
+        ]
+        return sorted(unknown, key=self._get_survey_order)
+
+    def _get_survey_order(self, agent):
+        is_far = agent.host.failure_domain != self._settings.failure_domain
+        return agent.tries, is_far, agent.rank
+
+    async def _ask(self, agent):
+        agent.asked_at = time.monotonic()
+        try:
+            agent.report = await self._ask_report(agent.host.address, {})
+            agent.tries = 0
+        except exception.PimentowickError:
+            agent.tries += 1
+
+    async def _ask_report(self, address, fields):
+        message = {"entry": self._owner, **fields}
+        answer = await self._client.fetch(
+            "POST", address, "/heartbeat", message, timeout_s=HEARTBEAT_TIMEOUT_S
+        )
+        return answer.decode()
+
+    def _choose_peers(self, services):
+        """Choose the peers of some services anew."""
+        ranked = {served: [] for served in services if served is not None}
+        for agent in self._agents.values():
+            if agent.served in ranked:
+                ranked[agent.served].append((agent.rank, agent.host))
+        for pairs in ranked.values():
+            count = subset.count_wanted(
+                self._settings.peers_per_service, len(pairs), len(self.entries)
+            )
+            chosen = subset.choose_agents(pairs, self._settings.failure_domain, count)
+            self._keep_peers({host.name for _, host in pairs}, chosen)
+
+    def _keep_peers(self, names, chosen):
+        wanted = {host.name for host in chosen}
+        for host in chosen:
+            self._add_peer(host)
+        for name in names - wanted:
+            peer = self.peers.get(name)
+            # Without heartbeats its lease would lapse and end what runs there.
+            if peer is not None and peer.batch == 0:
+                self._drop_peer(name)
+
+    def _add_peer(self, host):
+        peer = self.peers.get(host.name)
         if peer is not None and peer.address == host.address:
-            peer.host = host
             return
         peer = Peer(host)
-        self.peers[name] = peer
-        logger.info("fleet: Agent {} is at {}.", name, host.address)
-        self._supervisor.start_child(name, self._send_heartbeats, peer)
-
-    def _drop_agent(self, name):
-        logger.info("fleet: Agent {} is gone.", name)
+        agent = self._agents[host.name]
+        self._take_report(peer, agent.report, agent.asked_at)
+        peer.heard_at = agent.asked_at
+        self.peers[host.name] = peer
+        logger.info("fleet: Agent {} is at {}.", host.name, host.address)
+        self._supervisor.start_child(host.name, self._send_heartbeats, peer)
+
+    def _drop_peer(self, name):
+        logger.info("fleet: Agent {} is no longer a peer.", name)
         self._supervisor.stop_child(name)
         del self.peers[name]
 
     async def _send_heartbeats(self, peer):
         while True:
-            sent_at = time.monotonic()
-            message = {"entry": self._owner}
-            if self._is_fresh():
-                message["renew"] = peer.lease
+            await self._send_heartbeat(peer)
+            peer.interval_s = self._get_interval(peer)
+            pause = peer.interval_s * random.uniform(0.8, 1.2)
             try:
-                answer = await self._client.fetch(
-                    "POST",
-                    peer.address,
-                    "/heartbeat",
-                    message,
-                    timeout_s=HEARTBEAT_TIMEOUT_S,
-                )
-                self._take_report(peer, answer.decode(), sent_at)
-            except http_client.TransportError:
-                self._client.distrust(peer.address)
-            except exception.ValidationError as error:
-                logger.warning("fleet: {} answers nonsense. {}", peer.name, error)
-            await asyncio.sleep(self._settings.heartbeat_s * random.uniform(0.8, 1.2))
-
-    def _take_report(self, peer, report, sent_at):
-        peer.report = report
+                async with asyncio.timeout(pause):
+                    await peer.wake.wait()
+            except TimeoutError:
+                continue
+            peer.wake.clear()
+            # Failures may come fast; they must not make heartbeats that fast.
+            await asyncio.sleep(self._settings.heartbeat_s * random.uniform(0, 0.2))
+
+    async def _send_heartbeat(self, peer):
+        sent_at = time.monotonic()
+        message = {"known": peer.report.get("process")}
+        if not self._wants_lease(peer):
+            peer.lease = 0
+        elif self._is_fresh():
+            message["renew"] = peer.lease
+        try:
+            answer = await self._ask_report(peer.address, message)
+            self._take_report(peer, answer, sent_at)
+            if peer.name in self._agents:
+                self._agents[peer.name].report = peer.report
+        except http_client.TransportError:
+            self._client.distrust(peer.address)
+        except exception.ValidationError as error:
+            logger.warning("fleet: {} answers nonsense. {}", peer.name, error)
+
+    def _wants_lease(self, peer):
+        return peer.batch > 0 or (
+            peer.report.get("kind") == "engine" and peer.service in self._batch_services
+        )
+
+    def _get_interval(self, peer):
+        """Return the time until the next heartbeat to `peer`, in seconds."""
+        if self._wants_lease(peer):
+            return self._settings.heartbeat_s
+        # With many peers all of them share what heartbeats may cost; their answers
+        # to requests show in between how they are.
+        least = len(self.peers) / self._settings.heartbeats_per_s
+        now = time.monotonic()
+        if peer.online or now - peer.used_at < WORK_FLOWS_S:
+            return max(self._settings.heartbeat_s, least)
+        return max(self._settings.heartbeat_s, self._settings.idle_heartbeat_s, least)
+
+    def want_batch(self, services):
+        """Say for which services batch items wait or run.
+
+        Only their agents grant leases to this entry. An agent divides its free
+        places by the entries that hold a lease, so that entries without batch work
+        must not hold one.
+        """
+        services = frozenset(services)
+        added = services - self._batch_services
+        self._batch_services = services
+        for peer in self.peers.values():
+            if peer.service in added and not peer.lease:
+                peer.wake.set()
+
+    def _take_report(self, peer, answer, sent_at):
+        # An answer leaves out what does not change while the agent's process lives.
+        peer.report = {**peer.report, **answer}
         peer.heard_at = time.monotonic()
-        lease = report.get("lease", peer.lease)
+        lease = answer.get("lease", peer.lease)
         if lease != peer.lease:
             peer.lease = lease
             peer.lease_since = sent_at
+        report = peer.report
         share = report.get("batch_free", 0) // max(1, report.get("entries", 1))
         peer.window = peer.batch + share
         if report.get("batch_free") and not share and peer.batch == 0:
@@ -202,6 +382,9 @@
         if peer.host.leaving or peer.report.get("state") != "ready":
             return False
         silence = SILENT_AFTER_HEARTBEATS * self._settings.heartbeat_s
+        # One that is seldom asked may miss one answer; a request that then meets a
+        # dead agent ends as not run and goes elsewhere.
+        silence = max(silence, SILENT_AFTER_SELDOM * peer.interval_s)
         return now - peer.heard_at < silence + HEARTBEAT_TIMEOUT_S
 
     def list_candidates(self, name, kind):
@@ -232,10 +415,15 @@
     def note_success(self, peer):
         """Take notice of a request that ended well."""
         peer.failures = 0
+        peer.used_at = time.monotonic()
+        # The whole answer shows that it lives; how full it is, only a report does.
+        peer.heard_at = peer.used_at
 
     def note_failure(self, peer):
         """Take notice of a failed request; eject the peer for a while."""
         peer.failures += 1
+        peer.used_at = time.monotonic()
+        peer.wake.set()
         pause = min(EJECT_FIRST_S * 2 ** (peer.failures - 1), EJECT_LAST_S)
         peer.ejected_until = time.monotonic() + pause * random.uniform(0.8, 1.2)
 
--- a/pimentowick/platform/hosts.py
+++ b/pimentowick/platform/hosts.py
@@ -42,20 +42,31 @@
 
 
 class HttpHostList(HostList):
-    """The host list over HTTP, as docs/PLATFORM.md describes it."""
+    """The host list over HTTP, as docs/PLATFORM.md describes it.
+
+    A list that did not change since the last read is not sent again if the service
+    knows entity tags; with thousands of hosts it would be most of the traffic.
+    """
 
     def __init__(self, address, client):
         self.address = address
         self._client = client
+        self._tag = None
+        self._hosts = []
 
     async def read(self):
         """Return the list of `Host`; see `HostList.read`."""
+        headers = {} if self._tag is None else {"If-None-Match": self._tag}
         answer = await self._client.fetch(
-            "GET", self.address, "/hosts", timeout_s=READ_TIMEOUT_S
+            "GET", self.address, "/hosts", headers=headers, timeout_s=READ_TIMEOUT_S
         )
+        if answer.status == 304 and self._tag is not None:
+            return self._hosts
         if answer.status != 200:
             raise exception.UnavailableError(f"The host list answered {answer.status}.")
-        return [_parse_host(entry) for entry in answer.decode()["hosts"]]
+        self._hosts = [_parse_host(entry) for entry in answer.decode()["hosts"]]
+        self._tag = answer.headers.get("Etag")
+        return self._hosts
 
 
 def _parse_host(entry):
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -104,7 +104,28 @@
         1.0, gt=0, description="Time between reads of the host list, in seconds."
     )
     heartbeat_s: float = pydantic.Field(
-        0.5, gt=0, description="Time between heartbeats to an agent, in seconds."
+        0.5,
+        gt=0,
+        description="Time between heartbeats to an agent while work flows, in seconds;"
+        " below a quarter of the agents' lease_s.",
+    )
+    idle_heartbeat_s: float = pydantic.Field(
+        2.0,
+        gt=0,
+        description="Time between heartbeats to an agent without work of this entry,"
+        " in seconds.",
+    )
+    heartbeats_per_s: float = pydantic.Field(
+        50.0,
+        gt=0,
+        description="Most heartbeats a second, all agents together, but for those that"
+        " renew a lease.",
+    )
+    peers_per_service: int = pydantic.Field(
+        16,
+        ge=1,
+        description="How many agents of a service this entry talks to; more if there"
+        " are too few entries for that.",
     )
     takeover_s: float = pydantic.Field(
         6.0,
