--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -45,12 +45,14 @@
     Attributes:
         address: ``IP:port`` once started.
         state: ``starting``, ``ready`` or ``draining``.
+        stop_orders: Whatever is put here makes the process drain and end.
         running: The connections whose request is at work.
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.state = STARTING
+        self.stop_orders = asyncio.Queue()
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.metrics = process_metrics.AgentMetrics()
@@ -90,6 +92,7 @@
                 ("/work", WorkHandler, shared),
                 ("/heartbeat", HeartbeatHandler, shared),
                 ("/stop-job", StopJobHandler, shared),
+                ("/drain", DrainHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
@@ -342,6 +345,20 @@
         self.write_json({"cancelled": await self.agent.stop_job(job)})
 
 
+class DrainHandler(http_web.JsonHandler):
+    """Makes the agent drain and its process end, as SIGTERM does."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def post(self):
+        """Answer at once; `GET /ready` shows how it goes on."""
+        if self.agent.state == READY:
+            self.agent.stop_orders.put_nowait("drain")
+        self.write_json({"state": DRAINING}, 202)
+
+
 class HealthHandler(http_web.JsonHandler):
     """Liveness: the loop turns."""
 
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -15,8 +15,10 @@
 of retention, only moves that offset.
 """
 
+import collections
 import dataclasses
 
+from pimentowick.batch import note as batch_note
 from pimentowick.batch import record as batch_record
 from pimentowick.replication import fold
 
@@ -121,6 +123,8 @@
         jobs: `Job` by id.
         calls: `Call` by id.
         owner_offset: Offset of the last record that shows the owner alive.
+        notes: `pimentowick.batch.note.Note` of the newest claims, releases and
+            cancellations, oldest first.
 
     Examples:
         >>> ledger = Ledger()
@@ -137,6 +141,7 @@
         self.epoch = 0
         self.owner = None
         self.owner_offset = -1
+        self.notes = collections.deque(maxlen=batch_note.NOTES_LIMIT)
         self.jobs = {}
         self.calls = {}
         # Offsets of the chunks by submission and index, and of results by record.
@@ -158,7 +163,9 @@
             return
 
     def _apply_claim(self, offset, record):
-        if record["epoch"] != self.epoch + 1:
+        accepted = record["epoch"] == self.epoch + 1
+        self.notes.append(batch_note.note_claim(offset, record, self.epoch, accepted))
+        if not accepted:
             return
         self.owner = str(record["owner"])
         self.epoch = record["epoch"]
@@ -166,6 +173,7 @@
 
     def _apply_release(self, offset, record):
         if self._is_current(record):
+            self.notes.append(batch_note.note_release(offset, self.owner, self.epoch))
             self.owner = None
             self.owner_offset = offset
 
@@ -219,6 +227,7 @@
 
     def _apply_cancelled(self, offset, record):
         job = self.jobs[record["job"]]
+        self.notes.append(batch_note.note_cancelled(offset, record, job))
         if job.state == OPEN:
             job.state = CANCELLED
             job.cancelled_by = str(record["by"])
@@ -348,6 +357,7 @@
             "owner": self.owner,
             "owner_offset": self.owner_offset,
             "orphans": self._dump_orphans(),
+            "notes": [dataclasses.asdict(note) for note in self.notes],
         }
         parts = [head]
         for job in self.jobs.values():
@@ -416,6 +426,8 @@
         self.epoch = part["epoch"]
         self.owner = part["owner"]
         self.owner_offset = part["owner_offset"]
+        for data in part.get("notes", ()):
+            self.notes.append(batch_note.Note(**data))
         for submission, chunks in part["orphans"].items():
             self.chunks[submission] = _load_chunks(chunks)
 
--- /dev/null
+++ b/pimentowick/batch/note.py
@@ -0,0 +1,103 @@
+"""Notes on what happened to a shard, for the audit trail.
+
+The records of a shard's stream are the trail: who claimed the shard, gave it up or
+cancelled a job stands there anyway. The ledger keeps a note of the newest of them,
+so that a question costs no reading of the stream, and a checkpoint carries the notes
+past the end of retention.
+"""
+
+import dataclasses
+
+__all__ = ["NOTES_LIMIT", "Note", "note_cancelled", "note_claim", "note_release"]
+
+NOTES_LIMIT = 500
+"""Notes that one ledger keeps."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """What became of one record.
+
+    Attributes:
+        offset: Offset of the record.
+        at: Time that it states, in epoch seconds; 0 if it states none.
+        by: Who made it.
+        client: Address that it was asked from; empty for the system's own.
+        kind: ``claim``, ``release`` or ``cancel``.
+        name: Id of the job, or empty.
+        workspace: Workspace of the job, or empty.
+        version_before: Epoch before, for claims and releases.
+        version_after: Epoch after, for claims and releases.
+        accepted: Whether the record took effect.
+        reason: Why not; empty if accepted.
+        id: Id of the record.
+    """
+
+    offset: int
+    at: float
+    by: str
+    client: str
+    kind: str
+    name: str
+    workspace: str
+    version_before: int
+    version_after: int
+    accepted: bool
+    reason: str
+    id: str
+
+
+def note_claim(offset, record, epoch, accepted):
+    """Return the note on a claim that was read while `epoch` was in force."""
+    reason = "" if accepted else f"conflict: epoch {epoch} is in force"
+    return Note(
+        offset=offset,
+        at=float(record["at"]),
+        by=str(record["owner"]),
+        client="",
+        kind="claim",
+        name="",
+        workspace="",
+        version_before=epoch,
+        version_after=epoch + accepted,
+        accepted=accepted,
+        reason=reason,
+        id=str(record.get("id", "")),
+    )
+
+
+def note_release(offset, owner, epoch):
+    """Return the note on a release that took effect."""
+    return Note(
+        offset=offset,
+        at=0.0,
+        by=owner,
+        client="",
+        kind="release",
+        name="",
+        workspace="",
+        version_before=epoch,
+        version_after=epoch,
+        accepted=True,
+        reason="",
+        id="",
+    )
+
+
+def note_cancelled(offset, record, job):
+    """Return the note on a cancellation of `job`, as it was before."""
+    accepted = job.state == "open"
+    return Note(
+        offset=offset,
+        at=float(record.get("at", 0.0)),
+        by=str(record["by"]),
+        client=str(record.get("client", "")),
+        kind="cancel",
+        name=job.id,
+        workspace=job.workspace,
+        version_before=0,
+        version_after=0,
+        accepted=accepted,
+        reason="" if accepted else f"conflict: the job is {job.state}",
+        id=str(record.get("id", "")),
+    )
--- a/pimentowick/batch/record.py
+++ b/pimentowick/batch/record.py
@@ -120,9 +120,16 @@
     )
 
 
-def make_cancelled(job, by):
-    """Cancel a job; results after this record are void."""
-    return _make(CANCELLED, job=job, by=by)
+def make_cancelled(job, by, at=0.0, client=""):
+    """Cancel a job; results after this record are void.
+
+    Args:
+        job: Id of the job.
+        by: Who asks for it.
+        at: When, in epoch seconds.
+        client: Address that it was asked from.
+    """
+    return _make(CANCELLED, job=job, by=by, at=at, client=client)
 
 
 def make_results(epoch, results):
--- a/pimentowick/configuration/change.py
+++ b/pimentowick/configuration/change.py
@@ -11,16 +11,17 @@
 HASH_SHOWN = 8
 
 
-def make_change(kind, name, amends, by, body, at):
+def make_change(kind, name, amends, by, body, at, client=""):
     """Build the record that asks for a change of a document.
 
     Args:
-        kind: "template", "workspace" or "fleet".
+        kind: "template", "workspace", "fleet" or "order".
         name: Name of the document.
         amends: Version that the change was made from, 0 for a new document.
         by: Name of the operator.
         body: New body of the document.
         at: Time of the change in seconds since the epoch.
+        client: Address that the change was asked from, if known.
 
     Returns:
         The record, with a random id by which its outcome can be found.
@@ -37,6 +38,7 @@
         "by": by,
         "at": at,
         "body": body,
+        "client": client,
     }
 
 
--- a/pimentowick/configuration/document.py
+++ b/pimentowick/configuration/document.py
@@ -18,6 +18,7 @@
     "Fleet",
     "FleetBody",
     "OperatorBody",
+    "OrderBody",
     "WorkspaceBody",
     "make_entries",
     "parse_envelope",
@@ -25,6 +26,8 @@
 ]
 
 KINDS = ("template", "workspace", "fleet")
+ORDER = "order"
+"""Type of a record that is kept for the audit trail and changes no document."""
 FLEET_NAME = "fleet"
 # The field of the same name hides the module within the class.
 EntryBody = tokens.EntryBody
@@ -70,6 +73,7 @@
         accepted: Whether the record took effect.
         reason: Why not; empty if accepted.
         id: Id of the record; empty if unreadable.
+        client: Address that the change was asked from; empty if unknown.
     """
 
     offset: int
@@ -82,6 +86,7 @@
     accepted: bool
     reason: str
     id: str
+    client: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,12 +106,19 @@
     """Border model of a record."""
 
     id: str = pydantic.Field(pattern=r"^[0-9a-f]{8,64}$")
-    type: typing.Literal["template", "workspace", "fleet"]
+    type: typing.Literal["template", "workspace", "fleet", "order"]
     name: str = pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
     amends: int = pydantic.Field(ge=0)
     by: str = pydantic.Field(min_length=1, max_length=100)
     at: float = pydantic.Field(ge=0, le=border.INTEGER_LIMIT)
     body: dict[str, typing.Any]
+    client: str = pydantic.Field(default="", max_length=100)
+
+
+class OrderBody(border.Model):
+    """Border model of the body of an order to a host."""
+
+    action: typing.Literal["drain"]
 
 
 class WorkspaceBody(border.Model):
--- a/pimentowick/configuration/fold.py
+++ b/pimentowick/configuration/fold.py
@@ -164,6 +164,9 @@
             raise exception.ValidationError("offset 0 can't be a version")
         current = self.get_document(new.kind, new.name)
         _check_amends(current, amends)
+        if new.kind == document.ORDER:
+            border.validate(document.OrderBody, new.body)
+            return
         self._put(new)
         self.version = offset
         if current is not None:
@@ -254,6 +257,7 @@
             accepted=not reason,
             reason=reason,
             id=_get_text(record, "id"),
+            client=_get_text(record, "client"),
         )
 
     def _append_note(self, entry):
--- a/pimentowick/daemon.py
+++ b/pimentowick/daemon.py
@@ -21,7 +21,8 @@
 
     Args:
         model: Class of its settings.
-        make: Function that makes the daemon from its settings.
+        make: Function that makes the daemon from its settings. What its attribute
+            `stop_orders`, a queue, gets counts as a signal.
         arguments: Command line without the program: the path of the settings file.
     """
     if len(arguments) != 1:
@@ -37,7 +38,7 @@
 
 
 async def _serve(daemon):
-    signals = asyncio.Queue()
+    signals = daemon.stop_orders
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
--- a/pimentowick/entry/configuration.py
+++ b/pimentowick/entry/configuration.py
@@ -7,16 +7,15 @@
 
 from pimentowick import exception, verdict
 from pimentowick import web as http_web
-from pimentowick.configuration import change, document
+from pimentowick.configuration import change
 from pimentowick.entry import handler
 
-__all__ = ["AuditHandler", "DocumentHandler", "StatusHandler", "VersionHandler"]
+__all__ = ["DocumentHandler", "StatusHandler", "VersionHandler"]
 
 CONFIGURATION_STREAM = "configuration"
 IN_FORCE_POLL_S = 0.1
 IN_FORCE_TIMEOUT_S = 5.0
 PEER_TIMEOUT_S = 1.0
-AUDIT_LIMIT = 200
 
 
 class _Change(pydantic.BaseModel):
@@ -50,7 +49,13 @@
         """Publish a change, and answer what became of it."""
         asked = handler.validate(_Change, self.read_json())
         record = change.make_change(
-            kind, name, asked.amends, self.operator.name, asked.body, time.time()
+            kind,
+            name,
+            asked.amends,
+            self.operator.name,
+            asked.body,
+            time.time(),
+            self.get_client(),
         )
         note = await self._append(record)
         if not note.accepted:
@@ -90,46 +95,53 @@
 
 
 class VersionHandler(handler.EntryHandler):
-    """``GET /peer/version``: the version in force at this entry."""
+    """``GET /peer/version``: the version in force at this entry, and its state."""
 
     def get(self):
         """Answer with the version."""
-        self.write_json({"version": self.entry.configuration.version})
+        self.write_json(describe_entry(self.entry))
 
 
-class AuditHandler(handler.OperatorHandler):
-    """``GET /v1/admin/audit``: what became of each change."""
+class StatusHandler(handler.OperatorHandler):
+    """``GET /v1/admin/status``: the fleet as this entry sees it."""
+
+    async def get(self):
+        """Answer with agents, shards, and what each entry says of itself."""
+        status = self.entry.describe()
+        hosts = list(self.entry.fleet.entries.values())
+        reports = await asyncio.gather(*(_read_report(self.entry, h) for h in hosts))
+        for host, report in zip(hosts, reports, strict=True):
+            if host.name in status["entries"]:
+                status["entries"][host.name].update(report)
+        self.write_json(status)
 
-    def get(self):
-        """Answer with the newest entries that fit the query."""
-        name = self.get_query_argument("name", None)
-        by = self.get_query_argument("by", None)
-        since = float(self.get_query_argument("since", "0"))
-        entries = [
-            entry
-            for entry in self.entry.configuration.audit
-            if name in (None, entry.name)
-            and by in (None, entry.by)
-            and entry.at >= since
-        ]
-        self.write_json(
-            {"audit": [_describe_entry(entry) for entry in entries[-AUDIT_LIMIT:]]}
-        )
 
+def describe_entry(entry):
+    """Return the version in force at an entry, its state, and how old its copy is.
 
-def _describe_entry(entry):
+    `lag_s` is the age of the last read that reached the head of the configuration
+    stream, in seconds; None before the first.
+    """
+    fresh_at = entry.configuration_replica.fresh_at
+    lag_s = None if fresh_at is None else round(time.monotonic() - fresh_at, 3)
     return {
-        field: getattr(entry, field)
-        for field in document.AuditEntry.__dataclass_fields__
+        "version": entry.configuration.version,
+        "state": entry.state,
+        "lag_s": lag_s,
     }
 
 
-class StatusHandler(handler.OperatorHandler):
-    """``GET /v1/admin/status``: the fleet as this entry sees it."""
-
-    def get(self):
-        """Answer with agents, shards and versions."""
-        self.write_json(self.entry.describe())
+async def _read_report(entry, host):
+    """Return what an entry says of itself; only a state if it does not answer."""
+    if host.name == entry.settings.name:
+        return describe_entry(entry)
+    try:
+        answer = await entry.client.fetch(
+            "GET", host.address, "/peer/version", timeout_s=PEER_TIMEOUT_S
+        )
+        return answer.decode()
+    except exception.PimentowickError:
+        return {"state": "silent", "version": None, "lag_s": None}
 
 
 async def count_in_force(entry, version, wait):
@@ -151,12 +163,5 @@
 
 
 async def _has_version(entry, host, version):
-    if host.name == entry.settings.name:
-        return entry.configuration.version >= version
-    try:
-        answer = await entry.client.fetch(
-            "GET", host.address, "/peer/version", timeout_s=PEER_TIMEOUT_S
-        )
-        return answer.decode()["version"] >= version
-    except (exception.PimentowickError, KeyError):
-        return False
+    report = await _read_report(entry, host)
+    return report["version"] is not None and report["version"] >= version
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -13,7 +13,7 @@
 from pimentowick.batch import dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
-from pimentowick.entry import configuration, job, online, service
+from pimentowick.entry import audit, configuration, job, online, order, service
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
@@ -39,6 +39,7 @@
         owner: Name of this process as an owner: the host's, and what tells this
             process from earlier ones there.
         state: ``starting``, ``ready`` or ``draining``.
+        stop_orders: Whatever is put here makes the process drain and end.
         configuration: The `pimentowick.configuration.fold.ConfigurationFold`.
     """
 
@@ -46,6 +47,7 @@
         self.settings = settings
         self.owner = f"{settings.name}#{secrets.token_hex(4)}"
         self.state = STARTING
+        self.stop_orders = asyncio.Queue()
         self.metrics = process_metrics.EntryMetrics()
         self.limits = limits.ConcurrencyLimits(settings.max_online)
         # One pool for each class of traffic: none waits for another one's sockets.
@@ -131,7 +133,9 @@
                 (job_path, job.JobHandler, shared),
                 (f"{job_path}/results", job.ResultsHandler, shared),
                 (f"{job_path}/cancel", job.CancelHandler, shared),
-                ("/v1/admin/audit", configuration.AuditHandler, shared),
+                ("/v1/audit", audit.CallerAuditHandler, shared),
+                ("/v1/admin/audit", audit.AuditHandler, shared),
+                ("/v1/admin/drain", order.DrainHandler, shared),
                 ("/v1/admin/status", configuration.StatusHandler, shared),
                 (
                     "/v1/admin/(template|workspace|fleet)/([^/]+)",
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -7,10 +7,12 @@
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
 from pimentowick import web as http_web
+from pimentowick.configuration import tokens
 
 __all__ = ["CallerHandler", "OperatorHandler", "forward"]
 
 FORWARDED = "X-Pimentowick-Forwarded"
+CLIENT = "X-Forwarded-For"
 FORWARD_TIMEOUT_S = 60.0
 FORWARD_HEADERS = ("Authorization", "Idempotency-Key", "Content-Type", "X-Deadline")
 
@@ -32,6 +34,22 @@
         scheme, _, text = self.request.headers.get("Authorization", "").partition(" ")
         return text.strip() if scheme.lower() == "bearer" else None
 
+    def get_client(self):
+        """Return the address that the request came from.
+
+        The header X-Forwarded-For counts only if it comes from the platform's
+        balancer or from another entry: anybody else could put into the audit trail
+        what he likes.
+        """
+        address = self.request.remote_ip
+        text = self.request.headers.get(CLIENT, "").rpartition(",")[2].strip()
+        return text if text and self._is_proxy(address) else address
+
+    def _is_proxy(self, address):
+        entries = self.entry.fleet.entries.values()
+        peers = {host.address.rpartition(":")[0] for host in entries}
+        return address in peers or address in self.entry.settings.trusted_proxies
+
     def check_ready(self):
         """Refuse while no configuration is known.
 
@@ -68,6 +86,11 @@
                 verdict.Refusal(403, "stopped", "This workspace is stopped.")
             )
 
+    def get_caller(self):
+        """Return the workspace and the public part of the caller's token."""
+        token_id = self.get_token().partition(tokens.SEPARATOR)[0]
+        return f"{self.workspace.name}/{token_id}"
+
 
 class OperatorHandler(EntryHandler):
     """Handles requests of operators.
@@ -135,6 +158,7 @@
         if name.lower().startswith("x-idempotent"):
             headers[name] = request.headers[name]
     headers[FORWARDED] = handler.entry.settings.name
+    headers[CLIENT] = handler.get_client()
     body = request.body if request.method in ("POST", "PUT", "PATCH") else None
     return await handler.entry.client.fetch(
         request.method,
--- a/pimentowick/entry/job.py
+++ b/pimentowick/entry/job.py
@@ -220,8 +220,9 @@
         self.write_json(describe_job(job))
 
     async def _cancel(self, shard, job):
-        by = f"{self.workspace.name}/{self.request_id}"
-        cancelled = batch_record.make_cancelled(job.id, by)
+        cancelled = batch_record.make_cancelled(
+            job.id, self.get_caller(), time.time(), self.get_client()
+        )
         try:
             await shard.replica.append([cancelled], self.entry.settings.append_s)
         except exception.LogError as error:
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -94,6 +94,9 @@
     operators: list[OperatorSettings] = pydantic.Field(
         [], description="Operators besides those of the configuration."
     )
+    trusted_proxies: list[str] = pydantic.Field(
+        [], description="IP numbers of balancers whose X-Forwarded-For is believed."
+    )
     shards: int = pydantic.Field(
         8, ge=1, le=4096, description="Number of shards; the same on every entry."
     )
