--- a/pimentowick/cli/__init__.py
+++ b/pimentowick/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command line."""
+"""The command line of operators and callers."""
--- /dev/null
+++ b/pimentowick/cli/application.py
@@ -0,0 +1,85 @@
+"""The command line ``pimentowick``: all commands in one application."""
+
+import sys
+
+import cleo.application
+from cleo import exceptions
+
+from pimentowick.cli import (
+    amend,
+    audit,
+    diff,
+    fleet_status,
+    history,
+    host_drain,
+    job_cancel,
+    job_fetch,
+    job_show,
+    job_submit,
+    job_watch,
+    outcome,
+    publish,
+    settings_check,
+    settings_reference,
+    show,
+    template_check,
+    token_make,
+    token_retire,
+    token_rotate,
+    workspace_resume,
+    workspace_stop,
+)
+
+__all__ = ["make_application", "run"]
+
+COMMANDS = (
+    amend.Amend,
+    audit.Audit,
+    diff.Diff,
+    fleet_status.FleetStatus,
+    history.History,
+    host_drain.HostDrain,
+    job_cancel.JobCancel,
+    job_fetch.JobFetch,
+    job_show.JobShow,
+    job_submit.JobSubmit,
+    job_watch.JobWatch,
+    publish.Publish,
+    settings_check.SettingsCheck,
+    settings_reference.SettingsReference,
+    show.Show,
+    template_check.TemplateCheck,
+    token_make.TokenMake,
+    token_retire.TokenRetire,
+    token_rotate.TokenRotate,
+    workspace_resume.WorkspaceResume,
+    workspace_stop.WorkspaceStop,
+)
+
+
+def make_application():
+    """Return the application with all commands."""
+    made = cleo.application.Application("pimentowick")
+    made.auto_exits(False)
+    made.catch_exceptions(False)
+    for command in COMMANDS:
+        made.add(command())
+    return made
+
+
+def run_command(*streams):
+    """Run one command and return its exit code.
+
+    Args:
+        *streams: Input, output and error output; those of the process by default.
+    """
+    try:
+        return make_application().run(*streams)
+    except exceptions.CleoError as error:
+        print(f"usage: {error} See pimentowick help.", file=sys.stderr)
+        return int(outcome.ExitCode.USAGE)
+
+
+def run():
+    """Run the command of the process's command line."""
+    sys.exit(run_command())
