--- /dev/null
+++ b/pimentowick/tests/pages.py
@@ -0,0 +1,56 @@
+"""Runs the commands of a page as they are written."""
+
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SHELL_BLOCK = re.compile(r"^```sh\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+PYTHON_BLOCK = re.compile(r"^```python\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+TIMEOUT_S = 180
+# What a failed page leaves running is ended by the ids that the shell knows.
+HEAD = """set -Eeuo pipefail
+trap 'echo "Failed: $BASH_COMMAND"' ERR
+trap 'for id in $(jobs -p); do kill "$id"; done; wait' EXIT
+"""
+
+
+def read_page(name):
+    return (ROOT / "docs" / name).read_text(encoding="utf-8")
+
+
+def run_page(name, directory, **environment):
+    """Run all shell blocks of a page in one shell, and return its output."""
+    blocks = SHELL_BLOCK.findall(read_page(name))
+    assert blocks
+    script = directory / "page.sh"
+    script.write_text(HEAD + "\n".join(blocks), encoding="utf-8")
+    known = {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith("PIMENTOWICK_")
+    }
+    known["PATH"] = os.pathsep.join(
+        [str(pathlib.Path(sys.executable).parent), known["PATH"]]
+    )
+    known["PYTHONPATH"] = str(ROOT)
+    known["TMPDIR"] = str(directory)
+    process = subprocess.Popen(
+        ["bash", str(script)],
+        cwd=ROOT,
+        env={**known, **environment},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    )
+    try:
+        output, _ = process.communicate(timeout=TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        os.killpg(process.pid, signal.SIGTERM)
+        output, _ = process.communicate()
+    assert process.returncode == 0, output
+    return output
