--- a/pimentowick/cli/base.py
+++ b/pimentowick/cli/base.py
@@ -20,6 +20,7 @@
     "Command",
     "FleetCommand",
     "OfflineCommand",
+    "choose_path",
     "fail_usage",
     "get_argument",
     "get_option",
@@ -78,6 +79,11 @@
     return helpers.option(name, None, description, flag=flag, **fields)
 
 
+def choose_path(command, path):
+    """Return a path below ``/v1``, or ``/v1/admin`` with ``--operator``."""
+    return f"/v1/admin{path}" if command.option("operator") else f"/v1{path}"
+
+
 def read_mapping(path):
     """Return the mapping in a YAML or JSON file; ``-`` is standard input.
 
@@ -158,6 +164,7 @@
 
 
 JSON_OPTION = get_option("json", "Print one JSON object.", flag=True)
+OPERATOR_OPTION = get_option("operator", "The token is an operator's.", flag=True)
 YES_OPTION = get_option("yes", "Don't ask.", flag=True)
 
 
--- a/pimentowick/cli/job_cancel.py
+++ b/pimentowick/cli/job_cancel.py
@@ -10,10 +10,14 @@
 
     name = "job cancel"
     description = "Stop a job; results that it has stay readable."
-    examples = ("pimentowick job cancel batch_1f0c6a1be2d94c0712345678",)
+    examples = (
+        "pimentowick job cancel batch_1f0c6a1be2d94c0712345678",
+        "pimentowick job cancel batch_1f0c6a1be2d94c0712345678 --operator",
+    )
     arguments = [jobs.JOB_ARGUMENT]
+    _own_options = (base.OPERATOR_OPTION,)
 
     async def run_on(self, link):
         """Cancel, and print the job."""
-        path = f"/v1/batches/{self.argument('job')}/cancel"
+        path = base.choose_path(self, f"/batches/{self.argument('job')}/cancel")
         jobs.show_job(self, base.unwrap(await link.fetch_json("POST", path, {})))
--- a/pimentowick/cli/tests/test_commands.py
+++ b/pimentowick/cli/tests/test_commands.py
@@ -122,6 +122,29 @@
     run(tmp_path, check)
 
 
+def test_operators_list_and_cancel_jobs_of_any_workspace(tmp_path):
+    async def check(fleet, shell):
+        lines = shell.write("job.jsonl", embedded.make_job_lines(200, 100).decode())
+        jobs = {}
+        for who in ("a", "b"):
+            submit = ("job", "submit", lines, "--key", "k")
+            jobs[who] = (await shell.run(*submit, who=who))["id"]
+        own = (await shell.run("job", "list", who="a"))["data"]
+        assert [job["id"] for job in own] == [jobs["a"]]
+        everything = await shell.run("job", "list", "--operator")
+        assert {job["id"] for job in everything["data"]} == set(jobs.values())
+        assert everything["missing_shards"] == []
+        cancel = ("job", "cancel", jobs["b"], "--operator")
+        await shell.run(*cancel, who="a", code=ExitCode.REFUSED)
+        assert (await shell.run(*cancel))["status"] == "cancelled"
+        (note,) = (await shell.run("audit", "--workspace", "b", "--by", "test"))[
+            "audit"
+        ][-1:]
+        assert (note["kind"], note["name"]) == ("cancel", jobs["b"])
+
+    run(tmp_path, check, entries=4, entry_settings={"followers": 1, "shards": 8})
+
+
 async def check_trail(shell, job_id):
     (note,) = (await shell.run("audit", "--kind", "cancel"))["audit"]
     assert (note["name"], note["workspace"]) == (job_id, "a")
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -13,7 +13,7 @@
 from pimentowick.batch import dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
-from pimentowick.entry import audit, configuration, job, online, order, service
+from pimentowick.entry import audit, configuration, job, listing, online, order, service
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
@@ -129,13 +129,19 @@
                 ("/v1/completions", online.TextHandler, shared),
                 ("/v1/models", online.ModelsHandler, shared),
                 ("/v1/services/([^/]+)/(.*)", service.ServiceHandler, shared),
-                ("/v1/batches", job.JobsHandler, shared),
+                ("/v1/batches", listing.CallerJobsHandler, shared),
                 (job_path, job.JobHandler, shared),
                 (f"{job_path}/results", job.ResultsHandler, shared),
                 (f"{job_path}/cancel", job.CancelHandler, shared),
                 ("/v1/audit", audit.CallerAuditHandler, shared),
                 ("/v1/admin/audit", audit.AuditHandler, shared),
                 ("/v1/admin/drain", order.DrainHandler, shared),
+                ("/v1/admin/batches", listing.OperatorJobsHandler, shared),
+                (
+                    "/v1/admin/batches/(batch_[0-9a-f]+)/cancel",
+                    order.CancelHandler,
+                    shared,
+                ),
                 ("/v1/admin/status", configuration.StatusHandler, shared),
                 (
                     "/v1/admin/(template|workspace|fleet)/([^/]+)",
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -1,5 +1,6 @@
 """What the handlers of callers and operators have in common."""
 
+import asyncio
 import secrets
 
 import pydantic
@@ -14,6 +15,7 @@
 FORWARDED = "X-Pimentowick-Forwarded"
 CLIENT = "X-Forwarded-For"
 FORWARD_TIMEOUT_S = 60.0
+ASK_TIMEOUT_S = 3.0
 FORWARD_HEADERS = ("Authorization", "Idempotency-Key", "Content-Type", "X-Deadline")
 
 
@@ -50,6 +52,29 @@
         peers = {host.address.rpartition(":")[0] for host in entries}
         return address in peers or address in self.entry.settings.trusted_proxies
 
+    async def ask_entries(self, path):
+        """Ask all other entries the same, with the token of this request.
+
+        Returns:
+            The decoded answers of those that answered 200.
+        """
+        name = self.entry.settings.name
+        hosts = [
+            host for host in self.entry.fleet.entries.values() if host.name != name
+        ]
+        answers = await asyncio.gather(*(self._ask_entry(host, path) for host in hosts))
+        return [answer for answer in answers if answer is not None]
+
+    async def _ask_entry(self, host, path):
+        headers = {"Authorization": self.request.headers.get("Authorization", "")}
+        try:
+            answer = await self.entry.client.fetch(
+                "GET", host.address, path, headers=headers, timeout_s=ASK_TIMEOUT_S
+            )
+            return answer.decode() if answer.status == 200 else None
+        except exception.PimentowickError:
+            return None
+
     def check_ready(self):
         """Refuse while no configuration is known.
 
--- a/pimentowick/entry/order.py
+++ b/pimentowick/entry/order.py
@@ -1,4 +1,4 @@
-"""Orders of operators to hosts: drain.
+"""Orders of operators: drain a host, cancel a job of any workspace.
 
 A drained host takes no new work, finishes what runs and ends its process, as after
 SIGTERM. Whether it starts again is up to the platform that runs the process.
@@ -12,9 +12,9 @@
 from pimentowick import exception, verdict
 from pimentowick import web as http_web
 from pimentowick.configuration import change, document
-from pimentowick.entry import handler
+from pimentowick.entry import handler, job
 
-__all__ = ["DrainHandler"]
+__all__ = ["CancelHandler", "DrainHandler"]
 
 DRAIN = "drain"
 ORDER_TIMEOUT_S = 5.0
@@ -126,3 +126,26 @@
                     f"{host.name} refused the order with status {answer.status}.",
                 )
             )
+
+
+class CancelHandler(job.CancelHandler):
+    """``POST /v1/admin/batches/{id}/cancel``: stop a job of any workspace."""
+
+    def prepare(self):
+        """Find the operator that the token names."""
+        handler.OperatorHandler.prepare(self)
+
+    def get_caller(self):
+        """Return the name of the operator."""
+        return self.operator.name
+
+    def get_job(self, shard, job_id):
+        """Return the job, whatever its workspace.
+
+        Raises:
+            RefusedError: There is none.
+        """
+        found = shard.ledger.jobs.get(job_id)
+        if found is None:
+            raise http_web.refuse_input("There is no such job.", "unknown_job", 404)
+        return found
