--- a/pimentowick/tests/pages.py
+++ b/pimentowick/tests/pages.py
@@ -22,6 +22,13 @@
     return (ROOT / "docs" / name).read_text(encoding="utf-8")
 
 
+def read_python(name):
+    """Return the Python blocks of a page."""
+    blocks = PYTHON_BLOCK.findall(read_page(name))
+    assert blocks
+    return blocks
+
+
 def run_page(name, directory, **environment):
     """Run all shell blocks of a page in one shell, and return its output."""
     blocks = SHELL_BLOCK.findall(read_page(name))
--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -1,10 +1,20 @@
 """The pages of docs/: their commands run, and they leave nothing out."""
 
+import ast
+import asyncio
+import re
+
 import pytest
 
 from pimentowick import settings
+from pimentowick.entry import daemon
+from pimentowick.fakes import deployment
 from pimentowick.tests import pages
 
+# Neither is part of what a fleet answers with.
+OTHER_PARTS = {"cli", "fakes", "load", "tests"}
+CODE_ROW = re.compile(r"^\| `([a-z_]+)` \| (\d+|in results) \|", re.MULTILINE)
+
 
 def test_commands_of_the_operators_page_run_as_written(tmp_path):
     output = pages.run_page("OPERATIONS.md", tmp_path)
@@ -22,3 +32,82 @@
     path = pages.ROOT / "deployments" / f"{name}-{role.lower()}.example.yaml"
     model = getattr(settings, f"{role}Settings")
     assert settings.load_settings(model, path).name
+
+
+def test_examples_of_the_api_page_run_as_written(tmp_path, monkeypatch):
+    asyncio.run(run_api_page(tmp_path, monkeypatch))
+
+
+async def run_api_page(directory, monkeypatch):
+    topology = deployment.load_topology(pages.ROOT / "deployments" / "bajio.yaml")
+    topology["entries"] = 2
+    topology["targets"][0]["replicas"] = 2
+    topology["targets"][1]["replicas"] = 2
+    fleet = deployment.Deployment(topology)
+    try:
+        await fleet.start()
+        await fleet.publish()
+        environment = {
+            "ENTRY": fleet.entries[0].address,
+            "TOKEN": fleet.workspace_tokens["feria-norte"],
+            "OPERATOR": fleet.operator_token,
+        }
+        output = await asyncio.to_thread(
+            pages.run_page, "API.md", directory, **environment
+        )
+        assert "data: [DONE]" in output
+        for name, value in environment.items():
+            monkeypatch.setenv(name, value)
+        for block in pages.read_python("API.md"):
+            await asyncio.to_thread(exec, block, {})
+    finally:
+        await fleet.close()
+
+
+def test_api_page_names_every_path():
+    page = pages.read_page("API.md")
+    path = pages.ROOT / "deployments" / "bajio-entry.example.yaml"
+    entry = daemon.Entry(settings.load_settings(settings.EntrySettings, path))
+    rules = entry._make_application().wildcard_router.rules
+    patterns = [rule.matcher.regex.pattern.rstrip("$") for rule in rules]
+    assert len(patterns) > 10
+    for pattern in patterns:
+        pattern = pattern.replace("(template|workspace|fleet)", "{kind}")
+        parts = re.split(r"\([^)]*\)", pattern)
+        written = r"\{[a-z]+\}".join(re.escape(part) for part in parts)
+        assert re.search(f"`{written}`", page), pattern
+
+
+def test_api_page_names_every_error_with_its_status():
+    rows = set(CODE_ROW.findall(pages.read_page("API.md")))
+    found = {}
+    for path in (pages.ROOT / "pimentowick").rglob("*.py"):
+        if OTHER_PARTS.isdisjoint(path.relative_to(pages.ROOT).parts):
+            found.update(find_codes(ast.parse(path.read_text(encoding="utf-8"))))
+    assert len(found) > 30
+    for code, status in found.items():
+        assert (code, status) in rows
+    text = "".join(
+        path.read_text(encoding="utf-8")
+        for path in (pages.ROOT / "pimentowick").rglob("*.py")
+        if "tests" not in path.parts
+    )
+    for code, _ in rows - set(found.items()):
+        # Those whose kind is filled in, such as unknown_model.
+        assert f'"{code}"' in text or 'f"unknown_{kind}"' in text
+
+
+def find_codes(tree):
+    """Return status by code of the refusals that a module writes out."""
+    found = {}
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Call):
+            continue
+        name = getattr(node.func, "attr", getattr(node.func, "id", ""))
+        values = [getattr(each, "value", None) for each in node.args]
+        if name == "Refusal" and len(values) > 1 and isinstance(values[1], str):
+            if values[0] is not None:
+                found[values[1]] = str(values[0])
+        elif name == "refuse_input" and len(values) > 1:
+            found[values[1]] = str(values[2] if len(values) > 2 else 400)
+    return found
