--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -12,7 +12,7 @@
 from tornado import iostream, web
 
 from pimentowick import client as http_client
-from pimentowick import exception, supervisor, verdict
+from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
 from pimentowick.agent import work as agent_work
@@ -70,7 +70,10 @@
         self.target = self._make_target()
         self._supervisor = supervisor.Supervisor("agent")
         self._server = http_web.Server(
-            self._make_application(), settings.address, settings.port
+            self._make_application(),
+            settings.address,
+            settings.port,
+            ssl_context=tls.make_agent_context(settings.tls),
         )
 
     @property
--- a/pimentowick/cli/base.py
+++ b/pimentowick/cli/base.py
@@ -13,7 +13,7 @@
 from cleo.io.outputs import output
 from returns import result
 
-from pimentowick import exception
+from pimentowick import exception, tls
 from pimentowick.cli import connection, outcome
 
 __all__ = [
@@ -30,6 +30,7 @@
 
 ENTRIES_VARIABLE = "PIMENTOWICK_ENTRIES"
 TOKEN_VARIABLE = "PIMENTOWICK_TOKEN"
+AUTHORITY_VARIABLE = "PIMENTOWICK_AUTHORITY"
 EXIT_CODES = """
 <b>EXIT CODES</b>
   0  done
@@ -194,6 +195,11 @@
             "token-file",
             f"File that holds the token. Default: the token in ${TOKEN_VARIABLE}.",
         ),
+        get_option(
+            "authority",
+            "PEM file of the authority that signs the entries' certificates. Default:"
+            f" ${AUTHORITY_VARIABLE}; without one, plain HTTP.",
+        ),
         JSON_OPTION,
     )
 
@@ -206,7 +212,9 @@
         return asyncio.run(self._run_connected())
 
     async def _run_connected(self):
-        link = connection.Connection(self._read_entries(), self._read_token())
+        link = connection.Connection(
+            self._read_entries(), self._read_token(), self._read_tls()
+        )
         await link.start()
         try:
             return await self.run_on(link)
@@ -228,6 +236,13 @@
                 fail_usage(f"--entry {entry}: Expected IP:port.")
         return entries
 
+    def _read_tls(self):
+        path = self.option("authority") or os.environ.get(AUTHORITY_VARIABLE)
+        try:
+            return tls.ClientTls(path) if path else None
+        except exception.SettingsError as error:
+            fail_usage(str(error))
+
     def _read_token(self):
         path = self.option("token-file")
         if path is None:
--- a/pimentowick/cli/settings_check.py
+++ b/pimentowick/cli/settings_check.py
@@ -1,6 +1,6 @@
 """``pimentowick settings check``: a settings file, without a fleet."""
 
-from pimentowick import exception, settings
+from pimentowick import exception, settings, tls
 from pimentowick.cli import base
 
 __all__ = ["SettingsCheck"]
@@ -28,6 +28,7 @@
             base.fail_usage(f"{self.argument('role')}: Expected entry or agent.")
         try:
             found = settings.load_settings(model, self.argument("file"))
+            tls.make_client_tls(found.tls)
         except exception.SettingsError as error:
             base.fail_usage(str(error))
         self.show({"name": found.name}, f"{self.argument('file')} is fine.")
--- a/pimentowick/daemon.py
+++ b/pimentowick/daemon.py
@@ -30,11 +30,12 @@
         sys.exit(EXIT_SETTINGS)
     try:
         settings = process_settings.load_settings(model, arguments[0])
+        daemon = make(settings)
     except exception.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     logs.configure_logs(settings.log_level, settings.log_json)
-    asyncio.run(_serve(make(settings)))
+    asyncio.run(_serve(daemon))
 
 
 async def _serve(daemon):
--- a/pimentowick/entry/configuration.py
+++ b/pimentowick/entry/configuration.py
@@ -94,7 +94,7 @@
     return verdict.Refusal(400, "rejected", f"{note.reason}. Mend the change.")
 
 
-class VersionHandler(handler.EntryHandler):
+class VersionHandler(handler.PeerHandler):
     """``GET /peer/version``: the version in force at this entry, and its state."""
 
     def get(self):
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -8,6 +8,7 @@
 
 from pimentowick import client as http_client
 from pimentowick import metrics as process_metrics
+from pimentowick import tls
 from pimentowick import web as http_web
 from pimentowick.batch import call as batch_call
 from pimentowick.batch import dispatch, ownership, shard, writer
@@ -25,6 +26,8 @@
 READY = "ready"
 DRAINING = "draining"
 CONTROL_CONNECTIONS = 64
+# One long read for each shard that may be followed, and the appends.
+PLATFORM_CONNECTIONS = 256
 DRAIN_CHECK_S = 0.05
 OPENING = "opening"
 
@@ -51,9 +54,13 @@
         self.metrics = process_metrics.EntryMetrics()
         self.limits = limits.ConcurrencyLimits(settings.max_online)
         # One pool for each class of traffic: none waits for another one's sockets.
-        self.client = http_client.Client(CONTROL_CONNECTIONS)
-        self._online_client = http_client.Client(settings.max_online)
-        self._batch_client = http_client.Client(settings.max_batch)
+        peers = tls.make_client_tls(settings.tls)
+        self.client = http_client.Client(CONTROL_CONNECTIONS, peers)
+        self._online_client = http_client.Client(settings.max_online, peers)
+        self._batch_client = http_client.Client(settings.max_batch, peers)
+        self._platform_client = http_client.Client(
+            PLATFORM_CONNECTIONS, tls.make_client_tls(settings.platform.tls)
+        )
         log, hosts = self._make_platform()
         self.configuration = configuration_fold.ConfigurationFold()
         self.configuration_replica = replica.Replica(
@@ -79,6 +86,7 @@
             settings.address,
             settings.port,
             settings.max_body_bytes,
+            tls.make_entry_context(settings.tls),
         )
 
     @property
@@ -90,8 +98,8 @@
         platform = self.settings.platform
         make_log = adapter.find_adapter("log", platform.log_adapter)
         make_hosts = adapter.find_adapter("hosts", platform.hosts_adapter)
-        log = make_log(platform.log, self.client)
-        return log, make_hosts(platform.hosts, self.client)
+        log = make_log(platform.log, self._platform_client)
+        return log, make_hosts(platform.hosts, self._platform_client)
 
     def _is_fresh(self):
         return self.dispatcher.is_fresh()
@@ -160,7 +168,12 @@
 
     async def start(self):
         """Listen, and begin to follow the platform."""
-        for part in (self.client, self._online_client, self._batch_client):
+        for part in (
+            self._platform_client,
+            self.client,
+            self._online_client,
+            self._batch_client,
+        ):
             await part.start()
         await self.configuration_replica.start()
         await self.fleet.start()
@@ -203,6 +216,7 @@
             self._batch_client,
             self._online_client,
             self.client,
+            self._platform_client,
         ):
             await part.close()
         logger.info("entry: {} is closed.", self.settings.name)
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -10,7 +10,7 @@
 from pimentowick import web as http_web
 from pimentowick.configuration import tokens
 
-__all__ = ["CallerHandler", "OperatorHandler", "forward"]
+__all__ = ["CallerHandler", "OperatorHandler", "PeerHandler", "forward"]
 
 FORWARDED = "X-Pimentowick-Forwarded"
 CLIENT = "X-Forwarded-For"
@@ -48,9 +48,22 @@
         return text if text and self._is_proxy(address) else address
 
     def _is_proxy(self, address):
+        if address in self.entry.settings.trusted_proxies:
+            return True
+        if self.entry.settings.tls is not None:
+            return self.is_peer()
         entries = self.entry.fleet.entries.values()
-        peers = {host.address.rpartition(":")[0] for host in entries}
-        return address in peers or address in self.entry.settings.trusted_proxies
+        return address in {host.address.rpartition(":")[0] for host in entries}
+
+    def is_peer(self):
+        """Return whether a process of the system asks, as far as that is checked.
+
+        Without encryption nothing tells peers from callers here; then the network
+        has to.
+        """
+        if self.entry.settings.tls is None:
+            return True
+        return bool(self.request.get_ssl_certificate())
 
     async def ask_entries(self, path):
         """Ask all other entries the same, with the token of this request.
@@ -92,6 +105,19 @@
             )
 
 
+class PeerHandler(EntryHandler):
+    """Handles requests of other processes of the system."""
+
+    def prepare(self):
+        """Refuse whoever shows no certificate of the authority."""
+        if not self.is_peer():
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    403, "no_certificate", "This path is for the system's own."
+                )
+            )
+
+
 class CallerHandler(EntryHandler):
     """Handles requests of a workspace.
 
--- a/pimentowick/entry/job.py
+++ b/pimentowick/entry/job.py
@@ -267,7 +267,7 @@
         return answer.status == 200
 
 
-class StopHandler(handler.EntryHandler):
+class StopHandler(handler.PeerHandler):
     """``POST /peer/stop-job``: another entry cancelled a job that runs here."""
 
     async def post(self):
--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -71,6 +71,7 @@
         agents: Agents by name; `agent-lm-0`, `agent-desk-0` and so on.
         targets: Stand-in engines and services by name; `lm-0`, `desk-0` and so on.
         tokens: Token of each workspace, `a` and `b`.
+        caller_client: Client that `fetch` uses.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.targets = {}
         self.tokens = {}
         self.client = http_client.Client(256)
+        self.caller_client = self.client
         self.operator_token, self._operator = tokens.make_token("test")
         self._counts = (entries, engines, services)
         self._entry_settings = {**ENTRY_SETTINGS, **(entry_settings or {})}
@@ -231,7 +233,9 @@
         headers = dict(headers or {})
         headers["Authorization"] = f"Bearer {token or self.tokens.get('a')}"
         address = self.entries[name].address
-        return await self.client.fetch(method, address, path, body, headers, **fields)
+        return await self.caller_client.fetch(
+            method, address, path, body, headers, **fields
+        )
 
     async def chat(self, content, max_tokens=8, **fields):
         """Send a chat completion and return the answer."""
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -12,6 +12,7 @@
     "EntrySettings",
     "PlatformSettings",
     "TargetSettings",
+    "TlsSettings",
     "load_settings",
 ]
 
@@ -20,6 +21,16 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+class TlsSettings(_Model):
+    """Encryption between the system's own processes, and towards callers."""
+
+    certificate: str = pydantic.Field(description="PEM file of the certificate.")
+    key: str = pydantic.Field(description="PEM file of the private key.")
+    authority: str = pydantic.Field(
+        description="PEM file of the authority that signs the certificates of peers."
+    )
+
+
 class PlatformSettings(_Model):
     """Where the platform's services are."""
 
@@ -40,15 +51,8 @@
     log_record_bytes: int = pydantic.Field(
         262_144, ge=4096, description="Largest record that the log takes, in bytes."
     )
-
-
-class TlsSettings(_Model):
-    """Encryption between the system's own processes, and towards callers."""
-
-    certificate: str = pydantic.Field(description="PEM file of the certificate.")
-    key: str = pydantic.Field(description="PEM file of the private key.")
-    authority: str = pydantic.Field(
-        description="PEM file of the authority that signs the certificates of peers."
+    tls: TlsSettings | None = pydantic.Field(
+        None, description="Encryption towards the platform; absent means plain HTTP."
     )
 
 
--- /dev/null
+++ b/pimentowick/tests/test_tls.py
@@ -0,0 +1,205 @@
+"""Encryption: who is let in, and that nothing secret is written down."""
+
+import asyncio
+import subprocess
+
+import pytest
+from cleo.io.inputs import argv_input
+from cleo.io.outputs import buffered_output
+from loguru import logger
+
+from pimentowick import client as http_client
+from pimentowick import exception, settings, tls
+from pimentowick.cli import application
+from pimentowick.fakes import embedded
+
+NEW_KEY = ("-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes")
+
+
+def call_openssl(directory, *words):
+    subprocess.run(["openssl", *words], cwd=directory, check=True, capture_output=True)
+
+
+def make_authority(directory, name):
+    files = ("-keyout", f"{name}.key", "-out", f"{name}.pem")
+    call_openssl(directory, "req", "-x509", *NEW_KEY, "-subj", f"/CN={name}", *files)
+
+
+def make_certificate(directory, name, authority, address="127.0.0.1"):
+    files = ("-keyout", f"{name}.key", "-out", f"{name}.csr")
+    call_openssl(directory, "req", *NEW_KEY, "-subj", f"/CN={name}", *files)
+    (directory / "names").write_text(f"subjectAltName=IP:{address}\n")
+    signer = ("-CA", f"{authority}.pem", "-CAkey", f"{authority}.key")
+    files = ("-in", f"{name}.csr", "-out", f"{name}.pem", "-extfile", "names")
+    call_openssl(directory, "x509", "-req", *signer, "-CAcreateserial", *files)
+
+
+def describe_files(directory, name, authority="fleet"):
+    return {
+        "certificate": str(directory / f"{name}.pem"),
+        "key": str(directory / f"{name}.key"),
+        "authority": str(directory / f"{authority}.pem"),
+    }
+
+
+@pytest.fixture(scope="module")
+def keys(tmp_path_factory):
+    directory = tmp_path_factory.mktemp("keys")
+    for authority in ("fleet", "other"):
+        make_authority(directory, authority)
+    make_certificate(directory, "host", "fleet")
+    make_certificate(directory, "stranger", "other")
+    make_certificate(directory, "elsewhere", "fleet", "127.0.0.9")
+    return directory
+
+
+def run(keys, check):
+    async def run_check():
+        files = {"tls": describe_files(keys, "host")}
+        fleet = embedded.Embedded(entry_settings=files, agent_settings=files)
+        fleet.caller_client = http_client.Client(
+            tls=tls.ClientTls(str(keys / "fleet.pem"))
+        )
+        try:
+            await fleet.caller_client.start()
+            await fleet.start()
+            await check(fleet)
+        finally:
+            await fleet.close()
+            await fleet.caller_client.close()
+
+    lines = []
+    sink = logger.add(lines.append, level="TRACE", serialize=True)
+    try:
+        asyncio.run(run_check())
+    finally:
+        logger.remove(sink)
+    return "".join(lines)
+
+
+async def fetch_with(client_tls, address, path, method="GET"):
+    client = http_client.Client(tls=client_tls)
+    await client.start()
+    try:
+        return await client.fetch(method, address, path, timeout_s=2.0)
+    finally:
+        await client.close()
+
+
+def test_work_and_its_logs_over_encrypted_connections(keys, tmp_path):
+    tokens = []
+
+    async def check(fleet):
+        tokens.extend([fleet.operator_token, *fleet.tokens.values()])
+        answer = await fleet.chat("Which stands are free?")
+        assert answer.status == 200
+        job = (await fleet.submit(embedded.make_job_lines(20), "k")).decode()
+        await fleet.wait_for_job(job["id"], entry="entry-1")
+        wrong = await fleet.fetch("GET", "/v1/models", token="no.secret-of-a-caller")
+        assert wrong.status == 401
+        asked = ["pimentowick", "fleet", "status", "--json"]
+        asked.append(f"--entry={fleet.entries['entry-0'].address}")
+        (tmp_path / "token").write_text(fleet.operator_token)
+        asked.append(f"--token-file={tmp_path / 'token'}")
+        output = buffered_output.BufferedOutput()
+        codes = []
+        for more in ([], [f"--authority={keys / 'fleet.pem'}"]):
+            words = argv_input.ArgvInput([*asked, *more])
+            code = await asyncio.to_thread(
+                application.run_command, words, output, output
+            )
+            codes.append(code)
+        assert codes == [4, 0]
+
+    log = run(keys, check)
+    assert "listens" in log
+    for secret in [*tokens, "no.secret-of-a-caller"]:
+        assert secret.partition(".")[2] not in log
+    assert "PRIVATE KEY" not in log
+
+
+def test_agents_and_peer_paths_let_only_peers_in(keys):
+    """Somebody in the network talks to an agent or to the entries' own paths.
+
+    Without a certificate of the fleet's authority he could take work from targets
+    past all order, drain hosts or stop jobs. He is refused, with a certificate of
+    another authority, too.
+    """
+
+    async def check(fleet):
+        caller = tls.ClientTls(str(keys / "fleet.pem"))
+        stranger = tls.ClientTls(
+            str(keys / "fleet.pem"),
+            str(keys / "stranger.pem"),
+            str(keys / "stranger.key"),
+        )
+        peer = tls.make_client_tls(settings.TlsSettings(**describe_files(keys, "host")))
+        agent = fleet.agents["agent-lm-0"].address
+        entry = fleet.entries["entry-0"].address
+        for refused in (None, caller, stranger):
+            for path in ("/work", "/heartbeat", "/drain", "/health"):
+                with pytest.raises(http_client.TransportError):
+                    await fetch_with(refused, agent, path, "POST")
+        assert fleet.agents["agent-lm-0"].stop_orders.empty()
+        assert (await fetch_with(peer, agent, "/ready")).status == 200
+        assert (await fetch_with(caller, entry, "/health")).status == 200
+        assert (await fetch_with(peer, entry, "/peer/version")).status == 200
+        for path, method in (("/peer/version", "GET"), ("/peer/stop-job", "POST")):
+            answer = await fetch_with(caller, entry, path, method)
+            assert answer.decode()["error"]["code"] == "no_certificate"
+
+    run(keys, check)
+
+
+def test_callers_cannot_put_addresses_into_the_audit_trail(keys):
+    """A caller cancels a job and claims to ask from another address.
+
+    Were he believed, the trail would accuse whoever he likes. Only the platform's
+    balancer and other entries are believed.
+    """
+
+    async def check(fleet):
+        lines = embedded.make_job_lines(200, 100)
+        job = (await fleet.submit(lines, "k")).decode()
+        path = f"/v1/batches/{job['id']}/cancel"
+        headers = {"X-Forwarded-For": "192.0.2.7"}
+        await fleet.fetch("POST", path, {}, headers=headers)
+        trail = await fleet.fetch("GET", "/v1/audit?kind=cancel")
+        (note,) = trail.decode()["audit"]
+        assert note["client"] == "127.0.0.1"
+
+    run(keys, check)
+
+
+def test_server_must_hold_a_certificate_for_its_address(keys):
+    """A process at another address answers with a certificate of the fleet.
+
+    A caller that took it would hand its token to whoever took over the address.
+    Nothing is sent: the verdict is that the request did not run.
+    """
+
+    async def check():
+        files = describe_files(keys, "elsewhere")
+        fleet = embedded.Embedded(entries=1, engines=0, services=0)
+        await fleet.log.start()
+        await fleet.hosts.start()
+        await fleet.client.start()
+        fleet._entry_settings["tls"] = files
+        entry = await fleet.add_entry("entry-0")
+        try:
+            caller = tls.ClientTls(str(keys / "fleet.pem"))
+            with pytest.raises(http_client.TransportError) as caught:
+                await fetch_with(caller, entry.address, "/health")
+            assert caught.value.verdict == "not_run"
+        finally:
+            await fleet.close()
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("part", ["certificate", "key", "authority"])
+def test_wrong_files_are_named_before_anything_starts(keys, part):
+    files = describe_files(keys, "host")
+    files[part] = str(keys / "names")
+    with pytest.raises(exception.SettingsError, match="names"):
+        tls.make_client_tls(settings.TlsSettings(**files))
