--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -15,10 +15,10 @@
 from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
+from pimentowick.agent import metered
 from pimentowick.agent import work as agent_work
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
-from pimentowick.scheduling import admission as scheduling_admission
 from pimentowick.scheduling import lease as scheduling_lease
 from pimentowick.scheduling import limiter as scheduling_limiter
 
@@ -62,8 +62,8 @@
         limiter = scheduling_limiter.YieldingLimiter(
             target.max_batch, LOW_SHARE[settings.batch_harm]
         )
-        self.admission = scheduling_admission.Admission(
-            target.max_online, target.max_queue, limiter
+        self.admission = metered.MeteredAdmission(
+            self.metrics, target.max_online, target.max_queue, limiter
         )
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
@@ -98,7 +98,7 @@
                 ("/drain", DrainHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
             log_function=lambda handler: None,
         )
@@ -296,7 +296,7 @@
             self._count(error.refusal)
             self.write(work.make_refusal(error.refusal))
         else:
-            self.agent.metrics.count_admitted(work.envelope.priority)
+            self.agent.metrics.count_answered(work.envelope.priority)
         self.finish()
 
     def _count(self, refusal):
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -123,6 +123,7 @@
         jobs: `Job` by id.
         calls: `Call` by id.
         owner_offset: Offset of the last record that shows the owner alive.
+        fenced: Records read whose epoch was over; no part of the state.
         notes: `pimentowick.batch.note.Note` of the newest claims, releases and
             cancellations, oldest first.
 
@@ -135,6 +136,7 @@
     """
 
     def __init__(self):
+        self.fenced = 0
         self._reset()
 
     def _reset(self):
@@ -182,7 +184,10 @@
             self.owner_offset = offset
 
     def _is_current(self, record):
-        return self.owner is not None and record["epoch"] == self.epoch
+        current = self.owner is not None and record["epoch"] == self.epoch
+        if not current:
+            self.fenced += 1
+        return current
 
     def _apply_chunk(self, offset, record):
         submission = record["submission"]
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -14,7 +14,16 @@
 from pimentowick.batch import dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
-from pimentowick.entry import audit, configuration, job, listing, online, order, service
+from pimentowick.entry import (
+    audit,
+    configuration,
+    job,
+    listing,
+    metered,
+    online,
+    order,
+    service,
+)
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
@@ -99,6 +108,7 @@
         make_log = adapter.find_adapter("log", platform.log_adapter)
         make_hosts = adapter.find_adapter("hosts", platform.hosts_adapter)
         log = make_log(platform.log, self._platform_client)
+        log = metered.MeteredLog(log, self.metrics)
         return log, make_hosts(platform.hosts, self._platform_client)
 
     def _is_fresh(self):
@@ -160,10 +170,10 @@
                 ("/peer/stop-job", job.StopHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
             default_handler_class=http_web.JsonHandler,
-            log_function=lambda handler: None,
+            log_function=self.metrics.observe_answer,
         )
 
     async def start(self):
@@ -256,7 +266,6 @@
             # docs/CONFIGURATION.md.
             await follower.append([{"type": OPENING}], self.settings.append_s)
         await follower.append([record], self.settings.append_s)
-        self.metrics.configuration_version.set({}, self.configuration.version)
         return self.configuration.find_record(record["id"])
 
     async def count_in_force(self, version, wait):
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -97,6 +97,7 @@
     Attributes:
         peers: `Peer` by the name of its host.
         entries: `pimentowick.platform.hosts.Host` of each entry, by name.
+        ejections: How often an agent was left without work for a while.
         changed: Set whenever work may have become possible.
     """
 
@@ -105,6 +106,7 @@
         self.entries = {}
         self.changed = asyncio.Event()
         self.read_at = None
+        self.ejections = 0
         self._hosts = hosts
         self._client = client
         self._settings = settings
@@ -236,6 +238,7 @@
     def note_failure(self, peer):
         """Take notice of a failed request; eject the peer for a while."""
         peer.failures += 1
+        self.ejections += 1
         pause = min(EJECT_FIRST_S * 2 ** (peer.failures - 1), EJECT_LAST_S)
         peer.ejected_until = time.monotonic() + pause * random.uniform(0.8, 1.2)
 
--- a/pimentowick/metrics.py
+++ b/pimentowick/metrics.py
@@ -1,26 +1,41 @@
 """Metrics of the daemons, in the Prometheus text format.
 
-No label holds a workspace, a job or a request: their number is not bounded.
+Units stand in the names. No label holds a workspace, a job or a request: their number
+is not bounded. Codes and verdicts are those of docs/API.md.
+
+Counters are counted where something happens; what a daemon knows anyway is read when
+the metrics are asked for.
 """
 
+import time
+
 import aioprometheus
 from aioprometheus import renderer
 from tornado import web
 
 __all__ = ["AgentMetrics", "EntryMetrics", "MetricsHandler"]
 
+WAIT_BUCKETS_S = [0.001, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0, 30.0]
+
 
 class _Metrics:
     def __init__(self):
         self.registry = aioprometheus.Registry()
 
     def _add_counter(self, name, text):
-        counter = aioprometheus.Counter(name, text, registry=self.registry)
-        return counter
+        return aioprometheus.Counter(name, text, registry=self.registry)
 
     def _add_gauge(self, name, text):
         return aioprometheus.Gauge(name, text, registry=self.registry)
 
+    def _add_histogram(self, name, text):
+        return aioprometheus.Histogram(
+            name, text, registry=self.registry, buckets=WAIT_BUCKETS_S
+        )
+
+    def update(self, daemon):
+        """Read what `daemon` knows, just before it is shown."""
+
 
 class AgentMetrics(_Metrics):
     """What an agent counts."""
@@ -28,20 +43,56 @@
     def __init__(self):
         super().__init__()
         self._admitted = self._add_counter(
-            "pimentowick_agent_admitted_total", "Requests that got a whole answer."
+            "pimentowick_agent_admitted_total", "Requests that got a place."
+        )
+        self._answered = self._add_counter(
+            "pimentowick_agent_answered_total", "Requests that got a whole answer."
         )
         self._refused = self._add_counter(
             "pimentowick_agent_refused_total", "Requests without a whole answer."
         )
+        self._preempted = self._add_counter(
+            "pimentowick_agent_preempted_total", "Batch items that gave their place up."
+        )
+        self._resumed = self._add_counter(
+            "pimentowick_agent_resumed_total", "Preempted items that got a place again."
+        )
+        self._wait = self._add_histogram(
+            "pimentowick_agent_wait_seconds", "Time until a request got its place."
+        )
+        self._running = self._add_gauge(
+            "pimentowick_agent_running_requests", "Requests at the target."
+        )
+        self._step = self._add_gauge(
+            "pimentowick_agent_step_seconds", "Last step of the engine as reported."
+        )
 
-    def count_admitted(self, priority):
-        """Count a request that got a whole answer."""
+    def count_admitted(self, priority, wait_s):
+        """Count a request that got a place after `wait_s` seconds."""
         self._admitted.inc({"priority": priority})
+        self._wait.add({"priority": priority}, wait_s)
+
+    def count_resumed(self, wait_s):
+        """Count a preempted item that got a place again after `wait_s` seconds."""
+        self._resumed.inc({})
+        self._wait.add({"priority": "preempted"}, wait_s)
+
+    def count_answered(self, priority):
+        """Count a request that got a whole answer."""
+        self._answered.inc({"priority": priority})
 
     def count_refused(self, code, verdict):
         """Count a request that did not."""
         self._refused.inc({"code": code, "verdict": str(verdict)})
 
+    def update(self, daemon):
+        """Read what the `pimentowick.agent.daemon.Agent` knows."""
+        admission = daemon.admission
+        self._preempted.set({}, admission.preemptions)
+        self._running.set({"priority": "online"}, len(admission.online))
+        self._running.set({"priority": "batch"}, len(admission.batch))
+        self._step.set({}, daemon.load.step_ms / 1000)
+
 
 class EntryMetrics(_Metrics):
     """What an entry counts."""
@@ -51,6 +102,12 @@
         self._requests = self._add_counter(
             "pimentowick_entry_requests_total", "Online requests by outcome."
         )
+        self._refusals = self._add_counter(
+            "pimentowick_entry_refusals_total", "Refusals by reason and verdict."
+        )
+        self._seconds = self._add_histogram(
+            "pimentowick_entry_answer_seconds", "Time to the end of each answer."
+        )
         self._retries = self._add_counter(
             "pimentowick_entry_retries_total", "Further attempts of online requests."
         )
@@ -60,15 +117,57 @@
         self._claims = self._add_counter(
             "pimentowick_entry_claims_total", "Shards that this entry claimed."
         )
-        self.configuration_version = self._add_gauge(
-            "pimentowick_entry_configuration_version_offset",
-            "Version of the configuration in force.",
+        self._add_log_metrics()
+        self._add_state()
+
+    def _add_log_metrics(self):
+        self._appends = self._add_counter(
+            "pimentowick_entry_log_appends_total", "Appends by outcome."
+        )
+        self._reads = self._add_counter(
+            "pimentowick_entry_log_reads_total", "Reads of the log by outcome."
+        )
+        self._append_wait = self._add_histogram(
+            "pimentowick_entry_log_append_seconds", "Time until an append was answered."
+        )
+
+    def _add_state(self):
+        self._ejections = self._add_counter(
+            "pimentowick_entry_ejections_total", "Agents that got no work for a while."
+        )
+        self._fenced = self._add_counter(
+            "pimentowick_entry_fenced_total", "Records read whose epoch was over."
+        )
+        self._version = self._add_gauge(
+            "pimentowick_entry_configuration_version_offset", "Version in force."
+        )
+        self._lag = self._add_gauge(
+            "pimentowick_entry_configuration_lag_seconds",
+            "Age of the last read that reached the head of the configuration.",
+        )
+        self._running = self._add_gauge(
+            "pimentowick_entry_running_requests", "Online requests in flight."
+        )
+        self._shards = self._add_gauge(
+            "pimentowick_entry_owned_shards", "Shards that this entry owns."
+        )
+        self._jobs = self._add_gauge(
+            "pimentowick_entry_open_jobs", "Open jobs of the owned shards."
         )
 
     def count_request(self, outcome):
         """Count an online request: ``answered`` or the code of its refusal."""
         self._requests.inc({"outcome": outcome})
 
+    def observe_answer(self, handler):
+        """Take notice of a finished request; see `tornado.web.Application`."""
+        labels = {"handler": type(handler).__name__}
+        self._seconds.add(labels, handler.request.request_time())
+        refusal = getattr(handler, "refusal", None)
+        if refusal is not None:
+            verdict = str(refusal.verdict)
+            self._refusals.inc({"code": refusal.code, "verdict": verdict})
+
     def count_retry(self, code):
         """Count a further attempt, by the code of the refusal before it."""
         self._retries.inc({"code": code})
@@ -81,17 +180,43 @@
         """Count a claim that came into force."""
         self._claims.inc({})
 
+    def count_append(self, outcome, wait_s):
+        """Count an append: ``done``, ``full``, ``too_large`` or ``unknown``."""
+        self._appends.inc({"outcome": outcome})
+        self._append_wait.add({}, wait_s)
+
+    def count_read(self, outcome):
+        """Count a read of the log: ``done`` or ``unavailable``."""
+        self._reads.inc({"outcome": outcome})
+
+    def update(self, daemon):
+        """Read what the `pimentowick.entry.daemon.Entry` knows."""
+        owned = daemon.table.list_owned()
+        followed = daemon.table.followed.values()
+        self._ejections.set({}, daemon.fleet.ejections)
+        self._fenced.set({}, sum(shard.ledger.fenced for shard in followed))
+        self._version.set({}, daemon.configuration.version)
+        fresh_at = daemon.configuration_replica.fresh_at
+        if fresh_at is not None:
+            self._lag.set({}, time.monotonic() - fresh_at)
+        self._running.set({}, daemon.limits.running)
+        self._shards.set({}, len(owned))
+        jobs = sum(len(shard.ledger.list_open_jobs()) for shard in owned)
+        self._jobs.set({}, jobs)
+
 
 class MetricsHandler(web.RequestHandler):
     """Shows the metrics of a daemon."""
 
-    def initialize(self, metrics):
-        """Take the `AgentMetrics` or `EntryMetrics`."""
-        self._metrics = metrics
+    def initialize(self, daemon):
+        """Take the daemon, whose ``metrics`` are shown."""
+        self._daemon = daemon
 
     def get(self):
         """Answer in the text format."""
-        content, headers = renderer.render(self._metrics.registry, ["text/plain"])
+        metrics = self._daemon.metrics
+        metrics.update(self._daemon)
+        content, headers = renderer.render(metrics.registry, ["text/plain"])
         for name, value in headers.items():
             self.set_header(name, value)
         self.finish(content)
--- /dev/null
+++ b/pimentowick/tests/test_metrics.py
@@ -0,0 +1,110 @@
+"""Metrics count decisions, name their units and bound their labels."""
+
+import asyncio
+import re
+
+from pimentowick.batch import ledger, record
+from pimentowick.fakes import embedded
+
+LINE = re.compile(r"^([a-z_]+)(?:\{(.*)\})? (\S+)$")
+LABEL = re.compile(r'(\w+)="([^"]*)"')
+UNITS = ("_total", "_seconds", "_requests", "_offset", "_shards", "_jobs")
+HISTOGRAM_PARTS = ("_bucket", "_count", "_sum")
+LABELS = {"priority", "code", "verdict", "outcome", "handler", "le"}
+
+
+def run(check, **settings):
+    async def run_check():
+        fleet = embedded.Embedded(**settings)
+        try:
+            await fleet.start()
+            await check(fleet)
+        finally:
+            await fleet.close()
+
+    asyncio.run(run_check())
+
+
+async def read_metrics(fleet, address):
+    answer = await fleet.client.fetch("GET", address, "/metrics")
+    found = {}
+    for line in answer.body.decode().splitlines():
+        if not line.startswith("#") and line:
+            name, labels, value = LINE.match(line).groups()
+            found[name, frozenset(LABEL.findall(labels or ""))] = float(value)
+    return found
+
+
+def get(metrics, name, **labels):
+    return metrics.get((f"pimentowick_{name}", frozenset(labels.items())), 0.0)
+
+
+def check_names(metrics):
+    for name, labels in metrics:
+        for part in HISTOGRAM_PARTS:
+            name = name.removesuffix(part)
+        assert name.endswith(UNITS), name
+        assert {label for label, _ in labels} <= LABELS
+
+
+def test_decisions_are_counted():
+    async def check(fleet):
+        assert (await fleet.chat("hello")).status == 200
+        wrong = {"model": "x", "prompt": "hello"}
+        answer = await fleet.fetch("POST", "/v1/completions", wrong)
+        assert answer.status == 404
+        job = (await fleet.submit(embedded.make_job_lines(20), "k")).decode()
+        await fleet.wait_for_job(job["id"])
+        entry = await read_metrics(fleet, fleet.entries["entry-0"].address)
+        assert get(entry, "entry_requests_total", outcome="answered") == 1
+        refused = {"code": "unknown_model", "verdict": "not_run"}
+        assert get(entry, "entry_refusals_total", **refused) == 1
+        assert get(entry, "entry_log_appends_total", outcome="done") > 0
+        assert get(entry, "entry_configuration_version_offset") > 0
+        every = [await read_metrics(fleet, e.address) for e in fleet.entries.values()]
+        total = sum(get(m, "entry_items_total", outcome="succeeded") for m in every)
+        assert total == 20
+        assert sum(get(m, "entry_claims_total") for m in every) == 1
+        assert sum(get(m, "entry_owned_shards") for m in every) == 1
+        agents = [await read_metrics(fleet, a.address) for a in fleet.agents.values()]
+        admitted = "agent_admitted_total"
+        assert sum(get(m, admitted, priority="batch") for m in agents) == 20
+        assert sum(get(m, admitted, priority="online") for m in agents) == 1
+        for metrics in [*every, *agents]:
+            check_names(metrics)
+
+    run(check)
+
+
+def test_labels_hold_no_workspace_job_or_request():
+    async def check(fleet):
+        for who in ("a", "b"):
+            token = fleet.tokens[who]
+            lines = embedded.make_job_lines(3)
+            job = (await fleet.submit(lines, "key", token=token)).decode()["id"]
+            await fleet.wait_for_job(job, token=token)
+            await fleet.fetch("GET", f"/v1/batches/{job}/none")
+            await fleet.fetch("POST", f"/v1/{job}", {})
+            await fleet.chat("hello", token=token)
+        servers = [*fleet.entries.values(), *fleet.agents.values()]
+        for server in servers:
+            metrics = await read_metrics(fleet, server.address)
+            values = {value for _, labels in metrics for _, value in labels}
+            assert values.isdisjoint({"a", "b", "key"})
+            assert not any(re.search("batch_|req_|item", value) for value in values)
+
+    run(check, entries=1)
+
+
+def test_records_of_an_ended_epoch_are_counted():
+    """An owner was paused, lost its shard and appends results afterwards.
+
+    They are void. An operator sees from the count that it happens at all.
+    """
+    book = ledger.Ledger()
+    book.apply(0, record.make_claim(1, "a", 0.0))
+    book.apply(1, record.make_claim(2, "b", 0.0))
+    book.apply(2, record.make_results(1, []))
+    book.apply(3, record.make_results(2, []))
+    assert book.fenced == 1
+    assert [note.accepted for note in book.notes] == [True, True]
--- a/pimentowick/web.py
+++ b/pimentowick/web.py
@@ -25,6 +25,7 @@
 
     def write_refusal(self, refusal):
         """Answer with a `pimentowick.verdict.Refusal`."""
+        self.refusal = refusal
         for name, value in refusal.headers().items():
             self.set_header(name, value)
         self.write_json(refusal.to_dict(), refusal.status)
