--- a/pimentowick/tests/pages.py
+++ b/pimentowick/tests/pages.py
@@ -61,3 +61,15 @@
         output, _ = process.communicate()
     assert process.returncode == 0, output
     return output
+
+
+def run_python(script):
+    """Run a script in an interpreter of its own."""
+    done = subprocess.run(
+        [sys.executable, str(script)],
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+    assert done.returncode == 0, done.stderr
--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -111,3 +111,19 @@
         elif name == "refuse_input" and len(values) > 1:
             found[values[1]] = str(values[2] if len(values) > 2 else 400)
     return found
+
+
+def test_parts_of_the_library_page_run_without_the_daemons(tmp_path):
+    blocks = pages.read_python("LIBRARY.md")
+    assert len(blocks) >= 7
+    for block in blocks:
+        assert sum(bool(line.strip()) for line in block.splitlines()) < 30
+    check = (
+        "import sys\n"
+        "for name in sys.modules:\n"
+        "    assert not name.startswith(('pimentowick.entry', 'pimentowick.agent'))\n"
+        "    assert not name.startswith(('pimentowick.cli.', 'cleo'))\n"
+    )
+    script = tmp_path / "library.py"
+    script.write_text("\n".join([*blocks, check]), encoding="utf-8")
+    pages.run_python(script)
