--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -37,6 +37,7 @@
 MAX_ENDED_CALLS = 20_000
 DUMP_ROWS = 2000
 DUMP_CALLS = 500
+DUMP_NOTES = 50
 
 
 @dataclasses.dataclass(slots=True)
@@ -362,7 +363,6 @@
             "owner": self.owner,
             "owner_offset": self.owner_offset,
             "orphans": self._dump_orphans(),
-            "notes": [dataclasses.asdict(note) for note in self.notes],
         }
         parts = [head]
         for job in self.jobs.values():
@@ -371,6 +371,9 @@
         calls = [dataclasses.asdict(call) for call in self.calls.values()]
         for start in range(0, len(calls), DUMP_CALLS):
             parts.append({"calls": calls[start : start + DUMP_CALLS]})
+        notes = [dataclasses.asdict(note) for note in self.notes]
+        for start in range(0, len(notes), DUMP_NOTES):
+            parts.append({"notes": notes[start : start + DUMP_NOTES]})
         return parts
 
     def _dump_orphans(self):
@@ -423,6 +426,8 @@
                 self._load_job(part["job"])
             elif "results_of" in part:
                 self._load_results(part)
+            elif "notes" in part:
+                self.notes.extend(batch_note.Note(**data) for data in part["notes"])
             else:
                 for call in part["calls"]:
                     self.calls[call["id"]] = Call(**call)
@@ -431,8 +436,6 @@
         self.epoch = part["epoch"]
         self.owner = part["owner"]
         self.owner_offset = part["owner_offset"]
-        for data in part.get("notes", ()):
-            self.notes.append(batch_note.Note(**data))
         for submission, chunks in part["orphans"].items():
             self.chunks[submission] = _load_chunks(chunks)
 
--- a/pimentowick/batch/note.py
+++ b/pimentowick/batch/note.py
@@ -12,6 +12,8 @@
 
 NOTES_LIMIT = 500
 """Notes that one ledger keeps."""
+TEXT_LIMIT = 200
+"""Characters that a note keeps of a text, so that a dump stays bounded."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,8 +54,8 @@
     reason = "" if accepted else f"conflict: epoch {epoch} is in force"
     return Note(
         offset=offset,
-        at=float(record["at"]),
-        by=str(record["owner"]),
+        at=_get_time(record),
+        by=_get_text(record, "owner"),
         client="",
         kind="claim",
         name="",
@@ -62,7 +64,7 @@
         version_after=epoch + accepted,
         accepted=accepted,
         reason=reason,
-        id=str(record.get("id", "")),
+        id=_get_text(record, "id"),
     )
 
 
@@ -71,7 +73,7 @@
     return Note(
         offset=offset,
         at=0.0,
-        by=owner,
+        by=owner[:TEXT_LIMIT],
         client="",
         kind="release",
         name="",
@@ -89,9 +91,9 @@
     accepted = job.state == "open"
     return Note(
         offset=offset,
-        at=float(record.get("at", 0.0)),
-        by=str(record["by"]),
-        client=str(record.get("client", "")),
+        at=_get_time(record),
+        by=_get_text(record, "by"),
+        client=_get_text(record, "client"),
         kind="cancel",
         name=job.id,
         workspace=job.workspace,
@@ -99,5 +101,14 @@
         version_after=0,
         accepted=accepted,
         reason="" if accepted else f"conflict: the job is {job.state}",
-        id=str(record.get("id", "")),
+        id=_get_text(record, "id"),
     )
+
+
+def _get_time(record):
+    value = record.get("at")
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
+def _get_text(record, key):
+    return str(record.get(key, ""))[:TEXT_LIMIT]
