--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -127,3 +127,11 @@
     script = tmp_path / "library.py"
     script.write_text("\n".join([*blocks, check]), encoding="utf-8")
     pages.run_python(script)
+
+
+def test_architecture_page_names_modules_that_exist():
+    page = pages.read_page("ARCHITECTURE.md")
+    paths = re.findall(r"`([a-z_/]+(?:\.py|/))`", page)
+    assert len(paths) > 40
+    for path in paths:
+        assert (pages.ROOT / "pimentowick" / path).exists(), path
