--- a/pimentowick/cli/documents.py
+++ b/pimentowick/cli/documents.py
@@ -56,11 +56,13 @@
 async def fill_body(link, kind, body, current):
     """Return a body from a file, with what it leaves out.
 
-    A workspace without ``tokens`` keeps those in force: a file that leaves them out
-    must not lock the callers out. One without ``template_version`` gets the version
-    of its template that is in force.
+    A workspace without ``tokens`` keeps those in force, and the fleet its
+    ``operators``: a file that leaves them out must lock nobody out. A workspace
+    without ``template_version`` gets the version of its template that is in force.
     """
     body = dict(body)
+    if kind == "fleet" and "operators" not in body:
+        body["operators"] = (current or {}).get("operators", [])
     if kind != "workspace":
         return body
     if "tokens" not in body:
--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -21,7 +21,7 @@
     assert "40 of 40 completed" in output
     assert "cancelled" in output
     secrets = [path.read_text() for path in tmp_path.glob("*/**/*.token")]
-    assert len(secrets) == 4
+    assert len(secrets) == 5
     for secret in secrets:
         assert secret.strip().partition(".")[2] not in output
 
