--- a/pimentowick/cli/tests/test_commands.py
+++ b/pimentowick/cli/tests/test_commands.py
@@ -1,6 +1,7 @@
 """The command line against an embedded fleet."""
 
 import asyncio
+import io
 import json
 
 import pytest
@@ -141,6 +142,11 @@
             "audit"
         ][-1:]
         assert (note["kind"], note["name"]) == ("cancel", jobs["b"])
+        await fleet.crash("entry-3")
+        for words in (("job", "list", "--operator"), ("audit",)):
+            answer = await shell.run(*words)
+            assert answer["missing_shards"]
+            assert not set(answer["missing_shards"]) & set(answer["shards"])
 
     run(tmp_path, check, entries=4, entry_settings={"followers": 1, "shards": 8})
 
@@ -290,6 +296,26 @@
     assert application.run_command(asked, output, output) == ExitCode.USAGE
 
 
+@pytest.mark.parametrize(("typed", "code"), [("yes\n", 0), ("no\n", 2), (None, 2)])
+def test_changes_are_made_only_if_somebody_agrees(tmp_path, typed, code):
+    async def check(fleet, shell):
+        path = shell.write("operator.token", fleet.operator_token)
+        words = ["pimentowick", "workspace", "stop", "a", f"--token-file={path}"]
+        words.append(f"--entry={shell.entries[0]}")
+        asked = argv_input.ArgvInput(words)
+        asked.interactive(typed is not None)
+        asked.set_stream(io.StringIO(typed or ""))
+        output = buffered_output.BufferedOutput()
+        found = await asyncio.to_thread(application.run_command, asked, output, output)
+        assert found == code
+        assert "+stopped: true" in output.fetch()
+        assert fleet.entries["entry-0"].configuration.workspaces["a"].stopped == (
+            code == 0
+        )
+
+    run(tmp_path, check)
+
+
 def test_help_of_each_command_has_examples():
     for command in application.COMMANDS:
         assert command.examples
--- a/pimentowick/tests/test_tls.py
+++ b/pimentowick/tests/test_tls.py
@@ -10,8 +10,12 @@
 
 from pimentowick import client as http_client
 from pimentowick import exception, settings, tls
+from pimentowick import web as http_web
 from pimentowick.cli import application
+from pimentowick.entry import daemon
 from pimentowick.fakes import embedded
+from pimentowick.fakes import hosts as fake_hosts
+from pimentowick.fakes import log as fake_log
 
 NEW_KEY = ("-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes")
 
@@ -53,10 +57,12 @@
     return directory
 
 
-def run(keys, check):
+def run(keys, check, **entry_settings):
     async def run_check():
         files = {"tls": describe_files(keys, "host")}
-        fleet = embedded.Embedded(entry_settings=files, agent_settings=files)
+        fleet = embedded.Embedded(
+            entry_settings={**files, **entry_settings}, agent_settings=files
+        )
         fleet.caller_client = http_client.Client(
             tls=tls.ClientTls(str(keys / "fleet.pem"))
         )
@@ -151,7 +157,8 @@
     run(keys, check)
 
 
-def test_callers_cannot_put_addresses_into_the_audit_trail(keys):
+@pytest.mark.parametrize("trusted", [[], ["127.0.0.1"]])
+def test_only_proxies_put_addresses_into_the_audit_trail(keys, trusted):
     """A caller cancels a job and claims to ask from another address.
 
     Were he believed, the trail would accuse whoever he likes. Only the platform's
@@ -166,9 +173,42 @@
         await fleet.fetch("POST", path, {}, headers=headers)
         trail = await fleet.fetch("GET", "/v1/audit?kind=cancel")
         (note,) = trail.decode()["audit"]
-        assert note["client"] == "127.0.0.1"
+        assert note["client"] == ("192.0.2.7" if trusted else "127.0.0.1")
 
-    run(keys, check)
+    run(keys, check, trusted_proxies=trusted)
+
+
+def test_platform_may_be_encrypted_too(keys):
+    async def check():
+        files = describe_files(keys, "host")
+        context = tls.make_entry_context(settings.TlsSettings(**files))
+        stand_ins = (fake_log.Log(), fake_hosts.HostList())
+        servers = [
+            http_web.Server(each.make_application(), ssl_context=context)
+            for each in stand_ins
+        ]
+        for server in servers:
+            await server.start()
+        fleet = embedded.Embedded(entries=1, engines=0, services=0)
+        await fleet.client.start()
+        platform = {"log": servers[0].address, "hosts": servers[1].address}
+        entry = daemon.Entry(
+            settings.EntrySettings(
+                name="entry-0",
+                failure_domain="here",
+                platform={**platform, "tls": files},
+            )
+        )
+        await entry.start()
+        try:
+            await fleet.wait_for(lambda: entry.is_ready and entry.fleet.read_at)
+        finally:
+            await entry.close()
+            for server in servers:
+                await server.close()
+            await fleet.client.close()
+
+    asyncio.run(check())
 
 
 def test_server_must_hold_a_certificate_for_its_address(keys):
