--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -14,14 +14,14 @@
 from tornado import iostream, web
 
 from pimentowick import client as http_client
-from pimentowick import exception, supervisor, verdict
+from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
+from pimentowick.agent import metered
 from pimentowick.agent import work as agent_work
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
-from pimentowick.scheduling import admission as scheduling_admission
 from pimentowick.scheduling import lease as scheduling_lease
 from pimentowick.scheduling import limiter as scheduling_limiter
 
@@ -50,6 +50,7 @@
     Attributes:
         address: ``IP:port`` once started.
         state: ``starting``, ``ready`` or ``draining``.
+        stop_orders: Whatever is put here makes the process drain and end.
         running: The connections whose request is at work.
     """
 
@@ -57,6 +58,7 @@
         self.settings = settings
         self.state = STARTING
         self._process = secrets.token_hex(4)
+        self.stop_orders = asyncio.Queue()
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.cache_lifetime = lifetime.CacheLifetime()
@@ -67,15 +69,18 @@
         limiter = scheduling_limiter.YieldingLimiter(
             target.max_batch, LOW_SHARE[settings.batch_harm]
         )
-        self.admission = scheduling_admission.Admission(
-            target.max_online, target.max_queue, limiter
+        self.admission = metered.MeteredAdmission(
+            self.metrics, target.max_online, target.max_queue, limiter
         )
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
         self.target = self._make_target()
         self._supervisor = supervisor.Supervisor("agent")
         self._server = http_web.Server(
-            self._make_application(), settings.address, settings.port
+            self._make_application(),
+            settings.address,
+            settings.port,
+            ssl_context=tls.make_agent_context(settings.tls),
         )
 
     @property
@@ -97,9 +102,10 @@
                 ("/work", WorkHandler, shared),
                 ("/heartbeat", HeartbeatHandler, shared),
                 ("/stop-job", StopJobHandler, shared),
+                ("/drain", DrainHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
             default_handler_class=http_web.UnknownPathHandler,
             log_function=lambda handler: None,
@@ -326,7 +332,7 @@
             self._count(error.refusal)
             self.write(work.make_refusal(error.refusal))
         else:
-            self.agent.metrics.count_admitted(work.envelope.priority)
+            self.agent.metrics.count_answered(work.envelope.priority)
         self.finish()
 
     async def _send(self, line):
@@ -397,6 +403,20 @@
         self.write_json({"cancelled": await self.agent.stop_job(job)})
 
 
+class DrainHandler(http_web.JsonHandler):
+    """Makes the agent drain and its process end, as SIGTERM does."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def post(self):
+        """Answer at once; `GET /ready` shows how it goes on."""
+        if self.agent.state == READY:
+            self.agent.stop_orders.put_nowait("drain")
+        self.write_json({"state": DRAINING}, 202)
+
+
 class HealthHandler(http_web.JsonHandler):
     """Liveness: the loop turns."""
 
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -158,6 +158,7 @@
     Attributes:
         peers: `Peer` by the name of its host: a bounded number for each service.
         entries: `pimentowick.platform.hosts.Host` of each entry, by name.
+        ejections: How often an agent was left without work for a while.
         changed: Set whenever work may have become possible.
     """
 
@@ -171,6 +172,7 @@
         self.changed = asyncio.Event()
         self._pools = {}
         self.read_at = None
+        self.ejections = 0
         self._hosts = hosts
         self._client = client
         self._settings = settings
@@ -489,6 +491,7 @@
         peer.wake.set()
         if not pool.may_eject(peer, now):
             return
+        self.ejections += 1
         pause = min(EJECT_FIRST_S * 2 ** (peer.failures - 1), EJECT_LAST_S)
         peer.ejected_until = now + pause * random.uniform(0.8, 1.2)
         pool.note_ejected(peer, peer.ejected_until)
--- a/pimentowick/web.py
+++ b/pimentowick/web.py
@@ -33,6 +33,7 @@
 
     def write_refusal(self, refusal):
         """Answer with a `pimentowick.verdict.Refusal`."""
+        self.refusal = refusal
         for name, value in refusal.headers().items():
             self.set_header(name, value)
         self.write_json(self.describe_refusal(refusal), refusal.status)
