--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -6,19 +6,22 @@
 
 import asyncio
 import collections
+import contextlib
+import secrets
 import time
 
 from loguru import logger
 from tornado import iostream, web
 
 from pimentowick import client as http_client
-from pimentowick import exception, supervisor, verdict
+from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
+from pimentowick.agent import metered
 from pimentowick.agent import work as agent_work
+from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
-from pimentowick.platform import service as platform_service
-from pimentowick.scheduling import admission as scheduling_admission
+from pimentowick.routing import lifetime
 from pimentowick.scheduling import lease as scheduling_lease
 from pimentowick.scheduling import limiter as scheduling_limiter
 
@@ -29,10 +32,12 @@
 STARTING = "starting"
 
 LOAD_POLL_S = 0.25
+CACHE_POLL_S = 1.0
 LEASE_CHECK_S = 0.1
-DRAIN_CHECK_S = 0.05
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
+# Entries don't read these; a heartbeat answer is smaller without them.
+UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
 
 
@@ -45,14 +50,18 @@
     Attributes:
         address: ``IP:port`` once started.
         state: ``starting``, ``ready`` or ``draining``.
+        stop_orders: Whatever is put here makes the process drain and end.
         running: The connections whose request is at work.
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.state = STARTING
+        self._process = secrets.token_hex(4)
+        self.stop_orders = asyncio.Queue()
         self.running = set()
         self.load = platform_engine.EngineLoad()
+        self.cache_lifetime = lifetime.CacheLifetime()
         self.metrics = process_metrics.AgentMetrics()
         self.leases = scheduling_lease.LeaseTable(settings.lease_s)
         self.stopped_jobs = collections.OrderedDict()
@@ -60,15 +69,18 @@
         limiter = scheduling_limiter.YieldingLimiter(
             target.max_batch, LOW_SHARE[settings.batch_harm]
         )
-        self.admission = scheduling_admission.Admission(
-            target.max_online, target.max_queue, limiter
+        self.admission = metered.MeteredAdmission(
+            self.metrics, target.max_online, target.max_queue, limiter
         )
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
         self.target = self._make_target()
         self._supervisor = supervisor.Supervisor("agent")
         self._server = http_web.Server(
-            self._make_application(), settings.address, settings.port
+            self._make_application(),
+            settings.address,
+            settings.port,
+            ssl_context=tls.make_agent_context(settings.tls),
         )
 
     @property
@@ -78,11 +90,10 @@
 
     def _make_target(self):
         target = self.settings.target
+        make = platform_adapter.find_adapter(target.kind, target.adapter)
         if target.kind == "service":
-            return platform_service.HttpService(target.address, self._client)
-        return platform_engine.HttpEngine(
-            target.address, self._client, self._control, self.settings.idle_s
-        )
+            return make(target.address, self._client)
+        return make(target.address, self._client, self._control, self.settings.idle_s)
 
     def _make_application(self):
         shared = {"agent": self}
@@ -91,10 +102,12 @@
                 ("/work", WorkHandler, shared),
                 ("/heartbeat", HeartbeatHandler, shared),
                 ("/stop-job", StopJobHandler, shared),
+                ("/drain", DrainHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
+            default_handler_class=http_web.UnknownPathHandler,
             log_function=lambda handler: None,
         )
 
@@ -108,6 +121,7 @@
         self._supervisor.start_child("alive", self._send_alive)
         if self.settings.target.kind == "engine":
             self._supervisor.start_child("load", self._watch_load)
+            self._supervisor.start_child("cache", self._watch_cache)
         self.state = READY
         logger.info("agent: {} listens on {}.", self.settings.name, self.address)
 
@@ -122,12 +136,11 @@
         # Entries learn of it with their next heartbeat; until then a refusal that
         # says not run sends their requests elsewhere.
         await asyncio.sleep(self.settings.lame_duck_s)
-        deadline = time.monotonic() + self.settings.drain_s
-        while self.running and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_CHECK_S)
-        if self.running:
-            logger.warning("agent: {} requests are cut.", len(self.running))
-        return not self.running
+        self._server.stop_listening()
+        cut = await self._server.drain(self.settings.drain_s)
+        if cut:
+            logger.warning("agent: {} requests are cut.", cut)
+        return not cut
 
     async def close(self):
         """Stop listening and drop all connections."""
@@ -197,26 +210,55 @@
             self.admission.limiter.note_step(self.load.step_ms, online)
             self.admission.apply_limit()
 
+    async def _watch_cache(self):
+        while True:
+            await asyncio.sleep(CACHE_POLL_S)
+            start = self.cache_lifetime.position
+            try:
+                events, following = await self.target.read_cache_events(start)
+            except exception.PimentowickError:
+                continue
+            self.cache_lifetime.note(events, following, time.monotonic())
+
     def describe(self):
-        """Return what heartbeat answers say about this agent."""
+        """Return all that there is to say about this agent."""
         target = self.settings.target
-        admission = self.admission
         return {
             "agent": self.settings.name,
-            "state": self.state,
+            "process": self._process,
             "kind": target.kind,
             "service": target.service,
             "target": target.name,
+            "max_online": self.admission.max_online,
+            "lease_s": self.settings.lease_s,
             "models": list(self.load.models),
+            **self.describe_changing(),
+        }
+
+    def describe_changing(self):
+        """Return what heartbeat answers say to an entry that knows the rest."""
+        admission = self.admission
+        return {
+            "state": self.state,
             "online": admission.count_online(),
-            "max_online": admission.max_online,
             "batch": len(admission.batch),
             "batch_free": admission.count_free_batch(),
-            "wait_s": admission.estimate_wait(),
+            "wait_s": round(admission.estimate_wait(), 3),
             "entries": max(1, self.leases.count()),
-            "lease_s": self.settings.lease_s,
+            "cache_life_s": self.cache_lifetime.estimate(),
         }
 
+    def answer_heartbeat(self, known):
+        """Return what to tell an entry.
+
+        Args:
+            known: Name of the process of this agent that told the entry the rest,
+                or None.
+        """
+        if known != self._process:
+            return self.describe()
+        return self.describe_changing()
+
     def check(self, work):
         """Refuse work that must not begin.
 
@@ -254,6 +296,7 @@
         self.work = None
         self._task = None
         self._idle = False
+        self._flushing = False
 
     async def post(self):
         """Run a request and answer with its lines."""
@@ -281,25 +324,37 @@
 
     async def _run(self, work):
         try:
-            async for line in work.run(self.agent.target, self.agent.admission):
-                self._idle = False
-                self.write(line)
-                # Flushing what came together at once; the loop goes on to other
-                # connections while the kernel takes it.
-                await self.flush()
+            lines = work.run(self.agent.target, self.agent.admission)
+            async with contextlib.aclosing(lines):
+                async for line in lines:
+                    await self._send(line)
         except exception.RefusedError as error:
             self._count(error.refusal)
             self.write(work.make_refusal(error.refusal))
         else:
-            self.agent.metrics.count_admitted(work.envelope.priority)
+            self.agent.metrics.count_answered(work.envelope.priority)
         self.finish()
 
+    async def _send(self, line):
+        # What came together is flushed at once; the loop goes on to other
+        # connections while the kernel takes it.
+        self._idle = False
+        self.write(line)
+        self._flushing = True
+        await self.flush()
+        self._flushing = False
+
     def _count(self, refusal):
         self.agent.metrics.count_refused(refusal.code, refusal.verdict)
 
     def send_alive(self):
         """Send a keep-alive line if nothing was sent since the last call."""
-        if self._idle and not self._finished:
+        if self._flushing or self._finished:
+            # Tornado forgets a flush that another one overtakes: an entry that was
+            # slow to read would never get the rest. What waits in the socket
+            # already shows that this end lives.
+            return
+        if self._idle:
             self.write(self.work.make_alive())
             self.flush()
         self._idle = True
@@ -324,11 +379,16 @@
     def post(self):
         """Answer a heartbeat."""
         data = self.read_json()
-        answer = self.agent.describe()
+        answer = self.agent.answer_heartbeat(data.get("known"))
         if data.get("renew") is not None:
             answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
+        for name in UNUSED_HEADERS:
+            self.clear_header(name)
         self.write_json(answer)
 
+    def compute_etag(self):
+        """Return None: no answer is asked for again."""
+
 
 class StopJobHandler(http_web.JsonHandler):
     """Ends the items of a cancelled job."""
@@ -343,6 +403,20 @@
         self.write_json({"cancelled": await self.agent.stop_job(job)})
 
 
+class DrainHandler(http_web.JsonHandler):
+    """Makes the agent drain and its process end, as SIGTERM does."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def post(self):
+        """Answer at once; `GET /ready` shows how it goes on."""
+        if self.agent.state == READY:
+            self.agent.stop_orders.put_nowait("drain")
+        self.write_json({"state": DRAINING}, 202)
+
+
 class HealthHandler(http_web.JsonHandler):
     """Liveness: the loop turns."""
 
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -18,10 +18,12 @@
 would leave items that count as complete without a result to read.
 """
 
+import collections
 import dataclasses
 import math
 
 from pimentowick import exception
+from pimentowick.batch import note as batch_note
 from pimentowick.batch import record as batch_record
 from pimentowick.replication import fold
 
@@ -40,6 +42,7 @@
 MAX_ENDED_CALLS = 20_000
 DUMP_ROWS = 2000
 DUMP_CALLS = 500
+DUMP_NOTES = 50
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,6 +148,9 @@
         jobs: `Job` by id.
         calls: `Call` by id.
         owner_offset: Offset of the last record that shows the owner alive.
+        fenced: Records read whose epoch was over; no part of the state.
+        notes: `pimentowick.batch.note.Note` of the newest claims, releases and
+            cancellations, oldest first.
 
     Examples:
         >>> ledger = Ledger()
@@ -155,12 +161,14 @@
     """
 
     def __init__(self):
+        self.fenced = 0
         self._reset()
 
     def _reset(self):
         self.epoch = 0
         self.owner = None
         self.owner_offset = -1
+        self.notes = collections.deque(maxlen=batch_note.NOTES_LIMIT)
         self.jobs = {}
         self.calls = {}
         # `Chunk` by submission and index; offsets of results by record, and how
@@ -178,7 +186,7 @@
             handle = self._HANDLERS.get(record.get("type"))
             if handle is not None:
                 handle(self, offset, record)
-        except (KeyError, TypeError, ValueError, IndexError, AttributeError):
+        except (LookupError, TypeError, ValueError, AttributeError, OverflowError):
             # Anything may be on the stream; what does not have the form of a
             # record has no effect on any reader.
             return
@@ -186,7 +194,9 @@
     def _apply_claim(self, offset, record):
         epoch = _get(record, "epoch", int)
         owner = _get(record, "owner", str)
-        if epoch != self.epoch + 1:
+        accepted = epoch == self.epoch + 1
+        self.notes.append(batch_note.note_claim(offset, record, self.epoch, accepted))
+        if not accepted:
             return
         self.owner = owner
         self.epoch = epoch
@@ -194,6 +204,7 @@
 
     def _apply_release(self, offset, record):
         if self._is_current(record):
+            self.notes.append(batch_note.note_release(offset, self.owner, self.epoch))
             self.owner = None
             self.owner_offset = offset
 
@@ -202,7 +213,10 @@
             self.owner_offset = offset
 
     def _is_current(self, record):
-        return self.owner is not None and record["epoch"] == self.epoch
+        current = self.owner is not None and record["epoch"] == self.epoch
+        if not current:
+            self.fenced += 1
+        return current
 
     def _apply_chunk(self, offset, record):
         submission = _get(record, "submission", str)
@@ -249,8 +263,10 @@
     def _apply_cancelled(self, offset, record):
         job = self.jobs[record["job"]]
         by = _get(record, "by", str)
+        at = _get_time(record, job.at)
+        self.notes.append(batch_note.note_cancelled(offset, record, job))
         if job.state == OPEN:
-            job.end(CANCELLED, _get_time(record, job.at))
+            job.end(CANCELLED, at)
             job.cancelled_by = by
 
     def _apply_results(self, offset, record):
@@ -399,6 +415,9 @@
         calls = [dataclasses.asdict(call) for call in self.calls.values()]
         for start in range(0, len(calls), DUMP_CALLS):
             parts.append({"calls": calls[start : start + DUMP_CALLS]})
+        notes = [dataclasses.asdict(note) for note in self.notes]
+        for start in range(0, len(notes), DUMP_NOTES):
+            parts.append({"notes": notes[start : start + DUMP_NOTES]})
         return parts
 
     def _dump_orphans(self):
@@ -451,10 +470,11 @@
         try:
             for part in parts:
                 loaded._load_part(part)
-        except (AttributeError, KeyError, TypeError, ValueError, IndexError) as error:
+        except (AttributeError, LookupError, TypeError, ValueError) as error:
             raise exception.ValidationError(f"dump: {error!r}") from error
         for job in loaded.jobs.values():
             job.pending = job.outcomes.count(PENDING)
+        loaded.fenced = self.fenced
         self.__dict__.update(loaded.__dict__)
 
     def _load_part(self, part):
@@ -464,6 +484,8 @@
             self._load_job(part["job"])
         elif "results_of" in part:
             self._load_results(part)
+        elif "notes" in part:
+            self.notes.extend(batch_note.Note(**data) for data in part["notes"])
         else:
             for call in part["calls"]:
                 self.calls[call["id"]] = Call(**call)
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -8,25 +8,37 @@
 
 from pimentowick import client as http_client
 from pimentowick import metrics as process_metrics
+from pimentowick import tls
 from pimentowick import web as http_web
 from pimentowick.batch import call as batch_call
 from pimentowick.batch import carry, dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
-from pimentowick.entry import configuration, job, online, peer, service
+from pimentowick.entry import (
+    audit,
+    configuration,
+    job,
+    listing,
+    metered,
+    online,
+    order,
+    peer,
+    service,
+)
 from pimentowick.membership import fleet as membership_fleet
-from pimentowick.platform import hosts as platform_hosts
-from pimentowick.platform import log as platform_log
+from pimentowick.platform import adapter
 from pimentowick.replication import keeper, replica
-from pimentowick.routing import balance, limits, router
+from pimentowick.routing import affinity, balance, limits, router
 
 __all__ = ["Entry"]
 
 STARTING = "starting"
 READY = "ready"
 DRAINING = "draining"
+STOPPING = "stopping"
 CONTROL_CONNECTIONS = 64
-DRAIN_CHECK_S = 0.05
+# One long read for each shard that may be followed, and the appends.
+PLATFORM_CONNECTIONS = 256
 OPENING = "opening"
 
 
@@ -39,7 +51,9 @@
     Attributes:
         owner: Name of this process as an owner: the host's, and what tells this
             process from earlier ones there.
-        state: ``starting``, ``ready`` or ``draining``.
+        state: ``starting``, ``ready``, ``draining`` while readiness fails but
+            requests are still taken, then ``stopping``.
+        stop_orders: Whatever is put here makes the process drain and end.
         configuration: The `pimentowick.configuration.fold.ConfigurationFold`.
     """
 
@@ -47,14 +61,21 @@
         self.settings = settings
         self.owner = f"{settings.name}#{secrets.token_hex(4)}"
         self.state = STARTING
+        self.stop_orders = asyncio.Queue()
         self.metrics = process_metrics.EntryMetrics()
         self.limits = limits.ConcurrencyLimits(settings.max_online)
         # One pool for each class of traffic: none waits for another one's sockets.
-        self.client = http_client.Client(CONTROL_CONNECTIONS)
-        self._online_client = http_client.Client(settings.max_online)
-        self._batch_client = http_client.Client(settings.max_batch)
-        log = platform_log.HttpLog(settings.platform.log, self.client)
-        hosts = platform_hosts.HttpHostList(settings.platform.hosts, self.client)
+        peers = tls.make_client_tls(settings.tls)
+        self.client = http_client.Client(CONTROL_CONNECTIONS, peers)
+        self._online_client = http_client.Client(settings.max_online, peers)
+        self._batch_client = http_client.Client(settings.max_batch, peers)
+        self._platform_client = http_client.Client(
+            PLATFORM_CONNECTIONS, tls.make_client_tls(settings.platform.tls)
+        )
+        # What is passed on to other entries may take long; heartbeats and appends
+        # must not wait for it.
+        self.forward_client = http_client.Client(settings.max_online, peers)
+        log, hosts = self._make_platform()
         self.configuration = configuration_fold.ConfigurationFold()
         self.configuration_replica = replica.Replica(
             log, configuration.CONFIGURATION_STREAM, self.configuration
@@ -86,6 +107,7 @@
             settings.address,
             settings.port,
             settings.max_body_bytes,
+            tls.make_entry_context(settings.tls),
         )
 
     @property
@@ -93,6 +115,14 @@
         """``IP:port`` that the entry listens on."""
         return self._server.address
 
+    def _make_platform(self):
+        platform = self.settings.platform
+        make_log = adapter.find_adapter("log", platform.log_adapter)
+        make_hosts = adapter.find_adapter("hosts", platform.hosts_adapter)
+        log = make_log(platform.log, self._platform_client)
+        log = metered.MeteredLog(log, self.metrics)
+        return log, make_hosts(platform.hosts, self._platform_client)
+
     def _is_fresh(self):
         return self.dispatcher.is_fresh()
 
@@ -110,10 +140,12 @@
         )
 
     def _make_router(self):
-        near = balance.TwoChoiceBalancer(self.settings.failure_domain)
+        near = balance.TwoChoiceBalancer(
+            self.settings.failure_domain, self.fleet.is_usable
+        )
         return router.Router(
             self.fleet,
-            balance.AffinityBalancer(near),
+            affinity.AffinityBalancer(near),
             self._online_client,
             self.settings,
             self.owner,
@@ -129,11 +161,19 @@
                 ("/v1/completions", online.TextHandler, shared),
                 ("/v1/models", online.ModelsHandler, shared),
                 ("/v1/services/([^/]+)/(.*)", service.ServiceHandler, shared),
-                ("/v1/batches", job.JobsHandler, shared),
+                ("/v1/batches", listing.CallerJobsHandler, shared),
                 (job_path, job.JobHandler, shared),
                 (f"{job_path}/results", job.ResultsHandler, shared),
                 (f"{job_path}/cancel", job.CancelHandler, shared),
-                ("/v1/admin/audit", configuration.AuditHandler, shared),
+                ("/v1/audit", audit.CallerAuditHandler, shared),
+                ("/v1/admin/audit", audit.AuditHandler, shared),
+                ("/v1/admin/drain", order.DrainHandler, shared),
+                ("/v1/admin/batches", listing.OperatorJobsHandler, shared),
+                (
+                    "/v1/admin/batches/(batch_[0-9a-f]+)/cancel",
+                    order.CancelHandler,
+                    shared,
+                ),
                 ("/v1/admin/status", configuration.StatusHandler, shared),
                 (
                     "/v1/admin/(template|workspace|fleet)/([^/]+)",
@@ -145,15 +185,15 @@
                 ("/peer/stop-job", job.StopHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
-            default_handler_class=http_web.JsonHandler,
-            log_function=lambda handler: None,
+            default_handler_class=http_web.UnknownPathHandler,
+            log_function=self.metrics.observe_answer,
         )
 
     async def start(self):
         """Listen, and begin to follow the platform."""
-        for part in (self.client, self._online_client, self._batch_client):
+        for part in self._list_clients():
             await part.start()
         await self.configuration_replica.start()
         await self.fleet.start()
@@ -168,21 +208,34 @@
         self.state = READY
         logger.info("entry: {} listens on {}.", self.settings.name, self.address)
 
+    def _list_clients(self):
+        return (
+            self._platform_client,
+            self.client,
+            self._online_client,
+            self._batch_client,
+            self.forward_client,
+        )
+
     async def drain(self):
         """Fail readiness, finish what runs, and hand the shards over."""
-        logger.info("entry: Draining. {} online requests run.", self.limits.running)
+        logger.info("entry: Draining. {} requests run.", self._server.count_busy())
         self.state = DRAINING
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self.settings.drain_s
         # The balancer goes on sending until it has seen that readiness fails.
         await asyncio.sleep(self.settings.lame_duck_s)
+        # From here on no new connection is taken, and requests on those that are
+        # open are refused as not run: callers that go on sending would otherwise
+        # hold the process up to the bound, and then be cut.
+        self.state = STOPPING
+        self._server.stop_listening()
         await self.dispatcher.drain(max(0.0, deadline - loop.time()))
         await self.ownership.release_all()
-        while self.limits.running and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_CHECK_S)
+        cut = await self._server.drain(max(0.0, deadline - loop.time()))
         await self.calls.drain(max(0.0, deadline - loop.time()))
-        if self.limits.running:
-            logger.warning("entry: {} requests are cut.", self.limits.running)
+        if cut:
+            logger.warning("entry: {} requests are cut.", cut)
 
     async def close(self):
         """Stop listening and drop all connections."""
@@ -197,13 +250,16 @@
             self.table,
             self.fleet,
             self.configuration_replica,
-            self._batch_client,
-            self._online_client,
-            self.client,
+            *self._list_clients(),
         ):
             await part.close()
         logger.info("entry: {} is closed.", self.settings.name)
 
+    @property
+    def is_stopping(self):
+        """Whether requests that come now are refused."""
+        return self.state == STOPPING
+
     @property
     def is_ready(self):
         """Whether callers should be sent here."""
@@ -239,7 +295,6 @@
             # docs/CONFIGURATION.md.
             await follower.append([{"type": OPENING}], self.settings.append_s)
         await follower.append([record], self.settings.append_s)
-        self.metrics.configuration_version.set({}, self.configuration.version)
         return self.configuration.find_record(record["id"])
 
     async def count_in_force(self, version, wait):
--- a/pimentowick/replication/replica.py
+++ b/pimentowick/replication/replica.py
@@ -30,7 +30,8 @@
         log: `pimentowick.platform.log.Log` to read from.
         stream: Name of the stream.
         fold: `pimentowick.replication.fold.Fold` to keep.
-        wait_s: How long the log may hold an empty answer, in seconds.
+        get_wait: Function that returns how long the log may hold an empty answer, in
+            seconds; None means `READ_WAIT_S`.
 
     Attributes:
         offset: First offset not yet applied.
@@ -42,7 +43,7 @@
         checkpoint_covers: What the newest checkpoint in the log covers.
     """
 
-    def __init__(self, log, stream, fold, wait_s=READ_WAIT_S):
+    def __init__(self, log, stream, fold, get_wait=None):
         self.log = log
         self.stream = stream
         self.fold = fold
@@ -56,7 +57,7 @@
         self._checkpoint_at = None
         self._checkpoint_read_at = None
         self.applied = asyncio.Condition()
-        self._wait_s = wait_s
+        self._get_wait = get_wait or (lambda: READ_WAIT_S)
         self._scan = 0
         self._collector = checkpoint.Collector()
         self._reading = asyncio.Lock()
@@ -75,7 +76,7 @@
         failing = False
         while True:
             try:
-                await self.read_once(self._wait_s)
+                await self.read_once(self._get_wait())
                 failing = False
             except exception.LogUnavailableError as error:
                 if not failing:
@@ -209,10 +210,23 @@
         Raises:
             LogUnavailableError: That took longer than `timeout_s` seconds.
         """
-        called = time.monotonic()
-        await self.wait_for(
-            lambda: self.fresh_at is not None and self.fresh_at >= called, timeout_s
-        )
+        deadline = time.monotonic() + timeout_s
+        # The follower may hold a long read that began before this call and says
+        # nothing about it until it ends; the head is asked for beside it.
+        head = await self._read_head(deadline)
+        left = max(deadline - time.monotonic(), RETRY_S)
+        await self.wait_for(lambda: self.offset >= head, left)
+
+    async def _read_head(self, deadline):
+        while True:
+            try:
+                page = await self.log.read(self.stream, self.offset, limit=1)
+            except exception.LogUnavailableError:
+                if time.monotonic() >= deadline:
+                    raise
+                await asyncio.sleep(RETRY_S)
+                continue
+            return page.head
 
     async def wait_for(self, predicate, timeout_s):
         """Read on until `predicate` holds.
