--- a/pimentowick/entry/tests/durability.py
+++ b/pimentowick/entry/tests/durability.py
@@ -6,7 +6,7 @@
 from pimentowick import exception
 from pimentowick.fakes import embedded, engine
 
-__all__ = ["Tap", "check_results", "find_owner", "get_runs", "run"]
+__all__ = ["Tap", "check_results", "find_owner", "get_runs", "run", "tap_entries"]
 
 
 def run(check, **settings):
@@ -72,6 +72,11 @@
         self.rule = rule
 
 
+def tap_entries(fleet):
+    """Return a `Tap` of each entry by name; reads that begin later are held."""
+    return {name: Tap(entry) for name, entry in fleet.entries.items()}
+
+
 def find_owner(fleet, job_id):
     """Return the name of the entry that owns a job's shard, or None."""
     for name, entry in fleet.entries.items():
--- a/pimentowick/entry/tests/test_cancel.py
+++ b/pimentowick/entry/tests/test_cancel.py
@@ -12,11 +12,13 @@
 
 
 async def start_job(fleet):
-    """Submit a job that runs for a while; return its id and the owner's name."""
+    """Submit a job that runs for a while; return its id, owner and the owner's tap."""
+    taps = durability.tap_entries(fleet)
     answer = await fleet.submit(embedded.make_job_lines(400, 30), "k")
     job_id = answer.decode()["id"]
     await fleet.wait_for(lambda: durability.get_runs(fleet, job_id))
-    return job_id, durability.find_owner(fleet, job_id)
+    owner = durability.find_owner(fleet, job_id)
+    return job_id, owner, taps[owner]
 
 
 def get_other(fleet, name):
@@ -52,7 +54,7 @@
     """
 
     async def check(fleet):
-        job_id, owner = await start_job(fleet)
+        job_id, owner, _ = await start_job(fleet)
         other = get_other(fleet, owner)
         await fleet.crash(owner)
         runs, counts = await check_stopped(fleet, job_id, other)
@@ -67,8 +69,7 @@
     """
 
     async def check(fleet):
-        job_id, owner = await start_job(fleet)
-        tap = durability.Tap(fleet.entries[owner])
+        job_id, owner, tap = await start_job(fleet)
         tap.reads.clear()
         other = get_other(fleet, owner)
         runs, counts = await check_stopped(fleet, job_id, other)
@@ -90,8 +91,7 @@
     """
 
     async def check(fleet):
-        job_id, owner = await start_job(fleet)
-        tap = durability.Tap(fleet.entries[owner])
+        job_id, owner, tap = await start_job(fleet)
         tap.reads.clear()
         other = get_other(fleet, owner)
         shard = fleet.entries[other].table.find(job_id)
@@ -113,7 +113,7 @@
     """
 
     async def check(fleet):
-        job_id, owner = await start_job(fleet)
+        job_id, owner, _ = await start_job(fleet)
         fleet.log.board.place(faults.Order("down"))
         path = f"/v1/batches/{job_id}/cancel"
         for entry in fleet.entries:
@@ -135,8 +135,7 @@
     """
 
     async def check(fleet):
-        job_id, owner = await start_job(fleet)
-        tap = durability.Tap(fleet.entries[owner])
+        job_id, owner, tap = await start_job(fleet)
         tap.reads.clear()
         other = get_other(fleet, owner)
         path = f"/v1/batches/{job_id}/cancel"
--- a/pimentowick/entry/tests/test_completion.py
+++ b/pimentowick/entry/tests/test_completion.py
@@ -123,13 +123,14 @@
     """
 
     async def check(fleet):
-        answer = await fleet.submit(embedded.make_job_lines(300, 20), "k")
+        taps = durability.tap_entries(fleet)
+        answer = await fleet.submit(embedded.make_job_lines(600, 8), "k")
         job_id = answer.decode()["id"]
         owner = await fleet.wait_for(lambda: durability.find_owner(fleet, job_id))
         await fleet.wait_for(lambda: durability.get_runs(fleet, job_id))
         stale = fleet.entries[owner]
         other = next(e for name, e in fleet.entries.items() if name != owner)
-        tap = durability.Tap(stale)
+        tap = taps[owner]
         tap.reads.clear()
         shard = other.table.find(job_id)
         claim = batch_record.make_claim(shard.ledger.epoch + 1, other.owner, 0.0)
@@ -137,9 +138,9 @@
         written = tap.types["results"]
         await fleet.wait_for(lambda: tap.types["results"] > written)
         name = other.settings.name
-        await durability.check_results(fleet, job_id, 300, 20, entry=name)
+        await durability.check_results(fleet, job_id, 600, 8, entry=name)
         tap.reads.set()
-        await durability.check_results(fleet, job_id, 300, 20, entry=owner)
+        await durability.check_results(fleet, job_id, 600, 8, entry=owner)
         refs = [e.table.find(job_id).ledger.jobs[job_id].refs for e in (stale, other)]
         assert refs[0] == refs[1]
 
