--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -345,11 +345,17 @@
     async def check(fleet, callers):
         (target,) = list_engines(fleet)
         agent = fleet.agents["agent-lm-0"]
-        streams = [callers.open_stream(f"leave {i}", 512) for i in range(6)]
+        # With nothing to write, no failed write can tell that the caller has gone.
+        place(target, "stall", path=GENERATE)
+        streams = [callers.open_stream(f"leave {i}", 512) for i in range(3)]
+        chats = [asyncio.ensure_future(callers.chat(f"go {i}", 512)) for i in range(3)]
         await fleet.wait_for(lambda: agent.admission.count_online() == 6)
         assert len(target.running) + len(target.waiting) <= 4
         for stream in streams:
             stream.abort()
+        for chat in chats:
+            chat.cancel()
+        place(target, "clear")
         entry = fleet.entries["entry-0"]
         await fleet.wait_for(
             lambda: (
@@ -362,7 +368,7 @@
         assert (await callers.chat("next")).whole
 
     small = {"target": {"max_online": 4, "max_batch": 2}}
-    run(check, engines=1, agent_settings=small)
+    run(check, engines=1, agent_settings={**small, "idle_s": 60.0})
 
 
 def test_agents_start_before_their_engines_and_come_back():
--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -63,6 +63,7 @@
         agent_settings: Settings of the agents that differ from `AGENT_SETTINGS`.
         engine_settings: Settings of the stand-in engines.
         log_settings: Settings of the stand-in log.
+        host_lag_s: Lag of the stand-in host list, in seconds.
 
     Attributes:
         log: The stand-in log.
@@ -82,9 +83,10 @@
         agent_settings=None,
         engine_settings=None,
         log_settings=None,
+        host_lag_s=0.0,
     ):
         self.log = log.Log(**(log_settings or {}))
-        self.hosts = hosts.HostList(lag_s=0.0)
+        self.hosts = hosts.HostList(lag_s=host_lag_s)
         self.entries = {}
         self.agents = {}
         self.targets = {}
--- /dev/null
+++ b/pimentowick/tests/test_planned_stop.py
@@ -0,0 +1,239 @@
+"""Targets that leave, and processes that are asked to stop."""
+
+import asyncio
+import collections
+import types
+
+import pytest
+
+from pimentowick import client as http_client
+from pimentowick import verdict
+from pimentowick.fakes import callers as fake_callers
+from pimentowick.fakes import deployment, embedded, faults
+
+ITEMS = 60
+TOPOLOGY = {
+    "failure_domains": ["here"],
+    "entries": 2,
+    "targets": [
+        {"kind": "engine", "service": embedded.MODEL, "replicas": 2},
+        {"kind": "service", "service": embedded.SERVICE, "replicas": 1},
+    ],
+    "template": {"name": "plain", "body": embedded.TEMPLATE},
+    "workspaces": {"a": {}, "b": {}},
+}
+
+
+class Deployed(embedded.Embedded):
+    """A deployment of separate processes, asked as an embedded one is."""
+
+    def __init__(self, processes):
+        self.processes = processes
+        self.client = processes.client
+        self.tokens = processes.workspace_tokens
+        self.targets = {}
+
+    @property
+    def entries(self):
+        return {each.name: each for each in self.processes.entries}
+
+    async def read_runs(self):
+        """Take the runs that the targets counted."""
+        for name, each in self.processes.processes.items():
+            if name.startswith((embedded.MODEL, embedded.SERVICE)):
+                answer = await self.client.fetch("GET", each.address, "/runs")
+                found = answer.decode()
+                self.targets[name] = types.SimpleNamespace(
+                    runs=collections.Counter(found["runs"]),
+                    keys=collections.Counter(found.get("keys", {})),
+                )
+
+
+def run_deployed(check):
+    async def run():
+        processes = deployment.Deployment(
+            TOPOLOGY,
+            entry_settings=embedded.ENTRY_SETTINGS,
+            agent_settings=embedded.AGENT_SETTINGS,
+            fakes={"engine": {"base_step_ms": 8}}, log_level="INFO",
+        )
+        try:
+            await processes.start()
+            await processes.publish()
+            fleet = Deployed(processes)
+            callers = fake_callers.Callers(fleet)
+            await check(fleet, callers)
+            await fleet.read_runs()
+            callers.check()
+        finally:
+            await processes.close()
+
+    asyncio.run(run())
+
+
+async def start_work(fleet, callers, entry):
+    """Begin streams, calls and a job, and return their tasks once all of them run."""
+    answer = await fleet.submit(embedded.make_job_lines(ITEMS, 60), "k")
+    streams = [callers.stream(f"s{i}", 150, entry) for i in range(6)]
+    held = {"hold_s": 1.0}
+    calls = [callers.confirm("c", held, entry=entry), callers.confirm(None, held)]
+    tasks = [asyncio.ensure_future(each) for each in (*streams, *calls)]
+
+    async def all_run():
+        await fleet.read_runs()
+        ran = sum(len(each.runs) for each in fleet.targets.values())
+        return ran > len(tasks) and all(o.text or o.key for o in callers.outcomes[:6])
+
+    await fleet.wait_for(all_run)
+    return answer.decode()["id"], tasks
+
+
+async def call_until_refused(fleet, address):
+    """Go on calling a process that stops, and return what was answered, by code."""
+    headers = {"Authorization": f"Bearer {fleet.tokens['a']}"}
+    body = {"model": embedded.MODEL, "prompt": "late", "max_tokens": 1}
+    found = collections.Counter()
+    while True:
+        try:
+            answer = await fleet.client.fetch(
+                "POST", address, "/v1/completions", body, headers
+            )
+        except http_client.TransportError as error:
+            assert error.verdict is verdict.Verdict.NOT_RUN
+            return found
+        found[answer.status] += 1
+        if answer.status != 200:
+            assert answer.decode()["error"]["verdict"] == "not_run"
+
+
+def test_entry_that_is_told_to_stop_cuts_nothing():
+    """An entry gets SIGTERM amid streams, calls and the jobs that it owns.
+
+    A caller would see an answer break off, or a confirmation without an outcome;
+    a job's user would wait until somebody notices that its owner is gone.
+    """
+
+    async def check(fleet, callers):
+        address = fleet.entries["entry-0"].address
+        job_id, tasks = await start_work(fleet, callers, "entry-0")
+        late = asyncio.ensure_future(call_until_refused(fleet, address))
+        assert await fleet.processes.stop("entry-0") == 0
+        found = await late
+        assert set(found) <= {200, 503}
+        outcomes = await asyncio.gather(*tasks)
+        assert all(outcome.whole for outcome in outcomes)
+        await fleet.wait_for_job(job_id)
+        assert len(await fleet.read_results(job_id)) == ITEMS
+
+    run_deployed(check)
+
+
+def test_agent_that_is_told_to_stop_cuts_nothing():
+    """The process beside an engine gets SIGTERM amid streams and batch items.
+
+    What it runs has to end there: a stream that were moved to another engine would
+    have been cut, even if its caller did not see it.
+    """
+
+    async def check(fleet, callers):
+        job_id, tasks = await start_work(fleet, callers, "entry-0")
+        assert await fleet.processes.stop("agent-lm-0") == 0
+        outcomes = await asyncio.gather(*tasks)
+        assert all(outcome.whole for outcome in outcomes)
+        await fleet.wait_for_job(job_id)
+        await fleet.read_runs()
+        for outcome in outcomes:
+            assert callers.count_runs(outcome.request_id) == 1
+
+    run_deployed(check)
+
+
+def test_stop_is_bounded():
+    """An engine never ends an answer, and an entry is told to stop.
+
+    The host is taken away at some time whatever runs; the caller of the answer that
+    has to be cut must be able to see that it is not whole.
+    """
+
+    async def check(fleet, callers):
+        for target in fleet.targets.values():
+            target.board.place(faults.Order("stall", path="/generate"))
+        task = asyncio.ensure_future(callers.stream("x", 20))
+        await fleet.wait_for(lambda: callers.outcomes and callers.outcomes[0].text)
+        entry = fleet.entries["entry-0"]
+        await entry.drain()
+        await fleet.crash("entry-0")
+        assert not (await task).whole
+
+    fake_callers.run_with_callers(
+        check, entry_settings={"drain_s": 0.5}, agent_settings={"idle_s": 60.0}
+    )
+
+
+def count_all_runs(target):
+    return sum(target.runs.values())
+
+
+def is_avoided(fleet, name):
+    """Return whether every entry knows that an agent takes no new work."""
+    return not any(
+        entry.fleet.is_usable(entry.fleet.peers[name])
+        for entry in fleet.entries.values()
+        if name in entry.fleet.peers
+    )
+
+
+async def call_all_entries(fleet, callers):
+    calls = [
+        callers.chat(f"{name} {number}", entry=name)
+        for name in fleet.entries
+        for number in range(20)
+    ]
+    outcomes = await asyncio.gather(*calls)
+    assert all(outcome.whole for outcome in outcomes)
+
+
+def test_target_that_the_host_list_calls_leaving_gets_no_new_work():
+    """The platform says that a host is about to go, and says so with a lag."""
+
+    async def check(fleet, callers):
+        agent = fleet.agents["agent-lm-0"]
+        await fleet.list_host("agent-lm-0", "agent", agent.address, "leaving")
+        await fleet.wait_for(lambda: is_avoided(fleet, "agent-lm-0"))
+        before = count_all_runs(fleet.targets["lm-0"])
+        answer = await fleet.submit(embedded.make_job_lines(ITEMS), "k")
+        await call_all_entries(fleet, callers)
+        await fleet.wait_for_job(answer.decode()["id"])
+        assert count_all_runs(fleet.targets["lm-0"]) == before
+
+    fake_callers.run_with_callers(check, host_lag_s=0.5)
+
+
+@pytest.mark.parametrize("down", ["hosts", "log"])
+def test_draining_target_gets_no_new_work_even_if_entries_missed_the_news(down):
+    """An agent drains, the host list or the log is down, and one entry hears nothing.
+
+    Work that reached the target now would be cut when it goes. The agent's own
+    refusal says that nothing ran, so that each request goes elsewhere unharmed.
+    """
+
+    async def check(fleet, callers):
+        answer = await fleet.submit(embedded.make_job_lines(ITEMS, 30), "k")
+        target = fleet.targets["lm-0"]
+        await fleet.wait_for(lambda: target.runs)
+        agent = fleet.agents["agent-lm-0"]
+        faulty = getattr(fleet, down)
+        faulty.board.place(faults.Order("down"))
+        fleet.entries["entry-1"].fleet._supervisor.stop_child("agent-lm-0")
+        draining = asyncio.ensure_future(agent.drain())
+        await fleet.wait_for(lambda: agent.state == "draining")
+        before = count_all_runs(target)
+        await call_all_entries(fleet, callers)
+        assert await draining
+        await fleet.crash("agent-lm-0")
+        await call_all_entries(fleet, callers)
+        faulty.board.place(faults.Order("clear"))
+        await fleet.wait_for_job(answer.decode()["id"])
+        assert count_all_runs(target) == before
+
+    fake_callers.run_with_callers(check)
