--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -15,10 +15,9 @@
 from pimentowick.configuration import tokens
 from pimentowick.entry import configuration, job, online, service
 from pimentowick.membership import fleet as membership_fleet
-from pimentowick.platform import hosts as platform_hosts
-from pimentowick.platform import log as platform_log
+from pimentowick.platform import adapter
 from pimentowick.replication import replica
-from pimentowick.routing import balance, limits, router
+from pimentowick.routing import affinity, balance, limits, router
 
 __all__ = ["Entry"]
 
@@ -57,8 +56,7 @@
         # What is passed on to other entries may take long; heartbeats and appends
         # must not wait for it.
         self.forward_client = http_client.Client(settings.max_online)
-        log = platform_log.HttpLog(settings.platform.log, self.client)
-        hosts = platform_hosts.HttpHostList(settings.platform.hosts, self.client)
+        log, hosts = self._make_platform()
         self.configuration = configuration_fold.ConfigurationFold()
         self.configuration_replica = replica.Replica(
             log, configuration.CONFIGURATION_STREAM, self.configuration
@@ -90,6 +88,13 @@
         """``IP:port`` that the entry listens on."""
         return self._server.address
 
+    def _make_platform(self):
+        platform = self.settings.platform
+        make_log = adapter.find_adapter("log", platform.log_adapter)
+        make_hosts = adapter.find_adapter("hosts", platform.hosts_adapter)
+        log = make_log(platform.log, self.client)
+        return log, make_hosts(platform.hosts, self.client)
+
     def _is_fresh(self):
         return self.dispatcher.is_fresh()
 
@@ -107,10 +112,12 @@
         )
 
     def _make_router(self):
-        near = balance.TwoChoiceBalancer(self.settings.failure_domain)
+        near = balance.TwoChoiceBalancer(
+            self.settings.failure_domain, self.fleet.is_usable
+        )
         return router.Router(
             self.fleet,
-            balance.AffinityBalancer(near),
+            affinity.AffinityBalancer(near),
             self._online_client,
             self.settings,
             self.owner,
