--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -355,7 +355,6 @@
             stream.abort()
         for chat in chats:
             chat.cancel()
-        place(target, "clear")
         entry = fleet.entries["entry-0"]
         await fleet.wait_for(
             lambda: (
@@ -363,8 +362,10 @@
                 and not agent.admission.count_online()
                 and not agent.running
                 and not entry.limits.running
-            )
+            ),
+            timeout_s=5.0,
         )
+        place(target, "clear")
         assert (await callers.chat("next")).whole
 
     small = {"target": {"max_online": 4, "max_batch": 2}}
--- a/pimentowick/fakes/fault_run.py
+++ b/pimentowick/fakes/fault_run.py
@@ -23,6 +23,7 @@
 CALLS = 4
 RESENDS = 2
 MOST_HITS = 4
+MIDDLE_SHARE = 0.5
 SETTINGS = {
     "engines": ENGINES,
     "services": SERVICES,
@@ -150,24 +151,24 @@
 
 
 async def _send_requests(fleet, callers, rng, number):
-    entries = sorted(fleet.entries)
+    def choose_entry():
+        return rng.choice(sorted(fleet.entries))
 
     async def confirm_often(key):
         for _ in range(1 + RESENDS):
-            await callers.confirm(key, entry=rng.choice(entries))
+            await callers.confirm(key, entry=choose_entry())
 
     work = [
-        callers.chat(f"chat {number} {i}", 20, entry=rng.choice(entries))
+        callers.chat(f"chat {number} {i}", 20, entry=choose_entry())
         for i in range(CHATS)
     ]
     work += [
-        callers.stream(f"stream {number} {i}", 60, rng.choice(entries))
+        callers.stream(f"stream {number} {i}", 60, choose_entry())
         for i in range(STREAMS)
     ]
-    work += [confirm_often(f"key {number} {i}") for i in range(CALLS)]
-    work += [callers.confirm(entry=rng.choice(entries))]
-    # The same key through two entries at once.
-    work += [callers.confirm(f"key {number} 0", entry=name) for name in entries]
+    # Two callers use the first key at once.
+    work += [confirm_often(f"key {number} {max(0, i)}") for i in range(-1, CALLS)]
+    work += [callers.confirm(entry=choose_entry())]
     await asyncio.gather(*work)
 
 
@@ -197,6 +198,19 @@
     )
 
 
+async def _run_round(fleet, callers, board, rng, number):
+    sent = len(callers.outcomes)
+    requests = asyncio.ensure_future(_send_requests(fleet, callers, rng, number))
+    # Half of the rounds meet the faults in the middle of their requests.
+    if rng.random() < MIDDLE_SHARE:
+        await fleet.wait_for(
+            lambda: any(outcome.text for outcome in callers.outcomes[sent:])
+        )
+    await board.put_in()
+    await requests
+    await board.mend()
+
+
 async def run_faults(seed, rounds):
     """Run `rounds` rounds of random faults and check what must always hold.
 
@@ -221,9 +235,7 @@
         job = (await fleet.submit(lines, f"job {seed}")).decode()
         board = _Faults(fleet, rng)
         for number in range(rounds):
-            await board.put_in()
-            await _send_requests(fleet, callers, rng, number)
-            await board.mend()
+            await _run_round(fleet, callers, board, rng, number)
         await _check_job(fleet, job["id"])
         callers.check()
         return _make_report(board.placed, callers)
--- a/pimentowick/tests/test_planned_stop.py
+++ b/pimentowick/tests/test_planned_stop.py
@@ -71,15 +71,25 @@
     asyncio.run(run())
 
 
-async def start_work(fleet, callers, entry):
-    """Begin streams, calls and a job, and return their tasks once all of them run."""
+async def start_job(fleet):
+    """Submit a job and return its id once items of it run."""
     answer = await fleet.submit(embedded.make_job_lines(ITEMS, 60), "k")
 
     async def runs_items():
         await fleet.read_runs()
-        return any(map(count_all_runs, fleet.targets.values()))
+        return any(map(count_requests, fleet.targets.values()))
 
     await fleet.wait_for(runs_items)
+    return answer.decode()["id"]
+
+
+async def check_job(fleet, job_id):
+    await fleet.wait_for_job(job_id)
+    assert len(await fleet.read_results(job_id)) == ITEMS
+
+
+async def start_calls(fleet, callers, entry):
+    """Begin streams and calls, and return their tasks once all of them run."""
     streams = [callers.stream(f"s{i}", 300, entry) for i in range(6)]
     held = {"hold_s": 1.5}
     calls = [callers.confirm("c", held, entry=entry), callers.confirm(None, held)]
@@ -93,7 +103,7 @@
 
     await fleet.wait_for(all_run)
     assert not any(task.done() for task in tasks)
-    return answer.decode()["id"], tasks
+    return tasks
 
 
 async def call_until_refused(fleet, address):
@@ -114,24 +124,47 @@
             assert answer.decode()["error"]["verdict"] == "not_run"
 
 
-def test_entry_that_is_told_to_stop_cuts_nothing():
-    """An entry gets SIGTERM amid streams, calls and the jobs that it owns.
+class KeptConnection:
+    """A connection that its caller opened long ago and uses late."""
+
+    async def open(self, address):
+        host, _, port = address.rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
+
+    async def ask(self, token):
+        head = "GET /v1/models HTTP/1.1\r\nHost: entry\r\n"
+        head += f"Authorization: Bearer {token}\r\n\r\n"
+        self.writer.write(head.encode())
+        answer = await self.reader.read(65_536)
+        self.writer.close()
+        return answer
+
+
+@pytest.mark.parametrize("with_job", [False, True])
+def test_entry_that_is_told_to_stop_cuts_nothing(with_job):
+    """An entry gets SIGTERM amid streams, calls and perhaps a job that it owns.
 
     A caller would see an answer break off, or a confirmation without an outcome;
-    a job's user would wait until somebody notices that its owner is gone.
+    a job's user would wait until somebody notices that its owner is gone. Whoever
+    comes late, by a connection that was open already, reads that nothing ran.
     """
 
     async def check(fleet, callers):
         address = fleet.entries["entry-0"].address
-        job_id, tasks = await start_work(fleet, callers, "entry-0")
+        job_id = await start_job(fleet) if with_job else None
+        kept = KeptConnection()
+        await kept.open(address)
+        tasks = await start_calls(fleet, callers, "entry-0")
         late = asyncio.ensure_future(call_until_refused(fleet, address))
-        assert await fleet.processes.stop("entry-0") == 0
-        found = await late
-        assert set(found) <= {200, 503}
+        stopping = asyncio.ensure_future(fleet.processes.stop("entry-0"))
+        assert set(await late) <= {200, 503}
+        answer = await kept.ask(fleet.tokens["a"])
+        assert b" 503 " in answer and b'"not_run"' in answer
         outcomes = await asyncio.gather(*tasks)
         assert all(outcome.whole for outcome in outcomes)
-        await fleet.wait_for_job(job_id)
-        assert len(await fleet.read_results(job_id)) == ITEMS
+        assert await stopping == 0
+        if with_job:
+            await check_job(fleet, job_id)
 
     run_deployed(check)
 
@@ -144,11 +177,12 @@
     """
 
     async def check(fleet, callers):
-        job_id, tasks = await start_work(fleet, callers, "entry-0")
+        job_id = await start_job(fleet)
+        tasks = await start_calls(fleet, callers, "entry-0")
         assert await fleet.processes.stop("agent-lm-0") == 0
         outcomes = await asyncio.gather(*tasks)
         assert all(outcome.whole for outcome in outcomes)
-        await fleet.wait_for_job(job_id)
+        await check_job(fleet, job_id)
         await fleet.read_runs()
         for outcome in outcomes:
             assert callers.count_runs(outcome.request_id) == 1
@@ -178,8 +212,9 @@
     )
 
 
-def count_all_runs(target):
-    return sum(target.runs.values())
+def count_requests(target):
+    # Not runs: an item that was preempted runs again where it is.
+    return len(target.runs)
 
 
 def is_avoided(fleet, name):
@@ -208,11 +243,11 @@
         agent = fleet.agents["agent-lm-0"]
         await fleet.list_host("agent-lm-0", "agent", agent.address, "leaving")
         await fleet.wait_for(lambda: is_avoided(fleet, "agent-lm-0"))
-        before = count_all_runs(fleet.targets["lm-0"])
+        before = count_requests(fleet.targets["lm-0"])
         answer = await fleet.submit(embedded.make_job_lines(ITEMS), "k")
         await call_all_entries(fleet, callers)
         await fleet.wait_for_job(answer.decode()["id"])
-        assert count_all_runs(fleet.targets["lm-0"]) == before
+        assert count_requests(fleet.targets["lm-0"]) == before
 
     fake_callers.run_with_callers(check, host_lag_s=0.5)
 
@@ -235,13 +270,13 @@
         fleet.entries["entry-1"].fleet._supervisor.stop_child("agent-lm-0")
         draining = asyncio.ensure_future(agent.drain())
         await fleet.wait_for(lambda: agent.state == "draining")
-        before = count_all_runs(target)
+        before = count_requests(target)
         await call_all_entries(fleet, callers)
         assert await draining
         await fleet.crash("agent-lm-0")
         await call_all_entries(fleet, callers)
         faulty.board.place(faults.Order("clear"))
         await fleet.wait_for_job(answer.decode()["id"])
-        assert count_all_runs(target) == before
+        assert count_requests(target) == before
 
     fake_callers.run_with_callers(check)
