--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -8,6 +8,7 @@
 
 from pimentowick.fakes import callers as fake_callers
 from pimentowick.fakes import embedded, engine, faults, relay
+from pimentowick.platform import engine as platform_engine
 
 run = fake_callers.run_with_callers
 GENERATE = "/generate"
@@ -415,3 +416,75 @@
         assert echoed.decode()["path"] == "/a%20b%0D%0Ac"
 
     run(check, entry_settings={"max_body_bytes": 1_000_000})
+
+
+def test_caller_that_reads_nothing_is_let_go_at_its_deadline():
+    """A caller's connection falls silent for good while its answer is written.
+
+    The entry would wait for the connection to take the rest, for ever, and each such
+    caller would keep one of the places of its workspace.
+    """
+
+    async def generate(request):
+        while True:
+            yield platform_engine.Tokens(0, ["x" * 1_000_000])
+
+    async def check(fleet, callers):
+        entry = fleet.entries["entry-0"]
+        entry.router.generate = generate
+        body = {"model": embedded.MODEL, "prompt": "x", "stream": True}
+        headers = {
+            "Authorization": f"Bearer {fleet.tokens['a']}",
+            "X-Deadline": str(time.time() + 1.0),
+        }
+        _, writer = await fake_callers.open_unread(
+            entry.address, "/v1/completions", body, headers
+        )
+        await fleet.wait_for(lambda: entry.limits.running)
+        await fleet.wait_for(lambda: not entry.limits.running, timeout_s=8.0)
+        await fleet.wait_for(lambda: not entry._server.count_busy())
+        writer.close()
+
+    run(check, entries=1, engines=1)
+
+
+def test_keyed_call_whose_caller_left_is_settled():
+    """A caller hangs up while its call runs, and asks again by the same key.
+
+    The call goes on, since it can't be undone; its answer has to be there for the
+    one who asks again, who could otherwise never know.
+    """
+
+    async def check(fleet, callers):
+        desk = fleet.targets["desk-0"]
+        body = {"stand": 1, "hold_s": 0.3}
+        first = asyncio.ensure_future(callers.confirm("k", body))
+        await fleet.wait_for(lambda: desk.keys["k"])
+        first.cancel()
+
+        async def is_answered():
+            return (await callers.confirm("k", body, entry="entry-1")).whole
+
+        await fleet.wait_for(is_answered)
+        assert desk.keys["k"] == 1
+
+    run(check)
+
+
+def test_idempotent_call_whose_caller_left_frees_its_place():
+    """Callers of a slow service hang up while it works on what may be repeated."""
+
+    async def check(fleet, callers):
+        agent = fleet.agents["agent-desk-0"]
+        headers = {"X-Idempotent": "true"}
+        body = {"hold_s": 60.0}
+        calls = [
+            asyncio.ensure_future(callers.confirm(None, body, headers))
+            for _ in range(4)
+        ]
+        await fleet.wait_for(lambda: agent.admission.count_online() == 4)
+        for call in calls:
+            call.cancel()
+        await fleet.wait_for(lambda: not agent.admission.count_online(), timeout_s=3.0)
+
+    run(check)
--- a/pimentowick/fakes/callers.py
+++ b/pimentowick/fakes/callers.py
@@ -19,6 +19,7 @@
 SERVICE_PATH = f"/v1/services/{embedded.SERVICE}/confirm"
 END_MARK = b"data: [DONE]"
 DATA = b"data: "
+READ_LIMIT = 100_000_000
 # Refusals that say "later" have to say when.
 LATER_STATUSES = frozenset([429, 502, 503, 504])
 
@@ -251,3 +252,20 @@
             await fleet.close()
 
     asyncio.run(run())
+
+
+async def open_unread(address, path, body, headers=None):
+    """Post JSON over a connection of its own and leave the answer in the sockets.
+
+    Returns:
+        The reader, which takes nothing before the test lets it, and the writer.
+    """
+    host, _, port = address.rpartition(":")
+    data = orjson.dumps(body)
+    lines = [f"POST {path} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines += [f"Content-Length: {len(data)}", "", ""]
+    reader, writer = await asyncio.open_connection(host, int(port), limit=READ_LIMIT)
+    writer.transport.pause_reading()
+    writer.write("\r\n".join(lines).encode() + data)
+    return reader, writer
