--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -7,20 +7,21 @@
 import asyncio
 import collections
 import contextlib
+import secrets
 import time
 
 from loguru import logger
 from tornado import iostream, web
 
 from pimentowick import client as http_client
-from pimentowick import exception, supervisor, verdict
+from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
+from pimentowick.agent import metered
 from pimentowick.agent import work as agent_work
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
-from pimentowick.scheduling import admission as scheduling_admission
 from pimentowick.scheduling import lease as scheduling_lease
 from pimentowick.scheduling import limiter as scheduling_limiter
 
@@ -35,6 +36,8 @@
 LEASE_CHECK_S = 0.1
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
+# Entries don't read these; a heartbeat answer is smaller without them.
+UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
 
 
@@ -47,12 +50,15 @@
     Attributes:
         address: ``IP:port`` once started.
         state: ``starting``, ``ready`` or ``draining``.
+        stop_orders: Whatever is put here makes the process drain and end.
         running: The connections whose request is at work.
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.state = STARTING
+        self._process = secrets.token_hex(4)
+        self.stop_orders = asyncio.Queue()
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.cache_lifetime = lifetime.CacheLifetime()
@@ -63,15 +69,18 @@
         limiter = scheduling_limiter.YieldingLimiter(
             target.max_batch, LOW_SHARE[settings.batch_harm]
         )
-        self.admission = scheduling_admission.Admission(
-            target.max_online, target.max_queue, limiter
+        self.admission = metered.MeteredAdmission(
+            self.metrics, target.max_online, target.max_queue, limiter
         )
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
         self.target = self._make_target()
         self._supervisor = supervisor.Supervisor("agent")
         self._server = http_web.Server(
-            self._make_application(), settings.address, settings.port
+            self._make_application(),
+            settings.address,
+            settings.port,
+            ssl_context=tls.make_agent_context(settings.tls),
         )
 
     @property
@@ -93,9 +102,10 @@
                 ("/work", WorkHandler, shared),
                 ("/heartbeat", HeartbeatHandler, shared),
                 ("/stop-job", StopJobHandler, shared),
+                ("/drain", DrainHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
             default_handler_class=http_web.UnknownPathHandler,
             log_function=lambda handler: None,
@@ -211,26 +221,44 @@
             self.cache_lifetime.note(events, following, time.monotonic())
 
     def describe(self):
-        """Return what heartbeat answers say about this agent."""
+        """Return all that there is to say about this agent."""
         target = self.settings.target
-        admission = self.admission
         return {
             "agent": self.settings.name,
-            "state": self.state,
+            "process": self._process,
             "kind": target.kind,
             "service": target.service,
             "target": target.name,
+            "max_online": self.admission.max_online,
+            "lease_s": self.settings.lease_s,
             "models": list(self.load.models),
+            **self.describe_changing(),
+        }
+
+    def describe_changing(self):
+        """Return what heartbeat answers say to an entry that knows the rest."""
+        admission = self.admission
+        return {
+            "state": self.state,
             "online": admission.count_online(),
-            "max_online": admission.max_online,
             "batch": len(admission.batch),
             "batch_free": admission.count_free_batch(),
-            "wait_s": admission.estimate_wait(),
+            "wait_s": round(admission.estimate_wait(), 3),
             "entries": max(1, self.leases.count()),
-            "lease_s": self.settings.lease_s,
             "cache_life_s": self.cache_lifetime.estimate(),
         }
 
+    def answer_heartbeat(self, known):
+        """Return what to tell an entry.
+
+        Args:
+            known: Name of the process of this agent that told the entry the rest,
+                or None.
+        """
+        if known != self._process:
+            return self.describe()
+        return self.describe_changing()
+
     def check(self, work):
         """Refuse work that must not begin.
 
@@ -304,7 +332,7 @@
             self._count(error.refusal)
             self.write(work.make_refusal(error.refusal))
         else:
-            self.agent.metrics.count_admitted(work.envelope.priority)
+            self.agent.metrics.count_answered(work.envelope.priority)
         self.finish()
 
     async def _send(self, line):
@@ -351,11 +379,16 @@
     def post(self):
         """Answer a heartbeat."""
         data = self.read_json()
-        answer = self.agent.describe()
+        answer = self.agent.answer_heartbeat(data.get("known"))
         if data.get("renew") is not None:
             answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
+        for name in UNUSED_HEADERS:
+            self.clear_header(name)
         self.write_json(answer)
 
+    def compute_etag(self):
+        """Return None: no answer is asked for again."""
+
 
 class StopJobHandler(http_web.JsonHandler):
     """Ends the items of a cancelled job."""
@@ -370,6 +403,20 @@
         self.write_json({"cancelled": await self.agent.stop_job(job)})
 
 
+class DrainHandler(http_web.JsonHandler):
+    """Makes the agent drain and its process end, as SIGTERM does."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def post(self):
+        """Answer at once; `GET /ready` shows how it goes on."""
+        if self.agent.state == READY:
+            self.agent.stop_orders.put_nowait("drain")
+        self.write_json({"state": DRAINING}, 202)
+
+
 class HealthHandler(http_web.JsonHandler):
     """Liveness: the loop turns."""
 
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -15,8 +15,10 @@
 of retention, only moves that offset.
 """
 
+import collections
 import dataclasses
 
+from pimentowick.batch import note as batch_note
 from pimentowick.batch import record as batch_record
 from pimentowick.replication import fold
 
@@ -35,6 +37,7 @@
 MAX_ENDED_CALLS = 20_000
 DUMP_ROWS = 2000
 DUMP_CALLS = 500
+DUMP_NOTES = 50
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,6 +124,9 @@
         jobs: `Job` by id.
         calls: `Call` by id.
         owner_offset: Offset of the last record that shows the owner alive.
+        fenced: Records read whose epoch was over; no part of the state.
+        notes: `pimentowick.batch.note.Note` of the newest claims, releases and
+            cancellations, oldest first.
 
     Examples:
         >>> ledger = Ledger()
@@ -131,12 +137,14 @@
     """
 
     def __init__(self):
+        self.fenced = 0
         self._reset()
 
     def _reset(self):
         self.epoch = 0
         self.owner = None
         self.owner_offset = -1
+        self.notes = collections.deque(maxlen=batch_note.NOTES_LIMIT)
         self.jobs = {}
         self.calls = {}
         # Offsets of the chunks by submission and index, and of results by record.
@@ -158,7 +166,9 @@
             return
 
     def _apply_claim(self, offset, record):
-        if record["epoch"] != self.epoch + 1:
+        accepted = record["epoch"] == self.epoch + 1
+        self.notes.append(batch_note.note_claim(offset, record, self.epoch, accepted))
+        if not accepted:
             return
         self.owner = str(record["owner"])
         self.epoch = record["epoch"]
@@ -166,6 +176,7 @@
 
     def _apply_release(self, offset, record):
         if self._is_current(record):
+            self.notes.append(batch_note.note_release(offset, self.owner, self.epoch))
             self.owner = None
             self.owner_offset = offset
 
@@ -174,7 +185,10 @@
             self.owner_offset = offset
 
     def _is_current(self, record):
-        return self.owner is not None and record["epoch"] == self.epoch
+        current = self.owner is not None and record["epoch"] == self.epoch
+        if not current:
+            self.fenced += 1
+        return current
 
     def _apply_chunk(self, offset, record):
         submission = record["submission"]
@@ -219,6 +233,7 @@
 
     def _apply_cancelled(self, offset, record):
         job = self.jobs[record["job"]]
+        self.notes.append(batch_note.note_cancelled(offset, record, job))
         if job.state == OPEN:
             job.state = CANCELLED
             job.cancelled_by = str(record["by"])
@@ -356,6 +371,9 @@
         calls = [dataclasses.asdict(call) for call in self.calls.values()]
         for start in range(0, len(calls), DUMP_CALLS):
             parts.append({"calls": calls[start : start + DUMP_CALLS]})
+        notes = [dataclasses.asdict(note) for note in self.notes]
+        for start in range(0, len(notes), DUMP_NOTES):
+            parts.append({"notes": notes[start : start + DUMP_NOTES]})
         return parts
 
     def _dump_orphans(self):
@@ -408,6 +426,8 @@
                 self._load_job(part["job"])
             elif "results_of" in part:
                 self._load_results(part)
+            elif "notes" in part:
+                self.notes.extend(batch_note.Note(**data) for data in part["notes"])
             else:
                 for call in part["calls"]:
                     self.calls[call["id"]] = Call(**call)
--- a/pimentowick/batch/shard.py
+++ b/pimentowick/batch/shard.py
@@ -9,15 +9,17 @@
 
 from loguru import logger
 
-from pimentowick import supervisor
+from pimentowick import rendezvous, supervisor
 from pimentowick.batch import ledger as batch_ledger
 from pimentowick.replication import replica as replication_replica
 
 __all__ = ["Shard", "ShardTable", "find_shard", "rank_entries"]
 
-WATCH_S = 0.2
+WATCH_S = 0.5
 # Owners know what the log held at most about twice this time ago.
 READ_WAIT_S = 0.5
+# Nobody acts on the age of a shard without open jobs; a new job ends the wait.
+IDLE_READ_WAIT_S = 1.0
 
 
 def find_shard(key, shards):
@@ -42,11 +44,7 @@
         >>> rank_entries(3, rest) == rest
         True
     """
-    return sorted(names, key=lambda name: _weigh(number, name), reverse=True)
-
-
-def _weigh(number, name):
-    return hashlib.blake2b(f"{number}/{name}".encode(), digest_size=8).digest()
+    return sorted(names, key=lambda name: rendezvous.weigh(number, name), reverse=True)
 
 
 class Shard:
@@ -56,9 +54,14 @@
         self.number = number
         self.ledger = batch_ledger.Ledger()
         self.replica = replication_replica.Replica(
-            log, f"shard-{number}", self.ledger, READ_WAIT_S
+            log, f"shard-{number}", self.ledger, self._get_wait
         )
 
+    def _get_wait(self):
+        if self.ledger.list_open_jobs():
+            return READ_WAIT_S
+        return IDLE_READ_WAIT_S
+
     @property
     def stream(self):
         """Name of the stream in the log."""
@@ -80,6 +83,7 @@
 
     def __init__(self, log, fleet, settings, owner):
         self.followed = {}
+        self._wanted = 0
         self._log = log
         self._fleet = fleet
         self._settings = settings
@@ -98,17 +102,24 @@
             await shard.replica.close()
 
     async def _watch(self):
-        seen_at = None
+        seen = None
         while True:
-            if self._fleet.read_at is not None and self._fleet.read_at != seen_at:
-                seen_at = self._fleet.read_at
+            names = self.list_names()
+            if self._fleet.read_at is not None and names != seen:
                 await self._follow_all()
+                # What is still owned is left once it has been given up.
+                seen = names if len(self.followed) == self._wanted else None
             await asyncio.sleep(WATCH_S)
 
     async def _follow_all(self):
+        self._wanted = 0
         for number in range(self._settings.shards):
+            # With hundreds of entries one shard takes about a millisecond to rank;
+            # all of them at once would hold up the requests of the moment.
+            await asyncio.sleep(0)
             followers = self.list_followers(number)
             wanted = self._settings.name in followers
+            self._wanted += wanted
             if wanted and number not in self.followed:
                 shard = Shard(number, self._log)
                 self.followed[number] = shard
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -8,12 +8,22 @@
 
 from pimentowick import client as http_client
 from pimentowick import metrics as process_metrics
+from pimentowick import tls
 from pimentowick import web as http_web
 from pimentowick.batch import call as batch_call
 from pimentowick.batch import dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
-from pimentowick.entry import configuration, job, online, service
+from pimentowick.entry import (
+    audit,
+    configuration,
+    job,
+    listing,
+    metered,
+    online,
+    order,
+    service,
+)
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
@@ -26,6 +36,8 @@
 DRAINING = "draining"
 STOPPING = "stopping"
 CONTROL_CONNECTIONS = 64
+# One long read for each shard that may be followed, and the appends.
+PLATFORM_CONNECTIONS = 256
 OPENING = "opening"
 
 
@@ -40,6 +52,7 @@
             process from earlier ones there.
         state: ``starting``, ``ready``, ``draining`` while readiness fails but
             requests are still taken, then ``stopping``.
+        stop_orders: Whatever is put here makes the process drain and end.
         configuration: The `pimentowick.configuration.fold.ConfigurationFold`.
     """
 
@@ -47,15 +60,20 @@
         self.settings = settings
         self.owner = f"{settings.name}#{secrets.token_hex(4)}"
         self.state = STARTING
+        self.stop_orders = asyncio.Queue()
         self.metrics = process_metrics.EntryMetrics()
         self.limits = limits.ConcurrencyLimits(settings.max_online)
         # One pool for each class of traffic: none waits for another one's sockets.
-        self.client = http_client.Client(CONTROL_CONNECTIONS)
-        self._online_client = http_client.Client(settings.max_online)
-        self._batch_client = http_client.Client(settings.max_batch)
+        peers = tls.make_client_tls(settings.tls)
+        self.client = http_client.Client(CONTROL_CONNECTIONS, peers)
+        self._online_client = http_client.Client(settings.max_online, peers)
+        self._batch_client = http_client.Client(settings.max_batch, peers)
+        self._platform_client = http_client.Client(
+            PLATFORM_CONNECTIONS, tls.make_client_tls(settings.platform.tls)
+        )
         # What is passed on to other entries may take long; heartbeats and appends
         # must not wait for it.
-        self.forward_client = http_client.Client(settings.max_online)
+        self.forward_client = http_client.Client(settings.max_online, peers)
         log, hosts = self._make_platform()
         self.configuration = configuration_fold.ConfigurationFold()
         self.configuration_replica = replica.Replica(
@@ -81,6 +99,7 @@
             settings.address,
             settings.port,
             settings.max_body_bytes,
+            tls.make_entry_context(settings.tls),
         )
 
     @property
@@ -92,8 +111,9 @@
         platform = self.settings.platform
         make_log = adapter.find_adapter("log", platform.log_adapter)
         make_hosts = adapter.find_adapter("hosts", platform.hosts_adapter)
-        log = make_log(platform.log, self.client)
-        return log, make_hosts(platform.hosts, self.client)
+        log = make_log(platform.log, self._platform_client)
+        log = metered.MeteredLog(log, self.metrics)
+        return log, make_hosts(platform.hosts, self._platform_client)
 
     def _is_fresh(self):
         return self.dispatcher.is_fresh()
@@ -133,11 +153,19 @@
                 ("/v1/completions", online.TextHandler, shared),
                 ("/v1/models", online.ModelsHandler, shared),
                 ("/v1/services/([^/]+)/(.*)", service.ServiceHandler, shared),
-                ("/v1/batches", job.JobsHandler, shared),
+                ("/v1/batches", listing.CallerJobsHandler, shared),
                 (job_path, job.JobHandler, shared),
                 (f"{job_path}/results", job.ResultsHandler, shared),
                 (f"{job_path}/cancel", job.CancelHandler, shared),
-                ("/v1/admin/audit", configuration.AuditHandler, shared),
+                ("/v1/audit", audit.CallerAuditHandler, shared),
+                ("/v1/admin/audit", audit.AuditHandler, shared),
+                ("/v1/admin/drain", order.DrainHandler, shared),
+                ("/v1/admin/batches", listing.OperatorJobsHandler, shared),
+                (
+                    "/v1/admin/batches/(batch_[0-9a-f]+)/cancel",
+                    order.CancelHandler,
+                    shared,
+                ),
                 ("/v1/admin/status", configuration.StatusHandler, shared),
                 (
                     "/v1/admin/(template|workspace|fleet)/([^/]+)",
@@ -148,10 +176,10 @@
                 ("/peer/stop-job", job.StopHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
             default_handler_class=http_web.UnknownPathHandler,
-            log_function=lambda handler: None,
+            log_function=self.metrics.observe_answer,
         )
 
     async def start(self):
@@ -171,6 +199,7 @@
 
     def _list_clients(self):
         return (
+            self._platform_client,
             self.client,
             self._online_client,
             self._batch_client,
@@ -253,7 +282,6 @@
             # docs/CONFIGURATION.md.
             await follower.append([{"type": OPENING}], self.settings.append_s)
         await follower.append([record], self.settings.append_s)
-        self.metrics.configuration_version.set({}, self.configuration.version)
         return self.configuration.find_record(record["id"])
 
     async def count_in_force(self, version, wait):
--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pimentowick.batch import record
 from pimentowick.fakes import callers as fake_callers
 from pimentowick.fakes import embedded, engine, faults, relay
 from pimentowick.platform import engine as platform_engine
@@ -488,3 +489,26 @@
         await fleet.wait_for(lambda: not agent.admission.count_online(), timeout_s=3.0)
 
     run(check)
+
+
+def test_claim_that_lands_late_does_not_block_its_key():
+    """An append is given up for lost, and the log takes it long afterwards.
+
+    The request was refused as not run, and its claim would now answer "in progress"
+    to everybody who asks by that key.
+    """
+
+    async def check(fleet, callers):
+        entry = fleet.entries["entry-0"]
+        call_id = record.make_call_id("a", embedded.SERVICE, "k")
+        shard = entry.table.find(call_id)
+        place(fleet.log, "down")
+        refused = await callers.confirm("k")
+        assert refused.verdict == "not_run"
+        place(fleet.log, "clear")
+        claim = record.make_call_claimed(call_id, refused.request_id, "x", "d", 0.0)
+        await shard.replica.append([claim], 5.0)
+        outcome = await resend_until_final(fleet, callers, "k")
+        assert outcome.whole
+
+    run(check, entry_settings={"append_s": 0.5})
--- a/pimentowick/tests/test_planned_stop.py
+++ b/pimentowick/tests/test_planned_stop.py
@@ -204,6 +204,7 @@
         await fleet.wait_for(lambda: callers.outcomes and callers.outcomes[0].text)
         entry = fleet.entries["entry-0"]
         await entry.drain()
+        assert not task.done()
         await fleet.crash("entry-0")
         assert not (await task).whole
 
