Limit batch beside online by a learned model of the engine's step

Cause: the limit beside online requests was a fixed share of the places. With a share of 0 the engine's idle part beside online work was lost, with 0.5 online between-token times rose by a third; and thirty items whose prompts were read in one step after a pause held the next online request up for three times its usual time.

Change: the agent tells the engine's steps from the tokens that pass through it and fits base, slope and reading cost by least squares. The limit keeps the predicted step within the harm allowed; prompts are read a few at a time; short pauses are not filled. Preempted items wait at the agent and go on first; it holds an eighth more items than run. An engine that refuses to resume gets the item from its beginning. Batch streams leave an eighth of the engine's places free beside online requests. Agents count batch tokens by workspace for all entries, and entries dispatch by it.

Ruled out: a limit on the load report alone, which is half a second old.

--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -20,7 +20,7 @@
 from pimentowick.platform import engine as platform_engine
 from pimentowick.scheduling import admission as scheduling_admission
 from pimentowick.scheduling import lease as scheduling_lease
-from pimentowick.scheduling import limiter as scheduling_limiter
+from pimentowick.scheduling import model as scheduling_model
 
 __all__ = ["Agent"]
 
@@ -33,7 +33,6 @@
 DRAIN_CHECK_S = 0.05
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
-LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
 
 
 class Agent:
@@ -57,11 +56,12 @@
         self.leases = scheduling_lease.LeaseTable(settings.lease_s)
         self.stopped_jobs = collections.OrderedDict()
         target = settings.target
-        limiter = scheduling_limiter.YieldingLimiter(
-            target.max_batch, LOW_SHARE[settings.batch_harm]
-        )
         self.admission = scheduling_admission.Admission(
-            target.max_online, target.max_queue, limiter
+            target.max_online,
+            target.max_queue,
+            scheduling_model.make_limiter(settings.batch_harm, target.max_batch),
+            target.max_batch,
+            target.max_running,
         )
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
@@ -192,9 +192,6 @@
                 self.load = await self.target.read_load()
             except exception.PimentowickError:
                 continue
-            online = self.admission.count_online()
-            self.admission.limiter.note_step(self.load.step_ms, online)
-            self.admission.apply_limit()
 
     def describe(self):
         """Return what heartbeat answers say about this agent."""
@@ -211,6 +208,7 @@
             "max_online": admission.max_online,
             "batch": len(admission.batch),
             "batch_free": admission.count_free_batch(),
+            "batch_served": admission.tally.describe(),
             "wait_s": admission.estimate_wait(),
             "entries": max(1, self.leases.count()),
             "lease_s": self.settings.lease_s,
--- a/pimentowick/agent/work.py
+++ b/pimentowick/agent/work.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 
 from pimentowick import exception, verdict
@@ -19,6 +20,9 @@
 
 ONLINE = "online"
 BATCH = "batch"
+# Statuses of an engine that won't resume a stream; of a bad prompt, too, which is
+# then found out by running it from its beginning.
+RESUME_REFUSED = frozenset([400, 404, 409, 422])
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +103,7 @@
     def __init__(self, envelope, generation):
         super().__init__(envelope)
         self.generation = generation
+        self.ticket.characters = len(generation.prompt)
 
     async def run(self, target, admission):
         """Yield the lines of the answer.
@@ -116,22 +121,20 @@
     async def _run_online(self, target, admission):
         await admission.admit_online(self.ticket, self.envelope.deadline_s)
         try:
-            async for event in target.generate(self.generation):
+            async for event in self._generate(target, admission, self.generation):
                 yield self._make_line(event)
         finally:
             admission.release_online(self.ticket)
 
     async def _run_batch(self, target, admission):
-        admission.try_admit_batch(self.ticket)
-        generation = self.generation
+        produced = self.generation.resume_tokens
         try:
+            await admission.admit_batch(self.ticket)
             while True:
-                async for event in self._run_until_preempted(target, generation):
+                async for event in self._resume(target, admission, produced):
                     if isinstance(event, platform_engine.Tokens):
                         produced = event.index + len(event.texts)
-                        generation = dataclasses.replace(
-                            generation, resume_tokens=produced
-                        )
+                        self.ticket.characters = 0
                     yield self._make_line(event)
                     if isinstance(event, platform_engine.End):
                         return
@@ -139,8 +142,50 @@
         finally:
             admission.release_batch(self.ticket)
 
-    async def _run_until_preempted(self, target, generation):
-        events = target.generate(generation)
+    async def _resume(self, target, admission, produced):
+        """Yield the events after the first `produced` tokens."""
+        if produced:
+            try:
+                async for event in self._run_from(target, admission, produced):
+                    yield event
+            except exception.RefusedError as error:
+                if error.refusal.status not in RESUME_REFUSED:
+                    raise
+            else:
+                return
+        # An engine that has lost the cache, or can't resume at all, refuses; the
+        # item would fail for good though it can run. It begins again, and the
+        # tokens that the entry has already are left out.
+        async for event in self._run_from(target, admission, 0):
+            event = _drop_known(event, produced)
+            if event is not None:
+                yield event
+
+    async def _run_from(self, target, admission, produced):
+        generation = dataclasses.replace(self.generation, resume_tokens=produced)
+        events = self._generate(target, admission, generation)
+        async for event in self._run_until_preempted(target, events, generation):
+            yield event
+
+    async def _generate(self, target, admission, generation):
+        """Yield the engine's events, and show them to the admission's meter."""
+        stream = object()
+        characters = 0 if generation.resume_tokens else len(generation.prompt)
+        try:
+            # Closed with this iterator: a stream that is left to the garbage
+            # collector would go on at the engine for a while.
+            async with contextlib.aclosing(target.generate(generation)) as events:
+                async for event in events:
+                    if isinstance(event, platform_engine.Tokens):
+                        admission.meter.note_token(stream, self.is_batch, characters)
+                        if self.is_batch:
+                            admission.note_tokens(self.ticket, len(event.texts))
+                        characters = 0
+                    yield event
+        finally:
+            admission.meter.note_end(stream)
+
+    async def _run_until_preempted(self, target, events, generation):
         preempted = asyncio.ensure_future(self.ticket.preempted.wait())
         following = None
         try:
@@ -172,6 +217,16 @@
         return frame.make_end(request_id, attempt, event.finish_reason, event.tokens)
 
 
+def _drop_known(event, known):
+    """Return the event without its first `known` tokens, or None if none is left."""
+    if isinstance(event, platform_engine.End):
+        return event
+    skip = max(0, known - event.index)
+    if skip >= len(event.texts):
+        return None
+    return platform_engine.Tokens(event.index + skip, event.texts[skip:])
+
+
 async def _cancel(future):
     if future is None or future.done():
         return
--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -1,8 +1,8 @@
 """Runs the items of the jobs that this entry owns.
 
 Items go to agents that reported room for them. Between workspaces the one that was
-served the fewest tokens for its weight comes first, within a workspace the job with
-the earliest deadline.
+served the fewest tokens for its weight comes first, counted at the agents over all
+entries; within a workspace the job with the earliest deadline.
 
 An item whose target died under it may be the cause. It is then run alone, and only
 what happens to it alone counts against it, so that it takes no neighbour down and a
@@ -22,12 +22,12 @@
 from pimentowick import exception, supervisor, verdict
 from pimentowick.batch import item as batch_item
 from pimentowick.batch import record as batch_record
+from pimentowick.scheduling import served as scheduling_served
 
 __all__ = ["Dispatcher"]
 
 FRESH_S = 2.0
 TURN_S = 0.25
-SERVED_LIMIT = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,7 +102,7 @@
         self._owner = owner
         self._metrics = metrics
         self._works = {}
-        self._served = {}
+        self._served = scheduling_served.ServedTokens()
         self._running = 0
         self._paused = False
         self._supervisor = supervisor.Supervisor("dispatch")
@@ -184,9 +184,16 @@
                 pass
             self._fleet.changed.clear()
             await self._sync()
+            self._read_served()
             while not self._paused and self._start_next():
                 pass
 
+    def _read_served(self):
+        self._served.forget_agents(self._fleet.peers)
+        for name, peer in self._fleet.peers.items():
+            if "batch_served" in peer.report:
+                self._served.note_report(name, peer.report["batch_served"])
+
     async def _sync(self):
         """Take up the open jobs of owned shards, and drop all others."""
         owned = {shard.number: shard for shard in self._table.list_owned()}
@@ -211,27 +218,12 @@
         for work in self._works.values():
             if work.pending or work.suspects:
                 by_workspace[work.job.workspace].append(work)
-        for name in sorted(by_workspace, key=self._get_served):
+        for name in self._served.sort(by_workspace):
             for work in sorted(by_workspace[name], key=_Work.get_urgency):
                 if self._try_start(work):
                     return True
         return False
 
-    def _get_served(self, workspace):
-        # A workspace that comes back starts level with the others; it must not
-        # catch up on the time in which it asked for nothing.
-        if workspace not in self._served:
-            active = {work.job.workspace for work in self._works.values()}
-            levels = [self._served[name] for name in active if name in self._served]
-            self._served[workspace] = min(levels, default=0.0)
-            if len(self._served) > SERVED_LIMIT:
-                self._served.pop(next(iter(self._served)))
-        return self._served[workspace]
-
-    def _charge(self, workspace, tokens):
-        served = self._get_served(workspace) + tokens / self._get_weight(workspace)
-        self._served[workspace] = served
-
     def _try_start(self, work):
         peers = [
             peer
@@ -260,11 +252,16 @@
         peer.batch += 1
         peer.solo = solo
         self._running += 1
+        workspace = work.job.workspace
+        cost = self._served.begin(workspace, self._get_weight(workspace))
         task = asyncio.create_task(self._run(work, item, peer, solo))
         work.running[item] = task
-        task.add_done_callback(lambda done: self._end(work, item, peer, solo, done))
+        task.add_done_callback(
+            lambda done: self._end(work, item, peer, solo, cost, done)
+        )
 
-    def _end(self, work, item, peer, solo, task):
+    def _end(self, work, item, peer, solo, cost, task):
+        self._served.end(work.job.workspace, cost)
         # The item may have been started again before this callback had its turn.
         if work.running.get(item) is task:
             del work.running[item]
@@ -282,8 +279,8 @@
             work.pending.append(item)
             return
         progress = work.progress.setdefault(item, batch_item.Progress())
-        before = len(progress.texts)
         workspace = work.job.workspace
+        self._served.note_cost(workspace, body["max_tokens"] - len(progress.texts))
         result = await batch_item.run_item(
             self._client,
             peer,
@@ -295,7 +292,6 @@
             self._get_weight(workspace),
             self._settings.idle_s,
         )
-        self._charge(workspace, len(progress.texts) - before)
         self._take_result(work, item, peer, solo, body, result)
 
     def _take_result(self, work, item, peer, solo, body, result):
--- /dev/null
+++ b/pimentowick/scheduling/additive.py
@@ -0,0 +1,53 @@
+"""A limit that grows by one at a time and halves when steps become too long.
+
+References:
+    D.-M. Chiu and R. Jain, "Analysis of the increase and decrease algorithms for
+    congestion avoidance in computer networks", Computer Networks and ISDN Systems
+    17(1), 1989.
+"""
+
+from pimentowick.scheduling import limiter
+
+__all__ = ["AdditiveLimiter"]
+
+DECREASE = 0.5
+STEPS_PER_CHANGE = 10
+
+
+class AdditiveLimiter(limiter.AdaptiveLimiter):
+    """Additive increase, multiplicative decrease on the time of a step.
+
+    Examples:
+        >>> from pimentowick.scheduling import step
+        >>> additive = AdditiveLimiter(32, harm=0.05)
+        >>> for _ in range(40):
+        ...     additive.note_step(step.Step(20.0, online=1))
+        >>> additive.get_limit(online=1)
+        4
+        >>> for _ in range(10):
+        ...     additive.note_step(step.Step(30.0, online=1, batch=4))
+        >>> additive.get_limit(online=1)
+        2
+    """
+
+    def __init__(self, max_batch, harm):
+        super().__init__(max_batch, harm)
+        self._total_ms = 0.0
+        self._count = 0
+
+    def note_step(self, step):
+        """Take notice of a step; see `BatchLimiter.note_step`."""
+        if not step.online:
+            return
+        self._note_base(step)
+        self._total_ms += step.duration_ms
+        self._count += 1
+        if self._count < STEPS_PER_CHANGE:
+            return
+        mean_ms = self._total_ms / self._count
+        self._total_ms = 0.0
+        self._count = 0
+        if mean_ms > (1 + self._harm) * self._base_ms:
+            self._limit *= DECREASE
+        else:
+            self._limit = min(self._limit + 1, self._max_batch)
--- a/pimentowick/scheduling/admission.py
+++ b/pimentowick/scheduling/admission.py
@@ -4,20 +4,33 @@
 here. Online requests go first and wait only for each other. Batch items run within
 the limit that `pimentowick.scheduling.limiter` sets; when it falls, the youngest of
 them are preempted, which costs the least work.
+
+Batch items wait here, too, a few more than can run: idle capacity lasts only
+seconds, and asking an entry for work would take a part of them.
 """
 
 import asyncio
 import dataclasses
+import math
 import time
 
 from pimentowick import exception, verdict
-from pimentowick.scheduling import fairness
+from pimentowick.scheduling import fairness, tally
+from pimentowick.scheduling import step as scheduling_step
 
 __all__ = ["Admission", "Ticket"]
 
 SMOOTHING = 0.2
 FIRST_SERVICE_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
+BATCH_RETRY_AFTER_S = 0.5
+# Part of the places for batch items by which more of them are held than can run.
+AHEAD_SHARE = 0.125
+# An agent that was idle so lately keeps items for all its places: it will be again.
+IDLE_HORIZON_S = 2.0
+# Part of the engine's places that stays free for online requests of a burst: they
+# arrive before the engine has obeyed the orders that make room for them.
+RESERVE_SHARE = 0.125
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -29,6 +42,7 @@
         weight: Share of the workspace.
         cost: Expected tokens.
         holder: Entry that sent it.
+        characters: Length of the prompt that the engine has to read.
         started_at: Monotonic time of admission.
         preempted: Set when a batch item has to give its place up.
     """
@@ -37,6 +51,7 @@
     weight: float = 1.0
     cost: float = 1.0
     holder: str = ""
+    characters: int = 0
     started_at: float = 0.0
     preempted: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     admitted: asyncio.Future | None = None
@@ -49,27 +64,69 @@
         max_online: Most online requests at the target at once.
         max_queue: Most online requests that wait.
         limiter: `pimentowick.scheduling.limiter.BatchLimiter`.
+        max_batch: Most batch items at the target at once.
+        max_running: Streams that the engine runs at once. It would let further ones
+            wait, online or batch, as they came.
+        clock: Function that returns monotonic seconds.
+
+    Attributes:
+        online: Tickets of the online requests at the target.
+        batch: Tickets of the batch items at the target, oldest first.
+        preemptions: Batch items preempted so far.
+        tally: `pimentowick.scheduling.tally.Tally` of the batch tokens.
+        meter: `pimentowick.scheduling.step.StepMeter` that is shown all tokens.
     """
 
-    def __init__(self, max_online, max_queue, limiter):
+    def __init__(
+        self,
+        max_online,
+        max_queue,
+        limiter,
+        max_batch=0,
+        max_running=None,
+        clock=time.monotonic,
+    ):
         self.max_online = max_online
         self.max_queue = max_queue
         self.limiter = limiter
+        self.max_batch = max_batch
+        self.max_running = max_running or max_online + max_batch
         self.online = set()
         self.batch = {}
         self.preemptions = 0
+        self.tally = tally.Tally(clock)
+        self.meter = scheduling_step.StepMeter(self.note_step, clock)
+        self._clock = clock
+        self._reading = {}
         self._online_queue = fairness.FairQueue()
         self._batch_queue = fairness.FairQueue()
         self._service_s = FIRST_SERVICE_S
+        self._ahead = math.ceil(max_batch * AHEAD_SHARE)
+        self._idle_at = clock()
 
     def count_online(self):
         """Return how many online requests run or wait."""
         return len(self.online) + len(self._online_queue)
 
+    def count_held_batch(self):
+        """Return how many batch items run or wait here."""
+        return len(self.batch) + len(self._batch_queue)
+
     def count_free_batch(self):
-        """Return how many more batch items would run at once."""
-        free = self.limiter.get_limit(self.count_online()) - len(self.batch)
-        return max(0, free - len(self._batch_queue))
+        """Return how many more batch items would be taken now."""
+        if self.count_online() == 0:
+            self._idle_at = self._clock()
+        places = self._get_limit()
+        if self._clock() - self._idle_at <= IDLE_HORIZON_S:
+            places = self.max_batch
+        # Else another agent may have room: items would only grow old here.
+        return max(0, places + self._ahead - self.count_held_batch())
+
+    def _get_limit(self):
+        online = self.count_online()
+        reserve = math.ceil(self.max_running * RESERVE_SHARE) if online else 0
+        room = self.max_running - min(online, self.max_online) - reserve
+        return max(0, min(self.limiter.get_limit(online), self.max_batch, room))
 
     def estimate_wait(self):
         """Return how long a new online request would wait, in seconds."""
@@ -91,8 +148,11 @@
             raise _refuse_busy(wait_s)
         if len(self.online) >= self.max_online:
             await self._wait_online(ticket, deadline_s)
+        if self.count_online() == 0:
+            self._idle_at = self._clock()
         self.online.add(ticket)
-        ticket.started_at = time.monotonic()
+        ticket.started_at = self._clock()
+        self._note_online()
         self._preempt()
 
     async def _wait_online(self, ticket, deadline_s):
@@ -115,35 +175,46 @@
             return
         # The place was given in the same turn of the loop that ended the wait.
         self.online.discard(ticket)
+        self._note_online()
         self.batch.pop(ticket, None)
+        self._reading.pop(ticket, None)
         self._fill()
 
     def release_online(self, ticket):
         """Give an online request's place back."""
         self.online.discard(ticket)
-        taken = time.monotonic() - ticket.started_at
+        self._note_online()
+        taken = self._clock() - ticket.started_at
         self._service_s += SMOOTHING * (taken - self._service_s)
         self._fill()
 
-    def try_admit_batch(self, ticket):
-        """Admit a batch item if there is a place for it now.
+    async def admit_batch(self, ticket):
+        """Wait for a place for a batch item.
 
         Raises:
-            RefusedError: There is none.
+            RefusedError: As many wait as are held here; given at once.
         """
         if self.count_free_batch() == 0:
             raise exception.RefusedError(
                 verdict.Refusal(
-                    429, "no_slot", "No place for batch items now.", retry_after=0.5
+                    429,
+                    "no_slot",
+                    "No place for batch items now.",
+                    retry_after=BATCH_RETRY_AFTER_S,
                 )
             )
-        self._start_batch(ticket)
+        await self._wait_batch(ticket, paid=False)
 
     async def readmit_batch(self, ticket):
         """Wait for a place for a batch item that was preempted."""
         ticket.preempted.clear()
+        await self._wait_batch(ticket, paid=True)
+
+    async def _wait_batch(self, ticket, paid):
         ticket.admitted = asyncio.get_running_loop().create_future()
-        self._batch_queue.push(ticket.workspace, ticket, ticket.cost, ticket.weight)
+        self._batch_queue.push(
+            ticket.workspace, ticket, ticket.cost, ticket.weight, paid
+        )
         self._fill()
         try:
             await asyncio.shield(ticket.admitted)
@@ -151,9 +222,16 @@
             self._leave_queue(self._batch_queue, ticket)
             raise
 
+    def note_tokens(self, ticket, count):
+        """Take notice of tokens of a batch item; with the first, its prompt is read."""
+        self.tally.add(ticket.workspace, count, ticket.weight)
+        if self._reading.pop(ticket, None) is not None:
+            self._fill()
+
     def release_batch(self, ticket):
         """Give a batch item's place back; may be called twice."""
         self.batch.pop(ticket, None)
+        self._reading.pop(ticket, None)
         self._fill()
 
     def apply_limit(self):
@@ -161,29 +239,52 @@
         self._preempt()
         self._fill()
 
+    def _note_online(self):
+        delay_s = self.limiter.note_online(self.count_online())
+        if delay_s:
+            # Without a batch item at work no step would bring the limit up again.
+            asyncio.get_running_loop().call_later(delay_s, self.apply_limit)
+
+    def note_step(self, step):
+        """Take notice of a `pimentowick.scheduling.step.Step` of the engine."""
+        self.limiter.note_step(step)
+        self.apply_limit()
+
     def _start_batch(self, ticket):
-        ticket.started_at = time.monotonic()
+        ticket.started_at = self._clock()
         self.batch[ticket] = None
+        self._reading[ticket] = ticket.characters
 
     def _fill(self):
         while len(self._online_queue) and len(self.online) < self.max_online:
             ticket = self._online_queue.pop()
             self.online.add(ticket)
+            ticket.started_at = self._clock()
             ticket.admitted.set_result(None)
-        limit = self.limiter.get_limit(self.count_online())
+        limit = self._get_limit()
         while len(self._batch_queue) and len(self.batch) < limit:
+            if not self._can_start(self._batch_queue.peek()):
+                return
             ticket = self._batch_queue.pop()
             self._start_batch(ticket)
             ticket.admitted.set_result(None)
 
+    def _can_start(self, ticket):
+        return self.limiter.can_start(
+            ticket.characters,
+            sum(self._reading.values()),
+            self.count_online(),
+            len(self.batch),
+        )
+
     def _preempt(self):
-        limit = self.limiter.get_limit(self.count_online())
-        excess = len(self.batch) - limit
+        excess = len(self.batch) - self._get_limit()
         if excess <= 0:
             return
         # The dictionary is in the order of starts: the last ones lose least.
         for ticket in list(self.batch)[-excess:]:
             del self.batch[ticket]
+            self._reading.pop(ticket, None)
             ticket.preempted.set()
             self.preemptions += 1
 
--- a/pimentowick/scheduling/fairness.py
+++ b/pimentowick/scheduling/fairness.py
@@ -42,7 +42,7 @@
     def __len__(self):
         return self._size
 
-    def push(self, workspace, entry, cost, weight=1.0):
+    def push(self, workspace, entry, cost, weight=1.0, paid=False):
         """Add an entry.
 
         Args:
@@ -50,28 +50,43 @@
             entry: Anything hashable.
             cost: Expected tokens.
             weight: Share of the workspace.
+            paid: Whether its cost was counted before. An entry that had its turn and
+                was sent back goes first, and its workspace pays only once.
         """
+        if paid:
+            self._push(self._virtual, entry)
+            return
         start = max(self._virtual, self._finish.get(workspace, 0.0))
         self._finish[workspace] = start + cost / weight
+        self._push(start, entry)
+
+    def _push(self, start, entry):
         heapq.heappush(self._heap, (start, next(self._order), entry))
         self._size += 1
 
+    def peek(self):
+        """Return the next entry and leave it in the queue.
+
+        Raises:
+            IndexError: The queue is empty.
+        """
+        while self._heap[0][2] in self._removed:
+            self._removed.discard(heapq.heappop(self._heap)[2])
+        return self._heap[0][2]
+
     def pop(self):
         """Remove and return the next entry.
 
         Raises:
             IndexError: The queue is empty.
         """
-        while True:
-            start, _, entry = heapq.heappop(self._heap)
-            if entry in self._removed:
-                self._removed.discard(entry)
-                continue
-            self._size -= 1
-            self._virtual = start
-            if self._size == 0:
-                self._forget()
-            return entry
+        entry = self.peek()
+        start, _, _ = heapq.heappop(self._heap)
+        self._size -= 1
+        self._virtual = max(self._virtual, start)
+        if self._size == 0:
+            self._forget()
+        return entry
 
     def remove(self, entry):
         """Drop an entry that waits."""
--- a/pimentowick/scheduling/limiter.py
+++ b/pimentowick/scheduling/limiter.py
@@ -2,18 +2,40 @@
 
 import abc
 
-__all__ = ["BatchLimiter", "FixedLimiter", "YieldingLimiter"]
+__all__ = ["AdaptiveLimiter", "BatchLimiter", "FixedLimiter", "YieldingLimiter"]
+
+BASE_CREEP = 1.0001
 
 
 class BatchLimiter(abc.ABC):
-    """Decides how many batch items may run now."""
+    """Decides how many batch items may run now, and when one may begin."""
 
     @abc.abstractmethod
     def get_limit(self, online):
         """Return the limit while `online` requests run or wait."""
 
-    def note_step(self, step_ms, online):  # noqa: B027 - most limiters need none
-        """Take notice of a step time that the engine reported, in milliseconds."""
+    def can_start(self, characters, reading, online, batch):
+        """Return whether one more item may begin within the limit.
+
+        Args:
+            characters: Characters of its prompt that the engine has to read.
+            reading: Those of the items that began and have no token yet.
+            online: Online requests that run or wait.
+            batch: Batch items that run.
+        """
+        return True
+
+    def note_online(self, online):
+        """Take notice that `online` requests run or wait now.
+
+        Returns:
+            Seconds after which the limit may differ with nothing having happened;
+            0 if it won't.
+        """
+        return 0.0
+
+    def note_step(self, step):  # noqa: B027 - most limiters need none
+        """Take notice of a `pimentowick.scheduling.step.Step`."""
 
 
 class FixedLimiter(BatchLimiter):
@@ -49,3 +71,27 @@
         if online == 0:
             return self._limit
         return int(self._limit * self._share)
+
+
+class AdaptiveLimiter(BatchLimiter):
+    """All slots while nobody is online, a limit that subclasses adapt otherwise.
+
+    Args:
+        max_batch: Limit while no online request runs.
+        harm: Part by which a step may be longer than the shortest one.
+    """
+
+    def __init__(self, max_batch, harm):
+        self._max_batch = max_batch
+        self._harm = harm
+        self._base_ms = None
+        self._limit = 0.0
+
+    def get_limit(self, online):
+        """Return the limit; see `BatchLimiter.get_limit`."""
+        return self._max_batch if online == 0 else int(self._limit)
+
+    def _note_base(self, step):
+        base_ms = self._base_ms or step.duration_ms
+        # The engine may become slower for good: the shortest step is let go slowly.
+        self._base_ms = min(base_ms * BASE_CREEP, step.duration_ms)
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -165,6 +165,9 @@
     max_batch: int = pydantic.Field(
         32, ge=0, description="Most batch items at the target at once."
     )
+    max_running: int = pydantic.Field(
+        64, ge=1, description="Most requests that the target runs at once."
+    )
     max_queue: int = pydantic.Field(
         256, ge=0, description="Most online requests that wait for the target."
     )
