--- a/pimentowick/agent/work.py
+++ b/pimentowick/agent/work.py
@@ -115,14 +115,19 @@
             lines = self._run_batch(target, admission)
         else:
             lines = self._run_online(target, admission)
-        async for line in lines:
-            yield line
+        # Closed here, not by the garbage collector: the place at the target would
+        # stay taken until then.
+        async with contextlib.aclosing(lines):
+            async for line in lines:
+                yield line
 
     async def _run_online(self, target, admission):
         await admission.admit_online(self.ticket, self.envelope.deadline_s)
         try:
-            async for event in self._generate(target, admission, self.generation):
-                yield self._make_line(event)
+            events = self._generate(target, admission, self.generation)
+            async with contextlib.aclosing(events):
+                async for event in events:
+                    yield self._make_line(event)
         finally:
             admission.release_online(self.ticket)
 
@@ -131,13 +136,15 @@
         try:
             await admission.admit_batch(self.ticket)
             while True:
-                async for event in self._resume(target, admission, produced):
-                    if isinstance(event, platform_engine.Tokens):
-                        produced = event.index + len(event.texts)
-                        self.ticket.characters = 0
-                    yield self._make_line(event)
-                    if isinstance(event, platform_engine.End):
-                        return
+                events = self._resume(target, admission, produced)
+                async with contextlib.aclosing(events):
+                    async for event in events:
+                        if isinstance(event, platform_engine.Tokens):
+                            produced = event.index + len(event.texts)
+                            self.ticket.characters = 0
+                        yield self._make_line(event)
+                        if isinstance(event, platform_engine.End):
+                            return
                 await admission.readmit_batch(self.ticket)
         finally:
             admission.release_batch(self.ticket)
@@ -146,8 +153,10 @@
         """Yield the events after the first `produced` tokens."""
         if produced:
             try:
-                async for event in self._run_from(target, admission, produced):
-                    yield event
+                events = self._run_until_preempted(target, admission, produced)
+                async with contextlib.aclosing(events):
+                    async for event in events:
+                        yield event
             except exception.RefusedError as error:
                 if error.refusal.status not in RESUME_REFUSED:
                     raise
@@ -156,16 +165,12 @@
         # An engine that has lost the cache, or can't resume at all, refuses; the
         # item would fail for good though it can run. It begins again, and the
         # tokens that the entry has already are left out.
-        async for event in self._run_from(target, admission, 0):
-            event = _drop_known(event, produced)
-            if event is not None:
-                yield event
-
-    async def _run_from(self, target, admission, produced):
-        generation = dataclasses.replace(self.generation, resume_tokens=produced)
-        events = self._generate(target, admission, generation)
-        async for event in self._run_until_preempted(target, events, generation):
-            yield event
+        events = self._run_until_preempted(target, admission, 0)
+        async with contextlib.aclosing(events):
+            async for event in events:
+                event = _drop_known(event, produced)
+                if event is not None:
+                    yield event
 
     async def _generate(self, target, admission, generation):
         """Yield the engine's events, and show them to the admission's meter."""
@@ -185,7 +190,9 @@
         finally:
             admission.meter.note_end(stream)
 
-    async def _run_until_preempted(self, target, events, generation):
+    async def _run_until_preempted(self, target, admission, produced):
+        generation = dataclasses.replace(self.generation, resume_tokens=produced)
+        events = self._generate(target, admission, generation)
         preempted = asyncio.ensure_future(self.ticket.preempted.wait())
         following = None
         try:
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -1,13 +1,15 @@
 """Takes an online request to a target, and to another one where that is right."""
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
 from pimentowick import exception, verdict
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import attempt as routing_attempt
-from pimentowick.routing import balance, retry
+from pimentowick.routing import prefix as routing_prefix
+from pimentowick.routing import retry
 
 __all__ = ["Request", "Router"]
 
@@ -30,7 +32,7 @@
         idempotent: Whether it may run twice.
         deadline: Monotonic time by which the answer has to be whole.
         cost: Expected tokens.
-        prefix: Hash of the beginning of the prompt, or None.
+        prefix: Hashes of the prompt's prefixes, the shortest first.
         work: The part of the message that says what to do.
         verdicts: Verdicts of the attempts that failed.
         excluded: Names of the peers that failed.
@@ -45,7 +47,7 @@
     deadline: float
     cost: float
     work: dict
-    prefix: str | None = None
+    prefix: tuple = ()
     verdicts: list = dataclasses.field(default_factory=list)
     excluded: set = dataclasses.field(default_factory=set)
     attempts: int = 0
@@ -82,14 +84,17 @@
             RefusedError: The request got no whole answer.
         """
         produced = 0
-        async for frames in self._try_all(request):
-            for each in frames:
-                if "texts" in each and each["index"] == produced:
-                    produced += len(each["texts"])
-                    request.work["generate"]["resume_tokens"] = produced
-                    yield platform_engine.Tokens(each["index"], each["texts"])
-                elif each.get("end"):
-                    yield platform_engine.End(each["finish_reason"], each["tokens"])
+        # Closed here and not by the garbage collector: until then the target would
+        # go on for a caller that has left.
+        async with contextlib.aclosing(self._try_all(request)) as answer:
+            async for frames in answer:
+                for each in frames:
+                    if "texts" in each and each["index"] == produced:
+                        produced += len(each["texts"])
+                        request.work["generate"]["resume_tokens"] = produced
+                        yield platform_engine.Tokens(each["index"], each["texts"])
+                    elif each.get("end"):
+                        yield platform_engine.End(each["finish_reason"], each["tokens"])
 
     async def call(self, request):
         """Return the frame with the answer of a plain service.
@@ -97,19 +102,22 @@
         Raises:
             RefusedError: The call got no whole answer.
         """
-        async for frames in self._try_all(request):
-            for each in frames:
-                if each.get("end"):
-                    return each
-        raise AssertionError("The last attempt yields an end or raises.")
+        end = None
+        # Read to its end, since only then the success of the peer is noted.
+        async with contextlib.aclosing(self._try_all(request)) as answer:
+            async for frames in answer:
+                end = frames[-1]
+        return end
 
     async def _try_all(self, request):
         self._budget.note_request()
         while True:
+            self._check_deadline(request)
             peer = self._choose(request)
             try:
-                async for frames in self._try_one(request, peer):
-                    yield frames
+                async with contextlib.aclosing(self._try_one(request, peer)) as answer:
+                    async for frames in answer:
+                        yield frames
                 return
             except exception.RefusedError as error:
                 self._note_refusal(request, peer, error.refusal)
@@ -128,13 +136,13 @@
             self._owner,
             request.workspace.name,
             ONLINE,
-            max(request.deadline - time.monotonic(), 0.001),
+            request.deadline - time.monotonic(),
             weight=request.workspace.weight,
             cost=request.cost,
         )
         peer.online += 1
         try:
-            async for frames in routing_attempt.read_frames(
+            frames_of_peer = routing_attempt.read_frames(
                 self._client,
                 peer,
                 {"envelope": envelope, **request.work},
@@ -143,28 +151,35 @@
                 # connection that died unnoticed; after a failure, neither may any
                 # request.
                 fresh=request.attempts > 1 or not request.idempotent,
-            ):
-                yield frames
+            )
+            async with contextlib.aclosing(frames_of_peer) as answer:
+                async for frames in answer:
+                    yield frames
         finally:
             peer.online -= 1
         self._fleet.note_success(peer)
 
+    def _check_deadline(self, request):
+        if time.monotonic() >= request.deadline:
+            found = verdict.combine(request.verdicts)
+            raise exception.RefusedError(verdict.make_expired(found))
+
     def _choose(self, request):
-        candidates = self._fleet.list_candidates(request.service, request.kind)
-        others = [peer for peer in candidates if peer.name not in request.excluded]
-        if not others and not candidates:
-            raise exception.RefusedError(
-                _conclude(
-                    request,
-                    verdict.Refusal(
-                        503,
-                        "no_target",
-                        f"No target of {request.service} takes work now. Try later.",
-                        retry_after=NO_TARGET_RETRY_AFTER_S,
-                    ),
-                )
+        pool = self._fleet.get_pool(request.service, request.kind)
+        peer = self._balancer.choose(pool, request.prefix, request.excluded)
+        if peer is not None:
+            return peer
+        raise exception.RefusedError(
+            _conclude(
+                request,
+                verdict.Refusal(
+                    503,
+                    "no_target",
+                    f"No target of {request.service} takes work now. Try later.",
+                    retry_after=NO_TARGET_RETRY_AFTER_S,
+                ),
             )
-        return self._balancer.choose(others or candidates, request.prefix)
+        )
 
     def _note_refusal(self, request, peer, refusal):
         request.verdicts.append(refusal.verdict)
@@ -209,6 +224,12 @@
         idempotent=True,
         deadline=time.monotonic() + deadline_s,
         cost=generation["max_tokens"],
-        prefix=balance.hash_prefix(generation["prompt"]),
+        prefix=_hash_prefix(generation),
         work={"generate": dict(generation)},
     )
+
+
+def _hash_prefix(generation):
+    # The cache of one model or adapter is of no use to another.
+    seed = f"{generation['model']}/{generation.get('adapter') or ''}"
+    return routing_prefix.hash_levels(generation["prompt"], seed)
