--- /dev/null
+++ b/benchmarks/policy_runs.py
@@ -0,0 +1,229 @@
+"""Runs of the policies against an engine in virtual time and the one over HTTP."""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+import functools
+import json
+import math
+import subprocess
+import sys
+import time
+
+from benchmarks import policy_traffic
+from pimentowick import client as http_client
+from pimentowick.fakes import simulation
+from pimentowick.platform import engine as platform_engine
+from pimentowick.scheduling import additive, admission, gradient, limiter, model
+
+__all__ = [
+    "POLICIES",
+    "TRAFFIC",
+    "Policy",
+    "Row",
+    "compute_quantile",
+    "run_live",
+    "run_many",
+    "simulate",
+]
+
+BASE_MS = 20.0
+SLOPE = 0.02
+READ_US = 20.0
+MAX_RUNNING = 64
+MAX_BATCH = 32
+MAX_ONLINE = 64
+MAX_QUEUE = 256
+UNBOUNDED = 1_000_000
+CONTROL_CONNECTIONS = 64
+IDLE_S = 5.0
+START_TIMEOUT_S = 10.0
+
+TRAFFIC = {
+    "steady": policy_traffic.Traffic(rate=10.0),
+    "bursty": policy_traffic.Traffic(rate=12.0, on_s=1.0, off_s=2.0, burst=6),
+    "long bursts": policy_traffic.Traffic(
+        rate=3.0, on_s=1.0, off_s=2.0, burst=6, prompt=2000
+    ),
+    "prefix-heavy": policy_traffic.Traffic(rate=8.0, prompt=3000, prefixes=16),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """A limiter to be made, and the bounds that the admission has.
+
+    Attributes:
+        kind: Name of the limiter.
+        value: Its setting.
+        max_batch: Most batch items at the engine.
+    """
+
+    kind: str
+    value: object = None
+    max_batch: int = MAX_BATCH
+
+    def make_limiter(self, clock):
+        """Return the limiter."""
+        if self.kind == "fixed":
+            return limiter.FixedLimiter(self.value)
+        if self.kind == "yielding":
+            return limiter.YieldingLimiter(self.max_batch, self.value)
+        if self.kind == "additive":
+            return additive.AdditiveLimiter(self.max_batch, self.value)
+        if self.kind == "gradient":
+            return gradient.GradientLimiter(self.max_batch, self.value)
+        if self.kind == "model":
+            return model.ModelLimiter(self.max_batch, self.value, clock=clock)
+        return model.make_limiter(self.value, self.max_batch, clock)
+
+    def make_admission(self, clock):
+        """Return the admission."""
+        # First come first served means that nothing is kept free for online.
+        fifo = self.kind == "fixed" and self.value == MAX_RUNNING
+        return admission.Admission(
+            MAX_ONLINE,
+            MAX_QUEUE,
+            self.make_limiter(clock),
+            self.max_batch,
+            UNBOUNDED if fifo else MAX_RUNNING,
+            clock,
+        )
+
+
+POLICIES = {
+    "none": Policy("fixed", 0, max_batch=0),
+    "fifo": Policy("fixed", MAX_RUNNING, max_batch=MAX_RUNNING),
+    "reservation of 8": Policy("fixed", 8, max_batch=8),
+    "yielding 0": Policy("yielding", 0.0),
+    "yielding 0.5": Policy("yielding", 0.5),
+    "additive 0.05": Policy("additive", 0.05),
+    "additive 0.15": Policy("additive", 0.15),
+    "gradient 0.05": Policy("gradient", 0.05),
+    "gradient 0.15": Policy("gradient", 0.15),
+    "averse": Policy("setting", "averse"),
+    "throughput": Policy("setting", "throughput"),
+}
+
+
+@dataclasses.dataclass
+class Row:
+    """One policy under one kind of traffic.
+
+    Attributes:
+        outcome: `policy_traffic.Outcome`.
+        read_s: Seconds in which the engine read online prompts.
+    """
+
+    outcome: policy_traffic.Outcome
+    read_s: float
+
+    def compute_harvest(self, rate, online):
+        """Return batch tokens as a share of the capacity that online left.
+
+        Args:
+            rate: Tokens a second of an engine with batch alone.
+            online: `Row` without batch: the work that online asks for.
+        """
+        time_s = self.outcome.duration_s - online.read_s
+        idle = rate * time_s - online.outcome.online_tokens
+        return self.outcome.batch_tokens / idle
+
+    def compute_free_harvest(self, rate):
+        """Return the same for the time without any online request."""
+        idle = rate * self.outcome.free_s
+        return self.outcome.free_tokens / idle if idle else math.nan
+
+    def compute_ratios(self, base, name):
+        """Return p50, p95 and p99 of times as ratios to those of `base`."""
+        own = getattr(self.outcome, name)
+        other = getattr(base.outcome, name)
+        return [
+            compute_quantile(own, q) / compute_quantile(other, q)
+            for q in (0.5, 0.95, 0.99)
+        ]
+
+
+def compute_quantile(values, share):
+    """Return the value below which a share of the values lies, or nan.
+
+    Examples:
+        >>> compute_quantile([3, 1, 2], 0.5)
+        2
+    """
+    if not values:
+        return math.nan
+    return sorted(values)[int(share * (len(values) - 1))]
+
+
+def simulate(policy, traffic, duration_s, seed=1):
+    """Run a policy in virtual time and return its `Row`."""
+    return simulation.run(_simulate(policy, traffic, duration_s, seed))
+
+
+async def _simulate(policy, traffic, duration_s, seed):
+    engine = simulation.SimulatedEngine(BASE_MS, SLOPE, READ_US, MAX_RUNNING)
+    await engine.start()
+    clock = asyncio.get_running_loop().time
+    outcome = await policy_traffic.drive(
+        engine,
+        policy.make_admission(clock),
+        traffic,
+        policy_traffic.Item(),
+        duration_s,
+        seed,
+    )
+    await engine.close()
+    share = duration_s / (duration_s + policy_traffic.WARM_UP_S)
+    return Row(outcome, engine.read_s["online"] * share)
+
+
+def run_live(policy, traffic, duration_s, seed=1):
+    """Run a policy against the stand-in over HTTP and return its `Row`."""
+    settings = {
+        "base_step_ms": BASE_MS,
+        "slope": SLOPE,
+        "max_running": MAX_RUNNING,
+        "prefill_us_per_char": READ_US,
+        "models": json.dumps([policy_traffic.MODEL]),
+    }
+    command = [sys.executable, "-m", "pimentowick.fakes", "engine"]
+    for name, value in settings.items():
+        command += ["--set", f"{name}={value}"]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        address = json.loads(process.stdout.readline())["listening"]
+        return asyncio.run(_run_live(address, policy, traffic, duration_s, seed))
+    finally:
+        process.terminate()
+        process.wait(START_TIMEOUT_S)
+
+
+async def _run_live(address, policy, traffic, duration_s, seed):
+    streams = http_client.Client(MAX_ONLINE + MAX_RUNNING)
+    control = http_client.Client(CONTROL_CONNECTIONS)
+    await streams.start()
+    await control.start()
+    engine = platform_engine.HttpEngine(address, streams, control, IDLE_S)
+    outcome = await policy_traffic.drive(
+        engine,
+        policy.make_admission(time.monotonic),
+        traffic,
+        policy_traffic.Item(),
+        duration_s,
+        seed,
+    )
+    await streams.close()
+    await control.close()
+    characters = traffic.prompt * len(outcome.first_ms) if traffic else 0
+    return Row(outcome, characters * READ_US / 1e6)
+
+
+def run_many(function, cases, workers):
+    """Return the results of `function` by the keys of `cases`, run beside others."""
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        futures = {
+            key: pool.submit(functools.partial(function, *case))
+            for key, case in cases.items()
+        }
+        return {key: future.result() for key, future in futures.items()}
--- a/benchmarks/policy_traffic.py
+++ b/benchmarks/policy_traffic.py
@@ -8,7 +8,7 @@
 from pimentowick.agent import work as agent_work
 from pimentowick.platform import engine as platform_engine
 
-__all__ = ["Item", "Outcome", "Traffic", "drive"]
+__all__ = ["Item", "Outcome", "Traffic", "drive", "make_work"]
 
 HEARTBEAT_S = 0.5
 MESSAGE_S = 0.001
@@ -144,7 +144,7 @@
     async def _run_online(self, is_burst):
         self._count += 1
         prompt = self.traffic.make_prompt(self._count, self._rng)
-        work = _make_work("online", self._count, prompt, self.traffic.tokens)
+        work = make_work("online", self._count, prompt, self.traffic.tokens)
         sent_at = self._loop.time()
         last_at = None
         measured = self.is_measured
@@ -152,6 +152,8 @@
         try:
             async for line in work.run(self.target, self.admission):
                 now = self._loop.time()
+                if self.is_measured and b'"texts"' in line:
+                    self.outcome.online_tokens += 1
                 if measured and last_at is None:
                     self.outcome.first_ms.append((now - sent_at) * 1e3)
                     if is_burst:
@@ -204,7 +206,7 @@
     async def _run_batch(self):
         self._count += 1
         prompt = f"b{self._count:010d}".ljust(self.item.prompt, "y")
-        work = _make_work("batch", self._count, prompt, self.item.tokens)
+        work = make_work("batch", self._count, prompt, self.item.tokens)
         try:
             async for line in work.run(self.target, self.admission):
                 if b'"texts"' in line and self.is_measured:
@@ -216,12 +218,13 @@
             self._in_flight -= 1
 
 
-def _make_work(priority, number, prompt, tokens):
+def make_work(priority, number, prompt, tokens, workspace="workspace"):
+    """Return the work that an entry would ask for."""
     envelope = agent_work.Envelope(
         request_id=f"{priority}/{number}",
         attempt=1,
         entry="entry",
-        workspace="workspace",
+        workspace=workspace,
         priority=priority,
         deadline_s=60.0,
         cost=tokens,
--- a/pimentowick/scheduling/admission.py
+++ b/pimentowick/scheduling/admission.py
@@ -24,6 +24,8 @@
 FIRST_SERVICE_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
 BATCH_RETRY_AFTER_S = 0.5
+# Longest wait of a batch item that has not begun, in seconds.
+HOLD_S = 5.0
 # Part of the places for batch items by which more of them are held than can run.
 AHEAD_SHARE = 0.125
 # An agent that was idle so lately keeps items for all its places: it will be again.
@@ -128,11 +130,27 @@
         room = self.max_running - min(online, self.max_online) - reserve
         return max(0, min(self.limiter.get_limit(online), self.max_batch, room))
 
-    def estimate_wait(self):
-        """Return how long a new online request would wait, in seconds."""
-        ahead = self.count_online() - self.max_online + 1
+    def estimate_wait(self, workspace=None):
+        """Return how long a new online request would wait, in seconds.
+
+        Args:
+            workspace: Whose request; a workspace waits behind its own requests and
+                as many of each other one. None for the last in the queue.
+        """
+        waiting = len(self._online_queue)
+        if workspace is not None:
+            own = self._online_queue.count_waiting(workspace) + 1
+            waiting = min(waiting, own * self._online_queue.count_workspaces())
+        ahead = len(self.online) + waiting - self.max_online + 1
         return max(0.0, ahead * self._service_s / self.max_online)
 
+    def _is_full(self, workspace):
+        # One bound for all would let a workspace that floods the queue have the
+        # requests of all others refused: each has an equal part of the queue.
+        own = self._online_queue.count_waiting(workspace)
+        others = self._online_queue.count_workspaces() - (own > 0)
+        return own >= self.max_queue // (others + 1)
+
     async def admit_online(self, ticket, deadline_s):
         """Wait for a place for an online request.
 
@@ -143,10 +161,12 @@
         Raises:
             RefusedError: There is none in time. Given at once where that is known.
         """
-        wait_s = self.estimate_wait()
-        if len(self._online_queue) >= self.max_queue or wait_s > deadline_s:
+        wait_s = self.estimate_wait(ticket.workspace)
+        if self._is_waiting_needed() and self._is_full(ticket.workspace):
             raise _refuse_busy(wait_s)
-        if len(self.online) >= self.max_online:
+        if wait_s > deadline_s:
+            raise _refuse_busy(wait_s)
+        if self._is_waiting_needed():
             await self._wait_online(ticket, deadline_s)
         if self.count_online() == 0:
             self._idle_at = self._clock()
@@ -155,6 +175,9 @@
         self._note_online()
         self._preempt()
 
+    def _is_waiting_needed(self):
+        return len(self.online) >= self.max_online
+
     async def _wait_online(self, ticket, deadline_s):
         ticket.admitted = asyncio.get_running_loop().create_future()
         self._online_queue.push(ticket.workspace, ticket, ticket.cost, ticket.weight)
@@ -164,7 +187,7 @@
                 await asyncio.shield(ticket.admitted)
         except TimeoutError:
             self._leave_queue(self._online_queue, ticket)
-            raise _refuse_busy(self.estimate_wait()) from None
+            raise _refuse_busy(self.estimate_wait(ticket.workspace)) from None
         except asyncio.CancelledError:
             self._leave_queue(self._online_queue, ticket)
             raise
@@ -192,18 +215,16 @@
         """Wait for a place for a batch item.
 
         Raises:
-            RefusedError: As many wait as are held here; given at once.
+            RefusedError: As many wait as are held here, given at once; or it has
+                waited for so long that another agent may be the better place.
         """
         if self.count_free_batch() == 0:
-            raise exception.RefusedError(
-                verdict.Refusal(
-                    429,
-                    "no_slot",
-                    "No place for batch items now.",
-                    retry_after=BATCH_RETRY_AFTER_S,
-                )
-            )
-        await self._wait_batch(ticket, paid=False)
+            raise _refuse_batch()
+        try:
+            async with asyncio.timeout(HOLD_S):
+                await self._wait_batch(ticket, paid=False)
+        except TimeoutError:
+            raise _refuse_batch() from None
 
     async def readmit_batch(self, ticket):
         """Wait for a place for a batch item that was preempted."""
@@ -289,6 +310,17 @@
             self.preemptions += 1
 
 
+def _refuse_batch():
+    return exception.RefusedError(
+        verdict.Refusal(
+            429,
+            "no_slot",
+            "No place for batch items now.",
+            retry_after=BATCH_RETRY_AFTER_S,
+        )
+    )
+
+
 def _refuse_busy(wait_s):
     return exception.RefusedError(
         verdict.Refusal(
--- a/pimentowick/scheduling/fairness.py
+++ b/pimentowick/scheduling/fairness.py
@@ -13,6 +13,7 @@
     Transactions on Networking 5(5), 1997.
 """
 
+import collections
 import heapq
 import itertools
 
@@ -36,11 +37,19 @@
         self._order = itertools.count()
         self._finish = {}
         self._virtual = 0.0
-        self._removed = set()
-        self._size = 0
+        self._workspaces = {}
+        self._waiting = collections.Counter()
 
     def __len__(self):
-        return self._size
+        return len(self._workspaces)
+
+    def count_waiting(self, workspace):
+        """Return how many entries of a workspace wait."""
+        return self._waiting[workspace]
+
+    def count_workspaces(self):
+        """Return how many workspaces have entries that wait."""
+        return len(self._waiting)
 
     def push(self, workspace, entry, cost, weight=1.0, paid=False):
         """Add an entry.
@@ -54,15 +63,16 @@
                 was sent back goes first, and its workspace pays only once.
         """
         if paid:
-            self._push(self._virtual, entry)
+            self._push(self._virtual, workspace, entry)
             return
         start = max(self._virtual, self._finish.get(workspace, 0.0))
         self._finish[workspace] = start + cost / weight
-        self._push(start, entry)
+        self._push(start, workspace, entry)
 
-    def _push(self, start, entry):
+    def _push(self, start, workspace, entry):
         heapq.heappush(self._heap, (start, next(self._order), entry))
-        self._size += 1
+        self._workspaces[entry] = workspace
+        self._waiting[workspace] += 1
 
     def peek(self):
         """Return the next entry and leave it in the queue.
@@ -70,8 +80,8 @@
         Raises:
             IndexError: The queue is empty.
         """
-        while self._heap[0][2] in self._removed:
-            self._removed.discard(heapq.heappop(self._heap)[2])
+        while self._heap[0][2] not in self._workspaces:
+            heapq.heappop(self._heap)
         return self._heap[0][2]
 
     def pop(self):
@@ -82,22 +92,21 @@
         """
         entry = self.peek()
         start, _, _ = heapq.heappop(self._heap)
-        self._size -= 1
         self._virtual = max(self._virtual, start)
-        if self._size == 0:
-            self._forget()
+        self.remove(entry)
         return entry
 
     def remove(self, entry):
         """Drop an entry that waits."""
-        self._removed.add(entry)
-        self._size -= 1
-        if self._size == 0:
+        workspace = self._workspaces.pop(entry)
+        self._waiting[workspace] -= 1
+        if not self._waiting[workspace]:
+            del self._waiting[workspace]
+        if not self._workspaces:
             self._forget()
 
     def _forget(self):
         # Nobody is backlogged: tags of the past would punish the next one to come.
         self._heap.clear()
-        self._removed.clear()
         self._finish.clear()
         self._virtual = 0.0
