--- a/pimentowick/agent/metered.py
+++ b/pimentowick/agent/metered.py
@@ -25,10 +25,11 @@
         await super().admit_online(ticket, deadline_s)
         self._metrics.count_admitted("online", time.monotonic() - began)
 
-    def try_admit_batch(self, ticket):
-        """Admit a batch item; see the base class."""
-        super().try_admit_batch(ticket)
-        self._metrics.count_admitted("batch", 0.0)
+    async def admit_batch(self, ticket):
+        """Wait for a place for a batch item; see the base class."""
+        began = time.monotonic()
+        await super().admit_batch(ticket)
+        self._metrics.count_admitted("batch", time.monotonic() - began)
 
     async def readmit_batch(self, ticket):
         """Wait for a place for a preempted item; see the base class."""
