--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -23,7 +23,7 @@
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
 from pimentowick.scheduling import lease as scheduling_lease
-from pimentowick.scheduling import limiter as scheduling_limiter
+from pimentowick.scheduling import model as scheduling_model
 
 __all__ = ["Agent"]
 
@@ -38,7 +38,6 @@
 MAX_STOPPED_JOBS = 10_000
 # Entries don't read these; a heartbeat answer is smaller without them.
 UNUSED_HEADERS = ("Server", "Date", "Content-Type")
-LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
 
 
 class Agent:
@@ -66,11 +65,13 @@
         self.leases = scheduling_lease.LeaseTable(settings.lease_s)
         self.stopped_jobs = collections.OrderedDict()
         target = settings.target
-        limiter = scheduling_limiter.YieldingLimiter(
-            target.max_batch, LOW_SHARE[settings.batch_harm]
-        )
         self.admission = metered.MeteredAdmission(
-            self.metrics, target.max_online, target.max_queue, limiter
+            self.metrics,
+            target.max_online,
+            target.max_queue,
+            scheduling_model.make_limiter(settings.batch_harm, target.max_batch),
+            target.max_batch,
+            target.max_running,
         )
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
@@ -206,9 +207,6 @@
                 self.load = await self.target.read_load()
             except exception.PimentowickError:
                 continue
-            online = self.admission.count_online()
-            self.admission.limiter.note_step(self.load.step_ms, online)
-            self.admission.apply_limit()
 
     async def _watch_cache(self):
         while True:
@@ -243,6 +241,7 @@
             "online": admission.count_online(),
             "batch": len(admission.batch),
             "batch_free": admission.count_free_batch(),
+            "batch_served": admission.tally.describe(),
             "wait_s": round(admission.estimate_wait(), 3),
             "entries": max(1, self.leases.count()),
             "cache_life_s": self.cache_lifetime.estimate(),
