--- a/pimentowick/entry/peer.py
+++ b/pimentowick/entry/peer.py
@@ -13,7 +13,7 @@
 DUMP_TIMEOUT_S = 3.0
 
 
-class DumpHandler(handler.EntryHandler):
+class DumpHandler(handler.PeerHandler):
     """``GET /peer/configuration``: the whole configuration as known here."""
 
     def get(self):
--- a/pimentowick/entry/tests/test_publish.py
+++ b/pimentowick/entry/tests/test_publish.py
@@ -154,8 +154,12 @@
         version = await publish_many(fleet, 3)
         head = fleet.log.measure("configuration")[1]
         await fleet.wait_for(lambda: fleet.log.measure("configuration")[0] >= head)
+        # Nobody is left to ask: only the log can tell.
+        for name in list(fleet.entries):
+            await fleet.crash(name)
+            await fleet.unlist_host(name)
         new = await fleet.add_entry("new")
-        await fleet.wait_for(lambda: new.is_ready)
+        await fleet.wait_for(lambda: new.is_ready and new.fleet.peers)
         assert get_version(new) == version
         assert (await fleet.chat("hello", entry="new")).status == 200
 
