Place models on engines by fenced orders of one decider

Cause: what an engine loads was fixed at its start. Some engines ignore fencing numbers, and an agent forgets the highest one with its process.

Change: the newest claim in the stream "placement" decides; its fencing number is its place in the stream. The decider plans from heartbeat answers, makes its number known to each process of an agent before it relies on what that holds, loads before it unloads, and keeps a bound on loads. Agents refuse lower numbers and orders that name another process than theirs.

Ruled out: epochs counted by claims, which need checkpoints once records pass out of retention; agents that read the log, 1,900 more readers; a number heard from two entries, which does not show that no third one is newer.

Found on the way: confirming the claim by the replica that follows took up to two of its long reads, more than the append bound of 2 s; a read of its own without waiting takes milliseconds.

--- a/benchmarks/bench_routing.py
+++ b/benchmarks/bench_routing.py
@@ -286,7 +286,7 @@
 
 def _note_end(known, made, peer, failed, now):
     if failed:
-        known.eject(made, peer, now)
+        known.eject([made], peer, now)
     else:
         known.note_success(peer)
 
--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import time
 
 from loguru import logger
@@ -16,6 +17,8 @@
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
 from pimentowick.agent import work as agent_work
+from pimentowick.placement import executor
+from pimentowick.placement import order as placement_order
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
@@ -30,6 +33,7 @@
 STARTING = "starting"
 
 LOAD_POLL_S = 0.25
+LOAD_STALE_S = 5.0
 CACHE_POLL_S = 1.0
 LEASE_CHECK_S = 0.1
 DRAIN_CHECK_S = 0.05
@@ -56,6 +60,7 @@
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.cache_lifetime = lifetime.CacheLifetime()
+        self._load_read_at = float("-inf")
         self.metrics = process_metrics.AgentMetrics()
         self.leases = scheduling_lease.LeaseTable(settings.lease_s)
         self.stopped_jobs = collections.OrderedDict()
@@ -69,6 +74,12 @@
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
         self.target = self._make_target()
+        self.orders = executor.Executor(
+            self.target,
+            self._make_weights(),
+            self._drain_model,
+            settings.order_settle_s,
+        )
         self._supervisor = supervisor.Supervisor("agent")
         self._server = http_web.Server(
             self._make_application(), settings.address, settings.port
@@ -86,6 +97,13 @@
             return make(target.address, self._client)
         return make(target.address, self._client, self._control, self.settings.idle_s)
 
+    def _make_weights(self):
+        settings = self.settings
+        if settings.weights is None:
+            return None
+        make = platform_adapter.find_adapter("weights", settings.weights_adapter)
+        return make(settings.weights, self._control, settings.transfer_s)
+
     def _make_application(self):
         shared = {"agent": self}
         return web.Application(
@@ -93,6 +111,7 @@
                 ("/work", WorkHandler, shared),
                 ("/heartbeat", HeartbeatHandler, shared),
                 ("/stop-job", StopJobHandler, shared),
+                ("/orders", OrderHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
@@ -105,6 +124,7 @@
         await self._client.start()
         await self._control.start()
         await self._supervisor.start()
+        await self.orders.start()
         await self._server.start()
         self._supervisor.start_child("leases", self._watch_leases)
         self._supervisor.start_child("alive", self._send_alive)
@@ -135,6 +155,7 @@
     async def close(self):
         """Stop listening and drop all connections."""
         await self._supervisor.close()
+        await self.orders.close()
         for handler in list(self.running):
             handler.cancel()
         await self._server.close()
@@ -194,6 +215,7 @@
             await asyncio.sleep(LOAD_POLL_S)
             try:
                 self.load = await self.target.read_load()
+                self._load_read_at = time.monotonic()
             except exception.PimentowickError:
                 continue
             online = self.admission.count_online()
@@ -214,13 +236,20 @@
         """Return what heartbeat answers say about this agent."""
         target = self.settings.target
         admission = self.admission
+        orders = {}
+        if target.kind == "engine":
+            orders = self.orders.describe(self.load.models, self.load.adapters)
+            orders["max_models"] = target.max_models
+            orders["demand"] = self._count_demand()
+            # Nobody must count on models of an engine that tells nothing.
+            age = time.monotonic() - self._load_read_at
+            orders["settled"] = orders["settled"] and age < LOAD_STALE_S
         return {
             "agent": self.settings.name,
             "state": self.state,
             "kind": target.kind,
             "service": target.service,
             "target": target.name,
-            "models": list(self.load.models),
             "online": admission.count_online(),
             "max_online": admission.max_online,
             "batch": len(admission.batch),
@@ -229,8 +258,39 @@
             "entries": max(1, self.leases.count()),
             "lease_s": self.settings.lease_s,
             "cache_life_s": self.cache_lifetime.estimate(),
+            **orders,
         }
 
+    def _list_generations(self):
+        works = [handler.work for handler in self.running]
+        return [
+            work.generation
+            for work in works
+            if isinstance(work, agent_work.GenerateWork)
+        ]
+
+    def _count_demand(self):
+        return collections.Counter(each.model for each in self._list_generations())
+
+    async def _drain_model(self, kind, name):
+        """Wait until nothing runs that needs a model or adapter, within a bound."""
+        deadline = time.monotonic() + self.settings.drain_s
+        while time.monotonic() < deadline:
+            if not any(
+                getattr(each, kind) == name for each in self._list_generations()
+            ):
+                return
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    def _is_leaving(self, work):
+        if not isinstance(work, agent_work.GenerateWork) or not self.orders.leaving:
+            return False
+        needed = {
+            ("model", work.generation.model),
+            ("adapter", work.generation.adapter),
+        }
+        return not needed.isdisjoint(self.orders.leaving)
+
     def check(self, work):
         """Refuse work that must not begin.
 
@@ -246,6 +306,15 @@
                     retry_after=0.1,
                 )
             )
+        if self._is_leaving(work):
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    503,
+                    "not_loaded",
+                    "The model is being unloaded there. Try again.",
+                    retry_after=0.1,
+                )
+            )
         envelope = work.envelope
         if envelope.job in self.stopped_jobs:
             raise exception.RefusedError(
@@ -357,6 +426,26 @@
         self.write_json({"cancelled": await self.agent.stop_job(job)})
 
 
+class OrderHandler(http_web.JsonHandler):
+    """Takes an order to the engine, or tells how the same order fares."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def post(self):
+        """Answer with the order's status; 409 if it is not taken."""
+        orders = self.agent.orders
+        try:
+            order = placement_order.parse_order(self.read_json())
+            self.write_json(dataclasses.asdict(orders.submit(order)))
+        except exception.ValidationError as error:
+            self.write_json({"error": str(error)}, 400)
+        except exception.ConflictError as error:
+            answer = {"error": str(error), "fence": orders.fence, "boot": orders.boot}
+            self.write_json(answer, 409)
+
+
 class HealthHandler(http_web.JsonHandler):
     """Liveness: the loop turns."""
 
--- a/pimentowick/configuration/document.py
+++ b/pimentowick/configuration/document.py
@@ -18,6 +18,8 @@
     "Fleet",
     "FleetBody",
     "OperatorBody",
+    "PlacedModel",
+    "PlacedModelBody",
     "WorkspaceBody",
     "make_entries",
     "parse_envelope",
@@ -91,10 +93,31 @@
     Attributes:
         operators: `tokens.Entry` by token id.
         shards: Number of shards of the batch work.
+        models: `PlacedModel` by name; empty means that nothing is placed.
+        max_loads: Most loads at once, for the sake of the weight store.
     """
 
     operators: dict = dataclasses.field(default_factory=dict, repr=False)
     shards: int = 8
+    models: dict = dataclasses.field(default_factory=dict)
+    max_loads: int = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedModel:
+    """A model that the engines are to load.
+
+    Attributes:
+        version: Version of its weights; empty means whichever there is.
+        replicas_min: Fewest engines that hold it.
+        replicas_max: Most engines that hold it.
+        adapters: Version by name of the adapters that are loaded with it.
+    """
+
+    version: str = ""
+    replicas_min: int = 1
+    replicas_max: int = 1
+    adapters: dict = dataclasses.field(default_factory=dict)
 
 
 class Envelope(border.Model):
@@ -125,11 +148,22 @@
     name: str = pydantic.Field(min_length=1, max_length=100)
 
 
+class PlacedModelBody(border.Model):
+    """Border model of a model that the engines are to load."""
+
+    version: str = pydantic.Field(default="", max_length=200)
+    replicas_min: int = pydantic.Field(default=1, ge=1, le=100_000)
+    replicas_max: int = pydantic.Field(default=1, ge=1, le=100_000)
+    adapters: dict[str, str] = {}
+
+
 class FleetBody(border.Model):
     """Border model of the body of the fleet document."""
 
     operators: list[OperatorBody] = []
     shards: int = pydantic.Field(default=8, ge=1, le=4096)
+    models: dict[str, PlacedModelBody] = {}
+    max_loads: int = pydantic.Field(default=2, ge=1, le=10_000)
 
 
 def parse_envelope(offset, record):
@@ -164,7 +198,12 @@
         exception.ValidationError: If it lacks the documented form.
     """
     parsed = border.validate(FleetBody, body)
-    return Fleet(make_entries(parsed.operators), parsed.shards)
+    models = {
+        name: PlacedModel(**model.model_dump()) for name, model in parsed.models.items()
+    }
+    return Fleet(
+        make_entries(parsed.operators), parsed.shards, models, parsed.max_loads
+    )
 
 
 def make_entries(bodies):
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -15,6 +15,7 @@
 from pimentowick.configuration import tokens
 from pimentowick.entry import configuration, job, online, service
 from pimentowick.membership import fleet as membership_fleet
+from pimentowick.placement import decider
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
 from pimentowick.routing import affinity, balance, limits, router
@@ -60,6 +61,14 @@
         self.fleet = membership_fleet.Fleet(
             hosts, self.client, settings, self.owner, self._is_fresh
         )
+        self.decider = decider.Decider(
+            log,
+            self.fleet,
+            self.client,
+            settings,
+            self.owner,
+            lambda: self.configuration.fleet,
+        )
         self.table = shard.ShardTable(log, self.fleet, settings, self.owner)
         self.ownership = ownership.Ownership(
             self.table, self.fleet, settings, self.owner, self.metrics
@@ -160,6 +169,7 @@
         await self.ownership.start()
         await self.writer.start()
         await self.dispatcher.start()
+        await self.decider.start()
         await self.calls.start()
         await self._server.start()
         self.state = READY
@@ -175,6 +185,7 @@
         await asyncio.sleep(self.settings.lame_duck_s)
         await self.dispatcher.drain(max(0.0, deadline - loop.time()))
         await self.ownership.release_all()
+        await self.decider.release()
         while self.limits.running and loop.time() < deadline:
             await asyncio.sleep(DRAIN_CHECK_S)
         await self.calls.drain(max(0.0, deadline - loop.time()))
@@ -185,6 +196,7 @@
         """Stop listening and drop all connections."""
         await self._server.close()
         for part in (
+            self.decider,
             self.dispatcher,
             self.ownership,
             self.writer,
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -32,6 +32,7 @@
         host: `pimentowick.platform.hosts.Host` of the agent.
         report: The last heartbeat answer.
         heard_at: Monotonic time of the last heartbeat answer; 0 before.
+        asked_at: Monotonic time at which its heartbeat left; the report is newer.
         online: Online requests of this entry in flight there.
         online_at_report: What `online` was when the last report came.
         batch: Batch items of this entry in flight there.
@@ -46,6 +47,7 @@
     host: object
     report: dict = dataclasses.field(default_factory=dict)
     heard_at: float = 0.0
+    asked_at: float = 0.0
     online: int = 0
     online_at_report: int = 0
     batch: int = 0
@@ -71,9 +73,14 @@
         """Name of the model or service that the target serves."""
         return self.report.get("service")
 
-    def serves(self, name, kind):
-        """Return whether the target is of `kind` and serves `name`."""
-        return self.report.get("kind") == kind and self.service == name
+    def list_served(self):
+        """Return the names of what the target serves.
+
+        An engine that was given orders serves what it has loaded.
+        """
+        if self.report.get("fence"):
+            return self.report.get("models", [])
+        return [self.service]
 
     def estimate_load(self, alike=1):
         """Return how full the target is: the report, and what was sent since.
@@ -186,10 +193,12 @@
         if peer.host.leaving or peer.report.get("state") != "ready":
             self._leave_pools(peer)
             return
-        key = (peer.service, peer.report.get("kind"))
-        if peer not in self._pools.get(key, ()):
-            self._leave_pools(peer)
-        self._pools.setdefault(key, membership_pool.Pool()).add(peer)
+        keys = {(name, peer.report.get("kind")) for name in peer.list_served()}
+        for key, pool in self._pools.items():
+            if key not in keys:
+                pool.discard(peer)
+        for key in keys:
+            self._pools.setdefault(key, membership_pool.Pool()).add(peer)
 
     def _leave_pools(self, peer):
         for pool in self._pools.values():
@@ -219,6 +228,7 @@
     def _take_report(self, peer, report, sent_at):
         peer.report = report
         peer.heard_at = time.monotonic()
+        peer.asked_at = sent_at
         peer.online_at_report = peer.online
         self._index(peer)
         lease = report.get("lease", peer.lease)
@@ -265,9 +275,10 @@
     def list_served(self, kind):
         """Return the names of what the known targets of `kind` serve."""
         return {
-            peer.service
+            name
             for peer in self.peers.values()
-            if peer.serves(peer.service, kind)
+            if peer.report.get("kind") == kind
+            for name in peer.list_served()
         }
 
     def note_success(self, peer):
@@ -276,17 +287,18 @@
 
     def note_failure(self, peer):
         """Take notice of a failed request; eject the peer for a while."""
-        pool = self.get_pool(peer.service, peer.report.get("kind"))
-        self.eject(pool, peer, time.monotonic())
+        pools = [pool for pool in self._pools.values() if peer in pool]
+        self.eject(pools, peer, time.monotonic())
 
-    def eject(self, pool, peer, now):
-        """Count a failure of a member of `pool`, and eject it if that may be."""
+    def eject(self, pools, peer, now):
+        """Count a failure of a member of `pools`, and eject it if all of them may."""
         peer.failures += 1
-        if not pool.may_eject(peer, now):
+        if not all(pool.may_eject(peer, now) for pool in pools):
             return
         pause = min(EJECT_FIRST_S * 2 ** (peer.failures - 1), EJECT_LAST_S)
         peer.ejected_until = now + pause * random.uniform(0.8, 1.2)
-        pool.note_ejected(peer, peer.ejected_until)
+        for pool in pools:
+            pool.note_ejected(peer, peer.ejected_until)
 
     def note_draining(self, peer):
         """Take notice of an agent that refused because it drains."""
--- /dev/null
+++ b/pimentowick/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which models each engine loads: one decider at a time, fenced orders."""
--- /dev/null
+++ b/pimentowick/placement/claim.py
@@ -0,0 +1,117 @@
+"""Who decides on the placement, folded from the stream ``placement``.
+
+The newest claim is in force, and its fencing number is its place in the stream. A
+reader needs no older record for that, so the stream needs no checkpoints: the
+renewals of the decider carry its number beyond the end of retention, and a claim
+after everything was lost still has a higher number than any before it.
+"""
+
+from pimentowick.platform import log as platform_log
+from pimentowick.replication import fold, replica
+
+__all__ = ["STREAM", "ClaimFold", "ClaimReplica", "make_claim", "make_release"]
+
+STREAM = "placement"
+CLAIM = "claim"
+RENEW = "renew"
+RELEASE = "release"
+
+READ_WAIT_S = 0.5
+
+
+def make_claim(owner):
+    """Return the record of a claim by `owner`."""
+    return {"id": platform_log.make_id(), "type": CLAIM, "owner": owner}
+
+
+def make_renew(owner, fence):
+    """Return the record that shows the decider with number `fence` alive."""
+    record = {"id": platform_log.make_id(), "type": RENEW}
+    return {**record, "owner": owner, "fence": fence}
+
+
+def make_release(fence):
+    """Return the record that gives the claim with number `fence` up."""
+    return {"id": platform_log.make_id(), "type": RELEASE, "fence": fence}
+
+
+class ClaimFold(fold.Fold):
+    """The claim in force.
+
+    Attributes:
+        fence: Its fencing number; 0 while there is none.
+        owner: The decider, or None.
+        shown_at: Offset of its last record.
+
+    Examples:
+        >>> claims = ClaimFold()
+        >>> claims.apply(4, make_claim("a"))
+        >>> claims.apply(5, make_claim("b"))
+        >>> claims.apply(6, make_renew("a", 5))
+        >>> claims.owner, claims.fence
+        ('b', 6)
+    """
+
+    def __init__(self):
+        self.fence = 0
+        self.owner = None
+        self.shown_at = -1
+
+    def apply(self, offset, record):
+        """Apply one record; see `pimentowick.replication.fold.Fold.apply`."""
+        kind, owner = record.get("type"), record.get("owner")
+        if kind == CLAIM and isinstance(owner, str):
+            self._put(offset + 1, owner, offset)
+            return
+        fence = record.get("fence")
+        if type(fence) is not int or fence < self.fence:
+            return
+        # A claim stands before its renewals; a number beyond that is made up, and
+        # would keep all true claims out.
+        if fence > offset:
+            return
+        if kind == RENEW and isinstance(owner, str):
+            self._put(fence, owner, offset)
+        elif kind == RELEASE:
+            self._put(fence, None, offset)
+
+    def _put(self, fence, owner, offset):
+        self.fence = fence
+        self.owner = owner
+        self.shown_at = offset
+
+    def dump(self):
+        """Return the state; see `pimentowick.replication.fold.Fold.dump`."""
+        state = {"fence": self.fence, "owner": self.owner, "shown_at": self.shown_at}
+        return [state]
+
+    def load(self, parts):
+        """Replace the state; see `pimentowick.replication.fold.Fold.load`."""
+        state = parts[0]
+        self._put(state["fence"], state["owner"], state["shown_at"])
+
+
+class ClaimReplica(replica.Replica):
+    """Follows the stream; what passed out of retention is not missed.
+
+    Args:
+        log: `pimentowick.platform.log.Log`.
+    """
+
+    def __init__(self, log):
+        super().__init__(log, STREAM, ClaimFold(), READ_WAIT_S)
+
+    def _begin_recovery(self, first):
+        self.offset = first
+
+    async def confirm(self):
+        """Return whether the fold holds all that the log holds now.
+
+        The task that follows may have a read under way that began long ago; an own
+        one without waiting tells at once.
+
+        Raises:
+            LogUnavailableError: The log gave no answer.
+        """
+        page = await self.log.read(self.stream, self.offset, limit=1)
+        return self.offset >= page.head
--- /dev/null
+++ b/pimentowick/placement/decider.py
@@ -0,0 +1,399 @@
+"""Decides on the placement and sees to its orders, while its claim is in force.
+
+Every entry runs one; the log says which of them decides. Nothing of a decision is
+kept but the claim: what is loaded, the engines tell.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+
+from loguru import logger
+
+from pimentowick import exception, supervisor
+from pimentowick.batch import shard
+from pimentowick.placement import claim as placement_claim
+from pimentowick.placement import order as placement_order
+from pimentowick.placement import plan as placement_plan
+from pimentowick.platform import log as platform_log
+
+__all__ = ["Decider"]
+
+TICK_S = 0.1
+RENEWS_PER_TAKEOVER = 3
+RANK_DELAY_S = 1.0
+FRESH_READS = 3
+ORDER_TIMEOUT_S = 2.0
+ORDER_POLL_S = 0.1
+FAILED_PAUSE_S = 2.0
+FENCES_AT_ONCE = 32
+FENCE_PAUSE_S = 1.0
+IN_USE_DEMAND = 0.5
+DEMAND_HALF_LIFE_S = 30.0
+PLACES_SHARE = 0.5
+
+
+class Decider:
+    """One entry's part in the placement.
+
+    Args:
+        log: `pimentowick.platform.log.Log`.
+        fleet: `pimentowick.membership.fleet.Fleet`.
+        client: `pimentowick.client.Client` for orders.
+        settings: `pimentowick.settings.EntrySettings`.
+        owner: Name of this process.
+        get_fleet: Function that returns the configuration's
+            `pimentowick.configuration.document.Fleet`.
+
+    Attributes:
+        replica: The `pimentowick.placement.claim.ClaimReplica`.
+        pending: `pimentowick.placement.order.Order` by agent, of those under way.
+    """
+
+    def __init__(self, log, fleet, client, settings, owner, get_fleet):
+        self.replica = placement_claim.ClaimReplica(log)
+        self.pending = {}
+        self._fleet = fleet
+        self._client = client
+        self._settings = settings
+        self._owner = owner
+        self._get_fleet = get_fleet
+        self._fence = 0
+        self._fenced = {}
+        self._tried_at = {}
+        self._seen = {}
+        self._ended_at = {}
+        self._failed_at = {}
+        self._demand = collections.Counter()
+        self._decided_at = time.monotonic()
+        self._shown_at = None
+        self._silent_s = 0.0
+        self._renewed_at = 0.0
+        self._releasing = False
+        self._supervisor = supervisor.Supervisor("placement")
+
+    async def start(self):
+        """Begin to follow the claims."""
+        await self._supervisor.start()
+        await self.replica.start()
+        self._supervisor.start_child("decide", self._run)
+
+    async def close(self):
+        """Stop deciding; a claim stays in force until another one."""
+        await self._supervisor.close()
+        await self.replica.close()
+
+    async def release(self):
+        """Give the claim up, so that another entry needn't wait for silence."""
+        self._releasing = True
+        if not self.is_owner:
+            return
+        record = placement_claim.make_release(self._claims.fence)
+        try:
+            await self.replica.append([record], self._settings.append_s)
+        except exception.LogError as error:
+            logger.warning("placement: The claim is not released. {}", error)
+
+    @property
+    def _claims(self):
+        return self.replica.fold
+
+    @property
+    def is_owner(self):
+        """Whether the newest claim that was read is that of this process."""
+        return self._claims.owner == self._owner
+
+    async def _run(self):
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(TICK_S)
+            # Time in which this process was frozen is not the decider's silence.
+            elapsed = min(time.monotonic() - began, 2 * TICK_S)
+            if self._releasing or not self.replica.ready:
+                continue
+            if not self._get_fleet().models:
+                continue
+            await self._keep_claim(elapsed)
+            if self.is_owner:
+                await self._decide()
+
+    async def _keep_claim(self, elapsed):
+        claims = self._claims
+        if claims.shown_at != self._shown_at:
+            self._shown_at = claims.shown_at
+            self._silent_s = 0.0
+        elif self._reads():
+            self._silent_s += elapsed
+        try:
+            if self.is_owner:
+                await self._renew()
+            elif self._silent_s >= self._get_patience():
+                self._silent_s = 0.0
+                record = placement_claim.make_claim(self._owner)
+                await self.replica.append([record], self._settings.append_s)
+        except exception.LogError as error:
+            logger.warning("placement: {}", error)
+
+    def _reads(self):
+        # A read that waits for a record is this old already when it ends.
+        least = FRESH_READS * placement_claim.READ_WAIT_S
+        age = time.monotonic() - self.replica.fresh_at
+        return age < max(least, self._settings.takeover_s / RENEWS_PER_TAKEOVER)
+
+    def _get_patience(self):
+        names = {n for n, host in self._fleet.entries.items() if not host.leaving}
+        names.add(self._settings.name)
+        order = shard.rank_entries(placement_claim.STREAM, names)
+        delay = order.index(self._settings.name) * RANK_DELAY_S
+        if self._claims.owner is None:
+            return delay
+        return self._settings.takeover_s + delay
+
+    async def _renew(self):
+        now = time.monotonic()
+        if now - self._renewed_at < self._settings.takeover_s / RENEWS_PER_TAKEOVER:
+            return
+        self._renewed_at = now
+        record = placement_claim.make_renew(self._owner, self._claims.fence)
+        await self.replica.log.append(placement_claim.STREAM, [record])
+
+    async def _decide(self):
+        fence = self._claims.fence
+        if fence != self._fence:
+            logger.info("placement: This entry decides, fence {}.", fence)
+            self._fence = fence
+            self._fenced = {}
+            self._tried_at = {}
+        peers = self._list_peers()
+        await self._fence_all(peers)
+        if not self.is_owner or self._claims.fence != fence:
+            return
+        configuration = self._get_fleet()
+        wanted = self._list_wanted(configuration, peers)
+        engines = self._list_engines(peers)
+        loads = configuration.max_loads - self._count_loads()
+        for move in placement_plan.make_plan(wanted, engines, loads):
+            self._begin(move)
+
+    def _list_peers(self):
+        return [
+            peer
+            for peer in self._fleet.peers.values()
+            if peer.report.get("boot") and self._fleet.is_usable(peer)
+        ]
+
+    async def _fence_all(self, peers):
+        """Make the fencing number known to every process of an agent.
+
+        Until an agent knows it, an older decider that wakes up could still change
+        its engine, so the plan must not count on what that engine holds.
+        """
+        now = time.monotonic()
+        fresh = [
+            (peer, peer.report["boot"])
+            for peer in peers
+            if self._fenced.get(peer.name) != peer.report["boot"]
+            and now - self._tried_at.get(peer.name, 0.0) > FENCE_PAUSE_S
+        ]
+        if not fresh:
+            return
+        fence = self._fence
+        try:
+            # After the boot ids were heard, see `pimentowick.placement.executor`.
+            confirmed = await self.replica.confirm()
+        except exception.LogError as error:
+            logger.warning("placement: The claim is not confirmed. {}", error)
+            return
+        if not confirmed or not self.is_owner or self._claims.fence != fence:
+            return
+        # Agents that hang must not keep this task from renewing the claim.
+        chosen = random.sample(fresh, min(FENCES_AT_ONCE, len(fresh)))
+        await asyncio.gather(*(self._send_fence(peer, boot) for peer, boot in chosen))
+
+    async def _send_fence(self, peer, boot):
+        self._tried_at[peer.name] = time.monotonic()
+        order = self._make_order(boot, placement_order.FENCE)
+        if await self._send(peer, order) is not None:
+            self._fenced[peer.name] = boot
+
+    def _make_order(self, boot, action, **fields):
+        name = platform_log.make_id()
+        return placement_order.Order(name, self._fence, boot, action, **fields)
+
+    async def _send(self, peer, order):
+        """Return the `pimentowick.placement.order.Status`, or None without one."""
+        try:
+            answer = await self._client.fetch(
+                "POST",
+                peer.address,
+                "/orders",
+                dataclasses.asdict(order),
+                timeout_s=ORDER_TIMEOUT_S,
+            )
+            if answer.status == 200:
+                return placement_order.Status(**answer.decode())
+        except exception.PimentowickError as error:
+            logger.debug("placement: {} did not answer. {}", peer.name, error)
+            return None
+        if answer.status == 409:
+            self._fenced.pop(peer.name, None)
+        return None
+
+    def _is_reliable(self, peer):
+        """Return whether a report tells what only this decider changes."""
+        report = peer.report
+        return (
+            self._fenced.get(peer.name) == report["boot"]
+            and report["fence"] == self._fence
+            and report["settled"]
+            and peer.asked_at > self._ended_at.get(peer.name, 0.0)
+        )
+
+    def _list_engines(self, peers):
+        """Return the engines, and what was at those that can't be relied on now.
+
+        An agent that restarts, or that doesn't know the fencing number yet, still
+        has its models; to load them elsewhere at once would only move weights.
+        """
+        now = time.monotonic()
+        engines = []
+        for peer in peers:
+            if self._is_reliable(peer):
+                engine = self._describe(peer)
+                models = engine.models | {engine.pending} - {None}
+                self._seen[peer.name] = (models, now)
+                engines.append(engine)
+        known = {engine.agent for engine in engines}
+        reported = {peer.name: set(peer.report["models"]) for peer in peers}
+        for name, (models, at) in list(self._seen.items()):
+            if now - at > self._settings.takeover_s:
+                del self._seen[name]
+            else:
+                reported[name] = reported.get(name, set()) | models
+        for name in reported.keys() - known:
+            maybe = reported[name] - self._get_leaving(name)
+            engines.append(
+                placement_plan.Engine(name, "", set(), busy=True, maybe=maybe)
+            )
+        return engines
+
+    def _get_leaving(self, agent):
+        order = self.pending.get(agent)
+        if order is None or order.action != placement_order.UNLOAD:
+            return set()
+        return {order.name}
+
+    def _describe(self, peer):
+        report = peer.report
+        order = self.pending.get(peer.name)
+        engine = placement_plan.Engine(
+            peer.name,
+            peer.host.failure_domain,
+            set(report["models"]),
+            set(report["adapters"]),
+            report["versions"],
+            report["max_models"],
+        )
+        failed_at = self._failed_at.get(peer.name)
+        if failed_at is not None:
+            engine.busy = time.monotonic() - failed_at < FAILED_PAUSE_S
+        if order is not None:
+            engine.busy = True
+            if order.kind == placement_plan.MODEL:
+                # It is neither relied on as a replica nor, while it loads, missed.
+                engine.models.discard(order.name)
+                loads = order.action == placement_order.LOAD
+                engine.pending = order.name if loads else None
+        return engine
+
+    def _count_loads(self):
+        return sum(
+            order.action == placement_order.LOAD for order in self.pending.values()
+        )
+
+    def _list_wanted(self, configuration, peers):
+        now = time.monotonic()
+        self._note_demand(peers, now - self._decided_at)
+        self._decided_at = now
+        places = [peer.report["max_online"] for peer in peers] or [1]
+        share = PLACES_SHARE * sum(places) / len(places)
+        wanted = [
+            placement_plan.Wanted(
+                name,
+                model.version,
+                placement_plan.count_replicas(
+                    self._demand[name], share, model.replicas_min, model.replicas_max
+                ),
+                model.adapters,
+            )
+            for name, model in configuration.models.items()
+        ]
+        # What is no longer configured goes when its slot is needed, but not from
+        # under its users.
+        wanted += [
+            placement_plan.Wanted(name, replicas=0)
+            for name, demand in self._demand.items()
+            if demand >= IN_USE_DEMAND and name not in configuration.models
+        ]
+        return wanted
+
+    def _note_demand(self, peers, elapsed_s):
+        """Follow the demand up at once, and down slowly.
+
+        Replicas that came with each burst and went after it would only move weights.
+        """
+        demand = collections.Counter()
+        for peer in peers:
+            demand.update(peer.report["demand"])
+        decay = 0.5 ** (elapsed_s / DEMAND_HALF_LIFE_S)
+        for name in {*demand, *self._demand}:
+            self._demand[name] = max(demand[name], self._demand[name] * decay)
+
+    def _begin(self, move):
+        peer = self._fleet.peers[move.agent]
+        order = self._make_order(
+            self._fenced[move.agent],
+            move.action,
+            kind=move.kind,
+            name=move.name,
+            version=move.version,
+        )
+        logger.info("placement: {}: {} {}.", move.agent, move.action, move.name)
+        self.pending[move.agent] = order
+        self._supervisor.start_child(f"order {move.agent}", self._see_to, peer, order)
+
+    async def _see_to(self, peer, order):
+        """Repeat an order until the agent says how it ended."""
+        try:
+            while self._is_current(peer, order):
+                status = await self._send(peer, order)
+                if status is not None and self._is_ended(order, status):
+                    break
+                await asyncio.sleep(ORDER_POLL_S)
+        finally:
+            if self.pending.get(peer.name) is order:
+                del self.pending[peer.name]
+            self._ended_at[peer.name] = time.monotonic()
+
+    def _is_current(self, peer, order):
+        return (
+            self.is_owner
+            and self._claims.fence == order.fence
+            and self._fenced.get(peer.name) == order.boot
+            and self._fleet.peers.get(peer.name) is peer
+        )
+
+    def _is_ended(self, order, status):
+        if status.state == placement_order.FAILED:
+            agent = next(n for n, each in self.pending.items() if each is order)
+            self._failed_at[agent] = time.monotonic()
+            logger.warning(
+                "placement: {}: {} failed. {}", agent, order.name, status.error
+            )
+        return status.state in (
+            placement_order.DONE,
+            placement_order.FAILED,
+            placement_order.SUPERSEDED,
+        )
--- /dev/null
+++ b/pimentowick/placement/executor.py
@@ -0,0 +1,236 @@
+"""Carries out orders at the engine beside an agent, one at a time.
+
+Some engines ignore fencing numbers, so the agent checks them. Its memory ends with
+its process, and a new one must not take an order of a decider that the last one had
+refused. Therefore each process has a random boot id, and takes only orders that
+name it. A decider learns the id from a heartbeat answer and then reads the log to
+its head before it sends an order: its claim was still the newest after this process
+began, so no earlier process can have taken an order with a higher number.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import secrets
+import time
+
+from loguru import logger
+
+from pimentowick import exception, supervisor
+from pimentowick.placement import order as placement_order
+
+__all__ = ["Executor"]
+
+BOOT_BYTES = 8
+ENDED_KEPT = 64
+OVERLAY_S = 10.0
+"""Longest lag of the engine's own report of what is loaded."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Overlay:
+    loaded: bool
+    until: float
+
+
+class Executor:
+    """The orders of one agent.
+
+    Args:
+        engine: `pimentowick.platform.engine.Engine`.
+        weights: `pimentowick.platform.weights.WeightStore`, or None if the engine
+            fetches its weights itself.
+        drain: Coroutine function of a kind and a name that returns when no request
+            for it runs any more, or a bound has passed.
+        settle_s: Longest time that an order of an earlier process of this agent may
+            still be on its way within the engine, in seconds.
+
+    Attributes:
+        boot: Id of this process.
+        fence: Highest fencing number seen; 0 before any.
+        leaving: ``(kind, name)`` of what is or may be going away.
+        versions: Version by ``(kind, name)`` of what this process loaded.
+    """
+
+    def __init__(self, engine, weights, drain, settle_s):
+        self.boot = secrets.token_hex(BOOT_BYTES)
+        self.fence = 0
+        self.leaving = set()
+        self.versions = {}
+        self._engine = engine
+        self._weights = weights
+        self._drain = drain
+        self._settled_at = time.monotonic() + settle_s
+        self._current = None
+        self._sending = False
+        self._ended = collections.OrderedDict()
+        self._transferred = None
+        self._overlays = {}
+        self._supervisor = supervisor.Supervisor("orders")
+
+    async def start(self):
+        """Allow orders to be carried out."""
+        await self._supervisor.start()
+
+    async def close(self):
+        """Drop the order that runs."""
+        await self._supervisor.close()
+
+    @property
+    def is_settled(self):
+        """Whether no order of an earlier process can still change the engine."""
+        return time.monotonic() >= self._settled_at
+
+    @property
+    def loading(self):
+        """Name of what is being loaded, or None."""
+        current = self._current
+        if current is None or current.action != placement_order.LOAD:
+            return None
+        return current.name
+
+    def submit(self, order):
+        """Take an order, or tell how the same order fares.
+
+        Args:
+            order: `pimentowick.placement.order.Order`.
+
+        Returns:
+            `pimentowick.placement.order.Status`.
+
+        Raises:
+            ConflictError: The order is that of an older claim, or is meant for an
+                earlier process; nothing was done.
+        """
+        if order.boot != self.boot:
+            raise exception.ConflictError("The order is meant for an earlier process.")
+        if order.fence < self.fence:
+            raise exception.ConflictError("A newer decider has given orders.")
+        self._raise_fence(order.fence)
+        if order.action == placement_order.FENCE:
+            return self._make_status(placement_order.DONE)
+        ended = self._ended.get(order.id)
+        if ended is not None and ended[0] != placement_order.UNKNOWN:
+            return self._make_status(*ended)
+        if self._current is not None:
+            same = self._current.id == order.id
+            return self._make_status(
+                placement_order.RUNNING if same else placement_order.BUSY
+            )
+        self._current = order
+        self._supervisor.start_child("order", self._run, order)
+        return self._make_status(placement_order.RUNNING)
+
+    def _make_status(self, state, error=""):
+        return placement_order.Status(state, self.fence, self.boot, error)
+
+    def _raise_fence(self, fence):
+        if fence == self.fence:
+            return
+        self.fence = fence
+        if self._current is not None and not self._sending:
+            # The transfer of an older decider would take the store's rate from
+            # what the new one decides.
+            self._supervisor.stop_child("order")
+            self._end(self._current, placement_order.SUPERSEDED)
+
+    async def _run(self, order):
+        state, error = placement_order.FAILED, ""
+        try:
+            await self._prepare(order)
+            self._sending = True
+            state = await self._send(order)
+        except exception.PimentowickError as caught:
+            error = str(caught)
+        finally:
+            self._sending = False
+        self._end(order, state, error)
+
+    async def _prepare(self, order):
+        await asyncio.sleep(max(0.0, self._settled_at - time.monotonic()))
+        key = (order.kind, order.name)
+        if order.action == placement_order.UNLOAD:
+            # From now on the agent refuses requests for it as not run.
+            self.leaving.add(key)
+            await self._drain(*key)
+            return
+        wanted = (*key, order.version)
+        if self._weights is not None and self._transferred != wanted:
+            await self._weights.transfer(order.name, order.version)
+            self._transferred = wanted
+
+    async def _send(self, order):
+        fields = {"name": order.name, "kind": order.kind}
+        if order.action == placement_order.LOAD:
+            fields["version"] = order.version
+        try:
+            await self._engine.send_order(order.fence, order.action, **fields)
+        except exception.UnavailableError as error:
+            # The engine may have obeyed. Until a repetition of the order settles it,
+            # nothing counts on what it was about.
+            logger.warning("orders: {} {}: {}", order.action, order.name, error)
+            return placement_order.UNKNOWN
+        self._note_done(order)
+        return placement_order.DONE
+
+    def _note_done(self, order):
+        key = (order.kind, order.name)
+        loaded = order.action == placement_order.LOAD
+        # The engine's report lags: it would still show what has just gone, and the
+        # decider would take this engine for a replica.
+        self._overlays[key] = _Overlay(loaded, time.monotonic() + OVERLAY_S)
+        self.versions.pop(key, None)
+        if loaded:
+            self.versions[key] = order.version
+        logger.info("orders: {} {} {} done.", order.action, order.kind, order.name)
+
+    def _end(self, order, state, error=""):
+        if self._current is not order:
+            return
+        self._current = None
+        if state != placement_order.UNKNOWN:
+            self.leaving.discard((order.kind, order.name))
+        self._ended[order.id] = (state, error)
+        self._ended.move_to_end(order.id)
+        if len(self._ended) > ENDED_KEPT:
+            self._ended.popitem(last=False)
+        if error:
+            logger.warning("orders: {} {}: {}", order.action, order.name, error)
+
+    def list_loaded(self, kind, reported):
+        """Return the names of what is loaded and not about to go.
+
+        Args:
+            kind: ``model`` or ``adapter``.
+            reported: Names that the engine reported, some time ago.
+        """
+        names = set(reported)
+        now = time.monotonic()
+        for (each, name), overlay in list(self._overlays.items()):
+            if overlay.until <= now:
+                del self._overlays[each, name]
+            elif each == kind and overlay.loaded:
+                names.add(name)
+            elif each == kind:
+                names.discard(name)
+        return sorted(name for name in names if (kind, name) not in self.leaving)
+
+    def describe(self, models, adapters):
+        """Return what heartbeat answers say about the orders.
+
+        Args:
+            models: Models that the engine reported.
+            adapters: Adapters that it reported.
+        """
+        return {
+            "models": self.list_loaded("model", models),
+            "adapters": self.list_loaded("adapter", adapters),
+            "versions": {
+                f"{kind}/{name}": version
+                for (kind, name), version in self.versions.items()
+            },
+            "fence": self.fence,
+            "boot": self.boot,
+            "settled": self.is_settled,
+            "loading": self.loading,
+        }
--- /dev/null
+++ b/pimentowick/placement/order.py
@@ -0,0 +1,87 @@
+"""Orders to an engine, as the decider sends them to the agent beside it."""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from pimentowick.configuration import border
+
+__all__ = ["Order", "Status", "parse_order"]
+
+FENCE = "fence"
+LOAD = "load"
+UNLOAD = "unload"
+
+DONE = "done"
+RUNNING = "running"
+BUSY = "busy"
+FAILED = "failed"
+UNKNOWN = "unknown"
+SUPERSEDED = "superseded"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """One order; whoever repeats it keeps its id.
+
+    Attributes:
+        id: Random id.
+        fence: Fencing number of the decider's claim.
+        boot: The agent's process that it is meant for.
+        action: ``fence``, ``load`` or ``unload``; the first only makes the number
+            known.
+        kind: ``model`` or ``adapter``.
+        name: Name of the model or adapter.
+        version: Version to load.
+    """
+
+    id: str
+    fence: int
+    boot: str
+    action: str
+    kind: str = "model"
+    name: str = ""
+    version: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """What an agent says of an order.
+
+    Attributes:
+        state: ``done``, ``running``, ``busy`` with another one, ``failed``,
+            ``superseded``, or ``unknown`` if the engine's answer was lost.
+        fence: Highest fencing number that the agent knows.
+        boot: The agent's process.
+        error: Why the order failed.
+    """
+
+    state: str
+    fence: int
+    boot: str
+    error: str = ""
+
+
+class _OrderModel(border.Model):
+    id: str = pydantic.Field(min_length=8, max_length=64)
+    fence: int = pydantic.Field(ge=1, le=border.INTEGER_LIMIT)
+    boot: str
+    action: typing.Literal["fence", "load", "unload"]
+    kind: typing.Literal["model", "adapter"] = "model"
+    name: str = pydantic.Field("", max_length=200)
+    version: str = pydantic.Field("", max_length=200)
+
+
+def parse_order(data):
+    """Return an `Order` from JSON.
+
+    Raises:
+        ValidationError: It does not have the documented form.
+
+    Examples:
+        >>> parse_order({"id": "0" * 8, "fence": 2, "boot": "b", "action": "fence"})
+        Order(id='00000000', fence=2, boot='b', action='fence', kind='model', name='', \
+version='')
+    """
+    return Order(**border.validate(_OrderModel, data, "order").model_dump())
--- /dev/null
+++ b/pimentowick/placement/plan.py
@@ -0,0 +1,245 @@
+"""Which engine loads or unloads what next.
+
+A plan is made anew from what the engines report, so it needs no memory: a decider
+that takes over in the middle of a change goes on from what there is.
+"""
+
+import dataclasses
+import math
+
+from pimentowick.placement import order as placement_order
+
+__all__ = ["Engine", "Move", "Wanted", "make_plan"]
+
+MODEL = "model"
+ADAPTER = "adapter"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What is to be loaded of one model.
+
+    Attributes:
+        name: Name of the model.
+        version: Version, or "" if any will do.
+        replicas: Number of engines that are to hold it; with 0 none is added, and
+            the last one stays.
+        adapters: Version by name of its adapters.
+    """
+
+    name: str
+    version: str = ""
+    replicas: int = 1
+    adapters: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """One engine as far as it can be relied on.
+
+    Attributes:
+        agent: Name of the agent beside it.
+        failure_domain: Its failure domain.
+        models: Names of the models that are ready.
+        adapters: Names of the adapters that are ready.
+        versions: Version by ``kind/name``, where it is known.
+        slots: Most models that it holds.
+        busy: Whether an order for it is under way.
+        pending: Model that is being loaded, or None.
+        maybe: Models that are probably there: they are not loaded again elsewhere,
+            and no replica goes on their account.
+    """
+
+    agent: str
+    failure_domain: str
+    models: set
+    adapters: set = dataclasses.field(default_factory=set)
+    versions: dict = dataclasses.field(default_factory=dict)
+    slots: int = 1
+    busy: bool = False
+    pending: str | None = None
+    maybe: set = dataclasses.field(default_factory=set)
+
+    def may_hold(self, name):
+        """Return whether a model is there, probably there, or on its way."""
+        return name in self.models or name in self.maybe or name == self.pending
+
+    def count_used(self):
+        """Return how many slots are taken or about to be."""
+        extra = self.pending is not None and self.pending not in self.models
+        return len(self.models) + extra
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """One change at one engine."""
+
+    agent: str
+    action: str
+    kind: str
+    name: str
+    version: str = ""
+
+
+def make_plan(wanted, engines, loads):
+    """Return the moves that may begin now.
+
+    Args:
+        wanted: List of `Wanted`.
+        engines: List of `Engine`, which are changed as the moves would change them.
+            `Engine.models` may hold only what no older decider can take away.
+        loads: How many more loads may begin.
+
+    Examples:
+        >>> engines = [Engine("a", "x", {"old"}), Engine("b", "x", {"old"})]
+        >>> make_plan([Wanted("old"), Wanted("new")], engines, 1)
+        [Move(agent='a', action='unload', kind='model', name='old', version='')]
+    """
+    return _Plan(wanted, engines, loads).make()
+
+
+class _Plan:
+    def __init__(self, wanted, engines, loads):
+        self.wanted = {each.name: each for each in wanted}
+        self.engines = engines
+        self.loads = loads
+        self.moves = []
+
+    def make(self):
+        # A model without any replica comes first: its users are refused.
+        order = sorted(
+            self.wanted.values(),
+            key=lambda each: (
+                self._count(each.name) / max(1, each.replicas),
+                each.name,
+            ),
+        )
+        for each in order:
+            self._place(each)
+        for each in order:
+            self._renew(each)
+            self._add_adapters(each)
+        return self.moves
+
+    def _list_holders(self, name):
+        return [engine for engine in self.engines if name in engine.models]
+
+    def _count(self, name):
+        """Return the replicas of a model, those on their way included."""
+        return sum(engine.may_hold(name) for engine in self.engines)
+
+    def _place(self, wanted):
+        for _ in range(wanted.replicas - self._count(wanted.name)):
+            if not self._place_one(wanted):
+                return
+
+    def _place_one(self, wanted):
+        if self._list_free(wanted):
+            return self._load_new(wanted)
+        return self._make_room(wanted)
+
+    def _list_free(self, wanted):
+        return [
+            engine
+            for engine in self.engines
+            if not engine.busy
+            and wanted.name not in engine.models
+            and engine.count_used() < engine.slots
+        ]
+
+    def _load_new(self, wanted):
+        free = self._list_free(wanted)
+        if not free or self.loads <= 0:
+            return False
+        engine = min(free, key=lambda each: self._rate(each, wanted.name))
+        self._load(engine, MODEL, wanted.name, wanted.version)
+        engine.pending = wanted.name
+        return True
+
+    def _rate(self, engine, name):
+        """Spread a model over failure domains, and models over engines."""
+        near = sum(
+            each.may_hold(name)
+            for each in self.engines
+            if each.failure_domain == engine.failure_domain
+        )
+        return (near, engine.count_used(), engine.agent)
+
+    def _make_room(self, wanted):
+        desperate = self._count(wanted.name) == 0
+        found = []
+        for engine in self.engines:
+            if engine.busy or wanted.name in engine.models:
+                continue
+            for name in engine.models:
+                surplus = self._get_surplus(name, desperate)
+                if surplus > 0:
+                    found.append((-surplus, engine.agent, name, engine))
+        if not found:
+            return False
+        _, _, name, engine = min(found, key=lambda each: each[:3])
+        self.moves.append(Move(engine.agent, placement_order.UNLOAD, MODEL, name))
+        engine.models.discard(name)
+        engine.busy = True
+        return True
+
+    def _get_surplus(self, name, desperate):
+        """Return how many ready replicas of a model could go."""
+        ready = len(self._list_holders(name))
+        wanted = self.wanted.get(name)
+        if wanted is None:
+            return ready
+        # When another model has none at all, everybody is left one.
+        least = 1 if desperate else max(1, wanted.replicas)
+        return ready - least
+
+    def _renew(self, wanted):
+        """Load a new version where others hold the model meanwhile."""
+        if not wanted.version:
+            return
+        holders = self._list_holders(wanted.name)
+        if any(engine.busy for engine in holders):
+            return
+        key = f"{MODEL}/{wanted.name}"
+        old = [each for each in holders if each.versions.get(key) != wanted.version]
+        if not old:
+            return
+        if len(holders) == 1:
+            # The only replica must answer meanwhile: a second one has to come first.
+            if self._count(wanted.name) == 1:
+                self._load_new(wanted)
+            return
+        if self.loads > 0:
+            self._load(old[0], MODEL, wanted.name, wanted.version)
+            # It may not answer until the load has ended.
+            old[0].models.discard(wanted.name)
+
+    def _add_adapters(self, wanted):
+        for engine in self._list_holders(wanted.name):
+            for name, version in wanted.adapters.items():
+                known = engine.versions.get(f"{ADAPTER}/{name}")
+                if name in engine.adapters and known in (None, version):
+                    continue
+                if not engine.busy and self.loads > 0:
+                    self._load(engine, ADAPTER, name, version)
+
+    def _load(self, engine, kind, name, version):
+        self.moves.append(Move(engine.agent, placement_order.LOAD, kind, name, version))
+        engine.busy = True
+        self.loads -= 1
+
+
+def count_replicas(demand, places, least, most):
+    """Return how many replicas carry a demand.
+
+    Args:
+        demand: Requests at once.
+        places: Requests at once that one replica is to have.
+        least: Fewest replicas.
+        most: Most replicas.
+
+    Examples:
+        >>> count_replicas(0, 32, 1, 4), count_replicas(70, 32, 1, 4)
+        (1, 3)
+    """
+    return max(least, min(most, math.ceil(demand / max(1, places))))
--- /dev/null
+++ b/pimentowick/placement/tests/test_claim.py
@@ -0,0 +1,55 @@
+import random
+
+from pimentowick.placement import claim
+
+
+def fold(records, first=0):
+    claims = claim.ClaimFold()
+    for offset, record in enumerate(records[first:], first):
+        claims.apply(offset, record)
+    return claims
+
+
+def test_the_newest_claim_is_in_force():
+    claims = fold([claim.make_claim("a"), claim.make_claim("b")])
+    assert (claims.owner, claims.fence) == ("b", 2)
+
+
+def test_an_owner_that_was_frozen_can_not_renew_its_claim():
+    """A decider is frozen, another one claims, and the first wakes up and goes on.
+    If its renewal counted, both would give orders."""
+    records = [claim.make_claim("a"), claim.make_claim("b"), claim.make_renew("a", 1)]
+    assert fold(records).owner == "b"
+
+
+def test_a_made_up_number_is_void():
+    """A broken process writes a renewal with a huge number. If it counted, no true
+    claim could follow and nothing would ever be placed again."""
+    records = [claim.make_claim("a"), claim.make_renew("x", 10**6)]
+    records += [{"type": "renew", "owner": "x", "fence": None}, {"type": "claim"}]
+    assert fold(records).owner == "a"
+
+
+def test_readers_agree_without_the_old_records():
+    """The log drops old records. An entry that starts then must learn the same
+    decider and number as those that read everything, or two would decide."""
+    rng = random.Random(3)
+    for _ in range(300):
+        records, claims = [], claim.ClaimFold()
+        for offset in range(40):
+            owner = rng.choice("abc")
+            renew = claim.make_renew(owner, rng.randint(1, max(1, claims.fence)))
+            records.append(claim.make_claim(owner) if rng.random() < 0.2 else renew)
+            claims.apply(offset, records[-1])
+        records.append(claim.make_renew(claims.owner, claims.fence))
+        whole = fold(records)
+        for first in range(len(records)):
+            late = fold(records, first)
+            assert (late.fence, late.owner) == (whole.fence, whole.owner)
+
+
+def test_a_loaded_dump_is_the_same():
+    claims = fold([claim.make_claim("a"), claim.make_release(1), claim.make_claim("b")])
+    other = claim.ClaimFold()
+    other.load(claims.dump())
+    assert (other.fence, other.owner, other.shown_at) == (3, "b", 2)
--- a/pimentowick/platform/adapter.py
+++ b/pimentowick/platform/adapter.py
@@ -7,7 +7,7 @@
 import importlib
 
 from pimentowick import exception
-from pimentowick.platform import engine, hosts, log, service
+from pimentowick.platform import engine, hosts, log, service, weights
 
 __all__ = ["find_adapter"]
 
@@ -16,6 +16,7 @@
     "hosts": (hosts.HostList, {"http": hosts.HttpHostList}),
     "engine": (engine.Engine, {"http": engine.HttpEngine}),
     "service": (service.Service, {"http": service.HttpService}),
+    "weights": (weights.WeightStore, {"http": weights.HttpWeightStore}),
 }
 
 
@@ -23,7 +24,7 @@
     """Return the class that speaks to an outside system.
 
     Args:
-        system: ``log``, ``hosts``, ``engine`` or ``service``.
+        system: ``log``, ``hosts``, ``engine``, ``service`` or ``weights``.
         name: ``http``, or ``module:Class`` of an adapter elsewhere.
 
     Raises:
--- a/pimentowick/routing/tests/test_balance.py
+++ b/pimentowick/routing/tests/test_balance.py
@@ -47,7 +47,7 @@
     for peer in pool.members[1:]:
         peer.online = 16
     broken = pool.members[0]
-    known.eject(pool, broken, NOW)
+    known.eject([pool], broken, NOW)
     assert count_choices(near, pool, 50)[broken.name] == 0
     # Its time is over: it gets one request, and no second one beside that.
     broken.ejected_until = 0.0
@@ -61,7 +61,7 @@
     known = fleet.Fleet(None, None, None, "e", None)
     pool = make_pool(6)
     mended = pool.members[2]
-    known.eject(pool, mended, NOW)
+    known.eject([pool], mended, NOW)
     mended.ejected_until = 0.0
     for peer in pool.members:
         peer.online = 0 if peer is mended else 8
@@ -86,7 +86,7 @@
     known = fleet.Fleet(None, None, None, "e", None)
     pool = make_pool(5)
     for peer in pool.members * 3:
-        known.eject(pool, peer, NOW)
+        known.eject([pool], peer, NOW)
     ejected = [peer for peer in pool.members if peer.ejected_until > NOW]
     assert len(ejected) == 2
     assert near.choose(pool, now=NOW) not in ejected
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -165,6 +165,9 @@
     max_batch: int = pydantic.Field(
         32, ge=0, description="Most batch items at the target at once."
     )
+    max_models: int = pydantic.Field(
+        1, ge=1, description="Most models that the target holds at once."
+    )
     max_queue: int = pydantic.Field(
         256, ge=0, description="Most online requests that wait for the target."
     )
@@ -186,6 +189,23 @@
     idle_s: float = pydantic.Field(
         5.0, gt=0, description="Longest silence of the target's answer, in seconds."
     )
+    weights: str | None = pydantic.Field(
+        None,
+        description="IP:port of the weight store; absent means that the engine"
+        " fetches weights itself.",
+    )
+    weights_adapter: str = pydantic.Field(
+        "http", description="http, or module:Class of another adapter of the store."
+    )
+    transfer_s: float = pydantic.Field(
+        600.0, gt=0, description="Longest transfer of weights, in seconds."
+    )
+    order_settle_s: float = pydantic.Field(
+        10.0,
+        ge=0,
+        description="Longest time that an engine works on an order whose sender is"
+        " gone, in seconds; a new agent waits as long before it gives any.",
+    )
     batch_harm: str = pydantic.Field(
         "averse",
         pattern="^(averse|throughput)$",
