--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import time
 
@@ -17,7 +18,7 @@
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
 from pimentowick.agent import work as agent_work
-from pimentowick.placement import executor
+from pimentowick.placement import executor, usage
 from pimentowick.placement import order as placement_order
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
@@ -36,7 +37,6 @@
 LOAD_STALE_S = 5.0
 CACHE_POLL_S = 1.0
 LEASE_CHECK_S = 0.1
-DRAIN_CHECK_S = 0.05
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
 LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
@@ -116,6 +116,7 @@
                 ("/ready", ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
             ],
+            default_handler_class=http_web.UnknownPathHandler,
             log_function=lambda handler: None,
         )
 
@@ -145,12 +146,11 @@
         # Entries learn of it with their next heartbeat; until then a refusal that
         # says not run sends their requests elsewhere.
         await asyncio.sleep(self.settings.lame_duck_s)
-        deadline = time.monotonic() + self.settings.drain_s
-        while self.running and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_CHECK_S)
-        if self.running:
-            logger.warning("agent: {} requests are cut.", len(self.running))
-        return not self.running
+        self._server.stop_listening()
+        cut = await self._server.drain(self.settings.drain_s)
+        if cut:
+            logger.warning("agent: {} requests are cut.", cut)
+        return not cut
 
     async def close(self):
         """Stop listening and drop all connections."""
@@ -240,7 +240,7 @@
         if target.kind == "engine":
             orders = self.orders.describe(self.load.models, self.load.adapters)
             orders["max_models"] = target.max_models
-            orders["demand"] = self._count_demand()
+            orders["demand"] = usage.count_demand(self.running)
             # Nobody must count on models of an engine that tells nothing.
             age = time.monotonic() - self._load_read_at
             orders["settled"] = orders["settled"] and age < LOAD_STALE_S
@@ -261,35 +261,8 @@
             **orders,
         }
 
-    def _list_generations(self):
-        works = [handler.work for handler in self.running]
-        return [
-            work.generation
-            for work in works
-            if isinstance(work, agent_work.GenerateWork)
-        ]
-
-    def _count_demand(self):
-        return collections.Counter(each.model for each in self._list_generations())
-
     async def _drain_model(self, kind, name):
-        """Wait until nothing runs that needs a model or adapter, within a bound."""
-        deadline = time.monotonic() + self.settings.drain_s
-        while time.monotonic() < deadline:
-            if not any(
-                getattr(each, kind) == name for each in self._list_generations()
-            ):
-                return
-            await asyncio.sleep(DRAIN_CHECK_S)
-
-    def _is_leaving(self, work):
-        if not isinstance(work, agent_work.GenerateWork) or not self.orders.leaving:
-            return False
-        needed = {
-            ("model", work.generation.model),
-            ("adapter", work.generation.adapter),
-        }
-        return not needed.isdisjoint(self.orders.leaving)
+        await usage.drain(self.running, kind, name, self.settings.drain_s)
 
     def check(self, work):
         """Refuse work that must not begin.
@@ -306,7 +279,7 @@
                     retry_after=0.1,
                 )
             )
-        if self._is_leaving(work):
+        if usage.needs_any(work, self.orders.leaving):
             raise exception.RefusedError(
                 verdict.Refusal(
                     503,
@@ -337,6 +310,7 @@
         self.work = None
         self._task = None
         self._idle = False
+        self._flushing = False
 
     async def post(self):
         """Run a request and answer with its lines."""
@@ -364,12 +338,10 @@
 
     async def _run(self, work):
         try:
-            async for line in work.run(self.agent.target, self.agent.admission):
-                self._idle = False
-                self.write(line)
-                # Flushing what came together at once; the loop goes on to other
-                # connections while the kernel takes it.
-                await self.flush()
+            lines = work.run(self.agent.target, self.agent.admission)
+            async with contextlib.aclosing(lines):
+                async for line in lines:
+                    await self._send(line)
         except exception.RefusedError as error:
             self._count(error.refusal)
             self.write(work.make_refusal(error.refusal))
@@ -377,12 +349,26 @@
             self.agent.metrics.count_admitted(work.envelope.priority)
         self.finish()
 
+    async def _send(self, line):
+        # What came together is flushed at once; the loop goes on to other
+        # connections while the kernel takes it.
+        self._idle = False
+        self.write(line)
+        self._flushing = True
+        await self.flush()
+        self._flushing = False
+
     def _count(self, refusal):
         self.agent.metrics.count_refused(refusal.code, refusal.verdict)
 
     def send_alive(self):
         """Send a keep-alive line if nothing was sent since the last call."""
-        if self._idle and not self._finished:
+        if self._flushing or self._finished:
+            # Tornado forgets a flush that another one overtakes: an entry that was
+            # slow to read would never get the rest. What waits in the socket
+            # already shows that this end lives.
+            return
+        if self._idle:
             self.write(self.work.make_alive())
             self.flush()
         self._idle = True
