--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -25,6 +25,7 @@
     service,
 )
 from pimentowick.membership import fleet as membership_fleet
+from pimentowick.placement import decider
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
 from pimentowick.routing import affinity, balance, limits, router
@@ -82,6 +83,14 @@
         self.fleet = membership_fleet.Fleet(
             hosts, self.client, settings, self.owner, self._is_fresh
         )
+        self.decider = decider.Decider(
+            log,
+            self.fleet,
+            self.client,
+            settings,
+            self.owner,
+            lambda: self.configuration.fleet,
+        )
         self.table = shard.ShardTable(log, self.fleet, settings, self.owner)
         self.ownership = ownership.Ownership(
             self.table, self.fleet, settings, self.owner, self.metrics
@@ -192,6 +201,7 @@
         await self.ownership.start()
         await self.writer.start()
         await self.dispatcher.start()
+        await self.decider.start()
         await self.calls.start()
         await self._server.start()
         self.state = READY
@@ -221,6 +231,7 @@
         self._server.stop_listening()
         await self.dispatcher.drain(max(0.0, deadline - loop.time()))
         await self.ownership.release_all()
+        await self.decider.release()
         cut = await self._server.drain(max(0.0, deadline - loop.time()))
         await self.calls.drain(max(0.0, deadline - loop.time()))
         if cut:
@@ -230,6 +241,7 @@
         """Stop listening and drop all connections."""
         await self._server.close()
         for part in (
+            self.decider,
             self.dispatcher,
             self.ownership,
             self.writer,
