--- a/pimentowick/tests/test_planned_stop.py
+++ b/pimentowick/tests/test_planned_stop.py
@@ -29,7 +29,7 @@
 
     def __init__(self, processes):
         self.processes = processes
-        self.client = processes.client
+        self.client = self.caller_client = processes.client
         self.tokens = processes.workspace_tokens
         self.targets = {}
 
