Take the connections that the kernel holds before the listener closes

The kernel resets connections that nobody has accepted when their listener closes; and a connection that was just accepted, with its request on its way, did not count as busy. Ruled out: keep-alive connections, which are told to close. The listener now takes what waits, with no backlog for more, and a drain ends only after a quiet time. What is left is the time between the last accept and the close.

--- a/pimentowick/web.py
+++ b/pimentowick/web.py
@@ -1,6 +1,7 @@
 """What the HTTP servers of both daemons have in common."""
 
 import asyncio
+import contextlib
 import time
 
 import orjson
@@ -17,6 +18,7 @@
 # refusal arrives; larger ones end with the connection.
 PASSED_OVER = 4
 DRAIN_CHECK_S = 0.02
+QUIET_S = 0.2
 # Longer than clients of this package keep an idle connection.
 IDLE_CONNECTION_S = 120
 BODY_TIMEOUT_S = 120
@@ -161,6 +163,16 @@
         self._delegate.on_connection_close()
 
 
+def _accept_waiting(listener):
+    """Return the connections that wait, and let the kernel take hardly any more."""
+    found = []
+    listener.listen(0)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            found.append(listener.accept())
+    return found
+
+
 class _CountingServer(httpserver.HTTPServer):
     """Knows the connections whose request is not answered to the last byte."""
 
@@ -182,6 +194,18 @@
         delegate = super().start_request(server_conn, request_conn)
         return _BusyDelegate(delegate, self, server_conn, request_conn)
 
+    def stop(self):
+        # The kernel has taken connections that the loop had no turn for yet, and
+        # their requests may be with them. It resets them with the listener: their
+        # callers would have to believe that the requests may have run.
+        waiting = []
+        if not self._stopped:
+            for listener in self._sockets.values():
+                waiting += _accept_waiting(listener)
+        super().stop()
+        for connection, address in waiting:
+            self._handle_connection(connection, address)
+
     def on_close(self, server_conn):
         self.busy.discard(server_conn)
         super().on_close(server_conn)
@@ -252,8 +276,12 @@
             Number of requests that are not.
         """
         deadline = time.monotonic() + timeout_s
-        while self.count_busy() and time.monotonic() < deadline:
+        busy_at = time.monotonic()
+        # A connection that was just taken has a request on its way.
+        while time.monotonic() < min(deadline, busy_at + QUIET_S):
             await asyncio.sleep(DRAIN_CHECK_S)
+            if self.count_busy():
+                busy_at = time.monotonic()
         return self.count_busy()
 
     async def close(self):
