--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -282,7 +282,7 @@
         async with put_relays(fleet, "agent") as relays:
             for number in range(times):
                 before = [callers.chat(f"warm {number} {i}") for i in range(8)]
-                await asyncio.gather(*before)
+                await asyncio.gather(*before, callers.confirm(f"warm {number}"))
                 running = [callers.stream(f"run {number} {i}", 200) for i in range(4)]
                 tasks = [asyncio.ensure_future(each) for each in running]
                 await fleet.wait_for(
