--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -13,6 +13,7 @@
 from tornado import iostream, web
 
 from pimentowick import client as http_client
+from pimentowick import daemon as process_daemon
 from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
@@ -47,14 +48,14 @@
     Attributes:
         address: ``IP:port`` once started.
         state: ``starting``, ``ready`` or ``draining``.
-        stop_orders: Whatever is put here makes the process drain and end.
+        stop_orders: `pimentowick.daemon.StopOrders` that end the process.
         running: The connections whose request is at work.
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.state = STARTING
-        self.stop_orders = asyncio.Queue()
+        self.stop_orders = process_daemon.StopOrders()
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.cache_lifetime = lifetime.CacheLifetime()
@@ -385,8 +386,7 @@
 
     def post(self):
         """Answer at once; `GET /ready` shows how it goes on."""
-        if self.agent.state == READY:
-            self.agent.stop_orders.put_nowait("drain")
+        self.agent.stop_orders.drain()
         self.write_json({"state": DRAINING}, 202)
 
 
--- a/pimentowick/daemon.py
+++ b/pimentowick/daemon.py
@@ -8,11 +8,54 @@
 from pimentowick import exception, logs
 from pimentowick import settings as process_settings
 
-__all__ = ["run_daemon"]
+__all__ = ["StopOrders", "run_daemon"]
 
 EXIT_SETTINGS = 2
 
 
+class StopOrders:
+    """Signals and orders that stop a process.
+
+    The first one makes it drain. A second signal makes it close at once; a second
+    order does nothing: an operator whose first order got no answer gives it again,
+    and that must not cut the requests that are being finished.
+
+    Attributes:
+        begun: Whether the process was told to stop.
+
+    Examples:
+        >>> async def example():
+        ...     orders = StopOrders()
+        ...     orders.drain()
+        ...     orders.drain()
+        ...     await orders.wait()
+        ...     again = asyncio.ensure_future(orders.wait())
+        ...     await asyncio.sleep(0)
+        ...     assert not again.done()
+        ...     orders.stop()
+        ...     await again
+        >>> asyncio.run(example())
+    """
+
+    def __init__(self):
+        self.begun = False
+        self._queue = asyncio.Queue()
+
+    def stop(self):
+        """Take a signal."""
+        self.begun = True
+        self._queue.put_nowait(None)
+
+    def drain(self):
+        """Take an order."""
+        if not self.begun:
+            self.stop()
+
+    async def wait(self):
+        """Wait for the next one that counts."""
+        await self._queue.get()
+
+
 def run_daemon(model, make, arguments):
     """Run a daemon until it is told to stop.
 
@@ -22,7 +65,7 @@
     Args:
         model: Class of its settings.
         make: Function that makes the daemon from its settings. What its attribute
-            `stop_orders`, a queue, gets counts as a signal.
+            `stop_orders`, a `StopOrders`, takes stops it as a signal does.
         arguments: Command line without the program: the path of the settings file.
     """
     if len(arguments) != 1:
@@ -39,15 +82,15 @@
 
 
 async def _serve(daemon):
-    signals = daemon.stop_orders
+    orders = daemon.stop_orders
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, signals.put_nowait, number)
+        loop.add_signal_handler(number, orders.stop)
     await daemon.start()
     print(json.dumps({"listening": daemon.address}), flush=True)
-    await signals.get()
+    await orders.wait()
     draining = asyncio.ensure_future(daemon.drain())
-    again = asyncio.ensure_future(signals.get())
+    again = asyncio.ensure_future(orders.wait())
     await asyncio.wait({draining, again}, return_when=asyncio.FIRST_COMPLETED)
     again.cancel()
     draining.cancel()
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -7,6 +7,7 @@
 from tornado import web
 
 from pimentowick import client as http_client
+from pimentowick import daemon as process_daemon
 from pimentowick import metrics as process_metrics
 from pimentowick import tls
 from pimentowick import web as http_web
@@ -52,7 +53,7 @@
             process from earlier ones there.
         state: ``starting``, ``ready``, ``draining`` while readiness fails but
             requests are still taken, then ``stopping``.
-        stop_orders: Whatever is put here makes the process drain and end.
+        stop_orders: `pimentowick.daemon.StopOrders` that end the process.
         configuration: The `pimentowick.configuration.fold.ConfigurationFold`.
     """
 
@@ -60,7 +61,7 @@
         self.settings = settings
         self.owner = f"{settings.name}#{secrets.token_hex(4)}"
         self.state = STARTING
-        self.stop_orders = asyncio.Queue()
+        self.stop_orders = process_daemon.StopOrders()
         self.metrics = process_metrics.EntryMetrics()
         self.limits = limits.ConcurrencyLimits(settings.max_online)
         # One pool for each class of traffic: none waits for another one's sockets.
--- a/pimentowick/entry/order.py
+++ b/pimentowick/entry/order.py
@@ -43,7 +43,7 @@
 
     async def _carry_out(self, host):
         if host.role == "entry":
-            self.entry.stop_orders.put_nowait(DRAIN)
+            self.entry.stop_orders.drain()
         else:
             await self._pass_on(host, "/drain", {})
 
