--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import contextlib
+import secrets
 import time
 
 from loguru import logger
@@ -23,7 +24,7 @@
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
 from pimentowick.scheduling import lease as scheduling_lease
-from pimentowick.scheduling import limiter as scheduling_limiter
+from pimentowick.scheduling import model as scheduling_model
 
 __all__ = ["Agent"]
 
@@ -36,7 +37,8 @@
 LEASE_CHECK_S = 0.1
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
-LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
+# Entries don't read these; a heartbeat answer is smaller without them.
+UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 
 
 class Agent:
@@ -56,6 +58,7 @@
         self.settings = settings
         self.state = STARTING
         self.stop_orders = process_daemon.StopOrders()
+        self._process = secrets.token_hex(4)
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.cache_lifetime = lifetime.CacheLifetime()
@@ -63,11 +66,13 @@
         self.leases = scheduling_lease.LeaseTable(settings.lease_s)
         self.stopped_jobs = collections.OrderedDict()
         target = settings.target
-        limiter = scheduling_limiter.YieldingLimiter(
-            target.max_batch, LOW_SHARE[settings.batch_harm]
-        )
         self.admission = metered.MeteredAdmission(
-            self.metrics, target.max_online, target.max_queue, limiter
+            self.metrics,
+            target.max_online,
+            target.max_queue,
+            scheduling_model.make_limiter(settings.batch_harm, target.max_batch),
+            target.max_batch,
+            target.max_running,
         )
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
@@ -203,9 +208,6 @@
                 self.load = await self.target.read_load()
             except exception.PimentowickError:
                 continue
-            online = self.admission.count_online()
-            self.admission.limiter.note_step(self.load.step_ms, online)
-            self.admission.apply_limit()
 
     async def _watch_cache(self):
         while True:
@@ -218,26 +220,45 @@
             self.cache_lifetime.note(events, following, time.monotonic())
 
     def describe(self):
-        """Return what heartbeat answers say about this agent."""
+        """Return all that there is to say about this agent."""
         target = self.settings.target
-        admission = self.admission
         return {
             "agent": self.settings.name,
-            "state": self.state,
+            "process": self._process,
             "kind": target.kind,
             "service": target.service,
             "target": target.name,
+            "max_online": self.admission.max_online,
+            "lease_s": self.settings.lease_s,
             "models": list(self.load.models),
+            **self.describe_changing(),
+        }
+
+    def describe_changing(self):
+        """Return what heartbeat answers say to an entry that knows the rest."""
+        admission = self.admission
+        return {
+            "state": self.state,
             "online": admission.count_online(),
-            "max_online": admission.max_online,
             "batch": len(admission.batch),
             "batch_free": admission.count_free_batch(),
-            "wait_s": admission.estimate_wait(),
+            "batch_served": admission.tally.describe(),
+            "wait_s": round(admission.estimate_wait(), 3),
             "entries": max(1, self.leases.count()),
-            "lease_s": self.settings.lease_s,
             "cache_life_s": self.cache_lifetime.estimate(),
         }
 
+    def answer_heartbeat(self, known):
+        """Return what to tell an entry.
+
+        Args:
+            known: Name of the process of this agent that told the entry the rest,
+                or None.
+        """
+        if known != self._process:
+            return self.describe()
+        return self.describe_changing()
+
     def check(self, work):
         """Refuse work that must not begin.
 
@@ -358,11 +379,16 @@
     def post(self):
         """Answer a heartbeat."""
         data = self.read_json()
-        answer = self.agent.describe()
+        answer = self.agent.answer_heartbeat(data.get("known"))
         if data.get("renew") is not None:
             answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
+        for name in UNUSED_HEADERS:
+            self.clear_header(name)
         self.write_json(answer)
 
+    def compute_etag(self):
+        """Return None: no answer is asked for again."""
+
 
 class StopJobHandler(http_web.JsonHandler):
     """Ends the items of a cancelled job."""
--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -63,6 +63,7 @@
         agent_settings: Settings of the agents that differ from `AGENT_SETTINGS`.
         engine_settings: Settings of the stand-in engines.
         log_settings: Settings of the stand-in log.
+        host_lag_s: Lag of the stand-in host list, in seconds.
 
     Attributes:
         log: The stand-in log.
@@ -71,9 +72,11 @@
         agents: Agents by name; `agent-lm-0`, `agent-desk-0` and so on.
         targets: Stand-in engines and services by name; `lm-0`, `desk-0` and so on.
         tokens: Token of each workspace, `a` and `b`.
-        caller_client: Client that `fetch` uses.
+        caller_client: Client that `fetch` uses; None for that of the stand-ins.
     """
 
+    caller_client = None
+
     def __init__(
         self,
         entries=2,
@@ -83,15 +86,15 @@
         agent_settings=None,
         engine_settings=None,
         log_settings=None,
+        host_lag_s=0.0,
     ):
         self.log = log.Log(**(log_settings or {}))
-        self.hosts = hosts.HostList(lag_s=0.0)
+        self.hosts = hosts.HostList(lag_s=host_lag_s)
         self.entries = {}
         self.agents = {}
         self.targets = {}
         self.tokens = {}
         self.client = http_client.Client(256)
-        self.caller_client = self.client
         self.operator_token, self._operator = tokens.make_token("test")
         self._counts = (entries, engines, services)
         self._entry_settings = {**ENTRY_SETTINGS, **(entry_settings or {})}
@@ -233,9 +236,8 @@
         headers = dict(headers or {})
         headers["Authorization"] = f"Bearer {token or self.tokens.get('a')}"
         address = self.entries[name].address
-        return await self.caller_client.fetch(
-            method, address, path, body, headers, **fields
-        )
+        client = self.caller_client or self.client
+        return await client.fetch(method, address, path, body, headers, **fields)
 
     async def chat(self, content, max_tokens=8, **fields):
         """Send a chat completion and return the answer."""
