--- a/pimentowick/entry/tests/test_job.py
+++ b/pimentowick/entry/tests/test_job.py
@@ -1,22 +1,8 @@
 """Batch jobs through the entry's API, with everything well."""
 
-import asyncio
-
 from pimentowick.fakes import embedded, engine
 
 
-def run(check, **settings):
-    async def run_check():
-        fleet = embedded.Embedded(**settings)
-        try:
-            await fleet.start()
-            await check(fleet)
-        finally:
-            await fleet.close()
-
-    asyncio.run(run_check())
-
-
 def test_job_completes_and_its_results_are_readable():
     async def check(fleet):
         answer = await fleet.submit(embedded.make_job_lines(40), "k")
@@ -38,7 +24,7 @@
         )
         assert hidden.status == 404
 
-    run(check)
+    embedded.run(check)
 
 
 def test_bad_lines_are_named_and_nothing_is_kept():
@@ -51,7 +37,7 @@
         good = await fleet.submit(embedded.make_job_lines(3), "k")
         assert good.status == 202
 
-    run(check)
+    embedded.run(check)
 
 
 def test_cancelled_job_stops():
@@ -72,4 +58,4 @@
             started = {name for name in each.runs if name.startswith(job_id)}
             assert started == {name for name in before if name.startswith(job_id)}
 
-    run(check)
+    embedded.run(check)
--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -17,7 +17,7 @@
 from pimentowick.entry import daemon as entry_daemon
 from pimentowick.fakes import engine, hosts, log, service
 
-__all__ = ["Embedded", "make_job_lines"]
+__all__ = ["Embedded", "make_job_lines", "run"]
 
 MODEL = "lm"
 SERVICE = "desk"
@@ -298,6 +298,25 @@
     )
 
 
+def run(check, **settings):
+    """Start a deployment, await ``check(deployment)`` and close it.
+
+    Args:
+        check: Coroutine function of an `Embedded`.
+        **settings: Arguments of `Embedded`.
+    """
+
+    async def run_check():
+        fleet = Embedded(**settings)
+        try:
+            await fleet.start()
+            await check(fleet)
+        finally:
+            await fleet.close()
+
+    asyncio.run(run_check())
+
+
 def make_job_lines(count, max_tokens=4, prefix="item", model=MODEL):
     """Return the JSON lines of a job whose items are `{prefix}-0` and so on."""
     rows = []
--- a/pimentowick/tests/test_metrics.py
+++ b/pimentowick/tests/test_metrics.py
@@ -1,6 +1,5 @@
 """Metrics count decisions, name their units and bound their labels."""
 
-import asyncio
 import re
 
 from pimentowick.batch import ledger, record
@@ -13,18 +12,6 @@
 LABELS = {"priority", "code", "verdict", "outcome", "handler", "le"}
 
 
-def run(check, **settings):
-    async def run_check():
-        fleet = embedded.Embedded(**settings)
-        try:
-            await fleet.start()
-            await check(fleet)
-        finally:
-            await fleet.close()
-
-    asyncio.run(run_check())
-
-
 async def read_metrics(fleet, address):
     answer = await fleet.client.fetch("GET", address, "/metrics")
     found = {}
@@ -73,7 +60,7 @@
         for metrics in [*every, *agents]:
             check_names(metrics)
 
-    run(check)
+    embedded.run(check)
 
 
 def test_labels_hold_no_workspace_job_or_request():
@@ -93,7 +80,7 @@
             assert values.isdisjoint({"a", "b", "key"})
             assert not any(re.search("batch_|req_|item", value) for value in values)
 
-    run(check, entries=1)
+    embedded.run(check, entries=1)
 
 
 def test_records_of_an_ended_epoch_are_counted():
--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -129,6 +129,14 @@
     pages.run_python(script)
 
 
+def test_operators_page_names_every_metric():
+    page = pages.read_page("OPERATIONS.md")
+    text = (pages.ROOT / "pimentowick" / "metrics.py").read_text(encoding="utf-8")
+    names = set(re.findall(r'"(pimentowick_[a-z_]+)"', text))
+    assert names
+    assert names == set(re.findall(r"^\| `(pimentowick_[a-z_]+)`", page, re.MULTILINE))
+
+
 def test_architecture_page_names_modules_that_exist():
     page = pages.read_page("ARCHITECTURE.md")
     paths = re.findall(r"`([a-z_/]+(?:\.py|/))`", page)
