--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pimentowick import settings
-from pimentowick.entry import daemon
+from pimentowick.entry import daemon, handler
 from pimentowick.fakes import deployment
 from pimentowick.tests import pages
 
@@ -64,12 +64,24 @@
         await fleet.close()
 
 
-def test_api_page_names_every_path():
-    page = pages.read_page("API.md")
+def list_rules():
+    """Return handler classes by path pattern of an entry."""
     path = pages.ROOT / "deployments" / "bajio-entry.example.yaml"
     entry = daemon.Entry(settings.load_settings(settings.EntrySettings, path))
     rules = entry._make_application().wildcard_router.rules
-    patterns = [rule.matcher.regex.pattern.rstrip("$") for rule in rules]
+    return {rule.matcher.regex.pattern.rstrip("$"): rule.target for rule in rules}
+
+
+def test_peer_paths_ask_for_a_certificate():
+    found = {path: each for path, each in list_rules().items() if "/peer/" in path}
+    assert found
+    for path, each in found.items():
+        assert issubclass(each, handler.PeerHandler), path
+
+
+def test_api_page_names_every_path():
+    page = pages.read_page("API.md")
+    patterns = list_rules()
     assert len(patterns) > 10
     for pattern in patterns:
         pattern = pattern.replace("(template|workspace|fleet)", "{kind}")
