--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -17,7 +17,7 @@
 from pimentowick.entry import daemon as entry_daemon
 from pimentowick.fakes import engine, hosts, log, service
 
-__all__ = ["Embedded", "make_job_lines"]
+__all__ = ["Embedded", "make_job_lines", "run"]
 
 MODEL = "lm"
 SERVICE = "desk"
@@ -72,9 +72,11 @@
         agents: Agents by name; `agent-lm-0`, `agent-desk-0` and so on.
         targets: Stand-in engines and services by name; `lm-0`, `desk-0` and so on.
         tokens: Token of each workspace, `a` and `b`.
-        caller_client: Client that `fetch` uses.
+        caller_client: Client that `fetch` uses; None for that of the stand-ins.
     """
 
+    caller_client = None
+
     def __init__(
         self,
         entries=2,
@@ -93,7 +95,6 @@
         self.targets = {}
         self.tokens = {}
         self.client = http_client.Client(256)
-        self.caller_client = self.client
         self.operator_token, self._operator = tokens.make_token("test")
         self._counts = (entries, engines, services)
         self._entry_settings = {**ENTRY_SETTINGS, **(entry_settings or {})}
@@ -235,9 +236,8 @@
         headers = dict(headers or {})
         headers["Authorization"] = f"Bearer {token or self.tokens.get('a')}"
         address = self.entries[name].address
-        return await self.caller_client.fetch(
-            method, address, path, body, headers, **fields
-        )
+        client = self.caller_client or self.client
+        return await client.fetch(method, address, path, body, headers, **fields)
 
     async def chat(self, content, max_tokens=8, **fields):
         """Send a chat completion and return the answer."""
@@ -298,6 +298,25 @@
     )
 
 
+def run(check, **settings):
+    """Start a deployment, await ``check(deployment)`` and close it.
+
+    Args:
+        check: Coroutine function of an `Embedded`.
+        **settings: Arguments of `Embedded`.
+    """
+
+    async def run_check():
+        fleet = Embedded(**settings)
+        try:
+            await fleet.start()
+            await check(fleet)
+        finally:
+            await fleet.close()
+
+    asyncio.run(run_check())
+
+
 def make_job_lines(count, max_tokens=4, prefix="item", model=MODEL):
     """Return the JSON lines of a job whose items are `{prefix}-0` and so on."""
     rows = []
