--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import secrets
 import time
 
@@ -14,11 +15,14 @@
 from tornado import iostream, web
 
 from pimentowick import client as http_client
+from pimentowick import daemon as process_daemon
 from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
 from pimentowick.agent import metered
 from pimentowick.agent import work as agent_work
+from pimentowick.placement import executor, usage
+from pimentowick.placement import order as placement_order
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
@@ -32,6 +36,7 @@
 STARTING = "starting"
 
 LOAD_POLL_S = 0.25
+LOAD_STALE_S = 5.0
 CACHE_POLL_S = 1.0
 LEASE_CHECK_S = 0.1
 CONTROL_CONNECTIONS = 16
@@ -49,18 +54,21 @@
     Attributes:
         address: ``IP:port`` once started.
         state: ``starting``, ``ready`` or ``draining``.
-        stop_orders: Whatever is put here makes the process drain and end.
+        stop_orders: `pimentowick.daemon.StopOrders` that end the process.
         running: The connections whose request is at work.
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.state = STARTING
+        self.stop_orders = process_daemon.StopOrders()
         self._process = secrets.token_hex(4)
-        self.stop_orders = asyncio.Queue()
+        self._revision = 0
+        self._rest = {}
         self.running = set()
         self.load = platform_engine.EngineLoad()
         self.cache_lifetime = lifetime.CacheLifetime()
+        self._load_read_at = float("-inf")
         self.metrics = process_metrics.AgentMetrics()
         self.leases = scheduling_lease.LeaseTable(settings.lease_s)
         self.stopped_jobs = collections.OrderedDict()
@@ -76,6 +84,12 @@
         self._client = http_client.Client(target.max_online + target.max_batch)
         self._control = http_client.Client(CONTROL_CONNECTIONS)
         self.target = self._make_target()
+        self.orders = executor.Executor(
+            self.target,
+            self._make_weights(),
+            self._drain_model,
+            settings.order_settle_s,
+        )
         self._supervisor = supervisor.Supervisor("agent")
         self._server = http_web.Server(
             self._make_application(),
@@ -96,6 +110,13 @@
             return make(target.address, self._client)
         return make(target.address, self._client, self._control, self.settings.idle_s)
 
+    def _make_weights(self):
+        settings = self.settings
+        if settings.weights is None:
+            return None
+        make = platform_adapter.find_adapter("weights", settings.weights_adapter)
+        return make(settings.weights, self._control, settings.transfer_s)
+
     def _make_application(self):
         shared = {"agent": self}
         return web.Application(
@@ -104,6 +125,7 @@
                 ("/heartbeat", HeartbeatHandler, shared),
                 ("/stop-job", StopJobHandler, shared),
                 ("/drain", DrainHandler, shared),
+                ("/orders", OrderHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
@@ -117,6 +139,7 @@
         await self._client.start()
         await self._control.start()
         await self._supervisor.start()
+        await self.orders.start()
         await self._server.start()
         self._supervisor.start_child("leases", self._watch_leases)
         self._supervisor.start_child("alive", self._send_alive)
@@ -146,6 +169,7 @@
     async def close(self):
         """Stop listening and drop all connections."""
         await self._supervisor.close()
+        await self.orders.close()
         for handler in list(self.running):
             handler.cancel()
         await self._server.close()
@@ -205,6 +229,7 @@
             await asyncio.sleep(LOAD_POLL_S)
             try:
                 self.load = await self.target.read_load()
+                self._load_read_at = time.monotonic()
             except exception.PimentowickError:
                 continue
 
@@ -220,21 +245,45 @@
 
     def describe(self):
         """Return all that there is to say about this agent."""
+        rest = self._describe_rest()
+        if rest != self._rest:
+            self._rest = rest
+            self._revision += 1
+        version = f"{self._process}.{self._revision}"
+        return {**rest, "version": version, **self._describe_changing()}
+
+    def answer_heartbeat(self, known):
+        """Return what to tell an entry.
+
+        Args:
+            known: Version of what this agent told the entry before, or None. What
+                seldom changes is left out while it is the same.
+        """
+        answer = self.describe()
+        if known != answer["version"]:
+            return answer
+        return {key: answer[key] for key in answer if key not in self._rest}
+
+    def _describe_rest(self):
         target = self.settings.target
-        return {
+        rest = {
             "agent": self.settings.name,
-            "process": self._process,
             "kind": target.kind,
             "service": target.service,
             "target": target.name,
             "max_online": self.admission.max_online,
             "lease_s": self.settings.lease_s,
             "models": list(self.load.models),
-            **self.describe_changing(),
         }
-
-    def describe_changing(self):
-        """Return what heartbeat answers say to an entry that knows the rest."""
+        if target.kind == "engine":
+            rest.update(self.orders.describe(self.load.models, self.load.adapters))
+            rest["max_models"] = target.max_models
+            # Nobody must count on models of an engine that tells nothing.
+            age = time.monotonic() - self._load_read_at
+            rest["settled"] = rest["settled"] and age < LOAD_STALE_S
+        return rest
+
+    def _describe_changing(self):
         admission = self.admission
         return {
             "state": self.state,
@@ -245,18 +294,11 @@
             "wait_s": round(admission.estimate_wait(), 3),
             "entries": max(1, self.leases.count()),
             "cache_life_s": self.cache_lifetime.estimate(),
+            "demand": usage.count_demand(self.running),
         }
 
-    def answer_heartbeat(self, known):
-        """Return what to tell an entry.
-
-        Args:
-            known: Name of the process of this agent that told the entry the rest,
-                or None.
-        """
-        if known != self._process:
-            return self.describe()
-        return self.describe_changing()
+    async def _drain_model(self, kind, name):
+        await usage.drain(self.running, kind, name, self.settings.drain_s)
 
     def check(self, work):
         """Refuse work that must not begin.
@@ -273,6 +315,15 @@
                     retry_after=0.1,
                 )
             )
+        if usage.needs_any(work, self.orders.leaving):
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    503,
+                    "not_loaded",
+                    "The model is being unloaded there. Try again.",
+                    retry_after=0.1,
+                )
+            )
         envelope = work.envelope
         if envelope.job in self.stopped_jobs:
             raise exception.RefusedError(
@@ -411,11 +462,30 @@
 
     def post(self):
         """Answer at once; `GET /ready` shows how it goes on."""
-        if self.agent.state == READY:
-            self.agent.stop_orders.put_nowait("drain")
+        self.agent.stop_orders.drain()
         self.write_json({"state": DRAINING}, 202)
 
 
+class OrderHandler(http_web.JsonHandler):
+    """Takes an order to the engine, or tells how the same order fares."""
+
+    def initialize(self, agent):
+        """Take the agent."""
+        self.agent = agent
+
+    def post(self):
+        """Answer with the order's status; 409 if it is not taken."""
+        orders = self.agent.orders
+        try:
+            order = placement_order.parse_order(self.read_json())
+            self.write_json(dataclasses.asdict(orders.submit(order)))
+        except exception.ValidationError as error:
+            self.write_json({"error": str(error)}, 400)
+        except exception.ConflictError as error:
+            answer = {"error": str(error), "fence": orders.fence, "boot": orders.boot}
+            self.write_json(answer, 409)
+
+
 class HealthHandler(http_web.JsonHandler):
     """Liveness: the loop turns."""
 
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -7,6 +7,7 @@
 from tornado import web
 
 from pimentowick import client as http_client
+from pimentowick import daemon as process_daemon
 from pimentowick import metrics as process_metrics
 from pimentowick import tls
 from pimentowick import web as http_web
@@ -26,6 +27,7 @@
     service,
 )
 from pimentowick.membership import fleet as membership_fleet
+from pimentowick.placement import decider
 from pimentowick.platform import adapter
 from pimentowick.replication import keeper, replica
 from pimentowick.routing import affinity, balance, limits, router
@@ -53,7 +55,7 @@
             process from earlier ones there.
         state: ``starting``, ``ready``, ``draining`` while readiness fails but
             requests are still taken, then ``stopping``.
-        stop_orders: Whatever is put here makes the process drain and end.
+        stop_orders: `pimentowick.daemon.StopOrders` that end the process.
         configuration: The `pimentowick.configuration.fold.ConfigurationFold`.
     """
 
@@ -61,7 +63,7 @@
         self.settings = settings
         self.owner = f"{settings.name}#{secrets.token_hex(4)}"
         self.state = STARTING
-        self.stop_orders = asyncio.Queue()
+        self.stop_orders = process_daemon.StopOrders()
         self.metrics = process_metrics.EntryMetrics()
         self.limits = limits.ConcurrencyLimits(settings.max_online)
         # One pool for each class of traffic: none waits for another one's sockets.
@@ -83,6 +85,14 @@
         self.fleet = membership_fleet.Fleet(
             hosts, self.client, settings, self.owner, self._is_fresh
         )
+        self.decider = decider.Decider(
+            log,
+            self.fleet,
+            self.client,
+            settings,
+            self.owner,
+            lambda: self.configuration.fleet,
+        )
         self.table = shard.ShardTable(log, self.fleet, settings, self.owner)
         self.ownership = ownership.Ownership(
             self.table, self.fleet, settings, self.owner, self.metrics
@@ -201,6 +211,7 @@
         await self.ownership.start()
         await self.writer.start()
         await self.dispatcher.start()
+        await self.decider.start()
         await self.calls.start()
         await self.keeper.start()
         await self.bootstrap.start()
@@ -232,6 +243,7 @@
         self._server.stop_listening()
         await self.dispatcher.drain(max(0.0, deadline - loop.time()))
         await self.ownership.release_all()
+        await self.decider.release()
         cut = await self._server.drain(max(0.0, deadline - loop.time()))
         await self.calls.drain(max(0.0, deadline - loop.time()))
         if cut:
@@ -243,6 +255,7 @@
         for part in (
             self.bootstrap,
             self.keeper,
+            self.decider,
             self.dispatcher,
             self.ownership,
             self.writer,
