--- /dev/null
+++ b/pimentowick/scheduling/tests/test_policy.py
@@ -0,0 +1,108 @@
+import random
+
+from pimentowick.scheduling import fairness, model, served, step
+
+
+def teach(limiter, slope_ms=0.4, read_ms=0.02, steps=400):
+    """Show a limiter the steps of an engine with a base of 20 ms."""
+    rng = random.Random(1)
+    for _ in range(steps):
+        online, batch = rng.randrange(1, 8), rng.randrange(8)
+        characters = 400 * (rng.random() < 0.2)
+        duration_ms = 20 + slope_ms * (online + batch) + read_ms * characters
+        limiter.note_step(step.Step(duration_ms, online, batch, characters))
+        limiter.note_step(step.Step(duration_ms, online, batch, 0, characters))
+
+
+def test_limits_follow_the_engine():
+    averse = model.make_limiter("averse", 32)
+    throughput = model.make_limiter("throughput", 32)
+    for each in (averse, throughput):
+        teach(each)
+    assert [averse.get_limit(online) for online in (0, 1, 8)] == [32, 2, 2]
+    assert [throughput.get_limit(online) for online in (0, 1, 8)] == [32, 6, 6]
+
+
+def test_limit_falls_with_a_slower_engine():
+    limiter = model.make_limiter("throughput", 32)
+    teach(limiter)
+    before = limiter.get_limit(4)
+    teach(limiter, slope_ms=2.0, steps=4000)
+    assert limiter.get_limit(4) < before
+
+
+def test_stall_teaches_nothing():
+    """The process stands still for a second, and one step seems to last as long.
+
+    Taken for the engine's own speed it would raise the learned base, and the limit
+    would let batch harm online requests for minutes.
+    """
+    limiter = model.make_limiter("averse", 32)
+    teach(limiter)
+    limiter.note_step(step.Step(1000.0, online=4, batch=2))
+    assert limiter.predict(0) < 21
+
+
+def test_prompts_are_read_one_at_a_time():
+    """An idle engine is given many long prompts at once, then a burst arrives.
+
+    The burst would wait until all of them are read, several times as long as usual.
+    """
+    limiter = model.make_limiter("averse", 32)
+    teach(limiter)
+    assert limiter.can_start(4000, reading=0, online=0, batch=0)
+    assert not limiter.can_start(4000, reading=4000, online=0, batch=1)
+    assert not limiter.can_start(40_000, reading=400, online=4, batch=1)
+
+
+def test_idle_time_is_not_taken_for_a_step():
+    """A stream begins alone, a pause after the last one ended.
+
+    The pause is no step; counted as one, it makes the engine look slow.
+    """
+    now = [0.0]
+    steps = []
+    meter = step.StepMeter(steps.append, clock=lambda: now[0])
+    for name in ("a", "b"):
+        for _ in range(3):
+            now[0] += 0.02
+            meter.note_token(name, is_batch=False)
+        meter.note_end(name)
+        now[0] += 5.0
+    assert [round(each.duration_ms) for each in steps] == [20, 20, 20]
+
+
+def test_equal_workspaces_get_equal_tokens():
+    queue = fairness.FairQueue()
+    for number in range(1000):
+        queue.push("flood", ("flood", number), cost=10)
+    for number in range(100):
+        queue.push("calm", ("calm", number), cost=10)
+    names = [queue.pop()[0] for _ in range(180)]
+    assert abs(names.count("calm") - names.count("flood")) <= 1
+
+
+def test_preempted_entry_goes_first():
+    queue = fairness.FairQueue()
+    for name in ("a", "b"):
+        queue.push(name, f"{name}-new", cost=10)
+    queue.push("a", "a-preempted", cost=10, paid=True)
+    queue.pop()
+    queue.push("b", "b-preempted", cost=10, paid=True)
+    assert queue.pop() in ("a-preempted", "b-preempted", "b-new")
+    assert len(queue) == 2
+
+
+def test_workspace_does_not_catch_up():
+    """A workspace sends nothing for a night and then submits a job.
+
+    Had it saved up its share, its rivals would get nothing until it has caught up.
+    """
+    tokens = served.ServedTokens()
+    tokens.sort(["busy", "back"])
+    tokens.note_report("agent", {"busy": 0.0, "back": 0.0})
+    tokens.sort(["busy"])
+    tokens.note_report("agent", {"busy": 10_000.0, "back": 0.0})
+    assert tokens.sort(["back", "busy"]) == ["back", "busy"]
+    tokens.begin("back", weight=1.0)
+    assert tokens.sort(["back", "busy"]) == ["busy", "back"]
