--- a/benchmarks/bench_policy.py
+++ b/benchmarks/bench_policy.py
@@ -74,7 +74,7 @@
     counts = f"{len(base.outcome.first_ms)} first, {len(base.outcome.gap_ms)} gaps"
     print(f"\n{label}, {traffic} ({counts}), ratios to no batch at p50 p95 p99")
     print(
-        f"{'policy':17}{'first token':>16}{'burst first':>16}{'between tokens':>16}"
+        f"{'policy':17}{'first token':>18}{'burst first':>18}{'between tokens':>18}"
         f"{'harvest':>9}{'free':>6}{'refill s':>9}{'preempted':>10}{'refused':>8}"
     )
     for name in names:
@@ -85,7 +85,7 @@
         ]
         refill_s = policy_runs.compute_quantile(row.outcome.refill_s, 0.5)
         print(
-            f"{name:17}" + "".join(f"{part:>16}" for part in parts),
+            f"{name:17}" + "".join(f"{part:>18}" for part in parts),
             f"{row.compute_harvest(rate, base):8.3f}",
             f"{row.compute_free_harvest(rate):5.2f}",
             f"{refill_s:8.2f} {row.outcome.preemptions:9d} {row.outcome.refused:7d}",
