--- a/benchmarks/plot_policy.py
+++ b/benchmarks/plot_policy.py
@@ -2,14 +2,10 @@
 
 import pathlib
 
-import matplotlib
+from matplotlib import pyplot
 
 from benchmarks import policy_runs
 
-matplotlib.use("Agg")
-
-from matplotlib import pyplot
-
 __all__ = ["run"]
 
 DIRECTORY = pathlib.Path(__file__).parent.parent / "docs"
@@ -29,6 +25,9 @@
 
 def run():
     """Run the settings and draw the plots."""
+    pyplot.switch_backend("Agg")
+    # The same run draws the same file.
+    pyplot.rcParams["svg.hashsalt"] = "policy"
     cases = {("alone",): (policy_runs.Policy("fixed", 32), None, SIMULATED_S)}
     for traffic in TRAFFIC:
         shape = policy_runs.TRAFFIC[traffic]
