--- a/pimentowick/configuration/change.py
+++ b/pimentowick/configuration/change.py
@@ -5,22 +5,23 @@
 
 import yaml
 
-__all__ = ["diff_documents", "make_change"]
+__all__ = ["diff_documents", "hide_hashes", "make_change"]
 
 ID_BYTES = 16
 HASH_SHOWN = 8
 
 
-def make_change(kind, name, amends, by, body, at):
+def make_change(kind, name, amends, by, body, at, client=""):
     """Build the record that asks for a change of a document.
 
     Args:
-        kind: "template", "workspace" or "fleet".
+        kind: "template", "workspace", "fleet" or "order".
         name: Name of the document.
         amends: Version that the change was made from, 0 for a new document.
         by: Name of the operator.
         body: New body of the document.
         at: Time of the change in seconds since the epoch.
+        client: Address that the change was asked from, if known.
 
     Returns:
         The record, with a random id by which its outcome can be found.
@@ -37,6 +38,7 @@
         "by": by,
         "at": at,
         "body": body,
+        "client": client,
     }
 
 
@@ -65,11 +67,12 @@
 def _format_lines(body):
     if body is None:
         return []
-    text = yaml.safe_dump(_hide_hashes(body), sort_keys=True, allow_unicode=True)
+    text = yaml.safe_dump(hide_hashes(body), sort_keys=True, allow_unicode=True)
     return text.splitlines()
 
 
-def _hide_hashes(body):
+def hide_hashes(body):
+    """Return a copy of a body without salts and with hashes cut short."""
     hidden = dict(body)
     for key in ("operators", "tokens"):
         if key in hidden:
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -1,5 +1,6 @@
 """What the handlers of callers and operators have in common."""
 
+import asyncio
 import secrets
 
 import pydantic
@@ -7,16 +8,25 @@
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
 from pimentowick import web as http_web
+from pimentowick.configuration import tokens
 from pimentowick.platform import service as platform_service
 
-__all__ = ["CallerHandler", "OperatorHandler", "check_online_size", "forward"]
+__all__ = [
+    "CallerHandler",
+    "OperatorHandler",
+    "PeerHandler",
+    "check_online_size",
+    "forward",
+]
 
 # An online body is parsed and encoded in one turn of the loop each, here and at the
 # agent, where it grows by escapes: six times at worst, which an agent still takes.
 MAX_ONLINE_BYTES = 8_388_608
 
 FORWARDED = "X-Pimentowick-Forwarded"
+CLIENT = "X-Forwarded-For"
 FORWARD_TIMEOUT_S = 60.0
+ASK_TIMEOUT_S = 3.0
 FORWARD_HEADERS = (
     "Accept",
     "Authorization",
@@ -58,6 +68,58 @@
         scheme, _, text = self.request.headers.get("Authorization", "").partition(" ")
         return text.strip() if scheme.lower() == "bearer" else None
 
+    def get_client(self):
+        """Return the address that the request came from.
+
+        The header X-Forwarded-For counts only if it comes from the platform's
+        balancer or from another entry: anybody else could put into the audit trail
+        what he likes.
+        """
+        address = self.request.remote_ip
+        text = self.request.headers.get(CLIENT, "").rpartition(",")[2].strip()
+        return text if text and self._is_proxy(address) else address
+
+    def _is_proxy(self, address):
+        if address in self.entry.settings.trusted_proxies:
+            return True
+        if self.entry.settings.tls is not None:
+            return self.is_peer()
+        entries = self.entry.fleet.entries.values()
+        return address in {host.address.rpartition(":")[0] for host in entries}
+
+    def is_peer(self):
+        """Return whether a process of the system asks, as far as that is checked.
+
+        Without encryption nothing tells peers from callers here; then the network
+        has to.
+        """
+        if self.entry.settings.tls is None:
+            return True
+        return bool(self.request.get_ssl_certificate())
+
+    async def ask_entries(self, path):
+        """Ask all other entries the same, with the token of this request.
+
+        Returns:
+            The decoded answers of those that answered 200.
+        """
+        name = self.entry.settings.name
+        hosts = [
+            host for host in self.entry.fleet.entries.values() if host.name != name
+        ]
+        answers = await asyncio.gather(*(self._ask_entry(host, path) for host in hosts))
+        return [answer for answer in answers if answer is not None]
+
+    async def _ask_entry(self, host, path):
+        headers = {"Authorization": self.request.headers.get("Authorization", "")}
+        try:
+            answer = await self.entry.client.fetch(
+                "GET", host.address, path, headers=headers, timeout_s=ASK_TIMEOUT_S
+            )
+            return answer.decode() if answer.status == 200 else None
+        except exception.PimentowickError:
+            return None
+
     def check_ready(self):
         """Refuse while no configuration is known, and when stopping.
 
@@ -85,6 +147,19 @@
             )
 
 
+class PeerHandler(EntryHandler):
+    """Handles requests of other processes of the system."""
+
+    def prepare(self):
+        """Refuse whoever shows no certificate of the authority."""
+        if not self.is_peer():
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    403, "no_certificate", "This path is for the system's own."
+                )
+            )
+
+
 class CallerHandler(EntryHandler):
     """Handles requests of a workspace.
 
@@ -104,6 +179,11 @@
                 verdict.Refusal(403, "stopped", "This workspace is stopped.")
             )
 
+    def get_caller(self):
+        """Return the workspace and the public part of the caller's token."""
+        token_id = self.get_token().partition(tokens.SEPARATOR)[0]
+        return f"{self.workspace.name}/{token_id}"
+
 
 class OperatorHandler(EntryHandler):
     """Handles requests of operators.
@@ -186,6 +266,7 @@
         if name.lower().startswith("x-idempotent"):
             headers[name] = request.headers[name]
     headers[FORWARDED] = handler.entry.settings.name
+    headers[CLIENT] = handler.get_client()
     body = request.body if request.method in ("POST", "PUT", "PATCH") else None
     return await handler.entry.forward_client.fetch(
         request.method,
--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from pimentowick.batch import record
 from pimentowick.fakes import callers as fake_callers
 from pimentowick.fakes import embedded, engine, faults, relay
+from pimentowick.platform import engine as platform_engine
 
 run = fake_callers.run_with_callers
 GENERATE = "/generate"
@@ -345,11 +347,16 @@
     async def check(fleet, callers):
         (target,) = list_engines(fleet)
         agent = fleet.agents["agent-lm-0"]
-        streams = [callers.open_stream(f"leave {i}", 512) for i in range(6)]
+        # With nothing to write, no failed write can tell that the caller has gone.
+        place(target, "stall", path=GENERATE)
+        streams = [callers.open_stream(f"leave {i}", 512) for i in range(3)]
+        chats = [asyncio.ensure_future(callers.chat(f"go {i}", 512)) for i in range(3)]
         await fleet.wait_for(lambda: agent.admission.count_online() == 6)
         assert len(target.running) + len(target.waiting) <= 4
         for stream in streams:
             stream.abort()
+        for chat in chats:
+            chat.cancel()
         entry = fleet.entries["entry-0"]
         await fleet.wait_for(
             lambda: (
@@ -357,12 +364,14 @@
                 and not agent.admission.count_online()
                 and not agent.running
                 and not entry.limits.running
-            )
+            ),
+            timeout_s=5.0,
         )
+        place(target, "clear")
         assert (await callers.chat("next")).whole
 
     small = {"target": {"max_online": 4, "max_batch": 2}}
-    run(check, engines=1, agent_settings=small)
+    run(check, engines=1, agent_settings={**small, "idle_s": 60.0})
 
 
 def test_agents_start_before_their_engines_and_come_back():
@@ -408,3 +417,98 @@
         assert echoed.decode()["path"] == "/a%20b%0D%0Ac"
 
     run(check, entry_settings={"max_body_bytes": 1_000_000})
+
+
+def test_caller_that_reads_nothing_is_let_go_at_its_deadline():
+    """A caller's connection falls silent for good while its answer is written.
+
+    The entry would wait for the connection to take the rest, for ever, and each such
+    caller would keep one of the places of its workspace.
+    """
+
+    async def generate(request):
+        while True:
+            yield platform_engine.Tokens(0, ["x" * 1_000_000])
+
+    async def check(fleet, callers):
+        entry = fleet.entries["entry-0"]
+        entry.router.generate = generate
+        body = {"model": embedded.MODEL, "prompt": "x", "stream": True}
+        headers = {
+            "Authorization": f"Bearer {fleet.tokens['a']}",
+            "X-Deadline": str(time.time() + 1.0),
+        }
+        _, writer = await fake_callers.open_unread(
+            entry.address, "/v1/completions", body, headers
+        )
+        await fleet.wait_for(lambda: entry.limits.running)
+        await fleet.wait_for(lambda: not entry.limits.running, timeout_s=8.0)
+        await fleet.wait_for(lambda: not entry._server.count_busy())
+        writer.close()
+
+    run(check, entries=1, engines=1)
+
+
+def test_keyed_call_whose_caller_left_is_settled():
+    """A caller hangs up while its call runs, and asks again by the same key.
+
+    The call goes on, since it can't be undone; its answer has to be there for the
+    one who asks again, who could otherwise never know.
+    """
+
+    async def check(fleet, callers):
+        desk = fleet.targets["desk-0"]
+        body = {"stand": 1, "hold_s": 0.3}
+        first = asyncio.ensure_future(callers.confirm("k", body))
+        await fleet.wait_for(lambda: desk.keys["k"])
+        first.cancel()
+
+        async def is_answered():
+            return (await callers.confirm("k", body, entry="entry-1")).whole
+
+        await fleet.wait_for(is_answered)
+        assert desk.keys["k"] == 1
+
+    run(check)
+
+
+def test_idempotent_call_whose_caller_left_frees_its_place():
+    """Callers of a slow service hang up while it works on what may be repeated."""
+
+    async def check(fleet, callers):
+        agent = fleet.agents["agent-desk-0"]
+        headers = {"X-Idempotent": "true"}
+        body = {"hold_s": 60.0}
+        calls = [
+            asyncio.ensure_future(callers.confirm(None, body, headers))
+            for _ in range(4)
+        ]
+        await fleet.wait_for(lambda: agent.admission.count_online() == 4)
+        for call in calls:
+            call.cancel()
+        await fleet.wait_for(lambda: not agent.admission.count_online(), timeout_s=3.0)
+
+    run(check)
+
+
+def test_claim_that_lands_late_does_not_block_its_key():
+    """An append is given up for lost, and the log takes it long afterwards.
+
+    The request was refused as not run, and its claim would now answer "in progress"
+    to everybody who asks by that key.
+    """
+
+    async def check(fleet, callers):
+        entry = fleet.entries["entry-0"]
+        call_id = record.make_call_id("a", embedded.SERVICE, "k")
+        shard = entry.table.find(call_id)
+        place(fleet.log, "down")
+        refused = await callers.confirm("k")
+        assert refused.verdict == "not_run"
+        place(fleet.log, "clear")
+        claim = record.make_call_claimed(call_id, refused.request_id, "x", "d", 0.0)
+        await shard.replica.append([claim], 5.0)
+        outcome = await resend_until_final(fleet, callers, "k")
+        assert outcome.whole
+
+    run(check, entry_settings={"append_s": 0.5})
--- a/pimentowick/fakes/callers.py
+++ b/pimentowick/fakes/callers.py
@@ -19,6 +19,7 @@
 SERVICE_PATH = f"/v1/services/{embedded.SERVICE}/confirm"
 END_MARK = b"data: [DONE]"
 DATA = b"data: "
+READ_LIMIT = 100_000_000
 # Refusals that say "later" have to say when.
 LATER_STATUSES = frozenset([429, 502, 503, 504])
 
@@ -162,8 +163,13 @@
 
     def count_runs(self, request_id):
         """Return how often the stand-ins ran a request."""
+        targets = self._list_targets().values()
+        return sum(target.runs[request_id] for target in targets)
+
+    def _list_targets(self):
+        # With those that a test has crashed since.
         self._targets.update(self.fleet.targets)
-        return sum(target.runs[request_id] for target in self._targets.values())
+        return self._targets
 
     def check(self):
         """Compare what was answered with what ran.
@@ -193,7 +199,7 @@
 
     def _check_services(self):
         keys = collections.Counter()
-        for name, target in self._targets.items():
+        for name, target in self._list_targets().items():
             if not name.startswith(embedded.SERVICE):
                 continue
             assert all(count == 1 for count in target.runs.values()), target.runs
@@ -246,3 +252,20 @@
             await fleet.close()
 
     asyncio.run(run())
+
+
+async def open_unread(address, path, body, headers=None):
+    """Post JSON over a connection of its own and leave the answer in the sockets.
+
+    Returns:
+        The reader, which takes nothing before the test lets it, and the writer.
+    """
+    host, _, port = address.rpartition(":")
+    data = orjson.dumps(body)
+    lines = [f"POST {path} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines += [f"Content-Length: {len(data)}", "", ""]
+    reader, writer = await asyncio.open_connection(host, int(port), limit=READ_LIMIT)
+    writer.transport.pause_reading()
+    writer.write("\r\n".join(lines).encode() + data)
+    return reader, writer
--- a/pimentowick/placement/claim.py
+++ b/pimentowick/placement/claim.py
@@ -99,7 +99,7 @@
     """
 
     def __init__(self, log):
-        super().__init__(log, STREAM, ClaimFold(), READ_WAIT_S)
+        super().__init__(log, STREAM, ClaimFold(), lambda: READ_WAIT_S)
 
     def _begin_recovery(self, first):
         self.offset = first
--- a/pimentowick/placement/decider.py
+++ b/pimentowick/placement/decider.py
@@ -30,6 +30,7 @@
 FAILED_PAUSE_S = 2.0
 FENCES_AT_ONCE = 32
 FENCE_PAUSE_S = 1.0
+REPORTS_AWAITED = 4
 IN_USE_DEMAND = 0.5
 PLAN_PAUSES = 50
 DEMAND_HALF_LIFE_S = 30.0
@@ -118,6 +119,7 @@
             if not self._get_fleet().models:
                 continue
             await self._keep_claim(elapsed)
+            self._fleet.see_all(self.is_owner)
             if self.is_owner:
                 await self._decide()
 
@@ -227,6 +229,7 @@
         order = self._make_order(boot, placement_order.FENCE)
         if await self._send(peer, order) is not None:
             self._fenced[peer.name] = boot
+            peer.wake.set()
 
     def _make_order(self, boot, action, **fields):
         name = platform_log.make_id()
@@ -277,8 +280,11 @@
                 engines.append(engine)
         known = {engine.agent for engine in engines}
         reported = {peer.name: set(peer.report["models"]) for peer in peers}
+        intervals = {peer.name: peer.interval_s for peer in peers}
         for name, (models, at) in list(self._seen.items()):
-            if now - at > self._settings.takeover_s:
+            # The report after an order is as far away as the next heartbeats.
+            reports_s = REPORTS_AWAITED * intervals.get(name, 0.0)
+            if now - at > max(self._settings.takeover_s, reports_s):
                 del self._seen[name]
             else:
                 reported[name] = reported.get(name, set()) | models
@@ -381,6 +387,7 @@
             if self.pending.get(peer.name) is order:
                 del self.pending[peer.name]
             self._ended_at[peer.name] = time.monotonic()
+            peer.wake.set()
 
     def _is_current(self, peer, order):
         return (
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -12,6 +12,7 @@
     "EntrySettings",
     "PlatformSettings",
     "TargetSettings",
+    "TlsSettings",
     "load_settings",
 ]
 
@@ -20,6 +21,16 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+class TlsSettings(_Model):
+    """Encryption between the system's own processes, and towards callers."""
+
+    certificate: str = pydantic.Field(description="PEM file of the certificate.")
+    key: str = pydantic.Field(description="PEM file of the private key.")
+    authority: str = pydantic.Field(
+        description="PEM file of the authority that signs the certificates of peers."
+    )
+
+
 class PlatformSettings(_Model):
     """Where the platform's services are."""
 
@@ -40,15 +51,8 @@
     log_record_bytes: int = pydantic.Field(
         262_144, ge=4096, description="Largest record that the log takes, in bytes."
     )
-
-
-class TlsSettings(_Model):
-    """Encryption between the system's own processes, and towards callers."""
-
-    certificate: str = pydantic.Field(description="PEM file of the certificate.")
-    key: str = pydantic.Field(description="PEM file of the private key.")
-    authority: str = pydantic.Field(
-        description="PEM file of the authority that signs the certificates of peers."
+    tls: TlsSettings | None = pydantic.Field(
+        None, description="Encryption towards the platform; absent means plain HTTP."
     )
 
 
@@ -94,6 +98,9 @@
     operators: list[OperatorSettings] = pydantic.Field(
         [], description="Operators besides those of the configuration."
     )
+    trusted_proxies: list[str] = pydantic.Field(
+        [], description="IP numbers of balancers whose X-Forwarded-For is believed."
+    )
     shards: int = pydantic.Field(
         8, ge=1, le=4096, description="Number of shards; the same on every entry."
     )
@@ -104,7 +111,28 @@
         1.0, gt=0, description="Time between reads of the host list, in seconds."
     )
     heartbeat_s: float = pydantic.Field(
-        0.5, gt=0, description="Time between heartbeats to an agent, in seconds."
+        0.5,
+        gt=0,
+        description="Time between heartbeats to an agent while work flows, in seconds;"
+        " below a quarter of the agents' lease_s.",
+    )
+    idle_heartbeat_s: float = pydantic.Field(
+        2.0,
+        gt=0,
+        description="Time between heartbeats to an agent without work of this entry,"
+        " in seconds.",
+    )
+    heartbeats_per_s: float = pydantic.Field(
+        50.0,
+        gt=0,
+        description="Most heartbeats a second, all agents together, but for those that"
+        " renew a lease.",
+    )
+    peers_per_service: int = pydantic.Field(
+        16,
+        ge=1,
+        description="How many agents of a service this entry talks to; more if there"
+        " are too few entries for that.",
     )
     takeover_s: float = pydantic.Field(
         6.0,
@@ -168,6 +196,9 @@
     max_models: int = pydantic.Field(
         1, ge=1, description="Most models that the target holds at once."
     )
+    max_running: int = pydantic.Field(
+        64, ge=1, description="Most requests that the target runs at once."
+    )
     max_queue: int = pydantic.Field(
         256, ge=0, description="Most online requests that wait for the target."
     )
