--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -180,6 +180,7 @@
         self._pools = {}
         self.read_at = None
         self.ejections = 0
+        self._sees_all = False
         self._hosts = hosts
         self._client = client
         self._settings = settings
@@ -294,12 +295,23 @@
             if agent.served in ranked:
                 ranked[agent.served].append((agent.rank, agent.host))
         for pairs in ranked.values():
-            count = subset.count_wanted(
-                self._settings.peers_per_service, len(pairs), len(self.entries)
-            )
+            count = len(pairs)
+            if not self._sees_all:
+                count = subset.count_wanted(
+                    self._settings.peers_per_service, count, len(self.entries)
+                )
             chosen = subset.choose_agents(pairs, self._settings.failure_domain, count)
             self._keep_peers({host.name for _, host in pairs}, chosen)
 
+    def see_all(self, wanted):
+        """Talk to all agents, or to a bounded number of each service again.
+
+        Who decides on the placement has to know all engines.
+        """
+        if wanted != self._sees_all:
+            self._sees_all = wanted
+            self._choose_peers({agent.served for agent in self._agents.values()})
+
     def _keep_peers(self, names, chosen):
         wanted = {host.name for host in chosen}
         for host in chosen:
