--- a/pimentowick/batch/ownership.py
+++ b/pimentowick/batch/ownership.py
@@ -14,6 +14,7 @@
 
 from pimentowick import exception, supervisor
 from pimentowick.batch import record as batch_record
+from pimentowick.batch import shard as batch_shard
 
 __all__ = ["Ownership"]
 
@@ -30,7 +31,6 @@
     def __init__(self):
         self.owner_offset = None
         self.silent_s = 0.0
-        self.idle_s = 0.0
         self.renewed_at = 0.0
         self.claimed_at = 0.0
 
@@ -52,7 +52,6 @@
         self._settings = settings
         self._owner = owner
         self._metrics = metrics
-        self._watches = {}
         self._releasing = False
         self._supervisor = supervisor.Supervisor("ownership")
 
@@ -68,6 +67,8 @@
     async def release_all(self):
         """Give all shards up, so that others claim them at once."""
         self._releasing = True
+        # A claim on its way would make this process an owner again once it is gone.
+        await self._supervisor.close()
         for shard in self._table.list_owned():
             release = batch_record.make_release(shard.ledger.epoch)
             try:
@@ -77,13 +78,30 @@
                 logger.warning("ownership: Shard {}: {}", shard.number, error)
 
     async def _watch(self):
+        """Keep one task for each shard that is followed.
+
+        A slow append for one shard would otherwise hold back the renewals of the
+        others, and other entries would take these from a living owner.
+        """
+        watched = {}
+        while True:
+            followed = dict(self._table.followed)
+            for number, shard in followed.items():
+                if watched.get(number) is not shard:
+                    name = f"shard {number}"
+                    self._supervisor.start_child(name, self._watch_always, shard)
+            for number in set(watched) - set(followed):
+                self._supervisor.stop_child(f"shard {number}")
+            watched = followed
+            await asyncio.sleep(TICK_S)
+
+    async def _watch_always(self, shard):
+        watch = _Watch()
         while True:
             began = time.monotonic()
             await asyncio.sleep(TICK_S)
             elapsed = min(time.monotonic() - began, 2 * TICK_S)
-            for shard in list(self._table.followed.values()):
-                watch = self._watches.setdefault(shard.number, _Watch())
-                await self._watch_shard(shard, watch, elapsed)
+            await self._watch_shard(shard, watch, elapsed)
 
     async def _watch_shard(self, shard, watch, elapsed):
         ledger = shard.ledger
@@ -110,7 +128,10 @@
 
     def _reads(self, shard):
         age = time.monotonic() - shard.replica.fresh_at
-        return age < self._settings.takeover_s / RENEWS_PER_TAKEOVER
+        # A read that the log held open is as old as that when it ends. Without room
+        # for it a short takeover time would never be counted to its end.
+        limit = self._settings.takeover_s / RENEWS_PER_TAKEOVER
+        return age < batch_shard.READ_WAIT_S + limit
 
     def _get_patience(self, shard):
         """Return how long the owner may be silent before this entry claims."""
--- a/pimentowick/batch/record.py
+++ b/pimentowick/batch/record.py
@@ -132,15 +132,16 @@
     return _make(CANCELLED, job=job, by=by, at=at, client=client)
 
 
-def make_results(epoch, results):
+def make_results(epoch, results, at=0.0):
     """Complete items.
 
     Args:
         epoch: Epoch of the owner that ran them.
         results: List of ``[job, item, outcome, body]``; outcome is ``succeeded`` or
             ``failed``.
+        at: Epoch seconds, from which the time is counted that results are kept.
     """
-    return _make(RESULTS, epoch=epoch, results=results)
+    return _make(RESULTS, epoch=epoch, results=results, at=at)
 
 
 def make_suspect(epoch, job, item, attempts):
@@ -148,9 +149,9 @@
     return _make(SUSPECT, epoch=epoch, job=job, item=item, attempts=attempts)
 
 
-def make_expired(job):
+def make_expired(job, submission):
     """Drop a finished job whose results are no longer owed."""
-    return _make(EXPIRED, job=job)
+    return _make(EXPIRED, job=job, submission=submission)
 
 
 def make_call_claimed(call, request, owner, digest, at):
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -12,7 +12,7 @@
 from pimentowick import tls
 from pimentowick import web as http_web
 from pimentowick.batch import call as batch_call
-from pimentowick.batch import dispatch, ownership, shard, writer
+from pimentowick.batch import carry, dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
 from pimentowick.entry import (
@@ -23,12 +23,13 @@
     metered,
     online,
     order,
+    peer,
     service,
 )
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.placement import decider
 from pimentowick.platform import adapter
-from pimentowick.replication import replica
+from pimentowick.replication import keeper, replica
 from pimentowick.routing import affinity, balance, limits, router
 
 __all__ = ["Entry"]
@@ -98,6 +99,13 @@
         )
         self.writer = writer.ResultWriter(settings)
         self.dispatcher = self._make_dispatcher()
+        carrier = carry.Carrier(
+            self.table, self.configuration_replica, settings, self.metrics
+        )
+        self.keeper = keeper.Keeper(settings, carrier.list_kept, self.metrics)
+        self.bootstrap = peer.Bootstrap(
+            self.configuration_replica, self.fleet, self.client, settings.name
+        )
         self.calls = batch_call.CallBook(settings, self.owner)
         self.router = self._make_router()
         self._operators = {
@@ -183,6 +191,7 @@
                     shared,
                 ),
                 ("/peer/version", configuration.VersionHandler, shared),
+                ("/peer/configuration", peer.DumpHandler, shared),
                 ("/peer/stop-job", job.StopHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
@@ -204,6 +213,8 @@
         await self.dispatcher.start()
         await self.decider.start()
         await self.calls.start()
+        await self.keeper.start()
+        await self.bootstrap.start()
         await self._server.start()
         self.state = READY
         logger.info("entry: {} listens on {}.", self.settings.name, self.address)
@@ -242,6 +253,8 @@
         """Stop listening and drop all connections."""
         await self._server.close()
         for part in (
+            self.bootstrap,
+            self.keeper,
             self.decider,
             self.dispatcher,
             self.ownership,
--- /dev/null
+++ b/pimentowick/entry/tests/durability.py
@@ -0,0 +1,105 @@
+"""Helpers of the tests of batch jobs and configuration under failure."""
+
+import asyncio
+import collections
+
+from pimentowick import exception
+from pimentowick.fakes import embedded, engine
+
+__all__ = ["Tap", "check_results", "find_owner", "get_runs", "run", "tap_entries"]
+
+
+def run(check, **settings):
+    """Run a coroutine function with an embedded deployment."""
+
+    async def run_check():
+        fleet = embedded.Embedded(**settings)
+        try:
+            await fleet.start()
+            await check(fleet)
+        finally:
+            await fleet.close()
+
+    asyncio.run(run_check())
+
+
+class Tap:
+    """Stands between one entry and the log.
+
+    Attributes:
+        rule: Coroutine function that appends to a shard instead, or None.
+        reads: Set while reads pass.
+        types: Number of records appended, by type.
+    """
+
+    def __init__(self, entry):
+        self.log = entry.configuration_replica.log
+        self.rule = None
+        self.reads = asyncio.Event()
+        self.reads.set()
+        self.types = collections.Counter()
+        self._append = self.log.append
+        self._read = self.log.read
+        self.log.append = self.append
+        self.log.read = self.read
+
+    async def append(self, stream, records):
+        self.types.update(record["type"] for record in records)
+        if self.rule is not None and stream.startswith("shard-"):
+            return await self.rule(stream, records)
+        return await self._append(stream, records)
+
+    async def read(self, *args, **fields):
+        page = await self._read(*args, **fields)
+        await self.reads.wait()
+        return page
+
+    def fail_at(self, kind, number, effect, then):
+        """Lose the answer of the `number`-th append of a type, and run `then`."""
+        seen = []
+
+        async def rule(stream, records):
+            if records[0]["type"] != kind:
+                return await self._append(stream, records)
+            seen.append(1)
+            if len(seen) != number:
+                return await self._append(stream, records)
+            if effect:
+                await self._append(stream, records)
+            await then()
+            raise exception.LogUnavailableError("no answer")
+
+        self.rule = rule
+
+
+def tap_entries(fleet):
+    """Return a `Tap` of each entry by name; reads that begin later are held."""
+    return {name: Tap(entry) for name, entry in fleet.entries.items()}
+
+
+def find_owner(fleet, job_id):
+    """Return the name of the entry that owns a job's shard, or None."""
+    for name, entry in fleet.entries.items():
+        if entry.table.find(job_id).ledger.owner == entry.owner:
+            return name
+    return None
+
+
+def get_runs(fleet, job_id):
+    """Return how often each item of a job began at an engine."""
+    runs = collections.Counter()
+    for target in fleet.targets.values():
+        runs.update({n: c for n, c in target.runs.items() if n.startswith(job_id)})
+    return runs
+
+
+async def check_results(fleet, job_id, count, tokens=4, entry=None, prefix="item"):
+    """Wait for a job and check that each item has its own result, once."""
+    await fleet.wait_for_job(job_id, entry=entry)
+    results = await fleet.read_results(job_id, entry=entry)
+    names = sorted(result["custom_id"] for result in results)
+    assert names == sorted(f"{prefix}-{number}" for number in range(count))
+    for result in results:
+        content = result["response"]["body"]["choices"][0]["message"]["content"]
+        expected = engine.expect_text(f"user: {result['custom_id']}", tokens)
+        assert content == expected
--- a/pimentowick/metrics.py
+++ b/pimentowick/metrics.py
@@ -117,6 +117,13 @@
         self._claims = self._add_counter(
             "pimentowick_entry_claims_total", "Shards that this entry claimed."
         )
+        self._checkpoints = self._add_counter(
+            "pimentowick_entry_checkpoints_total", "Checkpoints that this entry wrote."
+        )
+        self._carried = self._add_counter(
+            "pimentowick_entry_carried_total",
+            "Records appended again before the log drops them.",
+        )
         self._add_log_metrics()
         self._add_state()
 
@@ -155,6 +162,14 @@
             "pimentowick_entry_open_jobs", "Open jobs of the owned shards."
         )
 
+    def count_checkpoint(self):
+        """Count a checkpoint that was written whole."""
+        self._checkpoints.inc({})
+
+    def count_carried(self, number):
+        """Count records that were appended again."""
+        self._carried.add({}, number)
+
     def count_request(self, outcome):
         """Count an online request: ``answered`` or the code of its refusal."""
         self._requests.inc({"outcome": outcome})
