--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextlib
 import secrets
 import time
 
@@ -19,6 +20,7 @@
 from pimentowick.agent import work as agent_work
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
+from pimentowick.routing import lifetime
 from pimentowick.scheduling import admission as scheduling_admission
 from pimentowick.scheduling import lease as scheduling_lease
 from pimentowick.scheduling import limiter as scheduling_limiter
@@ -30,10 +32,11 @@
 STARTING = "starting"
 
 LOAD_POLL_S = 0.25
+CACHE_POLL_S = 1.0
 LEASE_CHECK_S = 0.1
-DRAIN_CHECK_S = 0.05
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
+ENTRY_KNOWN_S = 20.0
 # Entries don't read these; a heartbeat answer is smaller without them.
 UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
@@ -55,8 +58,10 @@
         self.settings = settings
         self.state = STARTING
         self._process = secrets.token_hex(4)
+        self._heard = {}
         self.running = set()
         self.load = platform_engine.EngineLoad()
+        self.cache_lifetime = lifetime.CacheLifetime()
         self.metrics = process_metrics.AgentMetrics()
         self.leases = scheduling_lease.LeaseTable(settings.lease_s)
         self.stopped_jobs = collections.OrderedDict()
@@ -98,6 +103,7 @@
                 ("/ready", ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
             ],
+            default_handler_class=http_web.UnknownPathHandler,
             log_function=lambda handler: None,
         )
 
@@ -111,6 +117,7 @@
         self._supervisor.start_child("alive", self._send_alive)
         if self.settings.target.kind == "engine":
             self._supervisor.start_child("load", self._watch_load)
+            self._supervisor.start_child("cache", self._watch_cache)
         self.state = READY
         logger.info("agent: {} listens on {}.", self.settings.name, self.address)
 
@@ -125,12 +132,11 @@
         # Entries learn of it with their next heartbeat; until then a refusal that
         # says not run sends their requests elsewhere.
         await asyncio.sleep(self.settings.lame_duck_s)
-        deadline = time.monotonic() + self.settings.drain_s
-        while self.running and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_CHECK_S)
-        if self.running:
-            logger.warning("agent: {} requests are cut.", len(self.running))
-        return not self.running
+        self._server.stop_listening()
+        cut = await self._server.drain(self.settings.drain_s)
+        if cut:
+            logger.warning("agent: {} requests are cut.", cut)
+        return not cut
 
     async def close(self):
         """Stop listening and drop all connections."""
@@ -200,6 +206,16 @@
             self.admission.limiter.note_step(self.load.step_ms, online)
             self.admission.apply_limit()
 
+    async def _watch_cache(self):
+        while True:
+            await asyncio.sleep(CACHE_POLL_S)
+            start = self.cache_lifetime.position
+            try:
+                events, following = await self.target.read_cache_events(start)
+            except exception.PimentowickError:
+                continue
+            self.cache_lifetime.note(events, following, time.monotonic())
+
     def describe(self):
         """Return all that there is to say about this agent."""
         target = self.settings.target
@@ -224,16 +240,29 @@
             "batch": len(admission.batch),
             "batch_free": admission.count_free_batch(),
             "wait_s": round(admission.estimate_wait(), 3),
-            "entries": max(1, self.leases.count()),
+            "entries": max(1, self.count_entries()),
+            "holders": max(1, self.leases.count()),
+            "cache_life_s": self.cache_lifetime.estimate(),
         }
 
-    def answer_heartbeat(self, known):
+    def count_entries(self):
+        """Return how many entries sent a heartbeat lately."""
+        limit = time.monotonic() - ENTRY_KNOWN_S
+        # The one heard longest ago stands first.
+        while self._heard and next(iter(self._heard.values())) < limit:
+            self._heard.pop(next(iter(self._heard)))
+        return len(self._heard)
+
+    def answer_heartbeat(self, entry, known):
         """Return what to tell an entry.
 
         Args:
+            entry: Name of the entry's process.
             known: Name of the process of this agent that told the entry the rest,
                 or None.
         """
+        self._heard.pop(entry, None)
+        self._heard[entry] = time.monotonic()
         if known != self._process:
             return self.describe()
         return self.describe_changing()
@@ -275,6 +304,7 @@
         self.work = None
         self._task = None
         self._idle = False
+        self._flushing = False
 
     async def post(self):
         """Run a request and answer with its lines."""
@@ -302,12 +332,10 @@
 
     async def _run(self, work):
         try:
-            async for line in work.run(self.agent.target, self.agent.admission):
-                self._idle = False
-                self.write(line)
-                # Flushing what came together at once; the loop goes on to other
-                # connections while the kernel takes it.
-                await self.flush()
+            lines = work.run(self.agent.target, self.agent.admission)
+            async with contextlib.aclosing(lines):
+                async for line in lines:
+                    await self._send(line)
         except exception.RefusedError as error:
             self._count(error.refusal)
             self.write(work.make_refusal(error.refusal))
@@ -315,12 +343,26 @@
             self.agent.metrics.count_admitted(work.envelope.priority)
         self.finish()
 
+    async def _send(self, line):
+        # What came together is flushed at once; the loop goes on to other
+        # connections while the kernel takes it.
+        self._idle = False
+        self.write(line)
+        self._flushing = True
+        await self.flush()
+        self._flushing = False
+
     def _count(self, refusal):
         self.agent.metrics.count_refused(refusal.code, refusal.verdict)
 
     def send_alive(self):
         """Send a keep-alive line if nothing was sent since the last call."""
-        if self._idle and not self._finished:
+        if self._flushing or self._finished:
+            # Tornado forgets a flush that another one overtakes: an entry that was
+            # slow to read would never get the rest. What waits in the socket
+            # already shows that this end lives.
+            return
+        if self._idle:
             self.write(self.work.make_alive())
             self.flush()
         self._idle = True
@@ -345,7 +387,7 @@
     def post(self):
         """Answer a heartbeat."""
         data = self.read_json()
-        answer = self.agent.answer_heartbeat(data.get("known"))
+        answer = self.agent.answer_heartbeat(data["entry"], data.get("known"))
         if data.get("renew") is not None:
             answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
         for name in UNUSED_HEADERS:
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -246,7 +246,8 @@
         job.outcomes[item] = OUTCOMES[outcome]
         job.refs[item] = record_id
         job.suspects.pop(item, None)
-        if job.pending == 0:
+        # Finding one that waits is far cheaper than counting all of them.
+        if PENDING not in job.outcomes:
             job.state = DONE
         return True
 
