--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -73,6 +73,7 @@
             await self._send(
                 "POST", counts["log"], "/streams/configuration/records", body
             )
+        self.preloaded = (await self.read_counts(self.platform))["log_bytes"]
         await self._list_hosts(counts["hosts"])
         token, operator = tokens.make_token("bench")
         self.token = token
@@ -128,6 +129,14 @@
         }
         await self._send("PUT", address, f"/hosts/{name}", fields)
 
+    async def wait_until_ready(self, version):
+        """Wait until the entry has a version in force, and return the seconds."""
+        while True:
+            answer = await self._send("GET", self.entry.address, "/peer/version")
+            if answer["version"] >= version:
+                return time.monotonic() - self.began
+            time.sleep(0.02)
+
     async def wait_for_survey(self):
         """Wait until every agent was asked, and return how long that took."""
         while (await self.read_counts(self.helper))["heartbeats"] < self._agents:
--- /dev/null
+++ b/benchmarks/capacity_failures.py
@@ -0,0 +1,123 @@
+"""What it costs to take over shards, and to start with a full configuration."""
+
+import asyncio
+import time
+
+from loguru import logger
+
+from benchmarks import capacity_control, capacity_fit, capacity_state
+from pimentowick.fakes import embedded
+
+__all__ = ["measure_failures"]
+
+SHARD_SIZES = (2, 6, 12)
+TAKEOVER_S = 3.0
+JOB_ITEMS = 40
+JOB_TOKENS = 400
+
+
+async def measure_failures():
+    """Measure and print takeovers and starts; return the lines by name."""
+    lines = await _measure_takeovers()
+    lines.update(await _measure_starts())
+    return lines
+
+
+async def _measure_takeovers():
+    rows = []
+    for shards in SHARD_SIZES:
+        rows.append((shards, *await _measure_takeover(shards)))
+    return {
+        "takeover_claims": capacity_fit.print_line(
+            "Claims after the loss of one of three entries, by its shards",
+            "appends",
+            [(taken, claims) for _, taken, claims, _ in rows],
+        ),
+        "takeover_s": capacity_fit.print_line(
+            f"Takeover, by shards of the fleet (takeover_s {TAKEOVER_S:g})",
+            "s until all are owned again",
+            [(shards, seconds) for shards, _, _, seconds in rows],
+        ),
+    }
+
+
+async def _measure_takeover(shards):
+    fleet = embedded.Embedded(
+        entries=3,
+        services=0,
+        entry_settings={"shards": shards, "takeover_s": TAKEOVER_S},
+    )
+    logger.remove()
+    try:
+        await fleet.start()
+        await _open_jobs(fleet, shards)
+        victim, owned = _find_victim(fleet)
+        before = _sum_epochs(fleet)
+        await fleet.crash(victim)
+        began = time.monotonic()
+        await fleet.wait_for(lambda: not owned & _list_owned(fleet, victim))
+        return len(owned), _sum_epochs(fleet) - before, time.monotonic() - began
+    finally:
+        await fleet.close()
+
+
+async def _open_jobs(fleet, shards):
+    """Submit jobs until there is an open one in each shard."""
+    number = 0
+    while len(_list_owned(fleet)) < shards:
+        lines = embedded.make_job_lines(JOB_ITEMS, JOB_TOKENS, prefix=f"j{number}")
+        await fleet.submit(lines, f"key-{number}")
+        number += 1
+        await asyncio.sleep(0.05)
+
+
+def _list_shards(fleet):
+    entry = next(iter(fleet.entries.values()))
+    return entry.table.followed.values()
+
+
+def _list_owned(fleet, host=None):
+    """Return the numbers of the shards owned by a host, or by any."""
+    return {
+        shard.number
+        for shard in _list_shards(fleet)
+        if shard.ledger.owner is not None
+        and host in (None, shard.ledger.owner.partition("#")[0])
+    }
+
+
+def _find_victim(fleet):
+    owned = {name: _list_owned(fleet, name) for name in fleet.entries}
+    victim = max(owned, key=lambda name: len(owned[name]))
+    return victim, owned[victim]
+
+
+def _sum_epochs(fleet):
+    return sum(shard.ledger.epoch for shard in _list_shards(fleet))
+
+
+async def _measure_starts():
+    rows = []
+    for count in capacity_state.CONFIGURATION_SIZES:
+        scene = capacity_control.Scene(0, 1, {"shards": 1})
+        try:
+            await scene.start(capacity_state.make_configuration(count))
+            seconds = await scene.wait_until_ready(count)
+            counts = await scene.read_counts(scene.platform)
+            memory = scene.entry.read_memory()
+            cpu = scene.entry.read_cpu()
+            rows.append(
+                (count, seconds, cpu, counts["log_bytes"] - scene.preloaded, memory)
+            )
+        finally:
+            await scene.close()
+    titles = (
+        ("start_s", "Start of an entry, by workspaces", "s until it is ready"),
+        ("start_cpu", "Start of an entry, by workspaces", "s of a core"),
+        ("start_bytes", "Start of an entry, by workspaces", "bytes from the log"),
+        ("start_memory", "Entry after its start, by workspaces", "bytes resident"),
+    )
+    return {
+        name: capacity_fit.print_line(title, unit, [(r[0], r[i]) for r in rows])
+        for i, (name, title, unit) in enumerate(titles, start=1)
+    }
