Make curl handles when needed; repeat an unanswered heartbeat at once

Cause: three pools of an entry made 692 curl handles at the start, most of which never run. And after a connection fell silent, the pause before the next heartbeat used up most of the time after which an agent passes for dead; one run of test_connections_to_agents_fall_silent_for_good failed on a machine at load 12. Ruled out: a smaller max_online, which would refuse callers. Change: handles are made up to the bound as requests wait for them; a heartbeat without an answer is repeated at once, on a new connection.

--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -130,7 +130,7 @@
 
 def _make_job(count):
     items = [_make_item(number) for number in range(count)]
-    chunks = intake.make_chunks("s", items, 262_144)
+    chunks = asyncio.run(intake.make_chunks("s", items, 262_144))
     submitted = record.make_submitted(
         "batch_0", "s", "a", "k", "d", count, len(chunks), model="model-0", at=1.0
     )
--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -98,8 +98,23 @@
     Tornado lets an abandoned request go on until it ends by itself. On a silent
     connection that is the time limit, and until then the request keeps its handle:
     with enough of them the pool is empty and new requests wait unseen.
+
+    Handles are made when they are needed: hundreds that never ran take megabytes.
     """
 
+    def initialize(self, max_clients=10, **settings):
+        """Take the settings; see `tornado.httpclient.AsyncHTTPClient`."""
+        super().initialize(max_clients=0, **settings)
+        self._max_handles = max_clients
+
+    def _process_queue(self):
+        wanted = min(len(self._requests), self._max_handles)
+        while len(self._free_list) < wanted and len(self._curls) < self._max_handles:
+            curl = self._curl_create()
+            self._curls.append(curl)
+            self._free_list.append(curl)
+        super()._process_queue()
+
     @property
     def waiting(self):
         """Number of requests that wait for a handle."""
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -338,7 +338,10 @@
 
     async def _send_heartbeats(self, peer):
         while True:
-            await self._send_heartbeat(peer)
+            if not await self._send_heartbeat(peer):
+                # The connection may have fallen silent under a healthy agent; the
+                # next one is new. Waiting first would let the agent pass for dead.
+                await self._send_heartbeat(peer)
             peer.interval_s = self._get_interval(peer)
             pause = self._align(peer.interval_s * random.uniform(0.8, 1.2))
             try:
@@ -362,6 +365,7 @@
         return max(end - now, turn / 2)
 
     async def _send_heartbeat(self, peer):
+        """Send a heartbeat, and return whether there was an answer."""
         sent_at = time.monotonic()
         message = {"known": peer.report.get("process")}
         if not self._wants_lease(peer):
@@ -375,8 +379,10 @@
                 self._agents[peer.name].report = peer.report
         except http_client.TransportError:
             self._client.distrust(peer.address)
+            return False
         except exception.ValidationError as error:
             logger.warning("fleet: {} answers nonsense. {}", peer.name, error)
+        return True
 
     def _wants_lease(self, peer):
         return peer.batch > 0 or (
