--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -36,7 +36,7 @@
 LEASE_CHECK_S = 0.1
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
-ENTRY_KNOWN_S = 20.0
+ENTRY_KNOWN_S = 60.0
 # Entries don't read these; a heartbeat answer is smaller without them.
 UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 LOW_SHARE = {"averse": 0.0, "throughput": 0.5}
