--- a/benchmarks/bench_cost.py
+++ b/benchmarks/bench_cost.py
@@ -16,8 +16,8 @@
 MOST_STREAMS = 100
 IDLE_S = 5.0
 # Bounds of the ratios, about half as high again as measured.
-MAX_ENTRY_TO_BARE = 12.0
-MAX_AGENT_TO_BARE = 12.0
+MAX_ENTRY_TO_BARE = 4.5
+MAX_AGENT_TO_BARE = 4.5
 
 
 async def measure_path():
--- a/pimentowick/batch/call.py
+++ b/pimentowick/batch/call.py
@@ -20,6 +20,8 @@
 MAX_KEPT_ANSWER = 100_000
 SETTLE_PAUSE_S = 0.5
 MAX_UNSETTLED = 10_000
+LATE_CHECK_S = 1.0
+LATE_S = 120.0
 IN_PROGRESS_RETRY_AFTER_S = 1.0
 
 
@@ -35,6 +37,7 @@
         self._settings = settings
         self._owner = owner
         self._unsettled = collections.deque()
+        self._given_up = {}
         self._added = asyncio.Event()
         self._supervisor = supervisor.Supervisor("calls")
 
@@ -42,6 +45,7 @@
         """Begin to record ends."""
         await self._supervisor.start()
         self._supervisor.start_child("settle", self._settle_always)
+        self._supervisor.start_child("late", self._watch_given_up)
 
     async def close(self):
         """Stop; ends that are not recorded stay unknown to whoever asks again."""
@@ -85,13 +89,37 @@
         except exception.LogUnavailableError as error:
             # The claim may be in the log, or come there later, and would then stand
             # in the way of every later request under this key: give it up.
-            self.settle(shard, call_id, request_id, verdict.Verdict.NOT_RUN, None)
+            self._give_up(shard, call_id, request_id)
             raise _refuse_unclaimed(str(error)) from error
         call = shard.ledger.calls[call_id]
         if call.request == request_id:
             return None
         return _answer_known(call, digest)
 
+    def _give_up(self, shard, call_id, request_id):
+        self.settle(shard, call_id, request_id, verdict.Verdict.NOT_RUN, None)
+        if len(self._given_up) >= MAX_UNSETTLED:
+            self._given_up.pop(next(iter(self._given_up)))
+        self._given_up[request_id] = (shard, call_id, time.monotonic())
+
+    async def _watch_given_up(self):
+        """End claims again that came into the log after their end.
+
+        An append whose answer was lost may land late; its end, which came first, was
+        void, and the key would answer "in progress" to everybody for good.
+        """
+        while True:
+            await asyncio.sleep(LATE_CHECK_S)
+            for request_id, entry in list(self._given_up.items()):
+                shard, call_id, since = entry
+                call = shard.ledger.calls.get(call_id)
+                if call and call.request == request_id and call.verdict is None:
+                    self.settle(
+                        shard, call_id, request_id, verdict.Verdict.NOT_RUN, None
+                    )
+                if time.monotonic() - since > LATE_S:
+                    del self._given_up[request_id]
+
     def settle(self, shard, call_id, request_id, found, answer):
         """Record how a claimed call ended, as soon as the log takes it.
 
--- a/pimentowick/batch/shard.py
+++ b/pimentowick/batch/shard.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from pimentowick import supervisor
+from pimentowick import rendezvous, supervisor
 from pimentowick.batch import ledger as batch_ledger
 from pimentowick.replication import replica as replication_replica
 
@@ -44,11 +44,7 @@
         >>> rank_entries(3, rest) == rest
         True
     """
-    return sorted(names, key=lambda name: _weigh(number, name), reverse=True)
-
-
-def _weigh(number, name):
-    return hashlib.blake2b(f"{number}/{name}".encode(), digest_size=8).digest()
+    return sorted(names, key=lambda name: rendezvous.weigh(number, name), reverse=True)
 
 
 class Shard:
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -8,13 +8,24 @@
 
 from pimentowick import client as http_client
 from pimentowick import metrics as process_metrics
+from pimentowick import tls
 from pimentowick import web as http_web
 from pimentowick.batch import call as batch_call
 from pimentowick.batch import dispatch, ownership, shard, writer
 from pimentowick.configuration import fold as configuration_fold
 from pimentowick.configuration import tokens
-from pimentowick.entry import configuration, job, online, service
+from pimentowick.entry import (
+    audit,
+    configuration,
+    job,
+    listing,
+    metered,
+    online,
+    order,
+    service,
+)
 from pimentowick.membership import fleet as membership_fleet
+from pimentowick.placement import decider
 from pimentowick.platform import adapter
 from pimentowick.replication import replica
 from pimentowick.routing import affinity, balance, limits, router
@@ -26,6 +37,8 @@
 DRAINING = "draining"
 STOPPING = "stopping"
 CONTROL_CONNECTIONS = 64
+# One long read for each shard that may be followed, and the appends.
+PLATFORM_CONNECTIONS = 256
 OPENING = "opening"
 
 
@@ -40,6 +53,7 @@
             process from earlier ones there.
         state: ``starting``, ``ready``, ``draining`` while readiness fails but
             requests are still taken, then ``stopping``.
+        stop_orders: Whatever is put here makes the process drain and end.
         configuration: The `pimentowick.configuration.fold.ConfigurationFold`.
     """
 
@@ -47,15 +61,20 @@
         self.settings = settings
         self.owner = f"{settings.name}#{secrets.token_hex(4)}"
         self.state = STARTING
+        self.stop_orders = asyncio.Queue()
         self.metrics = process_metrics.EntryMetrics()
         self.limits = limits.ConcurrencyLimits(settings.max_online)
         # One pool for each class of traffic: none waits for another one's sockets.
-        self.client = http_client.Client(CONTROL_CONNECTIONS)
-        self._online_client = http_client.Client(settings.max_online)
-        self._batch_client = http_client.Client(settings.max_batch)
+        peers = tls.make_client_tls(settings.tls)
+        self.client = http_client.Client(CONTROL_CONNECTIONS, peers)
+        self._online_client = http_client.Client(settings.max_online, peers)
+        self._batch_client = http_client.Client(settings.max_batch, peers)
+        self._platform_client = http_client.Client(
+            PLATFORM_CONNECTIONS, tls.make_client_tls(settings.platform.tls)
+        )
         # What is passed on to other entries may take long; heartbeats and appends
         # must not wait for it.
-        self.forward_client = http_client.Client(settings.max_online)
+        self.forward_client = http_client.Client(settings.max_online, peers)
         log, hosts = self._make_platform()
         self.configuration = configuration_fold.ConfigurationFold()
         self.configuration_replica = replica.Replica(
@@ -64,6 +83,14 @@
         self.fleet = membership_fleet.Fleet(
             hosts, self.client, settings, self.owner, self._is_fresh
         )
+        self.decider = decider.Decider(
+            log,
+            self.fleet,
+            self.client,
+            settings,
+            self.owner,
+            lambda: self.configuration.fleet,
+        )
         self.table = shard.ShardTable(log, self.fleet, settings, self.owner)
         self.ownership = ownership.Ownership(
             self.table, self.fleet, settings, self.owner, self.metrics
@@ -81,6 +108,7 @@
             settings.address,
             settings.port,
             settings.max_body_bytes,
+            tls.make_entry_context(settings.tls),
         )
 
     @property
@@ -92,8 +120,9 @@
         platform = self.settings.platform
         make_log = adapter.find_adapter("log", platform.log_adapter)
         make_hosts = adapter.find_adapter("hosts", platform.hosts_adapter)
-        log = make_log(platform.log, self.client)
-        return log, make_hosts(platform.hosts, self.client)
+        log = make_log(platform.log, self._platform_client)
+        log = metered.MeteredLog(log, self.metrics)
+        return log, make_hosts(platform.hosts, self._platform_client)
 
     def _is_fresh(self):
         return self.dispatcher.is_fresh()
@@ -133,11 +162,19 @@
                 ("/v1/completions", online.TextHandler, shared),
                 ("/v1/models", online.ModelsHandler, shared),
                 ("/v1/services/([^/]+)/(.*)", service.ServiceHandler, shared),
-                ("/v1/batches", job.JobsHandler, shared),
+                ("/v1/batches", listing.CallerJobsHandler, shared),
                 (job_path, job.JobHandler, shared),
                 (f"{job_path}/results", job.ResultsHandler, shared),
                 (f"{job_path}/cancel", job.CancelHandler, shared),
-                ("/v1/admin/audit", configuration.AuditHandler, shared),
+                ("/v1/audit", audit.CallerAuditHandler, shared),
+                ("/v1/admin/audit", audit.AuditHandler, shared),
+                ("/v1/admin/drain", order.DrainHandler, shared),
+                ("/v1/admin/batches", listing.OperatorJobsHandler, shared),
+                (
+                    "/v1/admin/batches/(batch_[0-9a-f]+)/cancel",
+                    order.CancelHandler,
+                    shared,
+                ),
                 ("/v1/admin/status", configuration.StatusHandler, shared),
                 (
                     "/v1/admin/(template|workspace|fleet)/([^/]+)",
@@ -148,10 +185,10 @@
                 ("/peer/stop-job", job.StopHandler, shared),
                 ("/health", HealthHandler, shared),
                 ("/ready", ReadyHandler, shared),
-                ("/metrics", process_metrics.MetricsHandler, {"metrics": self.metrics}),
+                ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
             default_handler_class=http_web.UnknownPathHandler,
-            log_function=lambda handler: None,
+            log_function=self.metrics.observe_answer,
         )
 
     async def start(self):
@@ -164,6 +201,7 @@
         await self.ownership.start()
         await self.writer.start()
         await self.dispatcher.start()
+        await self.decider.start()
         await self.calls.start()
         await self._server.start()
         self.state = READY
@@ -171,6 +209,7 @@
 
     def _list_clients(self):
         return (
+            self._platform_client,
             self.client,
             self._online_client,
             self._batch_client,
@@ -192,6 +231,7 @@
         self._server.stop_listening()
         await self.dispatcher.drain(max(0.0, deadline - loop.time()))
         await self.ownership.release_all()
+        await self.decider.release()
         cut = await self._server.drain(max(0.0, deadline - loop.time()))
         await self.calls.drain(max(0.0, deadline - loop.time()))
         if cut:
@@ -201,6 +241,7 @@
         """Stop listening and drop all connections."""
         await self._server.close()
         for part in (
+            self.decider,
             self.dispatcher,
             self.ownership,
             self.writer,
@@ -253,7 +294,6 @@
             # docs/CONFIGURATION.md.
             await follower.append([{"type": OPENING}], self.settings.append_s)
         await follower.append([record], self.settings.append_s)
-        self.metrics.configuration_version.set({}, self.configuration.version)
         return self.configuration.find_record(record["id"])
 
     async def count_in_force(self, version, wait):
--- a/pimentowick/membership/subset.py
+++ b/pimentowick/membership/subset.py
@@ -14,9 +14,10 @@
     rates", IEEE/ACM Transactions on Networking 6(1), 1998.
 """
 
-import hashlib
 import math
 
+from pimentowick import rendezvous
+
 __all__ = ["choose_agents", "count_wanted", "rank_agent"]
 
 NEAR_SHARE = 0.75
@@ -30,7 +31,7 @@
 
 def rank_agent(entry, agent):
     """Return the weight of an agent in the ranking of an entry, both by name."""
-    return hashlib.blake2b(f"{entry}/{agent}".encode(), digest_size=8).digest()
+    return rendezvous.weigh(entry, agent)
 
 
 def count_wanted(setting, agents, entries):
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -12,6 +12,7 @@
     "EntrySettings",
     "PlatformSettings",
     "TargetSettings",
+    "TlsSettings",
     "load_settings",
 ]
 
@@ -20,6 +21,16 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+class TlsSettings(_Model):
+    """Encryption between the system's own processes, and towards callers."""
+
+    certificate: str = pydantic.Field(description="PEM file of the certificate.")
+    key: str = pydantic.Field(description="PEM file of the private key.")
+    authority: str = pydantic.Field(
+        description="PEM file of the authority that signs the certificates of peers."
+    )
+
+
 class PlatformSettings(_Model):
     """Where the platform's services are."""
 
@@ -40,15 +51,8 @@
     log_record_bytes: int = pydantic.Field(
         262_144, ge=4096, description="Largest record that the log takes, in bytes."
     )
-
-
-class TlsSettings(_Model):
-    """Encryption between the system's own processes, and towards callers."""
-
-    certificate: str = pydantic.Field(description="PEM file of the certificate.")
-    key: str = pydantic.Field(description="PEM file of the private key.")
-    authority: str = pydantic.Field(
-        description="PEM file of the authority that signs the certificates of peers."
+    tls: TlsSettings | None = pydantic.Field(
+        None, description="Encryption towards the platform; absent means plain HTTP."
     )
 
 
@@ -94,6 +98,9 @@
     operators: list[OperatorSettings] = pydantic.Field(
         [], description="Operators besides those of the configuration."
     )
+    trusted_proxies: list[str] = pydantic.Field(
+        [], description="IP numbers of balancers whose X-Forwarded-For is believed."
+    )
     shards: int = pydantic.Field(
         8, ge=1, le=4096, description="Number of shards; the same on every entry."
     )
@@ -186,6 +193,12 @@
     max_batch: int = pydantic.Field(
         32, ge=0, description="Most batch items at the target at once."
     )
+    max_running: int = pydantic.Field(
+        64, ge=1, description="Most requests that the target runs at once."
+    )
+    max_models: int = pydantic.Field(
+        1, ge=1, description="Most models that the target holds at once."
+    )
     max_queue: int = pydantic.Field(
         256, ge=0, description="Most online requests that wait for the target."
     )
@@ -207,6 +220,23 @@
     idle_s: float = pydantic.Field(
         5.0, gt=0, description="Longest silence of the target's answer, in seconds."
     )
+    weights: str | None = pydantic.Field(
+        None,
+        description="IP:port of the weight store; absent means that the engine"
+        " fetches weights itself.",
+    )
+    weights_adapter: str = pydantic.Field(
+        "http", description="http, or module:Class of another adapter of the store."
+    )
+    transfer_s: float = pydantic.Field(
+        600.0, gt=0, description="Longest transfer of weights, in seconds."
+    )
+    order_settle_s: float = pydantic.Field(
+        10.0,
+        ge=0,
+        description="Longest time that an engine works on an order whose sender is"
+        " gone, in seconds; a new agent waits as long before it gives any.",
+    )
     batch_harm: str = pydantic.Field(
         "averse",
         pattern="^(averse|throughput)$",
