--- a/benchmarks/capacity_platform.py
+++ b/benchmarks/capacity_platform.py
@@ -122,9 +122,9 @@
 class _CountingAgent(agent_daemon.Agent):
     heartbeats = 0
 
-    def answer_heartbeat(self, known):
+    def answer_heartbeat(self, entry, known):
         self.heartbeats += 1
-        return super().answer_heartbeat(known)
+        return super().answer_heartbeat(entry, known)
 
 
 async def _run_agents(count):
--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -41,6 +41,7 @@
 LEASE_CHECK_S = 0.1
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
+ENTRY_KNOWN_S = 60.0
 # Entries don't read these; a heartbeat answer is smaller without them.
 UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 
@@ -63,6 +64,7 @@
         self.state = STARTING
         self.stop_orders = process_daemon.StopOrders()
         self._process = secrets.token_hex(4)
+        self._heard = {}
         self._revision = 0
         self._rest = {}
         self.running = set()
@@ -252,13 +254,16 @@
         version = f"{self._process}.{self._revision}"
         return {**rest, "version": version, **self._describe_changing()}
 
-    def answer_heartbeat(self, known):
+    def answer_heartbeat(self, entry, known):
         """Return what to tell an entry.
 
         Args:
+            entry: Name of the entry's process.
             known: Version of what this agent told the entry before, or None. What
                 seldom changes is left out while it is the same.
         """
+        self._heard.pop(entry, None)
+        self._heard[entry] = time.monotonic()
         answer = self.describe()
         if known != answer["version"]:
             return answer
@@ -292,11 +297,20 @@
             "batch_free": admission.count_free_batch(),
             "batch_served": admission.tally.describe(),
             "wait_s": round(admission.estimate_wait(), 3),
-            "entries": max(1, self.leases.count()),
+            "entries": max(1, self.count_entries()),
+            "holders": max(1, self.leases.count()),
             "cache_life_s": self.cache_lifetime.estimate(),
             "demand": usage.count_demand(self.running),
         }
 
+    def count_entries(self):
+        """Return how many entries sent a heartbeat lately."""
+        limit = time.monotonic() - ENTRY_KNOWN_S
+        # The one heard longest ago stands first.
+        while self._heard and next(iter(self._heard.values())) < limit:
+            self._heard.pop(next(iter(self._heard)))
+        return len(self._heard)
+
     async def _drain_model(self, kind, name):
         await usage.drain(self.running, kind, name, self.settings.drain_s)
 
@@ -429,7 +443,7 @@
     def post(self):
         """Answer a heartbeat."""
         data = self.read_json()
-        answer = self.agent.answer_heartbeat(data.get("known"))
+        answer = self.agent.answer_heartbeat(data["entry"], data.get("known"))
         if data.get("renew") is not None:
             answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
         for name in UNUSED_HEADERS:
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -180,6 +180,7 @@
         self._pools = {}
         self.read_at = None
         self.ejections = 0
+        self._sees_all = False
         self._hosts = hosts
         self._client = client
         self._settings = settings
@@ -232,7 +233,7 @@
             return
         agent.host = host
         peer = self.peers.get(name)
-        if peer is not None and peer.host != host:
+        if peer is not None and peer.address == host.address and peer.host != host:
             # The failure domain or the state may be another one.
             self._leave_pools(peer)
             peer.host = host
@@ -294,12 +295,23 @@
             if agent.served in ranked:
                 ranked[agent.served].append((agent.rank, agent.host))
         for pairs in ranked.values():
-            count = subset.count_wanted(
-                self._settings.peers_per_service, len(pairs), len(self.entries)
-            )
+            count = len(pairs)
+            if not self._sees_all:
+                count = subset.count_wanted(
+                    self._settings.peers_per_service, count, len(self.entries)
+                )
             chosen = subset.choose_agents(pairs, self._settings.failure_domain, count)
             self._keep_peers({host.name for _, host in pairs}, chosen)
 
+    def see_all(self, wanted):
+        """Talk to all agents, or to a bounded number of each service again.
+
+        Who decides on the placement has to know all engines.
+        """
+        if wanted != self._sees_all:
+            self._sees_all = wanted
+            self._choose_peers({agent.served for agent in self._agents.values()})
+
     def _keep_peers(self, names, chosen):
         wanted = {host.name for host in chosen}
         for host in chosen:
@@ -318,10 +330,9 @@
             self._leave_pools(peer)
         peer = Peer(host)
         agent = self._agents[host.name]
+        self.peers[host.name] = peer
         self._take_report(peer, agent.report, agent.asked_at)
         peer.heard_at = agent.asked_at
-        self.peers[host.name] = peer
-        self._index(peer)
         logger.info("fleet: Agent {} is at {}.", host.name, host.address)
         self._supervisor.start_child(host.name, self._send_heartbeats, peer)
 
@@ -350,7 +361,10 @@
 
     async def _send_heartbeats(self, peer):
         while True:
-            await self._send_heartbeat(peer)
+            if not await self._send_heartbeat(peer):
+                # The connection may have fallen silent under a healthy agent; the
+                # next one is new. Waiting first would let the agent pass for dead.
+                await self._send_heartbeat(peer)
             peer.interval_s = self._get_interval(peer)
             pause = self._align(peer.interval_s * random.uniform(0.8, 1.2))
             try:
@@ -374,6 +388,7 @@
         return max(end - now, turn / 2)
 
     async def _send_heartbeat(self, peer):
+        """Send a heartbeat, and return whether there was an answer."""
         sent_at = time.monotonic()
         message = {"known": peer.report.get("version")}
         if not self._wants_lease(peer):
@@ -387,8 +402,10 @@
                 self._agents[peer.name].report = peer.report
         except http_client.TransportError:
             self._client.distrust(peer.address)
+            return False
         except exception.ValidationError as error:
             logger.warning("fleet: {} answers nonsense. {}", peer.name, error)
+        return True
 
     def _wants_lease(self, peer):
         return peer.batch > 0 or (
@@ -434,7 +451,7 @@
             peer.lease = lease
             peer.lease_since = sent_at
         report = peer.report
-        share = report.get("batch_free", 0) // max(1, report.get("entries", 1))
+        share = report.get("batch_free", 0) // max(1, report.get("holders", 1))
         peer.window = peer.batch + share
         if report.get("batch_free") and not share and peer.batch == 0:
             # Fewer free places than entries: whoever comes first takes one.
