--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -80,22 +80,19 @@
         return text if text and self._is_proxy(address) else address
 
     def _is_proxy(self, address):
-        if address in self.entry.settings.trusted_proxies:
-            return True
-        if self.entry.settings.tls is not None:
-            return self.is_peer()
-        entries = self.entry.fleet.entries.values()
-        return address in {host.address.rpartition(":")[0] for host in entries}
+        return address in self.entry.settings.trusted_proxies or self.is_peer()
 
     def is_peer(self):
         """Return whether a process of the system asks, as far as that is checked.
 
-        Without encryption nothing tells peers from callers here; then the network
-        has to.
+        Without encryption only the address tells: a caller elsewhere must not read
+        what all workspaces have, and a caller on an entry host could.
         """
-        if self.entry.settings.tls is None:
-            return True
-        return bool(self.request.get_ssl_certificate())
+        if self.entry.settings.tls is not None:
+            return bool(self.request.get_ssl_certificate())
+        hosts = self.entry.fleet.entries.values()
+        known = {host.address.rpartition(":")[0] for host in hosts}
+        return self.request.remote_ip in known
 
     async def ask_entries(self, path):
         """Ask all other entries the same, with the token of this request.
--- a/pimentowick/tests/test_tls.py
+++ b/pimentowick/tests/test_tls.py
@@ -1,9 +1,9 @@
 """Encryption: who is let in, and that nothing secret is written down."""
 
 import asyncio
-import subprocess
 
 import pytest
+import trustme
 from cleo.io.inputs import argv_input
 from cleo.io.outputs import buffered_output
 from loguru import logger
@@ -17,25 +17,11 @@
 from pimentowick.fakes import hosts as fake_hosts
 from pimentowick.fakes import log as fake_log
 
-NEW_KEY = ("-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes")
-
-
-def call_openssl(directory, *words):
-    subprocess.run(["openssl", *words], cwd=directory, check=True, capture_output=True)
-
-
-def make_authority(directory, name):
-    files = ("-keyout", f"{name}.key", "-out", f"{name}.pem")
-    call_openssl(directory, "req", "-x509", *NEW_KEY, "-subj", f"/CN={name}", *files)
-
 
 def make_certificate(directory, name, authority, address="127.0.0.1"):
-    files = ("-keyout", f"{name}.key", "-out", f"{name}.csr")
-    call_openssl(directory, "req", *NEW_KEY, "-subj", f"/CN={name}", *files)
-    (directory / "names").write_text(f"subjectAltName=IP:{address}\n")
-    signer = ("-CA", f"{authority}.pem", "-CAkey", f"{authority}.key")
-    files = ("-in", f"{name}.csr", "-out", f"{name}.pem", "-extfile", "names")
-    call_openssl(directory, "x509", "-req", *signer, "-CAcreateserial", *files)
+    made = authority.issue_cert(address, common_name=name)
+    made.private_key_pem.write_to_path(directory / f"{name}.key")
+    made.cert_chain_pems[0].write_to_path(directory / f"{name}.pem")
 
 
 def describe_files(directory, name, authority="fleet"):
@@ -49,11 +35,12 @@
 @pytest.fixture(scope="module")
 def keys(tmp_path_factory):
     directory = tmp_path_factory.mktemp("keys")
-    for authority in ("fleet", "other"):
-        make_authority(directory, authority)
-    make_certificate(directory, "host", "fleet")
-    make_certificate(directory, "stranger", "other")
-    make_certificate(directory, "elsewhere", "fleet", "127.0.0.9")
+    fleet, other = trustme.CA(), trustme.CA()
+    fleet.cert_pem.write_to_path(directory / "fleet.pem")
+    other.cert_pem.write_to_path(directory / "other.pem")
+    make_certificate(directory, "host", fleet)
+    make_certificate(directory, "stranger", other)
+    make_certificate(directory, "elsewhere", fleet, "127.0.0.9")
     return directory
 
 
