--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Two commands do everything on a machine with Python 3.11 and make:
-# `make test` and `make demo`. `make bench` measures, `make plots` draws.
+# `make test` and `make demo`. `make bench` measures.
 
 PYTHON ?= python3
 VENV := .venv
--- a/benchmarks/bench_cost.py
+++ b/benchmarks/bench_cost.py
@@ -91,6 +91,20 @@
     """Print the costs and return whether the bounds hold."""
     base = asyncio.run(cost_relay.measure_base())
     found = asyncio.run(measure_path())
+    _print_requests(base, found)
+    _print_chunks(base, found)
+    _print_daemons(found)
+    bare = base["bare"]
+    sizes = [value for name, value in found.items() if name.endswith("_memory")]
+    return (
+        max(sizes) <= MEMORY_LIMIT
+        and found["entry_request"] <= MAX_ENTRY_TO_BARE * bare
+        and found["agent_request"] <= MAX_AGENT_TO_BARE * bare
+        and base["chunk_together"] < base["chunk_apart"]
+    )
+
+
+def _print_requests(base, found):
     bare = base["bare"]
     print(f"{'bare tornado handler, a request':<44}{bare * 1e6:9.0f} us   1.0")
     for title, value in (
@@ -99,15 +113,20 @@
         ("agent, an online request", found["agent_request"]),
     ):
         print(f"{title:<44}{value * 1e6:9.0f} us  {value / bare:4.1f}")
-    apart, together = base["chunk_apart"], base["chunk_together"]
+
+
+def _print_chunks(base, found):
     for title, value in (
         (f"entry, a chunk of {STREAMS} streams of 34 ms", found["entry_chunk"]),
         (f"agent, a chunk of {STREAMS} streams of 34 ms", found["agent_chunk"]),
-        ("relay of a line, each written alone", apart),
-        ("relay of a line, those together written once", together),
+        ("relay of a line, each written alone", base["chunk_apart"]),
+        ("relay of a line, those together written once", base["chunk_together"]),
     ):
-        print(f"{title:<44}{value * 1e6:9.0f} us  {value / bare:4.2f}")
+        print(f"{title:<44}{value * 1e6:9.0f} us  {value / base['bare']:4.2f}")
     print(f"{'tokens in one chunk at the caller':<44}{found['tokens_per_chunk']:9.2f}")
+
+
+def _print_daemons(found):
     for role in ("entry", "agent"):
         print(f"{role + ', idle':<44}{found[role + '_idle_cpu']:9.2%} of a core")
         for state in ("idle", "stream"):
@@ -116,10 +135,3 @@
     for name in ("median", "p99"):
         added = found[f"added_{name}"] * 1e3
         print(f"{'added to a direct call, ' + name:<44}{added:9.2f} ms")
-    sizes = [value for name, value in found.items() if name.endswith("_memory")]
-    return (
-        max(sizes) <= MEMORY_LIMIT
-        and found["entry_request"] <= MAX_ENTRY_TO_BARE * bare
-        and found["agent_request"] <= MAX_AGENT_TO_BARE * bare
-        and together < apart
-    )
--- a/benchmarks/bench_policy.py
+++ b/benchmarks/bench_policy.py
@@ -95,13 +95,24 @@
 
 def list_missed(rate, rows, spreads):
     """Return a line for each bound that is missed."""
+    ceilings = [
+        *_list_ceilings(rows),
+        *((f"spread of {name}", spread, MOST_SPREAD) for name, spread in spreads),
+    ]
+    floors = _list_floors(rate, rows)
+    missed = [f"{n}: {v:.3f} above {bound}" for n, v, bound in ceilings if v > bound]
+    missed += [f"{n}: {v:.3f} below {bound}" for n, v, bound in floors if v < bound]
+    return missed
+
+
+def _list_ceilings(rows):
+    """Return name, value and greatest value of the harms that are bounded."""
     none = rows["steady", "none"]
     averse = rows["steady", "averse"]
     throughput = rows["steady", "throughput"]
-    bursty = rows["bursty", "averse"]
     long_none = rows["long bursts", "none"]
     long_bursts = rows["long bursts", "averse"]
-    checks = [
+    return [
         ("averse gap p99", averse.compute_ratios(none, "gap_ms")[2], MOST_AVERSE_GAP),
         (
             "averse first p99",
@@ -118,9 +129,16 @@
             long_bursts.compute_ratios(long_none, "burst_ms")[0],
             MOST_LONG_BURST,
         ),
-        *((f"spread of {name}", spread, MOST_SPREAD) for name, spread in spreads),
     ]
-    floors = [
+
+
+def _list_floors(rate, rows):
+    """Return name, value and least value of the harvests that are bounded."""
+    none = rows["steady", "none"]
+    averse = rows["steady", "averse"]
+    throughput = rows["steady", "throughput"]
+    bursty = rows["bursty", "averse"]
+    return [
         ("averse harvest", averse.compute_harvest(rate, none), LEAST_AVERSE_HARVEST),
         ("free harvest", bursty.compute_free_harvest(rate), LEAST_FREE_HARVEST),
         (
@@ -129,6 +147,3 @@
             LEAST_THROUGHPUT_HARVEST,
         ),
     ]
-    missed = [f"{n}: {v:.3f} above {bound}" for n, v, bound in checks if v > bound]
-    missed += [f"{n}: {v:.3f} below {bound}" for n, v, bound in floors if v < bound]
-    return missed
--- a/benchmarks/policy_fairness.py
+++ b/benchmarks/policy_fairness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 
 from benchmarks import policy_traffic
@@ -45,6 +46,16 @@
     return spreads
 
 
+async def _request(engine, scheme, served, workspace, number):
+    """Send one online request and count the lines of tokens that it gets."""
+    work = policy_traffic.make_work(
+        "online", number, "x" * 400, TOKENS, workspace=workspace
+    )
+    with contextlib.suppress(exception.RefusedError):
+        async for line in work.run(engine, scheme):
+            served[workspace] += b'"texts"' in line
+
+
 async def _run_online():
     engine = simulation.SimulatedEngine()
     await engine.start()
@@ -56,22 +67,14 @@
     rng = random.Random(1)
     tasks = set()
 
-    async def request(workspace, number):
-        work = policy_traffic.make_work(
-            "online", number, "x" * 400, TOKENS, workspace=workspace
-        )
-        try:
-            async for line in work.run(engine, scheme):
-                served[workspace] += b'"texts"' in line
-        except exception.RefusedError:
-            return
-
     async def send(workspace, rate):
         number = 0
         while True:
             await asyncio.sleep(rng.expovariate(rate))
             number += 1
-            task = asyncio.ensure_future(request(workspace, f"{workspace}{number}"))
+            name = f"{workspace}{number}"
+            request = _request(engine, scheme, served, workspace, name)
+            task = asyncio.ensure_future(request)
             tasks.add(task)
             task.add_done_callback(tasks.discard)
 
--- a/pimentowick/fakes/deployment.py
+++ b/pimentowick/fakes/deployment.py
@@ -244,12 +244,6 @@
             process.handle.kill()
             return await process.handle.wait()
 
-    async def order_fault(self, name, kind, **fields):
-        """Give a stand-in a fault order; see docs/PLATFORM.md."""
-        await self.client.fetch(
-            "POST", self.processes[name].address, "/fault", {"kind": kind, **fields}
-        )
-
     async def fetch(self, entry, method, path, body=None, token=None, **fields):
         """Send a request to an entry, by its number among the running ones."""
         headers = dict(fields.pop("headers", {}))
--- a/pimentowick/scheduling/additive.py
+++ b/pimentowick/scheduling/additive.py
@@ -1,5 +1,7 @@
 """A limit that grows by one at a time and halves when steps become too long.
 
+Only benchmarks use it, to compare `pimentowick.scheduling.model` with.
+
 References:
     D.-M. Chiu and R. Jain, "Analysis of the increase and decrease algorithms for
     congestion avoidance in computer networks", Computer Networks and ISDN Systems
--- a/pimentowick/scheduling/gradient.py
+++ b/pimentowick/scheduling/gradient.py
@@ -1,5 +1,7 @@
 """A limit that follows the ratio of the shortest to the present step time.
 
+Only benchmarks use it, to compare `pimentowick.scheduling.model` with.
+
 Notes:
     The shortest step stands for an engine without batch. The ratio falls below one
     as steps grow; the limit is multiplied by it, and the square root of the limit is
--- a/pimentowick/scheduling/limiter.py
+++ b/pimentowick/scheduling/limiter.py
@@ -1,4 +1,8 @@
-"""How many batch items may run at an engine beside online requests."""
+"""How many batch items may run at an engine beside online requests.
+
+Agents use `pimentowick.scheduling.model.ModelLimiter`. The limiters here, and those of
+`additive` and `gradient`, are what ``python -m benchmarks policy`` compares it with.
+"""
 
 import abc
 
--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -92,26 +92,25 @@
 
 def test_api_page_names_every_error_with_its_status():
     rows = set(CODE_ROW.findall(pages.read_page("API.md")))
-    found = {}
+    found = set()
     for path in (pages.ROOT / "pimentowick").rglob("*.py"):
         if OTHER_PARTS.isdisjoint(path.relative_to(pages.ROOT).parts):
             found.update(find_codes(ast.parse(path.read_text(encoding="utf-8"))))
     assert len(found) > 30
-    for code, status in found.items():
-        assert (code, status) in rows
+    assert found <= rows
     text = "".join(
         path.read_text(encoding="utf-8")
         for path in (pages.ROOT / "pimentowick").rglob("*.py")
         if "tests" not in path.parts
     )
-    for code, _ in rows - set(found.items()):
+    for code, _ in rows - found:
         # Those whose kind is filled in, such as unknown_model.
         assert f'"{code}"' in text or 'f"unknown_{kind}"' in text
 
 
 def find_codes(tree):
-    """Return status by code of the refusals that a module writes out."""
-    found = {}
+    """Return pairs of code and status of the refusals that a module writes out."""
+    found = set()
     for node in ast.walk(tree):
         if not isinstance(node, ast.Call):
             continue
@@ -119,9 +118,9 @@
         values = [getattr(each, "value", None) for each in node.args]
         if name == "Refusal" and len(values) > 1 and isinstance(values[1], str):
             if values[0] is not None:
-                found[values[1]] = str(values[0])
+                found.add((values[1], str(values[0])))
         elif name == "refuse_input" and len(values) > 1:
-            found[values[1]] = str(values[2] if len(values) > 2 else 400)
+            found.add((values[1], str(values[2] if len(values) > 2 else 400)))
     return found
 
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -15,6 +15,8 @@
 
 from pimentowick.fakes import deployment, engine
 
+__all__ = ["run"]
+
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 ITEMS = 300
 ONLINE_CALLS = 60
--- a/scripts/fault_run.py
+++ b/scripts/fault_run.py
@@ -12,6 +12,8 @@
 
 from pimentowick.fakes import fault_run
 
+__all__ = ["run"]
+
 MAX_SEED = 1_000_000
 
 
--- a/scripts/serve.py
+++ b/scripts/serve.py
@@ -8,6 +8,8 @@
 from pimentowick.cli import secret
 from pimentowick.fakes import deployment
 
+__all__ = ["serve"]
+
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 ENVIRONMENT = "environment"
 
