--- a/benchmarks/cost_path.py
+++ b/benchmarks/cost_path.py
@@ -12,7 +12,7 @@
 from pimentowick.configuration import tokens
 from pimentowick.fakes import embedded
 
-__all__ = ["Path", "Usage"]
+__all__ = ["STEP_MS", "STREAM_TOKENS", "Path", "Usage", "get_percentile"]
 
 MODEL = "lm"
 STEP_MS = 34
--- a/benchmarks/policy_runs.py
+++ b/benchmarks/policy_runs.py
@@ -17,6 +17,7 @@
 from pimentowick.scheduling import additive, admission, gradient, limiter, model
 
 __all__ = [
+    "MAX_BATCH",
     "POLICIES",
     "TRAFFIC",
     "Policy",
--- a/benchmarks/policy_traffic.py
+++ b/benchmarks/policy_traffic.py
@@ -8,7 +8,7 @@
 from pimentowick.agent import work as agent_work
 from pimentowick.platform import engine as platform_engine
 
-__all__ = ["Item", "Outcome", "Traffic", "drive", "make_work"]
+__all__ = ["MODEL", "WARM_UP_S", "Item", "Outcome", "Traffic", "drive", "make_work"]
 
 HEARTBEAT_S = 0.5
 MESSAGE_S = 0.001
--- a/pimentowick/cli/amend.py
+++ b/pimentowick/cli/amend.py
@@ -4,7 +4,7 @@
 
 from pimentowick.cli import base, documents
 
-__all__ = ["Amend"]
+__all__ = ["Amend", "parse_parameters"]
 
 LATEST = "latest"
 
@@ -46,8 +46,7 @@
         if not documents.show_difference(self, document["body"], body):
             self.show({"version": document["version"]}, "Nothing to publish.")
             return
-        if not self.ask(f"Publish this change of {kind} {name}?"):
-            base.fail_usage("Nothing was published.")
+        documents.ask_to_publish(self, f"Publish this change of {kind} {name}?")
         amends = self._read_amends(document["version"])
         await documents.put_document(self, link, kind, name, amends, body)
 
--- a/pimentowick/cli/audit.py
+++ b/pimentowick/cli/audit.py
@@ -5,7 +5,7 @@
 
 from pimentowick.cli import base, connection, table
 
-__all__ = ["Audit"]
+__all__ = ["Audit", "parse_time"]
 
 UNITS_S = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
 
--- a/pimentowick/cli/base.py
+++ b/pimentowick/cli/base.py
@@ -17,7 +17,11 @@
 from pimentowick.cli import connection, outcome
 
 __all__ = [
+    "JSON_OPTION",
+    "OPERATOR_OPTION",
+    "YES_OPTION",
     "Command",
+    "CommandError",
     "FleetCommand",
     "OfflineCommand",
     "choose_path",
--- a/pimentowick/cli/documents.py
+++ b/pimentowick/cli/documents.py
@@ -1,11 +1,15 @@
 """Looking documents up, and changing them with the difference shown first."""
 
-from pimentowick.cli import base, connection
-from pimentowick.configuration import change
+from pimentowick.cli import base
+from pimentowick.configuration import change, document
 
 __all__ = [
+    "FILE_ARGUMENT",
     "KIND_ARGUMENT",
     "NAME_ARGUMENT",
+    "ask_to_publish",
+    "change_workspace",
+    "check_kind",
     "fetch_body",
     "fetch_document",
     "fill_body",
@@ -13,7 +17,6 @@
     "show_difference",
 ]
 
-KINDS = ("template", "workspace", "fleet")
 KIND_ARGUMENT = base.get_argument("kind", "template, workspace or fleet.")
 NAME_ARGUMENT = base.get_argument("name", "Name of the document; fleet for the fleet.")
 FILE_ARGUMENT = base.get_argument("file", "YAML or JSON file of the body; - for stdin.")
@@ -26,7 +29,7 @@
     Raises:
         CommandError: It is none of the three.
     """
-    if kind not in KINDS:
+    if kind not in document.KINDS:
         base.fail_usage(f"{kind}: Expected template, workspace or fleet.")
 
 
@@ -45,8 +48,8 @@
     check_kind(kind)
     found = await link.fetch_json("GET", f"/v1/admin/{kind}/{name}")
     if found.map(bool).value_or(False):
-        document = found.unwrap()
-        return document["version"], document["body"]
+        in_force = found.unwrap()
+        return in_force["version"], in_force["body"]
     if found.failure().code == "unknown":
         return 0, None
     base.unwrap(found)
@@ -81,6 +84,16 @@
     return bool(lines)
 
 
+def ask_to_publish(command, question):
+    """Ask whether to publish what was shown.
+
+    Raises:
+        CommandError: The user does not agree, or nobody can be asked.
+    """
+    if not command.ask(question):
+        base.fail_usage("Nothing was published.")
+
+
 async def put_document(command, link, kind, name, amends, body):
     """Publish a body and show what became of it.
 
@@ -110,15 +123,9 @@
     Raises:
         CommandError: It was refused, or that is not known.
     """
-    document = await fetch_document(link, "workspace", name)
-    body = edit(dict(document["body"]))
-    if not show_difference(command, document["body"], body):
+    in_force = await fetch_document(link, "workspace", name)
+    body = edit(dict(in_force["body"]))
+    if not show_difference(command, in_force["body"], body):
         return
-    if not command.ask("Publish this?"):
-        base.fail_usage("Nothing was published.")
-    await put_document(command, link, "workspace", name, document["version"], body)
-
-
-def make_audit_path(**fields):
-    """Return the path of an audit query of an operator."""
-    return connection.make_path("/v1/admin/audit", **fields)
+    ask_to_publish(command, "Publish this?")
+    await put_document(command, link, "workspace", name, in_force["version"], body)
--- a/pimentowick/cli/history.py
+++ b/pimentowick/cli/history.py
@@ -1,6 +1,6 @@
 """``pimentowick history``: the changes of one document."""
 
-from pimentowick.cli import base, documents, table
+from pimentowick.cli import base, connection, documents, table
 
 __all__ = ["History"]
 
@@ -17,6 +17,6 @@
         """Print the notes about the document."""
         kind, name = self.argument("kind"), self.argument("name")
         documents.check_kind(kind)
-        path = documents.make_audit_path(kind=kind, name=name)
+        path = connection.make_path("/v1/admin/audit", kind=kind, name=name)
         answer = base.unwrap(await link.fetch_json("GET", path))
         self.show(answer, table.format_notes(answer["audit"]))
--- a/pimentowick/cli/job_submit.py
+++ b/pimentowick/cli/job_submit.py
@@ -32,6 +32,7 @@
         headers = {"Idempotency-Key": self.option("key")}
         if self.option("deadline-in"):
             now = time.time()
+            # Read as an age such as 6h: what lies so far behind lies as far ahead.
             left = now - audit.parse_time(self.option("deadline-in"), now)
             headers["X-Deadline"] = str(now + left)
         lines = _read_bytes(self.argument("file"))
--- a/pimentowick/cli/publish.py
+++ b/pimentowick/cli/publish.py
@@ -28,6 +28,5 @@
         given = base.read_mapping(self.argument("file"))
         body = await documents.fill_body(link, kind, given, None)
         documents.show_difference(self, None, body)
-        if not self.ask(f"Publish this as {kind} {name}?"):
-            base.fail_usage("Nothing was published.")
+        documents.ask_to_publish(self, f"Publish this as {kind} {name}?")
         await documents.put_document(self, link, kind, name, 0, body)
--- a/pimentowick/configuration/document.py
+++ b/pimentowick/configuration/document.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "KINDS",
+    "ORDER",
     "AuditEntry",
     "Document",
     "Envelope",
--- a/pimentowick/configuration/tokens.py
+++ b/pimentowick/configuration/tokens.py
@@ -10,7 +10,14 @@
 from pimentowick import exception
 from pimentowick.configuration import border
 
-__all__ = ["Entry", "EntryBody", "check_token", "index_entries", "make_token"]
+__all__ = [
+    "SEPARATOR",
+    "Entry",
+    "EntryBody",
+    "check_token",
+    "index_entries",
+    "make_token",
+]
 
 ID_BYTES = 8
 SALT_BYTES = 16
--- a/pimentowick/configuration/workspace.py
+++ b/pimentowick/configuration/workspace.py
@@ -55,8 +55,8 @@
         models: `ModelUse` by model name; others are refused.
         services: `ServiceUse` by service name; others are refused.
         max_online_concurrent: Most online requests at a time.
-        batch_harm: Whether its batch work is "averse" to running twice, or
-            prefers "throughput".
+        batch_harm: "averse" or "throughput". Nothing reads it: the agent's setting of
+            this name counts. The key stays because templates in the log may have it.
         max_jobs_open: Most batch jobs that are not finished.
         tokens: `tokens.Entry` by token id.
         stopped: Whether all its requests are refused.
--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -17,7 +17,7 @@
 from pimentowick.entry import daemon as entry_daemon
 from pimentowick.fakes import engine, hosts, log, service
 
-__all__ = ["Embedded", "make_job_lines", "run"]
+__all__ = ["MODEL", "SERVICE", "TEMPLATE", "Embedded", "make_job_lines", "run"]
 
 MODEL = "lm"
 SERVICE = "desk"
--- a/pimentowick/fakes/engine.py
+++ b/pimentowick/fakes/engine.py
@@ -14,7 +14,7 @@
 
 from pimentowick.fakes import faults, lag, server
 
-__all__ = ["Engine", "expect_text", "hash_blocks", "make_token"]
+__all__ = ["BLOCK_CHARACTERS", "Engine", "expect_text", "hash_blocks", "make_token"]
 
 BLOCK_CHARACTERS = 64
 BLOCK_DIGITS = 16
--- a/pimentowick/fakes/log.py
+++ b/pimentowick/fakes/log.py
@@ -11,7 +11,7 @@
 
 from pimentowick.fakes import faults, server
 
-__all__ = ["Log", "RateError", "SizeError"]
+__all__ = ["DEFAULT_LIMIT", "Log", "RateError", "SizeError"]
 
 DEFAULT_LIMIT = 500
 
--- a/pimentowick/load/experiment.py
+++ b/pimentowick/load/experiment.py
@@ -6,7 +6,15 @@
 
 from pimentowick.load import arrival, prompt
 
-__all__ = ["Batch", "Experiment", "Traffic", "make_arrival", "make_prompts"]
+__all__ = [
+    "ArrivalSettings",
+    "Batch",
+    "Experiment",
+    "PromptSettings",
+    "Traffic",
+    "make_arrival",
+    "make_prompts",
+]
 
 Positive = typing.Annotated[float, pydantic.Field(gt=0)]
 Count = typing.Annotated[int, pydantic.Field(ge=1)]
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -11,12 +11,12 @@
 from pimentowick.routing import prefix as routing_prefix
 from pimentowick.routing import retry
 
-__all__ = ["Request", "Router"]
+__all__ = ["Request", "Router", "make_generate_request"]
 
 ONLINE = "online"
 RETRY_PAUSE_S = 0.02
 NO_TARGET_RETRY_AFTER_S = 1.0
-# Verdicts that blame the agent or its target, not the request or their load.
+# Codes of refusals that blame the agent or its target, not the request or the load.
 LOST_CODES = frozenset(["agent_lost", "agent_silent", "target_lost", "internal"])
 
 
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -10,10 +10,12 @@
 __all__ = [
     "AgentSettings",
     "EntrySettings",
+    "OperatorSettings",
     "PlatformSettings",
     "TargetSettings",
     "TlsSettings",
     "load_settings",
+    "parse_settings",
 ]
 
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -20,6 +20,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 ITEMS = 300
 ONLINE_CALLS = 60
+CONFIRMED_CALLS = 10
 MAX_TOKENS = 24
 TIMEOUT_S = 120.0
 SEED = 7
@@ -128,6 +129,17 @@
     return faults
 
 
+def start_calls(fleet, model, service):
+    """Start the online calls of all workspaces, and return their tasks."""
+    tokens = list(fleet.workspace_tokens.values())
+    calls = [
+        call_online(fleet, model, tokens[i % len(tokens)], sentence, i)
+        for i, sentence in enumerate(read_sentences(ONLINE_CALLS))
+    ]
+    calls += [confirm(fleet, service, tokens[0], i) for i in range(CONFIRMED_CALLS)]
+    return [asyncio.create_task(call) for call in calls]
+
+
 async def run(path):
     """Run the main job, and return the list of what went wrong."""
     topology = deployment.load_topology(path)
@@ -140,22 +152,11 @@
         await fleet.publish()
         count = len(fleet.processes)
         print(f"{count} processes run after {time.monotonic() - began:.1f} s.")
-        names = list(topology["workspaces"])
-        token = fleet.workspace_tokens[names[0]]
+        token = next(iter(fleet.workspace_tokens.values()))
         sentences = read_sentences(ITEMS)
         job_id = await submit(fleet, token, make_lines(model, sentences))
         print(f"Job {job_id} with {ITEMS} items is accepted, once for two submissions.")
-        calls = [
-            asyncio.create_task(
-                call_online(
-                    fleet, model, fleet.workspace_tokens[names[i % len(names)]], s, i
-                )
-            )
-            for i, s in enumerate(read_sentences(ONLINE_CALLS))
-        ]
-        calls += [
-            asyncio.create_task(confirm(fleet, service, token, i)) for i in range(10)
-        ]
+        calls = start_calls(fleet, model, service)
         await wait_for_job(fleet, token, job_id, ITEMS // 4)
         victim = f"agent-{model}-0"
         await fleet.kill(victim)
