--- a/pimentowick/configuration/document.py
+++ b/pimentowick/configuration/document.py
@@ -98,7 +98,7 @@
 
     Attributes:
         operators: `tokens.Entry` by token id.
-        shards: Number of shards of the batch work.
+        shards: Without effect; the settings of the entries count.
         models: `PlacedModel` by name; empty means that nothing is placed.
         max_loads: Most loads at once, for the sake of the weight store.
     """
--- a/pimentowick/configuration/workspace.py
+++ b/pimentowick/configuration/workspace.py
@@ -36,7 +36,7 @@
     Attributes:
         idempotent: Whether a request may safely run twice.
         deadline_s: Seconds that a request may take.
-        max_concurrent: Most requests at a time, or None for no own limit.
+        max_concurrent: Most requests at a time, or None; not enforced.
     """
 
     idempotent: bool = False
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -192,7 +192,9 @@
         "http", description="http, or module:Class of another adapter of the target."
     )
     checks_fence: bool = pydantic.Field(
-        False, description="Whether the target refuses an old fencing number."
+        False,
+        description="Whether the target refuses an old fencing number; nothing depends"
+        " on it.",
     )
     max_online: int = pydantic.Field(
         64, ge=1, description="Most online requests at the target at once."
