--- a/pimentowick/configuration/document.py
+++ b/pimentowick/configuration/document.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "KINDS",
+    "ORDER",
     "AuditEntry",
     "Document",
     "Envelope",
@@ -97,7 +98,7 @@
 
     Attributes:
         operators: `tokens.Entry` by token id.
-        shards: Number of shards of the batch work.
+        shards: Without effect; the settings of the entries count.
         models: `PlacedModel` by name; empty means that nothing is placed.
         max_loads: Most loads at once, for the sake of the weight store.
     """
