Test a stale owner's record that lands after the next claim

Change: the old owner's append is held before the log until another one has claimed the shard and has results of its own.

--- a/pimentowick/entry/tests/durability.py
+++ b/pimentowick/entry/tests/durability.py
@@ -4,9 +4,18 @@
 import collections
 
 from pimentowick import exception
+from pimentowick.batch import record as batch_record
 from pimentowick.fakes import embedded, engine
 
-__all__ = ["Tap", "check_results", "find_owner", "get_runs", "run", "tap_entries"]
+__all__ = [
+    "Tap",
+    "check_results",
+    "claim",
+    "find_owner",
+    "get_runs",
+    "run",
+    "tap_entries",
+]
 
 
 def run(check, **settings):
@@ -71,6 +80,35 @@
 
         self.rule = rule
 
+    def hold(self, kind):
+        """Hold appends of a type back before the log.
+
+        Returns:
+            The list of records that are held, the event that lets them go, and the
+            list of offsets at which they landed then.
+        """
+        held, release, landed = [], asyncio.Event(), []
+
+        async def rule(stream, records):
+            if records[0]["type"] != kind:
+                return await self._append(stream, records)
+            held.extend(records)
+            await release.wait()
+            first = await self._append(stream, records)
+            landed.append(first)
+            return first
+
+        self.rule = rule
+        return held, release, landed
+
+
+async def claim(fleet, name, job_id):
+    """Let an entry claim the shard of a job, and return once it owns it."""
+    entry = fleet.entries[name]
+    shard = entry.table.find(job_id)
+    record = batch_record.make_claim(shard.ledger.epoch + 1, entry.owner, 0.0)
+    await shard.replica.append([record], 5)
+
 
 def tap_entries(fleet):
     """Return a `Tap` of each entry by name; reads that begin later are held."""
--- a/pimentowick/entry/tests/test_completion.py
+++ b/pimentowick/entry/tests/test_completion.py
@@ -147,6 +147,38 @@
     durability.run(check, engine_settings={"base_step_ms": 10})
 
 
+def test_record_of_a_stale_owner_lands_after_the_next_claim():
+    """An owner's results are on their way while another one takes over and runs the
+    same items. The results land before those of the new owner.
+
+    The user would see items completed by a process that nobody waits for, and that
+    may end them otherwise than the owner in force.
+    """
+
+    async def check(fleet):
+        taps = durability.tap_entries(fleet)
+        holds = {name: tap.hold("results") for name, tap in taps.items()}
+        answer = await fleet.submit(embedded.make_job_lines(60), "k")
+        job_id = answer.decode()["id"]
+        owner = await fleet.wait_for(lambda: durability.find_owner(fleet, job_id))
+        other = next(name for name in fleet.entries if name != owner)
+        held, release, landed = holds[owner]
+        await fleet.wait_for(lambda: held)
+        await durability.claim(fleet, other, job_id)
+        await fleet.wait_for(lambda: holds[other][0])
+        release.set()
+        await fleet.wait_for(lambda: landed)
+        shard = fleet.entries[other].table.find(job_id)
+        await fleet.wait_for(lambda: shard.replica.offset > landed[0])
+        assert shard.ledger.jobs[job_id].pending == 60
+        holds[other][1].set()
+        for entry in fleet.entries:
+            await durability.check_results(fleet, job_id, 60, entry=entry)
+        assert held[0]["id"] not in shard.ledger.jobs[job_id].refs
+
+    durability.run(check)
+
+
 def test_log_is_down_longer_than_every_timeout():
     """The log is down while jobs run and while clients submit and resend.
 
