Test cancellation with items on their way and with agents that take no order

Cause: each test of a cancelled job passed with the orders to agents alone or with the wait for leases alone.

Change: the stand-in network can keep bytes back on their way to a target and pass them on later; one test holds items before the agent, another loses the orders.

--- a/pimentowick/entry/tests/test_cancel.py
+++ b/pimentowick/entry/tests/test_cancel.py
@@ -5,7 +5,7 @@
 from pimentowick import exception
 from pimentowick.batch import record as batch_record
 from pimentowick.entry.tests import durability
-from pimentowick.fakes import embedded, faults
+from pimentowick.fakes import embedded, faults, relay
 
 ENGINE = {"base_step_ms": 10}
 PATIENCE_S = 15.0
@@ -147,3 +147,56 @@
         await check_still_stopped(fleet, job_id, other, runs, counts)
 
     durability.run(check, engine_settings=ENGINE)
+
+
+def test_item_is_on_its_way_to_the_agent():
+    """Items are between the owner and an agent while the user cancels.
+
+    They arrive after the answer, under a lease that is good, and would be run.
+    """
+
+    async def check(fleet):
+        async with relay.put_relays(fleet, "agent") as relays:
+            job_id, owner, _ = await start_job(fleet)
+            for each in relays:
+                each.hold()
+
+            def is_held():
+                name = job_id.encode()
+                return any(name in piece for each in relays for piece in each.held)
+
+            await fleet.wait_for(is_held)
+            runs, counts = await check_stopped(fleet, job_id, owner)
+            for each in relays:
+                each.release()
+            await check_still_stopped(fleet, job_id, owner, runs, counts)
+
+    durability.run(check, engine_settings=ENGINE)
+
+
+def test_owner_does_not_answer_and_an_agent_takes_no_order():
+    """The owner sees no log and answers nobody, and the entry that cancels reaches
+    the owner's agents no more.
+
+    The owner goes on to start items until its leases lapse; an answer before that
+    would call a job stopped whose items still begin.
+    """
+
+    async def check(fleet):
+        job_id, owner, tap = await start_job(fleet)
+        tap.reads.clear()
+        other = get_other(fleet, owner)
+        client = fleet.entries[other].client
+        fetch = client.fetch
+
+        async def lose_orders(method, address, path, *args, **fields):
+            if path.endswith("/stop-job"):
+                raise exception.UnavailableError("no answer")
+            return await fetch(method, address, path, *args, **fields)
+
+        client.fetch = lose_orders
+        runs, counts = await check_stopped(fleet, job_id, other)
+        tap.reads.set()
+        await check_still_stopped(fleet, job_id, other, runs, counts)
+
+    durability.run(check, engine_settings=ENGINE)
--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -1,7 +1,6 @@
 """Online requests while targets, agents, entries and connections fail."""
 
 import asyncio
-import contextlib
 import time
 
 import pytest
@@ -243,33 +242,6 @@
     run(check, services=2)
 
 
-@contextlib.asynccontextmanager
-async def put_relays(fleet, role):
-    """Put a relay before each agent or entry, and tell the host list of it."""
-    group = fleet.agents if role == "agent" else fleet.entries
-    relays = []
-    for name, process in group.items():
-        each = relay.Relay(process.address)
-        await each.start()
-        relays.append(each)
-        await fleet.list_host(name, role, each.address)
-    entries = list(fleet.entries.values())
-    if role == "agent":
-        wanted = {each.address for each in relays}
-        await fleet.wait_for(
-            lambda: all(
-                {peer.address for peer in entry.fleet.peers.values()} == wanted
-                for entry in entries
-            )
-        )
-        await fleet.wait_for(fleet.is_ready)
-    try:
-        yield relays
-    finally:
-        for each in relays:
-            await each.close()
-
-
 @pytest.mark.parametrize("times", [1, 2])
 def test_connections_to_agents_fall_silent_for_good(times):
     """Something between entries and agents forgets every open connection, even twice.
@@ -279,7 +251,7 @@
     """
 
     async def check(fleet, callers):
-        async with put_relays(fleet, "agent") as relays:
+        async with relay.put_relays(fleet, "agent") as relays:
             for number in range(times):
                 before = [callers.chat(f"warm {number} {i}") for i in range(8)]
                 await asyncio.gather(*before, callers.confirm(f"warm {number}"))
--- a/pimentowick/fakes/relay.py
+++ b/pimentowick/fakes/relay.py
@@ -1,9 +1,12 @@
-"""Stand-in of the network between two processes, whose connections fall silent."""
+"""Stand-in of the network between two processes.
+
+Its connections fall silent, or bytes stay on their way for a while.
+"""
 
 import asyncio
 import contextlib
 
-__all__ = ["Relay"]
+__all__ = ["Relay", "put_relays"]
 
 PIECE_BYTES = 65_536
 
@@ -17,13 +20,17 @@
     Attributes:
         address: ``IP:port`` that it listens on, once started.
         opened: Number of connections taken.
+        held: Pieces on their way to the target that `hold` keeps back.
     """
 
     def __init__(self, target):
         self.target = target
         self.address = None
         self.opened = 0
+        self.held = []
         self._passing = set()
+        # Events on which each connection passes bytes on to the target.
+        self._gates = set()
         self._writers = set()
         self._server = None
 
@@ -48,6 +55,20 @@
         for task in list(self._passing):
             task.cancel()
 
+    def hold(self):
+        """Keep back what is sent to the target over the connections open now.
+
+        The other way stays open, and so do these connections: their ends reach the
+        target no more, as if the packets that tell of it were lost.
+        """
+        for gate in self._gates:
+            gate.clear()
+
+    def release(self):
+        """Pass on what was kept back."""
+        for gate in self._gates:
+            gate.set()
+
     async def _serve(self, reader, writer):
         self.opened += 1
         host, _, port = self.target.rpartition(":")
@@ -58,8 +79,11 @@
             writer.close()
             return
         self._writers.add(far_writer)
-        for source, sink in ((reader, far_writer), (far_reader, writer)):
-            task = asyncio.create_task(self._pass(source, sink))
+        for passing in (
+            self._pass_held(reader, far_writer),
+            self._pass(far_reader, writer),
+        ):
+            task = asyncio.create_task(passing)
             self._passing.add(task)
             task.add_done_callback(self._passing.discard)
 
@@ -71,3 +95,54 @@
                 await sink.drain()
         sink.close()
         self._writers.discard(sink)
+
+    async def _pass_held(self, source, sink):
+        gate = asyncio.Event()
+        gate.set()
+        self._gates.add(gate)
+        was_held = False
+        with contextlib.suppress(ConnectionError):
+            while piece := await source.read(PIECE_BYTES):
+                if not gate.is_set():
+                    was_held = True
+                    self.held.append(piece)
+                    await gate.wait()
+                sink.write(piece)
+                await sink.drain()
+        self._gates.discard(gate)
+        if was_held:
+            return
+        sink.close()
+        self._writers.discard(sink)
+
+
+@contextlib.asynccontextmanager
+async def put_relays(fleet, role):
+    """Put a relay before each agent or entry, and tell the host list of it.
+
+    Args:
+        fleet: `pimentowick.fakes.embedded.Embedded`.
+        role: ``agent`` or ``entry``.
+    """
+    group = fleet.agents if role == "agent" else fleet.entries
+    relays = []
+    for name, process in group.items():
+        each = Relay(process.address)
+        await each.start()
+        relays.append(each)
+        await fleet.list_host(name, role, each.address)
+    entries = list(fleet.entries.values())
+    if role == "agent":
+        wanted = {each.address for each in relays}
+        await fleet.wait_for(
+            lambda: all(
+                {peer.address for peer in entry.fleet.peers.values()} == wanted
+                for entry in entries
+            )
+        )
+        await fleet.wait_for(fleet.is_ready)
+    try:
+        yield relays
+    finally:
+        for each in relays:
+            await each.close()
