--- a/pimentowick/entry/tests/test_cancel.py
+++ b/pimentowick/entry/tests/test_cancel.py
@@ -196,6 +196,9 @@
 
         client.fetch = lose_orders
         runs, counts = await check_stopped(fleet, job_id, other)
+        # Until then it still renews its leases, and would start items.
+        dispatcher = fleet.entries[owner].dispatcher
+        await fleet.wait_for(lambda: not dispatcher.is_fresh())
         tap.reads.set()
         await check_still_stopped(fleet, job_id, other, runs, counts)
 
