--- /dev/null
+++ b/pimentowick/batch/tests/test_writer.py
@@ -0,0 +1,31 @@
+"""What becomes of results on their way to the log."""
+
+import asyncio
+import json
+
+from pimentowick.batch import writer
+from pimentowick.batch.tests import parts
+from pimentowick.replication.tests import memory
+
+
+def test_late_result_of_an_old_epoch_drops_none_of_the_new_one():
+    """A shard is lost and won again, and an item of the first time ends late.
+
+    The results that wait under the new epoch would be dropped with it, and their
+    items would never complete: the job hangs.
+    """
+
+    async def check():
+        log = memory.MemoryLog()
+        shard = parts.make_shard(0, log)
+        results = writer.ResultWriter(parts.make_settings())
+        body = {"custom_id": "x"}
+        results.add(shard, 2, "j", 0, "succeeded", body)
+        results.add(shard, 1, "j", 1, "succeeded", body)
+        await results.flush()
+        written = [json.loads(text) for _, text in log.kept.read("shard-0", 0)]
+        rows = [(each["epoch"], each["results"]) for each in written]
+        assert rows == [(2, [["j", 0, "succeeded", body]])]
+        assert results.bytes == 0
+
+    asyncio.run(check())
--- a/pimentowick/entry/tests/test_cancel.py
+++ b/pimentowick/entry/tests/test_cancel.py
@@ -9,12 +9,13 @@
 
 ENGINE = {"base_step_ms": 10}
 PATIENCE_S = 15.0
+ITEMS = 400
 
 
 async def start_job(fleet):
     """Submit a job that runs for a while; return its id, owner and the owner's tap."""
     taps = durability.tap_entries(fleet)
-    answer = await fleet.submit(embedded.make_job_lines(400, 30), "k")
+    answer = await fleet.submit(embedded.make_job_lines(ITEMS, 30), "k")
     job_id = answer.decode()["id"]
     await fleet.wait_for(lambda: durability.get_runs(fleet, job_id))
     owner = durability.find_owner(fleet, job_id)
@@ -203,3 +204,30 @@
         await check_still_stopped(fleet, job_id, other, runs, counts)
 
     durability.run(check, engine_settings=ENGINE)
+
+
+def test_owner_has_loaded_a_checkpoint_before_the_cancellation():
+    """The owner's copy is loaded anew while a job runs. The job is cancelled then, and
+    the entry that was asked dies once the record is in the log.
+
+    The owner would go by the job as it was before and run all its items.
+    """
+
+    async def check(fleet):
+        job_id, owner, _ = await start_job(fleet)
+        replica = fleet.entries[owner].table.find(job_id).replica
+        assert replica.adopt(replica.offset, replica.fold.dump())
+        other = fleet.entries[get_other(fleet, owner)]
+        cancelled = batch_record.make_cancelled(job_id, "a", 0.0)
+        await other.table.find(job_id).replica.append([cancelled], 5)
+        job = await fleet.wait_for_job(job_id, "cancelled", entry=owner)
+        # Items that were running may end before the owner's next turn.
+        lines = embedded.make_job_lines(40, prefix="first")
+        first = (await fleet.submit(lines, "first", entry=owner)).decode()["id"]
+        await fleet.wait_for_job(first, entry=owner)
+        runs = durability.get_runs(fleet, job_id)
+        assert len(runs) < ITEMS
+        counts = job["request_counts"]
+        await check_still_stopped(fleet, job_id, owner, runs, counts)
+
+    durability.run(check, engine_settings=ENGINE)
