Drop the oldest ended calls also behind one that never ends

Cause: the bound on keyed calls looked at the oldest claim alone. One whose entry had died never ended, so that nothing after it was dropped any more, and the table and its checkpoints grew without bound. An end or a claim with a field missing was half applied.

Ruled out: dropping the one that runs, since it could run a second time.

Change: ended calls stand in the order of their ends and are bounded by themselves; calls that run are passed over. Records are read whole before they take effect.

After: the bound holds, and a fold that resumes from any dump equals one from the start.

--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -171,6 +171,7 @@
         self.notes = collections.deque(maxlen=batch_note.NOTES_LIMIT)
         self.jobs = {}
         self.calls = {}
+        self._ended_calls = 0
         # `Chunk` by submission and index; offsets of results by record, and how
         # many items have their result there.
         self.chunks = {}
@@ -330,28 +331,41 @@
         known = self.calls.get(record["call"])
         if known is not None and known.verdict != "not_run":
             return
-        # Removed first, so that the order of the dictionary is that of claims.
-        self.calls.pop(record["call"], None)
-        self.calls[record["call"]] = Call(
+        call = Call(
             id=record["call"],
             request=record["request"],
             owner=record["owner"],
             digest=record["digest"],
             at=record["at"],
         )
-        if len(self.calls) > MAX_ENDED_CALLS:
-            self._drop_oldest_call()
+        self._forget_call(call.id)
+        self.calls[call.id] = call
 
-    def _drop_oldest_call(self):
-        oldest = next(iter(self.calls))
-        if self.calls[oldest].verdict is not None:
-            del self.calls[oldest]
+    def _forget_call(self, call_id):
+        call = self.calls.pop(call_id, None)
+        if call is not None and call.verdict is not None:
+            self._ended_calls -= 1
 
     def _apply_call_ended(self, offset, record):
         call = self.calls[record["call"]]
-        if call.request == record["request"] and call.verdict is None:
-            call.verdict = record["verdict"]
-            call.answer = record["answer"]
+        ended, answer = record["verdict"], record["answer"]
+        if call.request != record["request"] or call.verdict is not None:
+            return
+        if not isinstance(ended, str):
+            raise TypeError("verdict is no text")
+        call.verdict = ended
+        call.answer = answer
+        # Moved to the back, so that the ended ones stand in the order of their ends:
+        # a long call would be the first to be dropped at its very end otherwise.
+        self.calls[call.id] = self.calls.pop(call.id)
+        self._ended_calls += 1
+        if self._ended_calls > MAX_ENDED_CALLS:
+            self._forget_call(self._find_oldest_ended_call())
+
+    def _find_oldest_ended_call(self):
+        # Those that run are passed over: dropped, they could run a second time. One
+        # that never ends must not keep all that come after it either.
+        return next(call.id for call in self.calls.values() if call.verdict is not None)
 
     _HANDLERS = {
         batch_record.CLAIM: _apply_claim,
@@ -474,6 +488,9 @@
             raise exception.ValidationError(f"dump: {error!r}") from error
         for job in loaded.jobs.values():
             job.pending = job.outcomes.count(PENDING)
+        loaded._ended_calls = sum(
+            call.verdict is not None for call in loaded.calls.values()
+        )
         loaded.fenced = self.fenced
         self.__dict__.update(loaded.__dict__)
 
--- a/pimentowick/batch/tests/test_ledger.py
+++ b/pimentowick/batch/tests/test_ledger.py
@@ -210,3 +210,37 @@
     ledger = fold([empty])
     assert ledger.jobs["j0"].state == "done"
     assert copy(ledger).dump() == ledger.dump()
+
+
+def make_call(name):
+    """Return the claim of a call and its end."""
+    claimed = batch_record.make_call_claimed(name, f"r-{name}", "a#1", "d", 1.0)
+    return claimed, batch_record.make_call_ended(name, f"r-{name}", "ran", {})
+
+
+def test_call_that_never_ends_keeps_no_ended_ones(monkeypatch):
+    """An entry dies with a keyed call, and others end after it, some of them late.
+
+    The table would grow without bound behind the first one, and each checkpoint with
+    it, until the entry has no memory left.
+    """
+    monkeypatch.setattr(batch_ledger, "MAX_ENDED_CALLS", 3)
+    stuck, _ = make_call("stuck")
+    long, long_end = make_call("long")
+    short = [record for n in range(9) for record in make_call(f"c{n}")]
+    stream = [stuck, long, *short, long_end, stuck]
+    ledger = fold(stream)
+    assert list(ledger.calls) == ["stuck", "c7", "c8", "long"]
+    for cut in range(len(stream)):
+        resumed = copy(fold(stream[:cut]))
+        assert fold(stream[cut:], resumed, cut).dump() == ledger.dump()
+
+
+def test_call_that_ended_as_not_run_is_counted_once(monkeypatch):
+    monkeypatch.setattr(batch_ledger, "MAX_ENDED_CALLS", 2)
+    claimed, ended = make_call("again")
+    not_run = {**ended, "verdict": "not_run"}
+    broken = [{**ended, "verdict": []}, {"type": ended["type"], "call": "again"}]
+    ledger = fold([claimed, *broken, *[not_run, claimed] * 5, *make_call("b"), ended])
+    assert list(ledger.calls) == ["b", "again"]
+    assert ledger.calls["again"].verdict == "ran"
