Check for second jobs and for checkpoints that are too old

Cause: the test of entries that die within a submission passed with job ids drawn at random, and the test of retention without the check of what a checkpoint covers.

--- a/pimentowick/entry/tests/test_completion.py
+++ b/pimentowick/entry/tests/test_completion.py
@@ -60,6 +60,8 @@
             await fleet.unlist_host(name)
             job_id = await submit_until_accepted(fleet, lines, key)
             await durability.check_results(fleet, job_id, 250)
+        followed = fleet.entries["entry-0"].table.followed.values()
+        assert sum(len(shard.ledger.jobs) for shard in followed) == len(points)
 
     durability.run(check, entry_settings=SMALL_RECORDS)
 
--- a/pimentowick/replication/tests/test_replica.py
+++ b/pimentowick/replication/tests/test_replica.py
@@ -106,7 +106,8 @@
 
 
 def test_copies_agree_over_the_end_of_retention():
-    """Records pass out of retention while one reader is behind and one is new.
+    """Records pass out of retention while one reader is behind and one is new, and
+    the first checkpoint that they find is too old.
 
     Without a checkpoint they would stay without a state, or take one with a gap.
     """
@@ -115,8 +116,10 @@
         ahead = await follow()
         fill(log, "a", "b")
         await ahead.catch_up(5)
+        old = await ahead.make_checkpoint(4096)
         behind = replica.Replica(log, STREAM, Trace())
         fill(log, "c", "d")
+        log.kept.append(STREAM, old)
         await ahead.catch_up(5)
         await write_checkpoint(log, ahead)
         fill(log, "e")
