Count the reads until a change is in force

Cause: nothing showed how soon a change is in force; timings would depend on the load of the machine.

Seconds are not measured.

--- a/pimentowick/entry/tests/test_publish.py
+++ b/pimentowick/entry/tests/test_publish.py
@@ -34,6 +34,56 @@
     return version
 
 
+def note_versions(entry, landed):
+    """Return a list that grows by what is in force after each read of the log.
+
+    Only reads that began after `landed` was set count.
+    """
+    log = entry.configuration_replica.log
+    read = log.read
+    versions = []
+    counts = [False]
+
+    async def read_and_note(stream, *args, **fields):
+        if stream == entry.configuration_replica.stream:
+            if counts[0]:
+                versions.append(get_version(entry))
+            counts[0] = landed.is_set()
+        return await read(stream, *args, **fields)
+
+    log.read = read_and_note
+    return versions
+
+
+def test_change_is_in_force_after_one_read_of_the_log():
+    """A change is in the log and the entries read on.
+
+    An entry that needed more than the first read from then on would serve by the old
+    configuration for as long as the log holds back each answer.
+    """
+
+    async def check(fleet):
+        tap = durability.Tap(fleet.entries["entry-0"])
+        landed = asyncio.Event()
+
+        async def append(stream, records):
+            first = await append_before(stream, records)
+            if stream == "configuration":
+                landed.set()
+            return first
+
+        append_before, tap.log.append = tap.log.append, append
+        noted = [note_versions(entry, landed) for entry in fleet.entries.values()]
+        version = get_version(fleet.entries["entry-0"])
+        answer = await publish(fleet, version, 2, "entry-0")
+        assert answer.status == 200
+        await fleet.wait_for(lambda: all(noted))
+        for versions in noted:
+            assert set(versions) == {answer.decode()["version"]}
+
+    durability.run(check)
+
+
 def test_one_of_racing_operators_wins():
     """Operators amend the same version through different entries at once.
 
