--- a/pimentowick/entry/tests/test_cancel.py
+++ b/pimentowick/entry/tests/test_cancel.py
@@ -5,16 +5,17 @@
 from pimentowick import exception
 from pimentowick.batch import record as batch_record
 from pimentowick.entry.tests import durability
-from pimentowick.fakes import embedded, faults
+from pimentowick.fakes import embedded, faults, relay
 
 ENGINE = {"base_step_ms": 10}
 PATIENCE_S = 15.0
+ITEMS = 400
 
 
 async def start_job(fleet):
     """Submit a job that runs for a while; return its id, owner and the owner's tap."""
     taps = durability.tap_entries(fleet)
-    answer = await fleet.submit(embedded.make_job_lines(400, 30), "k")
+    answer = await fleet.submit(embedded.make_job_lines(ITEMS, 30), "k")
     job_id = answer.decode()["id"]
     await fleet.wait_for(lambda: durability.get_runs(fleet, job_id))
     owner = durability.find_owner(fleet, job_id)
@@ -147,3 +148,86 @@
         await check_still_stopped(fleet, job_id, other, runs, counts)
 
     durability.run(check, engine_settings=ENGINE)
+
+
+def test_item_is_on_its_way_to_the_agent():
+    """Items are between the owner and an agent while the user cancels.
+
+    They arrive after the answer, under a lease that is good, and would be run.
+    """
+
+    async def check(fleet):
+        async with relay.put_relays(fleet, "agent") as relays:
+            job_id, owner, _ = await start_job(fleet)
+            for each in relays:
+                each.hold()
+
+            def is_held():
+                name = job_id.encode()
+                return any(name in piece for each in relays for piece in each.held)
+
+            await fleet.wait_for(is_held)
+            runs, counts = await check_stopped(fleet, job_id, owner)
+            for each in relays:
+                each.release()
+            await check_still_stopped(fleet, job_id, owner, runs, counts)
+
+    durability.run(check, engine_settings=ENGINE)
+
+
+def test_owner_does_not_answer_and_an_agent_takes_no_order():
+    """The owner sees no log and answers nobody, and the entry that cancels reaches
+    the owner's agents no more.
+
+    The owner goes on to start items until its leases lapse; an answer before that
+    would call a job stopped whose items still begin.
+    """
+
+    async def check(fleet):
+        job_id, owner, tap = await start_job(fleet)
+        tap.reads.clear()
+        other = get_other(fleet, owner)
+        client = fleet.entries[other].client
+        fetch = client.fetch
+
+        async def lose_orders(method, address, path, *args, **fields):
+            if path.endswith("/stop-job"):
+                raise exception.UnavailableError("no answer")
+            return await fetch(method, address, path, *args, **fields)
+
+        client.fetch = lose_orders
+        runs, counts = await check_stopped(fleet, job_id, other)
+        # Until then it still renews its leases, and would start items.
+        dispatcher = fleet.entries[owner].dispatcher
+        await fleet.wait_for(lambda: not dispatcher.is_fresh())
+        tap.reads.set()
+        await check_still_stopped(fleet, job_id, other, runs, counts)
+
+    durability.run(check, engine_settings=ENGINE)
+
+
+def test_owner_has_loaded_a_checkpoint_before_the_cancellation():
+    """The owner's copy is loaded anew while a job runs. The job is cancelled then, and
+    the entry that was asked dies once the record is in the log.
+
+    The owner would go by the job as it was before and run all its items.
+    """
+
+    async def check(fleet):
+        job_id, owner, _ = await start_job(fleet)
+        replica = fleet.entries[owner].table.find(job_id).replica
+        assert replica.adopt(replica.offset, replica.fold.dump())
+        other = fleet.entries[get_other(fleet, owner)]
+        cancelled = batch_record.make_cancelled(job_id, "a", 0.0)
+        await other.table.find(job_id).replica.append([cancelled], 5)
+        job = await fleet.wait_for_job(job_id, "cancelled", entry=owner)
+        # Items that were running may end before the owner's next turn.
+        lines = embedded.make_job_lines(40, prefix="first")
+        first = (await fleet.submit(lines, "first", entry=owner)).decode()["id"]
+        await fleet.wait_for_job(first, entry=owner)
+        runs = durability.get_runs(fleet, job_id)
+        assert len(runs) < ITEMS
+        counts = job["request_counts"]
+        await check_still_stopped(fleet, job_id, owner, runs, counts)
+
+    durability.run(check, engine_settings=ENGINE)
