Read results again over a new connection; bound calls to a service

The read went out on a pooled connection that was silent for good, and nobody tried again. Ruled out: a log that was still down (new connections to it were answered), and a lost record (the second request had it). Change: a shard reads a record twice if the first read gets no answer; the client distrusts the silent connection by then.

--- a/pimentowick/batch/carry.py
+++ b/pimentowick/batch/carry.py
@@ -80,7 +80,7 @@
         offsets = [each for each in shard.ledger.list_needed_offsets() if each < limit]
         group = []
         for offset in offsets:
-            page = await replica.log.read(shard.stream, offset, limit=1)
+            page = await shard.read_one(offset)
             if not page.records or page.records[0][0] != offset:
                 logger.error("carry: Record {} of {} is gone.", offset, shard.stream)
                 continue
--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -386,7 +386,7 @@
     async def _read_chunk(self, work, number):
         shard = work.shard
         offset = shard.ledger.find_chunk(work.job, number).offset
-        page = await shard.replica.log.read(shard.stream, offset, limit=1)
+        page = await shard.read_one(offset)
         if page.records and page.records[0][0] == offset:
             return page.records[0][1]["items"]
         # It may have been appended again further on. Only a copy that is up to date
--- a/pimentowick/batch/shard.py
+++ b/pimentowick/batch/shard.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from pimentowick import rendezvous, supervisor
+from pimentowick import exception, rendezvous, supervisor
 from pimentowick.batch import ledger as batch_ledger
 from pimentowick.replication import replica as replication_replica
 
@@ -67,6 +67,23 @@
         """Name of the stream in the log."""
         return self.replica.stream
 
+    async def read_one(self, offset):
+        """Return the `pimentowick.platform.log.Page` of the record at an offset.
+
+        The page is empty, or begins further on, if the log has dropped the record.
+
+        Read twice if need be: the pooled connection to the log may have fallen
+        silent for good, and the second read takes a new one. Without that a caller
+        would see an outage of a log that is well.
+
+        Raises:
+            LogUnavailableError: The log gave no answer.
+        """
+        try:
+            return await self.replica.log.read(self.stream, offset, limit=1)
+        except exception.LogUnavailableError:
+            return await self.replica.log.read(self.stream, offset, limit=1)
+
 
 class ShardTable:
     """Follows the shards that fall to this entry.
--- a/pimentowick/configuration/workspace.py
+++ b/pimentowick/configuration/workspace.py
@@ -36,7 +36,7 @@
     Attributes:
         idempotent: Whether a request may safely run twice.
         deadline_s: Seconds that a request may take.
-        max_concurrent: Most requests at a time, or None; not enforced.
+        max_concurrent: Most requests at a time at one entry, or None.
     """
 
     idempotent: bool = False
--- a/pimentowick/entry/job.py
+++ b/pimentowick/entry/job.py
@@ -223,7 +223,7 @@
         while offset != shard.ledger.results[ref]:
             # It may be appended again further on while this reads.
             offset = shard.ledger.results[ref]
-            page = await shard.replica.log.read(shard.stream, offset, limit=1)
+            page = await shard.read_one(offset)
             if page.records and page.records[0][0] == offset:
                 return page.records[0][1]
         if page.first <= offset:
--- a/pimentowick/entry/tests/test_completion.py
+++ b/pimentowick/entry/tests/test_completion.py
@@ -298,3 +298,20 @@
         assert durability.get_runs(fleet, job_id)[f"{job_id}-10"] <= 1
 
     durability.run(check)
+
+
+def test_results_are_read_though_connections_to_the_log_fell_silent():
+    """Something between an entry and the log forgets the connections that are open.
+
+    The log is well and new connections to it work, but a caller who asks for results
+    would hear that the log is down.
+    """
+
+    async def check(fleet):
+        job_id = (await fleet.submit(embedded.make_job_lines(5), "k")).decode()["id"]
+        await fleet.wait_for_job(job_id)
+        assert len(await fleet.read_results(job_id)) == 5
+        fleet.log.board.place(faults.Order("freeze"))
+        assert len(await fleet.read_results(job_id, timeout_s=30)) == 5
+
+    embedded.run(check)
--- a/pimentowick/routing/limits.py
+++ b/pimentowick/routing/limits.py
@@ -21,6 +21,29 @@
         self.max_online = max_online
         self.running = 0
         self._by_workspace = collections.Counter()
+        self._by_service = collections.Counter()
+
+    @contextlib.contextmanager
+    def hold_call(self, workspace, service):
+        """Count a call of `workspace` to a service while the context lasts.
+
+        Args:
+            workspace: `pimentowick.configuration.workspace.Workspace`.
+            service: Name of one of its services.
+
+        Raises:
+            RefusedError: One more would be over a limit.
+        """
+        key = (workspace.name, service)
+        limit = workspace.services[service].max_concurrent
+        if limit is not None and self._by_service[key] >= limit:
+            raise _refuse("too_many_calls", "This service has too many calls at once.")
+        self._by_service[key] += 1
+        try:
+            with self.hold(workspace):
+                yield
+        finally:
+            _count_down(self._by_service, key)
 
     @contextlib.contextmanager
     def hold(self, workspace):
@@ -28,6 +51,13 @@
 
         Raises:
             RefusedError: One more would be over a limit.
+
+        Examples:
+            >>> from pimentowick.configuration import workspace
+            >>> limits = ConcurrencyLimits(max_online=1)
+            >>> with limits.hold(workspace.Workspace("a", 1)):
+            ...     limits.running
+            1
         """
         name = workspace.name
         if self._by_workspace[name] >= workspace.max_online_concurrent:
@@ -40,9 +70,13 @@
             yield
         finally:
             self.running -= 1
-            self._by_workspace[name] -= 1
-            if not self._by_workspace[name]:
-                del self._by_workspace[name]
+            _count_down(self._by_workspace, name)
+
+
+def _count_down(counter, key):
+    counter[key] -= 1
+    if not counter[key]:
+        del counter[key]
 
 
 def _refuse(code, message):
