Let entries that don't decide on the placement wake less often

Cause: every entry turned ten times a second to keep the decider's claim, also those that never decide and those without any model in the configuration. Ruled out: waking on the claim stream alone; silence has to be counted in pieces, so that time in which the process was frozen is not taken for the decider's. A piece of silence is still bounded by twice the pause, and counted only while the log is read. Not measured by itself; tests of placement, entry and the whole path pass.

--- a/pimentowick/placement/decider.py
+++ b/pimentowick/placement/decider.py
@@ -22,6 +22,8 @@
 __all__ = ["Decider"]
 
 TICK_S = 0.1
+IDLE_TURNS_PER_TAKEOVER = 12
+"""Turns of an entry that doesn't decide in the silence it waits for."""
 RENEWS_PER_TAKEOVER = 3
 RANK_DELAY_S = 1.0
 FRESH_READS = 3
@@ -111,9 +113,10 @@
     async def _run(self):
         while True:
             began = time.monotonic()
-            await asyncio.sleep(TICK_S)
+            pause = self._get_pause()
+            await asyncio.sleep(pause)
             # Time in which this process was frozen is not the decider's silence.
-            elapsed = min(time.monotonic() - began, 2 * TICK_S)
+            elapsed = min(time.monotonic() - began, 2 * pause)
             if self._releasing or not self.replica.ready:
                 continue
             if not self._get_fleet().models:
@@ -123,6 +126,19 @@
             if self.is_owner:
                 await self._decide()
 
+    def _get_pause(self):
+        """Return the time until the next turn, in seconds.
+
+        Most entries never decide; turns as short as the decider's would be most of
+        what an idle entry costs.
+        """
+        if self.is_owner or self._claims.owner is None:
+            return TICK_S if self._get_fleet().models else self._get_idle_pause()
+        return self._get_idle_pause()
+
+    def _get_idle_pause(self):
+        return max(TICK_S, self._settings.takeover_s / IDLE_TURNS_PER_TAKEOVER)
+
     async def _keep_claim(self, elapsed):
         claims = self._claims
         if claims.shown_at != self._shown_at:
