Hold leases only at as many agents as batch work needs

Cause: an owner of a shard renewed a lease each 0.5 s with every peer of every service that had an open job (48 heartbeats a second at the size designed for). Ruled out: renewing with the items themselves, since an owner whose items are long sends none for longer than a lease holds. Change: two agents of each service grant a lease at first. While items wait for which those have no room, the leases in force double, so that a large job has all agents after a few round trips; a lease without items is given up after 5 s without a shortage. A lease is renewed at a third of what the agent reports, rounded down to a turn, or as often as work there asks for reports, whichever comes first; an unanswered renewal is repeated at once, as before. Heartbeat answers leave out figures that have their usual value; a reader that sends `have` resets what is absent, and an older one still gets answers in full. The test that all agents of a service grant a lease as soon as there is batch work stated what is no longer wanted; it now asks for two, then for all once items wait, and still for none of other services, and none after the work. Three more tests are about giving leases up, the time of renewal, and absent figures.

--- a/benchmarks/capacity_table.py
+++ b/benchmarks/capacity_table.py
@@ -6,6 +6,8 @@
 
 import math
 
+from pimentowick.membership import fleet
+
 __all__ = ["ASSUMED", "SETTINGS", "SIZE", "print_table"]
 
 DAY_S = 86_400
@@ -30,11 +32,14 @@
     "flush_s": 1.0,
     "peers_per_service": 8,
     "heartbeats_per_s": 4.0,
+    "lease_s": 8.0,
+    "heartbeat_s": 0.5,
 }
 ASSUMED = {
     "log_appends_per_s": 300,
     "kept_days": 1.0,
     "models_with_open_jobs_per_owner": 3,
+    "leases_per_model": 2,
     "states_per_replaced_host": 3,
     "host_row_bytes": 150,
     "record_bytes": 262_144,
@@ -157,12 +162,22 @@
     return items * copies * lines["ledger_memory"].slope / 1e6
 
 
+def _get_renewal_s():
+    """Return the time between renewals: a third of the lease, in whole turns."""
+    turn = SETTINGS["heartbeat_s"]
+    return SETTINGS["lease_s"] / fleet.RENEWALS_PER_LEASE // turn * turn
+
+
 def _work_out_owner(lines):
-    peers = SETTINGS["peers_per_service"] * ASSUMED["models_with_open_jobs_per_owner"]
-    lease = peers / 0.5
+    models = ASSUMED["models_with_open_jobs_per_owner"]
+    peers = SETTINGS["peers_per_service"] * models
+    renew_s = _get_renewal_s()
+    lease = ASSUMED["leases_per_model"] * models / renew_s
+    most_leases = peers / renew_s
     most = SIZE["items_per_day"] / SIZE["jobs_per_day"]
     return [
-        ("heartbeats that renew leases, at 0.5 s", lease, "a second", None),
+        ("time between renewals of a lease", renew_s, "s", None),
+        ("heartbeats that renew leases", lease, "a second", None),
         (
             "processor: these heartbeats",
             lease * lines["heartbeat_cpu"].slope,
@@ -175,6 +190,19 @@
             "B/s",
             LIMITS["bytes"],
         ),
+        ("the same with leases at all peers", most_leases, "a second", None),
+        (
+            "processor: with leases at all peers",
+            most_leases * lines["heartbeat_cpu"].slope,
+            "ms/s",
+            LIMITS["cpu_ms"],
+        ),
+        (
+            "bytes: with leases at all peers",
+            most_leases * lines["heartbeat_bytes"].slope,
+            "B/s",
+            LIMITS["bytes"],
+        ),
         (
             "items, each shard",
             _per_s("items_per_day") / SETTINGS["shards"],
--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -21,6 +21,7 @@
 from pimentowick import web as http_web
 from pimentowick.agent import metered
 from pimentowick.agent import work as agent_work
+from pimentowick.membership import report as membership_report
 from pimentowick.placement import executor, usage
 from pimentowick.placement import order as placement_order
 from pimentowick.platform import adapter as platform_adapter
@@ -443,7 +444,11 @@
     def post(self):
         """Answer a heartbeat."""
         data = self.read_json()
-        answer = self.agent.answer_heartbeat(data["entry"], data.get("known"))
+        # An entry that sends `known` keeps the older figure of what is left out.
+        known = data.get("have", data.get("known"))
+        answer = self.agent.answer_heartbeat(data["entry"], known)
+        if "have" in data:
+            answer = membership_report.shorten(answer)
         if data.get("renew") is not None:
             answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
         for name in UNUSED_HEADERS:
--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -241,8 +241,13 @@
             if empty:
                 self._start(work, work.suspects.popleft(), empty[0], solo=True)
                 return True
+            # An empty engine is looked for, however much room the others have.
+            self._fleet.note_waiting(work.job.model, math.inf)
         roomy = [peer for peer in peers if peer.batch < peer.window]
-        if not work.pending or not roomy:
+        if not work.pending:
+            return False
+        if not roomy:
+            self._fleet.note_waiting(work.job.model, len(work.pending))
             return False
         peer = max(roomy, key=lambda each: each.window - each.batch)
         self._start(work, work.pending.popleft(), peer, solo=False)
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -12,6 +12,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import random
 import time
 
@@ -20,6 +21,7 @@
 from pimentowick import client as http_client
 from pimentowick import exception, supervisor
 from pimentowick.membership import pool as membership_pool
+from pimentowick.membership import report as membership_report
 from pimentowick.membership import subset
 
 __all__ = ["Fleet", "Peer"]
@@ -35,6 +37,12 @@
 SURVEY_CHECK_S = 60.0
 SURVEY_AGAIN_S = 3600.0
 """Time after which an agent that is no peer is asked again what it serves."""
+LEASES_AT_FIRST = 2
+"""Agents of a service with batch work that are asked for a lease at once."""
+LEASES_UNUSED_S = 5.0
+"""Time without a shortage after which leases beyond those are given up."""
+RENEWALS_PER_LEASE = 3
+RENEWAL_JITTER = 0.05
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -54,6 +62,7 @@
         lease_since: Monotonic time at which the heartbeat left that got the lease.
         failures: Failed requests in a row.
         ejected_until: Monotonic time until which the agent gets no work.
+        leasing: Whether this entry wants a lease for batch items there.
         solo: Whether a suspected batch item runs alone there.
         used_at: Monotonic time at which the last request there ended.
         interval_s: Time until the next heartbeat, in seconds.
@@ -70,6 +79,7 @@
     window: int = 0
     lease: int = 0
     lease_since: float = 0.0
+    leasing: bool = False
     failures: int = 0
     ejected_until: float = 0.0
     solo: bool = False
@@ -174,6 +184,7 @@
         self._hosts_seen = None
         self._listed = asyncio.Event()
         self._batch_services = frozenset()
+        self._short_at = {}
         self.peers = {}
         self.entries = {}
         self.changed = asyncio.Event()
@@ -366,7 +377,7 @@
                 # next one is new. Waiting first would let the agent pass for dead.
                 await self._send_heartbeat(peer)
             peer.interval_s = self._get_interval(peer)
-            pause = self._align(peer.interval_s * random.uniform(0.8, 1.2))
+            pause = self._get_pause(peer)
             try:
                 async with asyncio.timeout(pause):
                     await peer.wake.wait()
@@ -376,6 +387,17 @@
             # Failures may come fast; they must not make heartbeats that fast.
             await asyncio.sleep(self._settings.heartbeat_s * random.uniform(0, 0.2))
 
+    def _get_pause(self, peer):
+        if not self._wants_lease(peer):
+            return self._align(peer.interval_s * random.uniform(0.8, 1.2))
+        # Rounded up, a renewal that has to be repeated could come after the lease.
+        turn = self._settings.heartbeat_s
+        pause = peer.interval_s * random.uniform(1 - RENEWAL_JITTER, 1)
+        if pause <= turn:
+            return pause
+        now = time.monotonic()
+        return max((now + pause) // turn * turn - now, turn / 2)
+
     def _align(self, pause):
         """Return a time near `pause` that ends together with those of other peers.
 
@@ -390,7 +412,8 @@
     async def _send_heartbeat(self, peer):
         """Send a heartbeat, and return whether there was an answer."""
         sent_at = time.monotonic()
-        message = {"known": peer.report.get("version")}
+        # Agents that don't know this name yet answer in full.
+        message = {"have": peer.report.get("version")}
         if not self._wants_lease(peer):
             peer.lease = 0
         elif self._is_fresh():
@@ -409,14 +432,22 @@
 
     def _wants_lease(self, peer):
         return peer.batch > 0 or (
-            peer.report.get("kind") == "engine"
+            peer.leasing
+            and peer.report.get("kind") == "engine"
             and not self._batch_services.isdisjoint(peer.list_served())
         )
 
     def _get_interval(self, peer):
         """Return the time until the next heartbeat to `peer`, in seconds."""
-        if self._wants_lease(peer):
+        interval = self._get_report_interval(peer)
+        if not self._wants_lease(peer):
+            return interval
+        lease_s = peer.report.get("lease_s")
+        if lease_s is None:
             return self._settings.heartbeat_s
+        return min(interval, lease_s / RENEWALS_PER_LEASE)
+
+    def _get_report_interval(self, peer):
         # With many peers all of them share what heartbeats may cost; their answers
         # to requests show in between how they are.
         least = len(self.peers) / self._settings.heartbeats_per_s
@@ -428,20 +459,68 @@
     def want_batch(self, services):
         """Say for which services batch items wait or run.
 
-        Only their agents grant leases to this entry. An agent divides its free
-        places by the entries that hold a lease, so that entries without batch work
-        must not hold one.
+        Only their agents grant leases to this entry, and of these no more than the
+        work needs: an agent divides its free places by the entries that hold a
+        lease, and each lease costs heartbeats.
         """
-        services = frozenset(services)
-        added = services - self._batch_services
-        self._batch_services = services
+        self._batch_services = frozenset(services)
         for peer in self.peers.values():
-            if not added.isdisjoint(peer.list_served()) and not peer.lease:
+            if self._batch_services.isdisjoint(peer.list_served()):
+                peer.leasing = False
+        for service in self._batch_services:
+            self._keep_leases(service)
+
+    def _keep_leases(self, service):
+        leasing, others = self._split_by_lease(service)
+        missing = LEASES_AT_FIRST - len(leasing)
+        if missing > 0:
+            self._want_leases(others[:missing])
+            return
+        short_at = self._short_at.get(service, 0.0)
+        unused = [peer for peer in leasing if peer.batch == 0]
+        is_enough = time.monotonic() - short_at > LEASES_UNUSED_S
+        if missing < 0 and unused and is_enough:
+            unused[0].leasing = False
+
+    def _split_by_lease(self, service):
+        """Return the usable engines with a wanted lease, and the emptiest others."""
+        peers = self.list_candidates(service, "engine")
+        leasing = [peer for peer in peers if peer.leasing]
+        others = [peer for peer in peers if not peer.leasing]
+        # The first of a common order would be chosen by all entries alike.
+        random.shuffle(others)
+        others.sort(key=lambda peer: -peer.report.get("batch_free", 0))
+        return leasing, others
+
+    def _want_leases(self, peers):
+        for peer in peers:
+            peer.leasing = True
+            if not peer.lease:
                 peer.wake.set()
 
+    def note_waiting(self, service, items):
+        """Ask more agents for a lease if items wait for which there is no room.
+
+        The leases in force double until there is room, so that a large job soon has
+        all agents, and a small one no more than it needs.
+
+        Args:
+            service: Name of the model.
+            items: How many items wait.
+        """
+        leasing, others = self._split_by_lease(service)
+        room = sum(max(0, peer.window - peer.batch) for peer in leasing)
+        if room >= items:
+            return
+        self._short_at[service] = time.monotonic()
+        # Those that were asked and have not answered yet may have the room.
+        granted = sum(1 for peer in leasing if peer.lease)
+        if granted == len(leasing):
+            self._want_leases(itertools.islice(others, max(1, granted)))
+
     def _take_report(self, peer, answer, sent_at):
         # An answer leaves out what does not change while the agent's process lives.
-        peer.report = {**peer.report, **answer}
+        peer.report = {**peer.report, **membership_report.ABSENT, **answer}
         peer.heard_at = time.monotonic()
         peer.asked_at = sent_at
         peer.online_at_report = peer.online
--- a/pimentowick/membership/tests/test_fleet.py
+++ b/pimentowick/membership/tests/test_fleet.py
@@ -40,7 +40,7 @@
         self.messages.append((address, body))
         number = int(address.partition(":")[2])
         answer = {"state": "ready", "online": 0}
-        if body.get("known") is None:
+        if body.get("have") is None:
             service = SERVICES[number % 2]
             answer.update(process="p", kind="engine", service=service)
         if "renew" in body:
@@ -51,18 +51,21 @@
         pass
 
 
+def make_settings(**fields):
+    platform = {"log": "127.0.0.1:1", "hosts": "127.0.0.1:1"}
+    return settings.EntrySettings(
+        name="entry-0",
+        failure_domain="here",
+        platform=platform,
+        host_poll_s=0.02,
+        **fields,
+    )
+
+
 def run(check, **fields):
     async def run_check():
         listed, agents = Hosts(), Agents()
-        platform = {"log": "127.0.0.1:1", "hosts": "127.0.0.1:1"}
-        entry = settings.EntrySettings(
-            name="entry-0",
-            failure_domain="here",
-            platform=platform,
-            host_poll_s=0.02,
-            heartbeat_s=0.02,
-            **fields,
-        )
+        entry = make_settings(**{"heartbeat_s": 0.02, **fields})
         known = fleet.Fleet(listed, agents, entry, "entry-0#1", lambda: True)
         await known.start()
         try:
@@ -136,14 +139,34 @@
     run(check)
 
 
+def list_lm(known):
+    return [peer for peer in known.peers.values() if peer.service == "lm"]
+
+
+def count_leases(known):
+    return sum(peer.lease == 7 for peer in list_lm(known))
+
+
 def test_only_entries_with_batch_work_hold_leases():
+    """Only these, only of agents of the service, and no more than the work needs."""
+
     async def check(known, listed, agents):
         await wait_for(lambda: len(known.peers) == AGENTS)
         assert not any("renew" in body for _, body in agents.messages)
+        lm = list_lm(known)
+        known.want_batch({"lm"})
+        await wait_for(lambda: count_leases(known) == fleet.LEASES_AT_FIRST)
         known.want_batch({"lm"})
-        lm = [peer for peer in known.peers.values() if peer.service == "lm"]
-        await wait_for(lambda: all(peer.lease == 7 for peer in lm))
+        await asyncio.sleep(0.2)
+        assert count_leases(known) == fleet.LEASES_AT_FIRST
+
+        def has_all():
+            known.note_waiting("lm", 10_000)
+            return all(peer.lease == 7 for peer in lm)
+
+        await wait_for(has_all)
         others = [peer for peer in known.peers.values() if peer.service == "desk"]
+        assert others
         assert not any(peer.lease for peer in others)
         known.want_batch(())
         await wait_for(lambda: not any(peer.lease for peer in lm))
@@ -151,6 +174,61 @@
     run(check, idle_heartbeat_s=0.05)
 
 
+def test_leases_that_are_not_needed_are_given_up(monkeypatch):
+    """Each lease costs heartbeats; one under which items run must not lapse."""
+    monkeypatch.setattr(fleet, "LEASES_UNUSED_S", 0.05)
+
+    async def check(known, listed, agents):
+        await wait_for(lambda: len(known.peers) == AGENTS)
+        lm = list_lm(known)
+        known.want_batch({"lm"})
+
+        def has_all():
+            known.note_waiting("lm", 10_000)
+            return all(peer.lease == 7 for peer in lm)
+
+        await wait_for(has_all)
+        busy = lm[:3]
+        for peer in busy:
+            peer.batch = 1
+
+        def has_few():
+            known.want_batch({"lm"})
+            return count_leases(known) <= 3
+
+        await wait_for(has_few)
+        assert all(peer.lease == 7 for peer in busy)
+
+    run(check, idle_heartbeat_s=0.05)
+
+
+def test_lease_is_renewed_well_before_it_lapses():
+    """A renewal that is lost has to be repeated within the same lease."""
+    settings = make_settings(heartbeat_s=0.5, heartbeats_per_s=0.01)
+    known = fleet.Fleet(None, None, settings, "entry-0#1", None)
+    peer = fleet.Peer(None, {"lease_s": 8.0}, batch=1)
+    peer.interval_s = known._get_interval(peer)
+    for _ in range(100):
+        assert 1.5 < known._get_pause(peer) <= 8.0 / fleet.RENEWALS_PER_LEASE
+
+
+def test_figure_that_an_answer_leaves_out_is_reset():
+    """The older one would make a target look busy for good."""
+
+    async def check(known, listed, agents):
+        await wait_for(lambda: len(known.peers) == AGENTS)
+        peer = known.peers["agent-0"]
+        full = {"online": 3, "demand": {"lm": 2}, "cache_life_s": 4.0}
+        known._take_report(peer, full, 0.0)
+        assert peer.report["demand"] == {"lm": 2}
+        known._take_report(peer, {"state": "ready"}, 0.0)
+        assert peer.report["online"] == 0
+        assert peer.report["demand"] == {}
+        assert peer.report["cache_life_s"] is None
+
+    run(check, idle_heartbeat_s=10.0)
+
+
 def test_idle_entry_learns_that_an_agent_drains():
     """A target is about to leave while this entry has no work for it.
 
