Let the handles of the client keep smaller buffers

Cause: a handle of libcurl keeps a buffer for what it sends, 64 KB by default, for as long as its transfer lasts. Change: 16 KB for what is sent and for what is received, the least that libcurl takes for the former.

--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -30,6 +30,7 @@
 # keep a handle of the pool; libcurl ends such a transfer after this.
 LOW_SPEED_BYTES = 1
 LOW_SPEED_MARGIN_S = 2
+BUFFER_BYTES = 16_384
 MAX_IDLE_CONNECTION_S = 60
 MAX_DISTRUSTED = 10_000
 
@@ -338,6 +339,10 @@
 def _apply_options(curl, transfer, fresh, distrusted_at):
     # Handles are used again, so every option is set for every request.
     curl.setopt(pycurl.NOPROXY, "*")
+    # One buffer of each kind stays with every handle; the defaults of 64 KB for what
+    # is sent are most of what a hundred streams hold.
+    curl.setopt(pycurl.UPLOAD_BUFFERSIZE, BUFFER_BYTES)
+    curl.setopt(pycurl.BUFFERSIZE, BUFFER_BYTES)
     curl.setopt(pycurl.PREREQFUNCTION, transfer.allow_send)
     curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_CONNECTION_S)
     curl.setopt(pycurl.LOW_SPEED_LIMIT, 0)
