--- a/benchmarks/capacity_table.py
+++ b/benchmarks/capacity_table.py
@@ -32,9 +32,9 @@
     "flush_s": 1.0,
     "peers_per_service": 8,
     "heartbeats_per_s": 4.0,
-    "lease_s": 8.0,
     "heartbeat_s": 0.5,
 }
+AGENT_SETTINGS = {"lease_s": 8.0}
 ASSUMED = {
     "log_appends_per_s": 300,
     "kept_days": 1.0,
@@ -165,7 +165,7 @@
 def _get_renewal_s():
     """Return the time between renewals: a third of the lease, in whole turns."""
     turn = SETTINGS["heartbeat_s"]
-    return SETTINGS["lease_s"] / fleet.RENEWALS_PER_LEASE // turn * turn
+    return AGENT_SETTINGS["lease_s"] / fleet.RENEWALS_PER_LEASE // turn * turn
 
 
 def _work_out_owner(lines):
