--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -327,7 +327,7 @@
         elif refusal is not None and refusal.code == "draining":
             self._fleet.note_draining(peer)
         elif refusal is not None and refusal.code == "lease_lapsed":
-            peer.lease = 0
+            self._fleet.note_lapsed(peer)
         elif refusal is not None:
             self._fleet.note_failure(peer)
         queue = work.suspects if solo else work.pending
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -443,7 +443,8 @@
         if not self._wants_lease(peer):
             return interval
         lease_s = peer.report.get("lease_s")
-        if lease_s is None:
+        if lease_s is None or not peer.lease:
+            # One that was not asked for, since the log was not read, is soon due.
             return self._settings.heartbeat_s
         return min(interval, lease_s / RENEWALS_PER_LEASE)
 
@@ -498,6 +499,12 @@
             if not peer.lease:
                 peer.wake.set()
 
+    def note_lapsed(self, peer):
+        """Take notice of an agent that refused because the lease has lapsed."""
+        peer.lease = 0
+        # The next renewal may be seconds away, and until then the agent idles.
+        peer.wake.set()
+
     def note_waiting(self, service, items):
         """Ask more agents for a lease if items wait for which there is no room.
 
--- a/pimentowick/membership/tests/test_fleet.py
+++ b/pimentowick/membership/tests/test_fleet.py
@@ -207,11 +207,29 @@
     settings = make_settings(heartbeat_s=0.5, heartbeats_per_s=0.01)
     known = fleet.Fleet(None, None, settings, "entry-0#1", None)
     peer = fleet.Peer(None, {"lease_s": 8.0}, batch=1)
+    assert known._get_interval(peer) == 0.5
+    peer.lease = 7
     peer.interval_s = known._get_interval(peer)
     for _ in range(100):
         assert 1.5 < known._get_pause(peer) <= 8.0 / fleet.RENEWALS_PER_LEASE
 
 
+def test_lapsed_lease_is_asked_for_at_once():
+    """Until the next renewal, seconds away, the agent would stand idle."""
+
+    async def check(known, listed, agents):
+        await wait_for(lambda: len(known.peers) == AGENTS)
+        known.want_batch({"lm"})
+        await wait_for(lambda: count_leases(known) == fleet.LEASES_AT_FIRST)
+        peer = next(peer for peer in list_lm(known) if peer.lease)
+        known.note_lapsed(peer)
+        assert not peer.lease
+        async with asyncio.timeout(1):
+            await wait_for(lambda: peer.lease == 7)
+
+    run(check, heartbeat_s=3.0)
+
+
 def test_figure_that_an_answer_leaves_out_is_reset():
     """The older one would make a target look busy for good."""
 
