--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -28,6 +28,7 @@
 
 FRESH_S = 2.0
 TURN_S = 0.25
+STOP_TIMEOUT_S = 1.0
 READ_PAUSE_S = 0.5
 
 
@@ -167,7 +168,14 @@
         if peer.report.get("kind") != "engine":
             return
         await self._control.fetch(
-            "POST", peer.address, "/stop-job", {"job": job_id}, timeout_s=1.0
+            "POST",
+            peer.address,
+            "/stop-job",
+            {"job": job_id},
+            timeout_s=STOP_TIMEOUT_S,
+            # On a pooled connection that is silent for good the order would be lost,
+            # and the user would wait until all leases have lapsed.
+            fresh=True,
         )
 
     async def _cancel_work(self, work):
--- a/pimentowick/entry/job.py
+++ b/pimentowick/entry/job.py
@@ -328,6 +328,7 @@
                 "/peer/stop-job",
                 {"job": job.id, "owner": owner},
                 timeout_s=STOP_TIMEOUT_S,
+                fresh=True,
             )
         except exception.UnavailableError:
             return False
