--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -6,24 +6,19 @@
 
 import asyncio
 import collections
-import contextlib
-import dataclasses
 import secrets
 import time
 
 from loguru import logger
-from tornado import iostream, web
+from tornado import web
 
 from pimentowick import client as http_client
 from pimentowick import daemon as process_daemon
 from pimentowick import exception, supervisor, tls, verdict
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
-from pimentowick.agent import metered
-from pimentowick.agent import work as agent_work
-from pimentowick.membership import report as membership_report
-from pimentowick.placement import executor, usage
-from pimentowick.placement import order as placement_order
+from pimentowick.agent import handler, metered, usage
+from pimentowick.placement import executor
 from pimentowick.platform import adapter as platform_adapter
 from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
@@ -43,8 +38,6 @@
 CONTROL_CONNECTIONS = 16
 MAX_STOPPED_JOBS = 10_000
 ENTRY_KNOWN_S = 60.0
-# Entries don't read these; a heartbeat answer is smaller without them.
-UNUSED_HEADERS = ("Server", "Date", "Content-Type")
 
 
 class Agent:
@@ -101,6 +94,11 @@
             ssl_context=tls.make_agent_context(settings.tls),
         )
 
+    @property
+    def is_ready(self):
+        """Whether new work is taken."""
+        return self.state == READY
+
     @property
     def address(self):
         """``IP:port`` that the agent listens on."""
@@ -124,17 +122,17 @@
         shared = {"agent": self}
         return web.Application(
             [
-                ("/work", WorkHandler, shared),
-                ("/heartbeat", HeartbeatHandler, shared),
-                ("/stop-job", StopJobHandler, shared),
-                ("/drain", DrainHandler, shared),
-                ("/orders", OrderHandler, shared),
-                ("/health", HealthHandler, shared),
-                ("/ready", ReadyHandler, shared),
+                ("/work", handler.WorkHandler, shared),
+                ("/heartbeat", handler.HeartbeatHandler, shared),
+                ("/stop-job", handler.StopJobHandler, shared),
+                ("/drain", handler.DrainHandler, shared),
+                ("/orders", handler.OrderHandler, shared),
+                ("/health", handler.HealthHandler, shared),
+                ("/ready", handler.ReadyHandler, shared),
                 ("/metrics", process_metrics.MetricsHandler, {"daemon": self}),
             ],
             default_handler_class=http_web.UnknownPathHandler,
-            log_function=lambda handler: None,
+            log_function=lambda _: None,
         )
 
     async def start(self):
@@ -173,8 +171,8 @@
         """Stop listening and drop all connections."""
         await self._supervisor.close()
         await self.orders.close()
-        for handler in list(self.running):
-            handler.cancel()
+        for each in list(self.running):
+            each.cancel()
         await self._server.close()
         await self._client.close()
         await self._control.close()
@@ -200,17 +198,17 @@
         if len(self.stopped_jobs) > MAX_STOPPED_JOBS:
             self.stopped_jobs.popitem(last=False)
         items = [each for each in self.running if each.work.envelope.job == job]
-        for handler in items:
-            handler.cancel()
+        for each in items:
+            each.cancel()
         while not self.running.isdisjoint(items):
             await asyncio.sleep(0)
         return len(items)
 
     def _cancel_batch_of(self, holder):
         stale = [
-            handler
-            for handler in self.running
-            if handler.work.is_batch and handler.work.envelope.entry == holder
+            each
+            for each in self.running
+            if each.work.is_batch and each.work.envelope.entry == holder
         ]
         if stale:
             logger.warning(
@@ -218,14 +216,14 @@
                 holder,
                 len(stale),
             )
-        for handler in stale:
-            handler.cancel()
+        for each in stale:
+            each.cancel()
 
     async def _send_alive(self):
         while True:
             await asyncio.sleep(self.settings.alive_s)
-            for handler in list(self.running):
-                handler.send_alive()
+            for each in list(self.running):
+                each.send_alive()
 
     async def _watch_load(self):
         while True:
@@ -321,7 +319,7 @@
         Raises:
             RefusedError: The agent drains, or the sender's lease has lapsed.
         """
-        if self.state != READY:
+        if not self.is_ready:
             raise exception.RefusedError(
                 verdict.Refusal(
                     503,
@@ -350,177 +348,3 @@
                     409, "lease_lapsed", "The lease has lapsed.", retry_after=0.1
                 )
             )
-
-
-class WorkHandler(http_web.JsonHandler):
-    """One request at work; its connection's task runs it."""
-
-    def initialize(self, agent):
-        """Take the agent."""
-        self.agent = agent
-        self.work = None
-        self._task = None
-        self._idle = False
-        self._flushing = False
-
-    async def post(self):
-        """Run a request and answer with its lines."""
-        work = agent_work.parse_work(self.read_json())
-        self.work = work
-        self.set_header("Content-Type", "application/x-ndjson")
-        try:
-            self.agent.check(work)
-        except exception.RefusedError as error:
-            self._count(error.refusal)
-            self.finish(work.make_refusal(error.refusal))
-            return
-        self._task = asyncio.ensure_future(self._run(work))
-        self.agent.running.add(self)
-        try:
-            await self._task
-        except asyncio.CancelledError:
-            # The lease lapsed, or the entry is gone: without a last line the entry
-            # sees the answer as broken, which is what it is.
-            self.request.connection.close()
-        except iostream.StreamClosedError:
-            return
-        finally:
-            self.agent.running.discard(self)
-
-    async def _run(self, work):
-        try:
-            lines = work.run(self.agent.target, self.agent.admission)
-            async with contextlib.aclosing(lines):
-                async for line in lines:
-                    await self._send(line)
-        except exception.RefusedError as error:
-            self._count(error.refusal)
-            self.write(work.make_refusal(error.refusal))
-        else:
-            self.agent.metrics.count_answered(work.envelope.priority)
-        self.finish()
-
-    async def _send(self, line):
-        # What came together is flushed at once; the loop goes on to other
-        # connections while the kernel takes it.
-        self._idle = False
-        self.write(line)
-        self._flushing = True
-        await self.flush()
-        self._flushing = False
-
-    def _count(self, refusal):
-        self.agent.metrics.count_refused(refusal.code, refusal.verdict)
-
-    def send_alive(self):
-        """Send a keep-alive line if nothing was sent since the last call."""
-        if self._flushing or self._finished:
-            # Tornado forgets a flush that another one overtakes: an entry that was
-            # slow to read would never get the rest. What waits in the socket
-            # already shows that this end lives.
-            return
-        if self._idle:
-            self.write(self.work.make_alive())
-            self.flush()
-        self._idle = True
-
-    def cancel(self):
-        """End the request."""
-        if self._task is not None:
-            self._task.cancel()
-
-    def on_connection_close(self):
-        """End the request: nobody waits for it any more."""
-        self.cancel()
-
-
-class HeartbeatHandler(http_web.JsonHandler):
-    """Tells an entry how the agent is, and renews the entry's lease."""
-
-    def initialize(self, agent):
-        """Take the agent."""
-        self.agent = agent
-
-    def post(self):
-        """Answer a heartbeat."""
-        data = self.read_json()
-        # An entry that sends `known` keeps the older figure of what is left out.
-        known = data.get("have", data.get("known"))
-        answer = self.agent.answer_heartbeat(data["entry"], known)
-        if "have" in data:
-            answer = membership_report.shorten(answer)
-        if data.get("renew") is not None:
-            answer["lease"] = self.agent.leases.renew(data["entry"], data["renew"])
-        for name in UNUSED_HEADERS:
-            self.clear_header(name)
-        self.write_json(answer)
-
-    def compute_etag(self):
-        """Return None: no answer is asked for again."""
-
-
-class StopJobHandler(http_web.JsonHandler):
-    """Ends the items of a cancelled job."""
-
-    def initialize(self, agent):
-        """Take the agent."""
-        self.agent = agent
-
-    async def post(self):
-        """Answer once no item of the job runs here."""
-        job = self.read_json()["job"]
-        self.write_json({"cancelled": await self.agent.stop_job(job)})
-
-
-class DrainHandler(http_web.JsonHandler):
-    """Makes the agent drain and its process end, as SIGTERM does."""
-
-    def initialize(self, agent):
-        """Take the agent."""
-        self.agent = agent
-
-    def post(self):
-        """Answer at once; `GET /ready` shows how it goes on."""
-        self.agent.stop_orders.drain()
-        self.write_json({"state": DRAINING}, 202)
-
-
-class OrderHandler(http_web.JsonHandler):
-    """Takes an order to the engine, or tells how the same order fares."""
-
-    def initialize(self, agent):
-        """Take the agent."""
-        self.agent = agent
-
-    def post(self):
-        """Answer with the order's status; 409 if it is not taken."""
-        orders = self.agent.orders
-        try:
-            order = placement_order.parse_order(self.read_json())
-            self.write_json(dataclasses.asdict(orders.submit(order)))
-        except exception.ValidationError as error:
-            self.write_json({"error": str(error)}, 400)
-        except exception.ConflictError as error:
-            answer = {"error": str(error), "fence": orders.fence, "boot": orders.boot}
-            self.write_json(answer, 409)
-
-
-class HealthHandler(http_web.JsonHandler):
-    """Liveness: the loop turns."""
-
-    def initialize(self, agent):
-        """Take the agent."""
-        self.agent = agent
-
-    def get(self):
-        """Answer that the process lives."""
-        self.write_json({"state": self.agent.state})
-
-
-class ReadyHandler(HealthHandler):
-    """Readiness: new work is taken."""
-
-    def get(self):
-        """Answer 200 while new work is taken, 503 otherwise."""
-        status = 200 if self.agent.state == READY else 503
-        self.write_json(self.agent.describe(), status)
--- a/pimentowick/agent/work.py
+++ b/pimentowick/agent/work.py
@@ -16,7 +16,12 @@
 from pimentowick.platform import service as platform_service
 from pimentowick.scheduling import admission as scheduling_admission
 
-__all__ = ["GenerateWork", "ServiceWork", "parse_work"]
+__all__ = [
+    "Envelope",
+    "GenerateWork",
+    "ServiceWork",
+    "parse_work",
+]
 
 ONLINE = "online"
 BATCH = "batch"
--- a/pimentowick/batch/intake.py
+++ b/pimentowick/batch/intake.py
@@ -12,7 +12,12 @@
 from pimentowick.batch import record as batch_record
 from pimentowick.platform import log as platform_log
 
-__all__ = ["Submission", "append_submission", "parse_items"]
+__all__ = [
+    "Submission",
+    "append_submission",
+    "make_chunks",
+    "parse_items",
+]
 
 MAX_ITEMS = 65_000
 # What is parsed or encoded in one turn of the loop, in lines and in bytes; more
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -395,11 +395,6 @@
         """Return the number of chunks of a job."""
         return len(self.chunks[job.submission])
 
-    def find_result(self, job, item):
-        """Return the offset of the record with an item's result, or None."""
-        ref = job.refs[item]
-        return None if ref is None else self.results[ref]
-
     def list_needed_offsets(self):
         """Return the sorted offsets of the records whose bodies are still needed.
 
--- a/pimentowick/batch/ownership.py
+++ b/pimentowick/batch/ownership.py
@@ -16,7 +16,10 @@
 from pimentowick.batch import record as batch_record
 from pimentowick.batch import shard as batch_shard
 
-__all__ = ["Ownership"]
+__all__ = [
+    "Ownership",
+    "get_host_name",
+]
 
 TICK_S = 0.25
 RANK_DELAY_S = 1.0
--- a/pimentowick/batch/record.py
+++ b/pimentowick/batch/record.py
@@ -21,8 +21,19 @@
     "RESULTS",
     "SUBMITTED",
     "SUSPECT",
+    "make_call_claimed",
+    "make_call_ended",
     "make_call_id",
+    "make_cancelled",
+    "make_chunk",
+    "make_claim",
+    "make_expired",
     "make_job_id",
+    "make_release",
+    "make_renew",
+    "make_results",
+    "make_submitted",
+    "make_suspect",
 ]
 
 CLAIM = "claim"
--- a/pimentowick/cli/application.py
+++ b/pimentowick/cli/application.py
@@ -31,7 +31,11 @@
     workspace_stop,
 )
 
-__all__ = ["make_application", "run"]
+__all__ = [
+    "make_application",
+    "run",
+    "run_command",
+]
 
 COMMANDS = (
     amend.Amend,
--- a/pimentowick/entry/configuration.py
+++ b/pimentowick/entry/configuration.py
@@ -10,7 +10,13 @@
 from pimentowick.configuration import change
 from pimentowick.entry import handler
 
-__all__ = ["DocumentHandler", "StatusHandler", "VersionHandler"]
+__all__ = [
+    "DocumentHandler",
+    "StatusHandler",
+    "VersionHandler",
+    "count_in_force",
+    "describe_entry",
+]
 
 CONFIGURATION_STREAM = "configuration"
 IN_FORCE_POLL_S = 0.1
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -32,7 +32,11 @@
 from pimentowick.replication import keeper, replica
 from pimentowick.routing import affinity, balance, limits, router
 
-__all__ = ["Entry"]
+__all__ = [
+    "Entry",
+    "HealthHandler",
+    "ReadyHandler",
+]
 
 STARTING = "starting"
 READY = "ready"
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -13,10 +13,12 @@
 
 __all__ = [
     "CallerHandler",
+    "EntryHandler",
     "OperatorHandler",
     "PeerHandler",
     "check_online_size",
     "forward",
+    "validate",
 ]
 
 # An online body is parsed and encoded in one turn of the loop each, here and at the
--- a/pimentowick/entry/job.py
+++ b/pimentowick/entry/job.py
@@ -14,7 +14,14 @@
 from pimentowick.entry import handler
 from pimentowick.membership import fleet as membership_fleet
 
-__all__ = ["CancelHandler", "JobHandler", "JobsHandler", "ResultsHandler"]
+__all__ = [
+    "CancelHandler",
+    "JobHandler",
+    "JobsHandler",
+    "ResultsHandler",
+    "StopHandler",
+    "describe_job",
+]
 
 STOP_TIMEOUT_S = 2.0
 # Beside lease and freshness: what the clocks of two processes may differ in rate.
--- a/pimentowick/entry/service.py
+++ b/pimentowick/entry/service.py
@@ -52,7 +52,7 @@
         deadline_s = online.read_deadline(self.request, use.deadline_s)
         idempotent = self._is_idempotent(use)
         key = self.request.headers.get("Idempotency-Key")
-        request = self._make_request(service, path, idempotent, key, deadline_s)
+        request = self._make_request(service, idempotent, key, deadline_s)
         if idempotent or key is None:
             with self.entry.limits.hold_call(self.workspace, service):
                 call = asyncio.ensure_future(self.entry.router.call(request))
@@ -108,7 +108,7 @@
         hashed.update(self.request.body)
         return hashed.hexdigest()
 
-    def _make_request(self, service, path, idempotent, key, deadline_s):
+    def _make_request(self, service, idempotent, key, deadline_s):
         query = f"?{self.request.query}" if self.request.query else ""
         headers = {
             name: self.request.headers[name]
--- a/pimentowick/fakes/callers.py
+++ b/pimentowick/fakes/callers.py
@@ -14,7 +14,12 @@
 from pimentowick import verdict
 from pimentowick.fakes import embedded, engine
 
-__all__ = ["Callers", "Outcome", "run_with_callers"]
+__all__ = [
+    "Callers",
+    "Outcome",
+    "open_unread",
+    "run_with_callers",
+]
 
 SERVICE_PATH = f"/v1/services/{embedded.SERVICE}/confirm"
 END_MARK = b"data: [DONE]"
--- a/pimentowick/fakes/deployment.py
+++ b/pimentowick/fakes/deployment.py
@@ -19,6 +19,7 @@
 from pimentowick import client as http_client
 from pimentowick import exception
 from pimentowick.configuration import tokens
+from pimentowick.fakes import wait
 
 __all__ = ["Deployment", "Process", "load_topology"]
 
@@ -251,26 +252,9 @@
         address = self.entries[entry % len(self.entries)].address
         return await self.client.fetch(method, address, path, body, headers, **fields)
 
-    async def wait_for(self, check, timeout_s=START_TIMEOUT_S):
-        """Wait until the coroutine function `check` returns something true.
-
-        Returns:
-            What it returned.
-
-        Raises:
-            UnavailableError: It did not within `timeout_s` seconds.
-        """
-        try:
-            async with asyncio.timeout(timeout_s):
-                while True:
-                    found = await check()
-                    if found:
-                        return found
-                    await asyncio.sleep(READY_POLL_S)
-        except TimeoutError as error:
-            raise exception.UnavailableError(
-                f"{check.__name__} stayed false."
-            ) from error
+    async def wait_for(self, predicate, timeout_s=START_TIMEOUT_S):
+        """Wait for a condition; see `pimentowick.fakes.wait.wait_for`."""
+        return await wait.wait_for(predicate, timeout_s, READY_POLL_S)
 
     async def wait_ready(self):
         """Wait until every entry is ready and sees every agent as usable."""
--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -15,7 +15,7 @@
 from pimentowick.agent import daemon as agent_daemon
 from pimentowick.configuration import tokens
 from pimentowick.entry import daemon as entry_daemon
-from pimentowick.fakes import engine, hosts, log, service
+from pimentowick.fakes import engine, hosts, log, service, wait
 
 __all__ = ["MODEL", "SERVICE", "TEMPLATE", "Embedded", "make_job_lines", "run"]
 
@@ -258,25 +258,8 @@
         return [orjson.loads(line) for line in answer.body.splitlines()]
 
     async def wait_for(self, predicate, timeout_s=WAIT_S):
-        """Wait until a function or coroutine function returns something true.
-
-        Returns:
-            What it returned.
-
-        Raises:
-            UnavailableError: It did not within `timeout_s` seconds.
-        """
-        try:
-            async with asyncio.timeout(timeout_s):
-                while True:
-                    found = predicate()
-                    if asyncio.iscoroutine(found):
-                        found = await found
-                    if found:
-                        return found
-                    await asyncio.sleep(POLL_S)
-        except TimeoutError as error:
-            raise exception.UnavailableError(f"{predicate} stayed false.") from error
+        """Wait for a condition; see `pimentowick.fakes.wait.wait_for`."""
+        return await wait.wait_for(predicate, timeout_s, POLL_S)
 
     async def wait_for_job(self, job_id, status="completed", **fields):
         """Wait until a job has a status, and return its description."""
--- a/pimentowick/placement/claim.py
+++ b/pimentowick/placement/claim.py
@@ -9,7 +9,14 @@
 from pimentowick.platform import log as platform_log
 from pimentowick.replication import fold, replica
 
-__all__ = ["STREAM", "ClaimFold", "ClaimReplica", "make_claim", "make_release"]
+__all__ = [
+    "STREAM",
+    "ClaimFold",
+    "ClaimReplica",
+    "make_claim",
+    "make_release",
+    "make_renew",
+]
 
 STREAM = "placement"
 CLAIM = "claim"
--- a/pimentowick/placement/plan.py
+++ b/pimentowick/placement/plan.py
@@ -10,7 +10,13 @@
 
 from pimentowick.placement import order as placement_order
 
-__all__ = ["Engine", "Move", "Wanted", "make_plan"]
+__all__ = [
+    "Engine",
+    "Move",
+    "Wanted",
+    "count_replicas",
+    "make_plan",
+]
 
 MODEL = "model"
 ADAPTER = "adapter"
--- a/pimentowick/web.py
+++ b/pimentowick/web.py
@@ -10,7 +10,12 @@
 
 from pimentowick import exception, verdict
 
-__all__ = ["JsonHandler", "Server", "UnknownPathHandler"]
+__all__ = [
+    "JsonHandler",
+    "Server",
+    "UnknownPathHandler",
+    "refuse_input",
+]
 
 MAX_HEADER_BYTES = 32_768
 MAX_BODY_BYTES = 67_108_864
