--- a/pimentowick/placement/claim.py
+++ b/pimentowick/placement/claim.py
@@ -23,7 +23,7 @@
 RENEW = "renew"
 RELEASE = "release"
 
-READ_WAIT_S = 0.5
+READ_WAIT_S = 1.0
 
 
 def make_claim(owner):
