--- a/benchmarks/bench_routing.py
+++ b/benchmarks/bench_routing.py
@@ -13,6 +13,7 @@
 import time
 
 from pimentowick.membership import fleet, pool
+from pimentowick.membership import peer as membership_peer
 from pimentowick.placement import plan
 from pimentowick.platform import hosts
 from pimentowick.routing import affinity, balance, prefix, retry
@@ -91,7 +92,7 @@
         domain = DOMAINS[index % len(DOMAINS)]
         host = hosts.Host(f"agent-{index}", "agent", "127.0.0.1:1", domain)
         report = {"online": 0, "max_online": PLACES, "entries": ENTRIES}
-        peers.append(fleet.Peer(host, report))
+        peers.append(membership_peer.Peer(host, report))
     return peers
 
 
--- a/pimentowick/batch/dispatch.py
+++ b/pimentowick/batch/dispatch.py
@@ -39,7 +39,7 @@
     Attributes:
         shard: `pimentowick.batch.shard.Shard`.
         epoch: Epoch under which this process owns it.
-        job: `pimentowick.batch.ledger.Job`.
+        job: `pimentowick.batch.state.Job`.
         bounds: Number of the first item of each chunk.
         pending: Items that wait.
         suspects: Items that wait to be run alone.
--- a/pimentowick/batch/item.py
+++ b/pimentowick/batch/item.py
@@ -60,9 +60,9 @@
 
     Args:
         client: `pimentowick.client.Client` of batch traffic.
-        peer: `pimentowick.membership.fleet.Peer`.
+        peer: `pimentowick.membership.peer.Peer`.
         owner: Name under which this process holds its leases.
-        job: `pimentowick.batch.ledger.Job`.
+        job: `pimentowick.batch.state.Job`.
         item: Number of the item.
         body: The item as it stands in the log.
         progress: `Progress` of the item; tokens are added to it.
--- a/pimentowick/batch/ledger.py
+++ b/pimentowick/batch/ledger.py
@@ -25,18 +25,10 @@
 from pimentowick import exception
 from pimentowick.batch import note as batch_note
 from pimentowick.batch import record as batch_record
+from pimentowick.batch import state
 from pimentowick.replication import fold
 
-__all__ = ["Call", "Chunk", "Job", "Ledger"]
-
-PENDING = 0
-SUCCEEDED = 1
-FAILED = 2
-OUTCOMES = {"succeeded": SUCCEEDED, "failed": FAILED}
-
-OPEN = "open"
-CANCELLED = "cancelled"
-DONE = "done"
+__all__ = ["Ledger"]
 
 MAX_SUBMISSIONS_WITHOUT_JOB = 1000
 MAX_ENDED_CALLS = 20_000
@@ -45,108 +37,14 @@
 DUMP_NOTES = 50
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """One batch job.
-
-    Attributes:
-        id: Id of the job.
-        submission: Id that the chunks carry.
-        workspace: Name of the workspace.
-        key: Idempotency key of the submission.
-        digest: Hash of the content.
-        model: Model that all items ask for.
-        items: Number of items.
-        deadline: Epoch seconds, or None.
-        at: When the job was submitted, in epoch seconds.
-        state: ``open``, ``cancelled`` or ``done``.
-        outcomes: One byte for each item: 0 pending, 1 succeeded, 2 failed.
-        refs: For each item the id of the record that holds its result, or None.
-        pending: Number of items without a result.
-        suspects: Attempts during which the target died, by item.
-        cancelled_by: Who cancelled the job.
-        ended_at: When it was done or cancelled, in epoch seconds, or None.
-    """
-
-    id: str
-    submission: str
-    workspace: str
-    key: str
-    digest: str
-    model: str
-    items: int
-    deadline: float | None
-    at: float
-    state: str = OPEN
-    outcomes: bytearray = dataclasses.field(default_factory=bytearray)
-    refs: list = dataclasses.field(default_factory=list)
-    pending: int = 0
-    suspects: dict = dataclasses.field(default_factory=dict)
-    cancelled_by: str | None = None
-    ended_at: float | None = None
-
-    @property
-    def succeeded(self):
-        """Number of items that succeeded."""
-        return self.outcomes.count(SUCCEEDED)
-
-    @property
-    def failed(self):
-        """Number of items that ended as failed."""
-        return self.outcomes.count(FAILED)
-
-    def end(self, state, at):
-        """Close the job at a time that a record states, in epoch seconds."""
-        self.state = state
-        self.ended_at = max(self.at, at)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Chunk:
-    """Where some items of a submission are.
-
-    Attributes:
-        offset: Offset of the record.
-        size: Number of items in it.
-        id: Id of the record.
-    """
-
-    offset: int
-    size: int
-    id: str
-
-
-@dataclasses.dataclass(slots=True)
-class Call:
-    """One call that must not run twice.
-
-    Attributes:
-        id: Id derived from workspace, service and idempotency key.
-        request: Request that holds the right to run.
-        owner: Name of the entry that claimed it.
-        digest: Hash of the content.
-        at: When it was claimed, in epoch seconds.
-        verdict: How it ended, or None while it runs.
-        answer: The answer, for whoever asks again.
-    """
-
-    id: str
-    request: str
-    owner: str
-    digest: str
-    at: float
-    verdict: str | None = None
-    answer: dict | None = None
-
-
 class Ledger(fold.Fold):
     """Jobs, calls and ownership of one shard.
 
     Attributes:
         epoch: Epoch in force; 0 while nobody ever owned the shard.
         owner: Name of the owning entry, or None.
-        jobs: `Job` by id.
-        calls: `Call` by id.
+        jobs: `pimentowick.batch.state.Job` by id.
+        calls: `pimentowick.batch.state.Call` by id.
         owner_offset: Offset of the last record that shows the owner alive.
         fenced: Records read whose epoch was over; no part of the state.
         notes: `pimentowick.batch.note.Note` of the newest claims, releases and
@@ -172,8 +70,8 @@
         self.jobs = {}
         self.calls = {}
         self._ended_calls = 0
-        # `Chunk` by submission and index; offsets of results by record, and how
-        # many items have their result there.
+        # Chunks by submission and index; offsets of results by record, and how many
+        # items have their result there.
         self.chunks = {}
         self.results = {}
         self._uses = {}
@@ -222,7 +120,9 @@
     def _apply_chunk(self, offset, record):
         submission = _get(record, "submission", str)
         index = _get(record, "index", int)
-        chunk = Chunk(offset, len(_get(record, "items", list)), _get(record, "id", str))
+        chunk = state.Chunk(
+            offset, len(_get(record, "items", list)), _get(record, "id", str)
+        )
         known = self.chunks.get(submission, {})
         if index in known:
             # Appended again it has the same id. Another one would put other items
@@ -253,7 +153,7 @@
         if job.id in self.jobs or job.submission in self._used_submissions:
             return
         if not job.items:
-            job.end(DONE, job.at)
+            job.end(state.DONE, job.at)
         self._put_job(job)
 
     def _put_job(self, job):
@@ -266,8 +166,8 @@
         by = _get(record, "by", str)
         at = _get_time(record, job.at)
         self.notes.append(batch_note.note_cancelled(offset, record, job))
-        if job.state == OPEN:
-            job.end(CANCELLED, at)
+        if job.state == state.OPEN:
+            job.end(state.CANCELLED, at)
             job.cancelled_by = by
 
     def _apply_results(self, offset, record):
@@ -287,16 +187,16 @@
 
     def _complete(self, record_id, at, job_id, item, outcome):
         job = self.jobs.get(job_id)
-        if job is None or job.state != OPEN or not 0 <= item < job.items:
+        if job is None or job.state != state.OPEN or not 0 <= item < job.items:
             return False
-        if job.outcomes[item] != PENDING:
+        if job.outcomes[item] != state.PENDING:
             return False
         job.outcomes[item] = outcome
         job.refs[item] = record_id
         job.suspects.pop(item, None)
         job.pending -= 1
         if job.pending == 0:
-            job.end(DONE, at)
+            job.end(state.DONE, at)
         return True
 
     def _apply_suspect(self, offset, record):
@@ -306,13 +206,13 @@
         item = _get(record, "item", int)
         attempts = _get(record, "attempts", int)
         self.owner_offset = offset
-        if 0 <= item < job.items and job.outcomes[item] == PENDING:
+        if 0 <= item < job.items and job.outcomes[item] == state.PENDING:
             job.suspects[item] = attempts
 
     def _apply_expired(self, offset, record):
         job = self.jobs[record["job"]]
         # A copy that lands late must not drop a later job of the same key.
-        if job.state == OPEN or job.submission != record["submission"]:
+        if job.state == state.OPEN or job.submission != record["submission"]:
             return
         del self.jobs[job.id]
         del self.chunks[job.submission]
@@ -331,7 +231,7 @@
         known = self.calls.get(record["call"])
         if known is not None and known.verdict != "not_run":
             return
-        call = Call(
+        call = state.Call(
             id=record["call"],
             request=record["request"],
             owner=record["owner"],
@@ -385,10 +285,10 @@
 
     def list_open_jobs(self):
         """Return the open jobs."""
-        return [job for job in self.jobs.values() if job.state == OPEN]
+        return [job for job in self.jobs.values() if job.state == state.OPEN]
 
     def find_chunk(self, job, index):
-        """Return the `Chunk` of a job with a number."""
+        """Return the `pimentowick.batch.state.Chunk` of a job with a number."""
         return self.chunks[job.submission][index]
 
     def count_chunks(self, job):
@@ -464,7 +364,7 @@
             "ended_at": job.ended_at,
             "suspects": sorted(job.suspects.items()),
             "failed": _make_ranges(
-                [i for i, outcome in enumerate(job.outcomes) if outcome == FAILED]
+                [i for i, outcome in enumerate(job.outcomes) if outcome == state.FAILED]
             ),
             "chunks": _dump_chunks(self.chunks[job.submission]),
         }
@@ -482,7 +382,7 @@
         except (AttributeError, LookupError, TypeError, ValueError) as error:
             raise exception.ValidationError(f"dump: {error!r}") from error
         for job in loaded.jobs.values():
-            job.pending = job.outcomes.count(PENDING)
+            job.pending = job.outcomes.count(state.PENDING)
         loaded._ended_calls = sum(
             call.verdict is not None for call in loaded.calls.values()
         )
@@ -500,7 +400,7 @@
             self.notes.extend(batch_note.Note(**data) for data in part["notes"])
         else:
             for call in part["calls"]:
-                self.calls[call["id"]] = Call(**call)
+                self.calls[call["id"]] = state.Call(**call)
 
     def _load_head(self, part):
         self.epoch = part["epoch"]
@@ -517,7 +417,7 @@
         job.suspects = dict(data["suspects"])
         for first, last in data["failed"]:
             for item in range(first, last + 1):
-                job.outcomes[item] = FAILED
+                job.outcomes[item] = state.FAILED
         self._put_job(job)
         self.chunks[job.submission] = _load_chunks(data["chunks"])
 
@@ -528,8 +428,8 @@
             self._uses[ref] = self._uses.get(ref, 0) + last + 1 - first
             for item in range(first, last + 1):
                 job.refs[item] = ref
-                if job.outcomes[item] == PENDING:
-                    job.outcomes[item] = SUCCEEDED
+                if job.outcomes[item] == state.PENDING:
+                    job.outcomes[item] = state.SUCCEEDED
 
 
 def _get(record, name, kind):
@@ -554,7 +454,7 @@
     model = record.get("model")
     if model is not None and type(model) is not str:
         raise TypeError("model is no text")
-    return Job(
+    return state.Job(
         id=_get(record, "job", str),
         submission=_get(record, "submission", str),
         workspace=_get(record, "workspace", str),
@@ -575,7 +475,7 @@
     for job_id, item, outcome, _ in _get(record, "results", list):
         if type(job_id) is not str or type(item) is not int:
             raise TypeError("a result names no item")
-        rows.append((job_id, item, OUTCOMES[outcome]))
+        rows.append((job_id, item, state.OUTCOMES[outcome]))
     return rows
 
 
@@ -584,7 +484,7 @@
 
 
 def _load_chunks(rows):
-    return {index: Chunk(*fields) for index, *fields in rows}
+    return {index: state.Chunk(*fields) for index, *fields in rows}
 
 
 def _make_ranges(items):
--- a/pimentowick/batch/tests/test_ledger.py
+++ b/pimentowick/batch/tests/test_ledger.py
@@ -7,6 +7,7 @@
 
 from pimentowick.batch import ledger as batch_ledger
 from pimentowick.batch import record as batch_record
+from pimentowick.batch import state
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
 JOBS = ["j0", "j1", "j2"]
@@ -108,7 +109,7 @@
     assert json.dumps(resumed.dump()) == json.dumps(fold(stream).dump())
     for each in (resumed, fold(stream)):
         for job in each.jobs.values():
-            assert job.pending == job.outcomes.count(batch_ledger.PENDING)
+            assert job.pending == job.outcomes.count(state.PENDING)
             assert all(ref is None or ref in each.results for ref in job.refs)
         each.list_needed_offsets()
 
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -20,19 +20,18 @@
 
 from pimentowick import client as http_client
 from pimentowick import exception, supervisor
+from pimentowick.membership import peer as membership_peer
 from pimentowick.membership import pool as membership_pool
 from pimentowick.membership import report as membership_report
 from pimentowick.membership import subset
 
-__all__ = ["Fleet", "Peer"]
+__all__ = ["Fleet"]
 
 HEARTBEAT_TIMEOUT_S = 1.0
 SILENT_AFTER_HEARTBEATS = 4
 SILENT_AFTER_SELDOM = 2.4
 EJECT_FIRST_S = 0.5
 EJECT_LAST_S = 10.0
-WORK_FLOWS_S = 5.0
-"""Time for which a peer counts as in use after a request to it, in seconds."""
 SURVEY_AT_ONCE = 8
 SURVEY_CHECK_S = 60.0
 SURVEY_AGAIN_S = 3600.0
@@ -45,96 +44,6 @@
 RENEWAL_JITTER = 0.05
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Peer:
-    """One agent and its target, as this entry knows them.
-
-    Attributes:
-        host: `pimentowick.platform.hosts.Host` of the agent.
-        report: The last heartbeat answer.
-        heard_at: Monotonic time of the last heartbeat answer; 0 before.
-        asked_at: Monotonic time at which its heartbeat left; the report is newer.
-        online: Online requests of this entry in flight there.
-        online_at_report: What `online` was when the last report came.
-        batch: Batch items of this entry in flight there.
-        window: Batch items that this entry may have in flight there.
-        lease: Number of the lease, 0 while there is none.
-        lease_since: Monotonic time at which the heartbeat left that got the lease.
-        failures: Failed requests in a row.
-        ejected_until: Monotonic time until which the agent gets no work.
-        leasing: Whether this entry wants a lease for batch items there.
-        solo: Whether a suspected batch item runs alone there.
-        used_at: Monotonic time at which the last request there ended.
-        interval_s: Time until the next heartbeat, in seconds.
-        wake: Set to send the next heartbeat at once.
-    """
-
-    host: object
-    report: dict = dataclasses.field(default_factory=dict)
-    heard_at: float = 0.0
-    asked_at: float = 0.0
-    online: int = 0
-    online_at_report: int = 0
-    batch: int = 0
-    window: int = 0
-    lease: int = 0
-    lease_since: float = 0.0
-    leasing: bool = False
-    failures: int = 0
-    ejected_until: float = 0.0
-    solo: bool = False
-    used_at: float = -WORK_FLOWS_S
-    interval_s: float = 0.0
-    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-    @property
-    def name(self):
-        """Name of the host."""
-        return self.host.name
-
-    @property
-    def address(self):
-        """``IP:port`` of the agent."""
-        return self.host.address
-
-    @property
-    def service(self):
-        """Name of the model or service that the target serves."""
-        return self.report.get("service")
-
-    def list_served(self):
-        """Return the names of what the target serves.
-
-        An engine that was given orders serves what it has loaded.
-        """
-        if self.report.get("fence"):
-            return self.report.get("models", [])
-        return [self.service]
-
-    def estimate_load(self, alike=1):
-        """Return how full the target is: the report, and what was sent since.
-
-        The report counts the requests of all entries, but is as old as the last
-        heartbeat; own requests are exact. So the report is corrected by what the
-        own ones have become since, and is never below these.
-
-        Args:
-            alike: How many entries are taken to have sent as many more.
-        """
-        since = self.online - self.online_at_report
-        if since > 0:
-            since *= alike
-        reported = self.report.get("online", 0)
-        return max(reported + since, self.online) / self._get_limit()
-
-    def get_reported_load(self):
-        """Return how full the target was at the last report."""
-        return self.report.get("online", 0) / self._get_limit()
-
-    def _get_limit(self):
-        return max(1, self.report.get("max_online", 1))
-
-
 @dataclasses.dataclass(eq=False, slots=True)
 class _Agent:
     """One agent of the host list, whether or not this entry talks to it.
@@ -173,7 +82,8 @@
             a moment ago, without which it must not renew a lease.
 
     Attributes:
-        peers: `Peer` by the name of its host: a bounded number for each service.
+        peers: `pimentowick.membership.peer.Peer` by the name of its host: a bounded
+            number for each service.
         entries: `pimentowick.platform.hosts.Host` of each entry, by name.
         ejections: How often an agent was left without work for a while.
         changed: Set whenever work may have become possible.
@@ -339,7 +249,7 @@
             return
         if peer is not None:
             self._leave_pools(peer)
-        peer = Peer(host)
+        peer = membership_peer.Peer(host)
         agent = self._agents[host.name]
         self.peers[host.name] = peer
         self._take_report(peer, agent.report, agent.asked_at)
@@ -453,7 +363,7 @@
         # to requests show in between how they are.
         least = len(self.peers) / self._settings.heartbeats_per_s
         now = time.monotonic()
-        if peer.online or now - peer.used_at < WORK_FLOWS_S:
+        if peer.online or now - peer.used_at < membership_peer.WORK_FLOWS_S:
             return max(self._settings.heartbeat_s, least)
         return max(self._settings.heartbeat_s, self._settings.idle_heartbeat_s, least)
 
@@ -549,7 +459,7 @@
         """Return whether `peer` may get new work.
 
         Args:
-            peer: The `Peer`.
+            peer: The `pimentowick.membership.peer.Peer`.
             now: Monotonic time, if the caller has it at hand.
         """
         now = time.monotonic() if now is None else now
--- a/pimentowick/membership/pool.py
+++ b/pimentowick/membership/pool.py
@@ -26,7 +26,7 @@
         rng: `random.Random` for draws.
 
     Attributes:
-        members: List of `pimentowick.membership.fleet.Peer`, in no order.
+        members: List of `pimentowick.membership.peer.Peer`, in no order.
 
     Notes:
         The ring is that of consistent hashing: a key belongs to the member whose
@@ -38,11 +38,12 @@
         29th ACM Symposium on Theory of Computing, 1997.
 
     Examples:
-        >>> from pimentowick.membership import fleet
+        >>> from pimentowick.membership import peer as membership_peer
         >>> from pimentowick.platform import hosts
         >>> pool = Pool()
         >>> for name in ("a", "b", "c"):
-        ...     pool.add(fleet.Peer(hosts.Host(name, "agent", "", "here")))
+        ...     host = hosts.Host(name, "agent", "", "here")
+        ...     pool.add(membership_peer.Peer(host))
         >>> home, second = pool.find_successors("key", 2)
         >>> pool.discard(home)
         >>> pool.find_successors("key", 1) == [second]
--- a/pimentowick/membership/tests/test_fleet.py
+++ b/pimentowick/membership/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from pimentowick import settings, verdict
 from pimentowick.fakes import embedded
 from pimentowick.membership import fleet
+from pimentowick.membership import peer as membership_peer
 from pimentowick.platform import hosts
 
 SERVICES = ("lm", "desk")
@@ -206,7 +207,7 @@
     """A renewal that is lost has to be repeated within the same lease."""
     settings = make_settings(heartbeat_s=0.5, heartbeats_per_s=0.01)
     known = fleet.Fleet(None, None, settings, "entry-0#1", None)
-    peer = fleet.Peer(None, {"lease_s": 8.0}, batch=1)
+    peer = membership_peer.Peer(None, {"lease_s": 8.0}, batch=1)
     assert known._get_interval(peer) == 0.5
     peer.lease = 7
     peer.interval_s = known._get_interval(peer)
--- a/pimentowick/membership/tests/test_pool.py
+++ b/pimentowick/membership/tests/test_pool.py
@@ -1,13 +1,14 @@
 import collections
 import random
 
-from pimentowick.membership import fleet, pool
+from pimentowick.membership import peer as membership_peer
+from pimentowick.membership import pool
 from pimentowick.platform import hosts
 
 
 def make_peer(index):
     host = hosts.Host(f"agent-{index}", "agent", "", f"domain-{index % 3}")
-    return fleet.Peer(host, {"online": index, "max_online": 100})
+    return membership_peer.Peer(host, {"online": index, "max_online": 100})
 
 
 def test_members_come_and_go_as_in_a_plain_set():
--- a/pimentowick/routing/attempt.py
+++ b/pimentowick/routing/attempt.py
@@ -34,7 +34,7 @@
 
     Args:
         client: `pimentowick.client.Client` of the request's class of traffic.
-        peer: `pimentowick.membership.fleet.Peer`.
+        peer: `pimentowick.membership.peer.Peer`.
         message: Envelope and work.
         idle_s: Longest silence, in seconds. Agents send keep-alive lines, so a
             longer one means that the connection or the agent is dead.
--- a/pimentowick/routing/balance.py
+++ b/pimentowick/routing/balance.py
@@ -27,7 +27,7 @@
 
     @abc.abstractmethod
     def choose(self, pool, prefix=(), excluded=frozenset(), now=None):
-        """Return a `pimentowick.membership.fleet.Peer`, or None if none may work.
+        """Return a `pimentowick.membership.peer.Peer`, or None if none may work.
 
         Args:
             pool: `pimentowick.membership.pool.Pool` of the service.
--- a/pimentowick/routing/tests/conftest.py
+++ b/pimentowick/routing/tests/conftest.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from pimentowick.membership import fleet, pool
+from pimentowick.membership import peer as membership_peer
+from pimentowick.membership import pool
 from pimentowick.platform import hosts
 
 PLACES = 32
@@ -11,7 +12,7 @@
 def make_peer(name, failure_domain="here", online=0):
     host = hosts.Host(name, "agent", "127.0.0.1:1", failure_domain)
     report = {"online": online, "max_online": PLACES, "state": "ready"}
-    return fleet.Peer(host, report)
+    return membership_peer.Peer(host, report)
 
 
 @pytest.fixture
