--- a/pimentowick/configuration/fold.py
+++ b/pimentowick/configuration/fold.py
@@ -19,7 +19,11 @@
 """Characters of one part of a dump."""
 TEXT_LIMIT = 100
 REASON_LIMIT = 500
+STREAM = "configuration"
+"""Name of the stream in the log."""
 CHECKPOINT = "checkpoint"
+OPENING = "opening"
+"""Takes up offset 0, which can't be a version."""
 DUPLICATE = "duplicate: the id was seen before"
 
 
@@ -62,9 +66,12 @@
         """Apply one record; see the base class.
 
         A record that does not take effect is noted in `audit`. Offsets that
-        were applied before are passed over, and so are checkpoints.
+        were applied before are passed over, and so are checkpoints and the opening.
         """
-        if offset <= self._last_offset or _get_field(record, "type") == CHECKPOINT:
+        if offset <= self._last_offset or _get_field(record, "type") in (
+            CHECKPOINT,
+            OPENING,
+        ):
             return
         self._last_offset = offset
         record_id = _get_text(record, "id")
--- a/pimentowick/entry/audit.py
+++ b/pimentowick/entry/audit.py
@@ -11,11 +11,11 @@
 import urllib.parse
 
 from pimentowick import web as http_web
+from pimentowick.configuration import fold as configuration_fold
 from pimentowick.entry import handler
 
 __all__ = ["AuditHandler", "CallerAuditHandler", "Query", "collect_notes"]
 
-CONFIGURATION_STREAM = "configuration"
 AUDIT_LIMIT = 200
 MAX_AUDIT_LIMIT = 5000
 FIELDS = ("kind", "name", "by", "workspace")
@@ -71,7 +71,7 @@
 def _describe_change(entry):
     workspace = entry.name if entry.kind == "workspace" else ""
     return {
-        "stream": CONFIGURATION_STREAM,
+        "stream": configuration_fold.STREAM,
         **dataclasses.asdict(entry),
         "workspace": workspace,
     }
--- a/pimentowick/entry/configuration.py
+++ b/pimentowick/entry/configuration.py
@@ -18,7 +18,6 @@
     "describe_entry",
 ]
 
-CONFIGURATION_STREAM = "configuration"
 IN_FORCE_POLL_S = 0.1
 IN_FORCE_TIMEOUT_S = 5.0
 PEER_TIMEOUT_S = 1.0
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -25,6 +25,7 @@
     order,
     peer,
     service,
+    watch,
 )
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.placement import decider
@@ -45,7 +46,6 @@
 CONTROL_CONNECTIONS = 64
 # One long read for each shard that may be followed, and the appends.
 PLATFORM_CONNECTIONS = 256
-OPENING = "opening"
 
 
 class Entry:
@@ -84,8 +84,9 @@
         log, hosts = self._make_platform()
         self.configuration = configuration_fold.ConfigurationFold()
         self.configuration_replica = replica.Replica(
-            log, configuration.CONFIGURATION_STREAM, self.configuration
+            log, configuration_fold.STREAM, self.configuration
         )
+        self.watch = watch.ConfigurationWatch(self.configuration_replica)
         self.fleet = membership_fleet.Fleet(
             hosts, self.client, settings, self.owner, self._is_fresh
         )
@@ -210,6 +211,7 @@
         for part in self._list_clients():
             await part.start()
         await self.configuration_replica.start()
+        await self.watch.start()
         await self.fleet.start()
         await self.table.start()
         await self.ownership.start()
@@ -266,6 +268,7 @@
             self.calls,
             self.table,
             self.fleet,
+            self.watch,
             self.configuration_replica,
             *self._list_clients(),
         ):
@@ -310,7 +313,9 @@
         if follower.offset == 0:
             # The first record of the stream can't be a version; see
             # docs/CONFIGURATION.md.
-            await follower.append([{"type": OPENING}], self.settings.append_s)
+            await follower.append(
+                [{"type": configuration_fold.OPENING}], self.settings.append_s
+            )
         await follower.append([record], self.settings.append_s)
         return self.configuration.find_record(record["id"])
 
--- a/pimentowick/entry/tests/test_publish.py
+++ b/pimentowick/entry/tests/test_publish.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from loguru import logger
+
 from pimentowick import exception
 from pimentowick.entry.tests import durability
 from pimentowick.fakes import embedded, faults
@@ -219,3 +221,33 @@
         entry_settings={"platform": retention},
         log_settings={"retention_s": 3.0},
     )
+
+
+def test_garbled_records_are_told_and_change_nothing():
+    """Somebody appends to the configuration stream himself and gets it wrong.
+
+    The record is skipped everywhere; nobody would know why without the audit trail
+    and a line in the log of each entry.
+    """
+    lines = []
+
+    async def check(fleet):
+        version = get_version(fleet.entries["entry-0"])
+        garbled = [
+            "no object",
+            {"id": "ab" * 8, "type": "template", "name": "plain", "amends": "x"},
+            {"type": "unheard of"},
+        ]
+        fleet.log.append("configuration", garbled)
+        await fleet.wait_for(lambda: len(lines) == len(garbled) * len(fleet.entries))
+        for entry in fleet.entries.values():
+            notes = list(entry.configuration.audit)[-len(garbled) :]
+            assert not any(note.accepted for note in notes)
+            assert all(note.reason for note in notes)
+        assert (await publish(fleet, version, 2)).status == 200
+
+    sink = logger.add(lines.append, filter=lambda line: "no effect" in line["message"])
+    try:
+        durability.run(check)
+    finally:
+        logger.remove(sink)
