Move the adapters of outside systems to pimentowick/external

Cause: the users' platform gets a folder pimentowick/platform that holds its names, formats and calls alone; the abstract classes and HTTP adapters that lay there describe what the product needs of outside systems. Ruled out: two kinds of code in one folder, which would blur what may name the platform. Change: a move and its imports, no behaviour.

--- a/benchmarks/bench_routing.py
+++ b/benchmarks/bench_routing.py
@@ -12,10 +12,10 @@
 import random
 import time
 
+from pimentowick.external import hosts
 from pimentowick.membership import fleet, pool
 from pimentowick.membership import peer as membership_peer
 from pimentowick.placement import plan
-from pimentowick.platform import hosts
 from pimentowick.routing import affinity, balance, prefix, retry
 
 __all__ = ["run"]
--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -12,7 +12,7 @@
 from pimentowick import settings
 from pimentowick.batch import intake, ledger, record, shard, writer
 from pimentowick.configuration import change, fold, tokens, workspace
-from pimentowick.platform import log as platform_log
+from pimentowick.external import log as external_log
 
 __all__ = ["make_configuration", "measure_state"]
 
@@ -35,7 +35,7 @@
         "workspace": {"weight": "${share}", "models": models},
     }
     records = [
-        {"id": platform_log.make_id(), "type": "opening"},
+        {"id": external_log.make_id(), "type": "opening"},
         change.make_change("template", "plain", 0, "bench", body, 1.0),
     ]
     for number in range(count):
--- a/benchmarks/policy_runs.py
+++ b/benchmarks/policy_runs.py
@@ -12,8 +12,8 @@
 
 from benchmarks import policy_traffic
 from pimentowick import client as http_client
+from pimentowick.external import engine as external_engine
 from pimentowick.fakes import simulation
-from pimentowick.platform import engine as platform_engine
 from pimentowick.scheduling import additive, admission, gradient, limiter, model
 
 __all__ = [
@@ -205,7 +205,7 @@
     control = http_client.Client(CONTROL_CONNECTIONS)
     await streams.start()
     await control.start()
-    engine = platform_engine.HttpEngine(address, streams, control, IDLE_S)
+    engine = external_engine.HttpEngine(address, streams, control, IDLE_S)
     outcome = await policy_traffic.drive(
         engine,
         policy.make_admission(time.monotonic),
--- a/benchmarks/policy_traffic.py
+++ b/benchmarks/policy_traffic.py
@@ -6,7 +6,7 @@
 
 from pimentowick import exception
 from pimentowick.agent import work as agent_work
-from pimentowick.platform import engine as platform_engine
+from pimentowick.external import engine as external_engine
 
 __all__ = ["MODEL", "WARM_UP_S", "Item", "Outcome", "Traffic", "drive", "make_work"]
 
@@ -229,7 +229,7 @@
         deadline_s=60.0,
         cost=tokens,
     )
-    generation = platform_engine.Generation(
+    generation = external_engine.Generation(
         envelope.request_id, 1, MODEL, None, prompt, tokens
     )
     return agent_work.GenerateWork(envelope, generation)
@@ -239,7 +239,7 @@
     """Send traffic through an admission, and return the `Outcome`.
 
     Args:
-        target: `pimentowick.platform.engine.Engine`.
+        target: `pimentowick.external.engine.Engine`.
         admission: `pimentowick.scheduling.admission.Admission`.
         traffic: `Traffic`, or None for batch alone.
         item: `Item`.
--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -18,9 +18,9 @@
 from pimentowick import metrics as process_metrics
 from pimentowick import web as http_web
 from pimentowick.agent import handler, metered, usage
+from pimentowick.external import adapter as external_adapter
+from pimentowick.external import engine as external_engine
 from pimentowick.placement import executor
-from pimentowick.platform import adapter as platform_adapter
-from pimentowick.platform import engine as platform_engine
 from pimentowick.routing import lifetime
 from pimentowick.scheduling import lease as scheduling_lease
 from pimentowick.scheduling import model as scheduling_model
@@ -62,7 +62,7 @@
         self._revision = 0
         self._rest = {}
         self.running = set()
-        self.load = platform_engine.EngineLoad()
+        self.load = external_engine.EngineLoad()
         self.cache_lifetime = lifetime.CacheLifetime()
         self._load_read_at = float("-inf")
         self.metrics = process_metrics.AgentMetrics()
@@ -106,7 +106,7 @@
 
     def _make_target(self):
         target = self.settings.target
-        make = platform_adapter.find_adapter(target.kind, target.adapter)
+        make = external_adapter.find_adapter(target.kind, target.adapter)
         if target.kind == "service":
             return make(target.address, self._client)
         return make(target.address, self._client, self._control, self.settings.idle_s)
@@ -115,7 +115,7 @@
         settings = self.settings
         if settings.weights is None:
             return None
-        make = platform_adapter.find_adapter("weights", settings.weights_adapter)
+        make = external_adapter.find_adapter("weights", settings.weights_adapter)
         return make(settings.weights, self._control, settings.transfer_s)
 
     def _make_application(self):
--- a/pimentowick/agent/tests/test_daemon.py
+++ b/pimentowick/agent/tests/test_daemon.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from pimentowick.agent import frame
+from pimentowick.external import engine as external_engine
 from pimentowick.fakes import callers as fake_callers
 from pimentowick.fakes import embedded
-from pimentowick.platform import engine as platform_engine
 
 PIECES = 3
 PIECE_BYTES = 16_000_000
@@ -16,8 +16,8 @@
 
     async def generate(self, generation):
         for index in range(PIECES):
-            yield platform_engine.Tokens(index, ["x" * PIECE_BYTES])
-        yield platform_engine.End("stop", PIECES)
+            yield external_engine.Tokens(index, ["x" * PIECE_BYTES])
+        yield external_engine.End("stop", PIECES)
 
 
 def test_answer_goes_on_after_an_entry_was_slow_to_read():
--- a/pimentowick/agent/work.py
+++ b/pimentowick/agent/work.py
@@ -12,8 +12,8 @@
 
 from pimentowick import exception, verdict
 from pimentowick.agent import frame
-from pimentowick.platform import engine as platform_engine
-from pimentowick.platform import service as platform_service
+from pimentowick.external import engine as external_engine
+from pimentowick.external import service as external_service
 from pimentowick.scheduling import admission as scheduling_admission
 
 __all__ = [
@@ -58,13 +58,13 @@
             fields = data["generate"]
             return GenerateWork(
                 envelope,
-                platform_engine.Generation(
+                external_engine.Generation(
                     request_id=envelope.request_id, attempt=envelope.attempt, **fields
                 ),
             )
         fields = dict(data["call"])
         fields["body"] = fields["body"].encode("latin-1")
-        call = platform_service.ServiceCall(
+        call = external_service.ServiceCall(
             request_id=envelope.request_id, deadline_s=envelope.deadline_s, **fields
         )
         return ServiceWork(envelope, call)
@@ -144,11 +144,11 @@
                 events = self._resume(target, admission, produced)
                 async with contextlib.aclosing(events):
                     async for event in events:
-                        if isinstance(event, platform_engine.Tokens):
+                        if isinstance(event, external_engine.Tokens):
                             produced = event.index + len(event.texts)
                             self.ticket.characters = 0
                         yield self._make_line(event)
-                        if isinstance(event, platform_engine.End):
+                        if isinstance(event, external_engine.End):
                             return
                 await admission.readmit_batch(self.ticket)
         finally:
@@ -186,7 +186,7 @@
             # collector would go on at the engine for a while.
             async with contextlib.aclosing(target.generate(generation)) as events:
                 async for event in events:
-                    if isinstance(event, platform_engine.Tokens):
+                    if isinstance(event, external_engine.Tokens):
                         admission.meter.note_token(stream, self.is_batch, characters)
                         if self.is_batch:
                             admission.note_tokens(self.ticket, len(event.texts))
@@ -224,19 +224,19 @@
     def _make_line(self, event):
         request_id = self.envelope.request_id
         attempt = self.envelope.attempt
-        if isinstance(event, platform_engine.Tokens):
+        if isinstance(event, external_engine.Tokens):
             return frame.make_tokens(request_id, attempt, event.index, event.texts)
         return frame.make_end(request_id, attempt, event.finish_reason, event.tokens)
 
 
 def _drop_known(event, known):
     """Return the event without its first `known` tokens, or None if none is left."""
-    if isinstance(event, platform_engine.End):
+    if isinstance(event, external_engine.End):
         return event
     skip = max(0, known - event.index)
     if skip >= len(event.texts):
         return None
-    return platform_engine.Tokens(event.index + skip, event.texts[skip:])
+    return external_engine.Tokens(event.index + skip, event.texts[skip:])
 
 
 async def _cancel(future):
--- a/pimentowick/batch/intake.py
+++ b/pimentowick/batch/intake.py
@@ -10,7 +10,7 @@
 from pimentowick import completion, exception
 from pimentowick import web as http_web
 from pimentowick.batch import record as batch_record
-from pimentowick.platform import log as platform_log
+from pimentowick.external import log as external_log
 
 __all__ = [
     "Submission",
@@ -174,7 +174,7 @@
     Raises:
         LogError: The job is not known to be in the log.
     """
-    submission_id = platform_log.make_id()
+    submission_id = external_log.make_id()
     record_bytes = settings.platform.log_record_bytes
     chunks = await make_chunks(submission_id, submission.items, record_bytes)
     for start in range(0, len(chunks), RECORDS_PER_APPEND):
--- a/pimentowick/batch/record.py
+++ b/pimentowick/batch/record.py
@@ -7,7 +7,7 @@
 
 import hashlib
 
-from pimentowick.platform import log as platform_log
+from pimentowick.external import log as external_log
 
 __all__ = [
     "CALL_CLAIMED",
@@ -82,7 +82,7 @@
 
 
 def _make(kind, **fields):
-    return {"id": platform_log.make_id(), "type": kind, **fields}
+    return {"id": external_log.make_id(), "type": kind, **fields}
 
 
 def make_claim(epoch, owner, at):
--- a/pimentowick/batch/shard.py
+++ b/pimentowick/batch/shard.py
@@ -68,7 +68,7 @@
         return self.replica.stream
 
     async def read_one(self, offset):
-        """Return the `pimentowick.platform.log.Page` of the record at an offset.
+        """Return the `pimentowick.external.log.Page` of the record at an offset.
 
         The page is empty, or begins further on, if the log has dropped the record.
 
@@ -89,7 +89,7 @@
     """Follows the shards that fall to this entry.
 
     Args:
-        log: `pimentowick.platform.log.Log`.
+        log: `pimentowick.external.log.Log`.
         fleet: `pimentowick.membership.fleet.Fleet`, which knows the entries.
         settings: `pimentowick.settings.EntrySettings`.
         owner: Name of this process as an owner.
--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -27,9 +27,9 @@
     service,
     watch,
 )
+from pimentowick.external import adapter
 from pimentowick.membership import fleet as membership_fleet
 from pimentowick.placement import decider
-from pimentowick.platform import adapter
 from pimentowick.replication import keeper, replica
 from pimentowick.routing import affinity, balance, limits, router
 
--- a/pimentowick/entry/handler.py
+++ b/pimentowick/entry/handler.py
@@ -9,7 +9,7 @@
 from pimentowick import exception, verdict
 from pimentowick import web as http_web
 from pimentowick.configuration import tokens
-from pimentowick.platform import service as platform_service
+from pimentowick.external import service as external_service
 
 __all__ = [
     "CallerHandler",
@@ -247,7 +247,7 @@
             ) from error
         handler.set_status(answer.status)
         for field, value in answer.headers.items():
-            if field.lower() not in platform_service.HOP_HEADERS:
+            if field.lower() not in external_service.HOP_HEADERS:
                 handler.set_header(field, value)
         handler.finish(answer.body)
         return
--- a/pimentowick/entry/metered.py
+++ b/pimentowick/entry/metered.py
@@ -3,16 +3,16 @@
 import time
 
 from pimentowick import exception
-from pimentowick.platform import log as platform_log
+from pimentowick.external import log as external_log
 
 __all__ = ["MeteredLog"]
 
 
-class MeteredLog(platform_log.Log):
+class MeteredLog(external_log.Log):
     """Passes everything on, and tells `pimentowick.metrics.EntryMetrics` of it.
 
     Args:
-        log: The `pimentowick.platform.log.Log` to use.
+        log: The `pimentowick.external.log.Log` to use.
         metrics: The `EntryMetrics`.
     """
 
--- a/pimentowick/entry/online.py
+++ b/pimentowick/entry/online.py
@@ -9,7 +9,7 @@
 from pimentowick import completion, exception, verdict
 from pimentowick import web as http_web
 from pimentowick.entry import handler
-from pimentowick.platform import engine as platform_engine
+from pimentowick.external import engine as external_engine
 from pimentowick.routing import router
 
 __all__ = ["ChatHandler", "ModelsHandler", "TextHandler", "read_deadline"]
@@ -89,7 +89,7 @@
         texts = []
         end = None
         async for event in self.entry.router.generate(request):
-            if isinstance(event, platform_engine.Tokens):
+            if isinstance(event, external_engine.Tokens):
                 texts.extend(event.texts)
             else:
                 end = event
@@ -104,7 +104,7 @@
         self.set_header("Cache-Control", "no-store")
         count = 0
         async for event in self.entry.router.generate(request):
-            if isinstance(event, platform_engine.Tokens):
+            if isinstance(event, external_engine.Tokens):
                 count += len(event.texts)
                 # Tokens that arrived together go on as one event and one write.
                 chunk = self.make_chunk(
--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -6,9 +6,9 @@
 import pytest
 
 from pimentowick.batch import record
+from pimentowick.external import engine as external_engine
 from pimentowick.fakes import callers as fake_callers
 from pimentowick.fakes import embedded, engine, faults, relay
-from pimentowick.platform import engine as platform_engine
 
 run = fake_callers.run_with_callers
 GENERATE = "/generate"
@@ -400,7 +400,7 @@
 
     async def generate(request):
         while True:
-            yield platform_engine.Tokens(0, ["x" * 1_000_000])
+            yield external_engine.Tokens(0, ["x" * 1_000_000])
 
     async def check(fleet, callers):
         entry = fleet.entries["entry-0"]
--- a/pimentowick/platform/adapter.py
+++ b/pimentowick/external/adapter.py
@@ -7,7 +7,7 @@
 import importlib
 
 from pimentowick import exception
-from pimentowick.platform import engine, hosts, log, service, weights
+from pimentowick.external import engine, hosts, log, service, weights
 
 __all__ = ["find_adapter"]
 
@@ -33,7 +33,7 @@
     Examples:
         >>> find_adapter("log", "http").__name__
         'HttpLog'
-        >>> find_adapter("hosts", "pimentowick.platform.hosts:HttpHostList").__name__
+        >>> find_adapter("hosts", "pimentowick.external.hosts:HttpHostList").__name__
         'HttpHostList'
     """
     base, known = ADAPTERS[system]
--- a/pimentowick/platform/tests/test_adapter.py
+++ b/pimentowick/external/tests/test_adapter.py
@@ -6,12 +6,12 @@
 import pytest
 
 from pimentowick import exception
+from pimentowick.external import adapter
+from pimentowick.external import log as external_log
 from pimentowick.fakes import embedded
-from pimentowick.platform import adapter
-from pimentowick.platform import log as platform_log
 
 
-class MemoryLog(platform_log.Log):
+class MemoryLog(external_log.Log):
     """A log that all entries of this process share, without any HTTP."""
 
     streams = collections.defaultdict(list)
@@ -33,7 +33,7 @@
             await self._wait(wait_s)
         kept = self.streams[stream]
         page = list(enumerate(kept))[offset : offset + limit]
-        return platform_log.Page(page, 0, len(kept))
+        return external_log.Page(page, 0, len(kept))
 
     async def _wait(self, wait_s):
         self.appended.clear()
--- a/pimentowick/platform/tests/test_log.py
+++ b/pimentowick/external/tests/test_log.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from pimentowick import client as http_client
+from pimentowick.external import log as external_log
 from pimentowick.fakes import log as fake_log
-from pimentowick.platform import log as platform_log
 
 
 def test_broken_text_in_a_record_hides_no_other_record():
@@ -21,7 +21,7 @@
         await client.start()
         try:
             kept.append("s", [{"text": "\ud800"}, {"text": "whole"}])
-            page = await platform_log.HttpLog(kept.address, client).read("s", 0)
+            page = await external_log.HttpLog(kept.address, client).read("s", 0)
             assert [record["text"] for _, record in page.records] == ["\ud800", "whole"]
             assert page.head == 2
         finally:
--- a/pimentowick/fakes/simulation.py
+++ b/pimentowick/fakes/simulation.py
@@ -9,8 +9,8 @@
 import collections
 
 from pimentowick import exception, verdict
+from pimentowick.external import engine as external_engine
 from pimentowick.fakes import engine
-from pimentowick.platform import engine as platform_engine
 
 __all__ = ["SimulatedEngine", "VirtualLoop", "run"]
 
@@ -55,7 +55,7 @@
         self.events = asyncio.Queue()
 
 
-class SimulatedEngine(platform_engine.Engine):
+class SimulatedEngine(external_engine.Engine):
     """Batches continuously, like the stand-in over HTTP, by the same law.
 
     Args:
@@ -119,7 +119,7 @@
             while True:
                 event = await stream.events.get()
                 yield event
-                if isinstance(event, platform_engine.End):
+                if isinstance(event, external_engine.End):
                     return
         finally:
             self._remove(stream)
@@ -129,12 +129,12 @@
         for stream in [*self.running, *self.waiting]:
             if stream.generation.request_id == request_id:
                 self._remove(stream)
-                end = platform_engine.End("cancelled", stream.index)
+                end = external_engine.End("cancelled", stream.index)
                 stream.events.put_nowait(end)
 
     async def read_load(self):
         """Return the load."""
-        return platform_engine.EngineLoad(len(self.running), len(self.waiting))
+        return external_engine.EngineLoad(len(self.running), len(self.waiting))
 
     async def send_order(self, fence, action, **fields):
         """Obey; there is nothing to order."""
@@ -181,11 +181,11 @@
 
     def _emit(self, stream):
         self.tokens[_get_group(stream)] += 1
-        stream.events.put_nowait(platform_engine.Tokens(stream.index, ["x"]))
+        stream.events.put_nowait(external_engine.Tokens(stream.index, ["x"]))
         stream.index += 1
         if stream.index >= stream.generation.max_tokens:
             self._remove(stream)
-            stream.events.put_nowait(platform_engine.End("length", stream.index))
+            stream.events.put_nowait(external_engine.End("length", stream.index))
 
 
 def _get_group(stream):
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -49,7 +49,7 @@
     """One agent of the host list, whether or not this entry talks to it.
 
     Attributes:
-        host: `pimentowick.platform.hosts.Host`.
+        host: `pimentowick.external.hosts.Host`.
         rank: Its weight in the ranking of this entry.
         report: Answer to the question what it serves, or None.
         asked_at: Monotonic time of that question.
@@ -74,7 +74,7 @@
     """The agents that this entry talks to, and the other entries.
 
     Args:
-        hosts: `pimentowick.platform.hosts.HostList`.
+        hosts: `pimentowick.external.hosts.HostList`.
         client: `pimentowick.client.Client` for heartbeats.
         settings: `pimentowick.settings.EntrySettings`.
         owner: Name under which this process holds leases.
@@ -84,7 +84,7 @@
     Attributes:
         peers: `pimentowick.membership.peer.Peer` by the name of its host: a bounded
             number for each service.
-        entries: `pimentowick.platform.hosts.Host` of each entry, by name.
+        entries: `pimentowick.external.hosts.Host` of each entry, by name.
         ejections: How often an agent was left without work for a while.
         changed: Set whenever work may have become possible.
     """
--- a/pimentowick/membership/peer.py
+++ b/pimentowick/membership/peer.py
@@ -14,7 +14,7 @@
     """One agent and its target, as this entry knows them.
 
     Attributes:
-        host: `pimentowick.platform.hosts.Host` of the agent.
+        host: `pimentowick.external.hosts.Host` of the agent.
         report: The last heartbeat answer.
         heard_at: Monotonic time of the last heartbeat answer; 0 before.
         asked_at: Monotonic time at which its heartbeat left; the report is newer.
--- a/pimentowick/membership/pool.py
+++ b/pimentowick/membership/pool.py
@@ -39,7 +39,7 @@
 
     Examples:
         >>> from pimentowick.membership import peer as membership_peer
-        >>> from pimentowick.platform import hosts
+        >>> from pimentowick.external import hosts
         >>> pool = Pool()
         >>> for name in ("a", "b", "c"):
         ...     host = hosts.Host(name, "agent", "", "here")
--- a/pimentowick/membership/subset.py
+++ b/pimentowick/membership/subset.py
@@ -62,7 +62,7 @@
 
     Args:
         ranked: List of ``(rank, host)`` of one service, where `host` is a
-            `pimentowick.platform.hosts.Host`.
+            `pimentowick.external.hosts.Host`.
         failure_domain: Failure domain of the entry.
         count: How many to take.
     """
--- a/pimentowick/membership/tests/test_fleet.py
+++ b/pimentowick/membership/tests/test_fleet.py
@@ -4,10 +4,10 @@
 
 from pimentowick import client as http_client
 from pimentowick import settings, verdict
+from pimentowick.external import hosts
 from pimentowick.fakes import embedded
 from pimentowick.membership import fleet
 from pimentowick.membership import peer as membership_peer
-from pimentowick.platform import hosts
 
 SERVICES = ("lm", "desk")
 ENTRIES = 40
--- a/pimentowick/membership/tests/test_pool.py
+++ b/pimentowick/membership/tests/test_pool.py
@@ -1,9 +1,9 @@
 import collections
 import random
 
+from pimentowick.external import hosts
 from pimentowick.membership import peer as membership_peer
 from pimentowick.membership import pool
-from pimentowick.platform import hosts
 
 
 def make_peer(index):
--- a/pimentowick/membership/tests/test_subset.py
+++ b/pimentowick/membership/tests/test_subset.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from pimentowick.external import hosts
 from pimentowick.membership import subset
-from pimentowick.platform import hosts
 
 DOMAINS = 15
 AGENTS = 135
--- a/pimentowick/placement/claim.py
+++ b/pimentowick/placement/claim.py
@@ -6,7 +6,7 @@
 after everything was lost still has a higher number than any before it.
 """
 
-from pimentowick.platform import log as platform_log
+from pimentowick.external import log as external_log
 from pimentowick.replication import fold, replica
 
 __all__ = [
@@ -28,18 +28,18 @@
 
 def make_claim(owner):
     """Return the record of a claim by `owner`."""
-    return {"id": platform_log.make_id(), "type": CLAIM, "owner": owner}
+    return {"id": external_log.make_id(), "type": CLAIM, "owner": owner}
 
 
 def make_renew(owner, fence):
     """Return the record that shows the decider with number `fence` alive."""
-    record = {"id": platform_log.make_id(), "type": RENEW}
+    record = {"id": external_log.make_id(), "type": RENEW}
     return {**record, "owner": owner, "fence": fence}
 
 
 def make_release(fence):
     """Return the record that gives the claim with number `fence` up."""
-    return {"id": platform_log.make_id(), "type": RELEASE, "fence": fence}
+    return {"id": external_log.make_id(), "type": RELEASE, "fence": fence}
 
 
 class ClaimFold(fold.Fold):
@@ -102,7 +102,7 @@
     """Follows the stream; what passed out of retention is not missed.
 
     Args:
-        log: `pimentowick.platform.log.Log`.
+        log: `pimentowick.external.log.Log`.
     """
 
     def __init__(self, log):
--- a/pimentowick/placement/decider.py
+++ b/pimentowick/placement/decider.py
@@ -14,10 +14,10 @@
 
 from pimentowick import exception, supervisor
 from pimentowick.batch import shard
+from pimentowick.external import log as external_log
 from pimentowick.placement import claim as placement_claim
 from pimentowick.placement import order as placement_order
 from pimentowick.placement import plan as placement_plan
-from pimentowick.platform import log as platform_log
 
 __all__ = ["Decider"]
 
@@ -43,7 +43,7 @@
     """One entry's part in the placement.
 
     Args:
-        log: `pimentowick.platform.log.Log`.
+        log: `pimentowick.external.log.Log`.
         fleet: `pimentowick.membership.fleet.Fleet`.
         client: `pimentowick.client.Client` for orders.
         settings: `pimentowick.settings.EntrySettings`.
@@ -248,7 +248,7 @@
             peer.wake.set()
 
     def _make_order(self, boot, action, **fields):
-        name = platform_log.make_id()
+        name = external_log.make_id()
         return placement_order.Order(name, self._fence, boot, action, **fields)
 
     async def _send(self, peer, order):
--- a/pimentowick/placement/executor.py
+++ b/pimentowick/placement/executor.py
@@ -37,8 +37,8 @@
     """The orders of one agent.
 
     Args:
-        engine: `pimentowick.platform.engine.Engine`.
-        weights: `pimentowick.platform.weights.WeightStore`, or None if the engine
+        engine: `pimentowick.external.engine.Engine`.
+        weights: `pimentowick.external.weights.WeightStore`, or None if the engine
             fetches its weights itself.
         drain: Coroutine function of a kind and a name that returns when no request
             for it runs any more, or a bound has passed.
--- a/pimentowick/placement/tests/conftest.py
+++ b/pimentowick/placement/tests/conftest.py
@@ -7,9 +7,9 @@
 from pimentowick import client as http_client
 from pimentowick import settings as process_settings
 from pimentowick.agent import daemon
+from pimentowick.external import log as external_log
 from pimentowick.fakes import engine, faults, weights
 from pimentowick.placement import order as placement_order
-from pimentowick.platform import log as platform_log
 
 WAIT_S = 10.0
 
@@ -55,7 +55,7 @@
 
     def make_order(self, fence, action="load", name="new", version="1", boot=None):
         boot = boot or self.agent.orders.boot
-        order_id = platform_log.make_id()
+        order_id = external_log.make_id()
         return placement_order.Order(
             order_id, fence, boot, action, "model", name, version
         )
--- a/pimentowick/replication/checkpoint.py
+++ b/pimentowick/replication/checkpoint.py
@@ -12,7 +12,7 @@
 import math
 import zlib
 
-from pimentowick.platform import log as platform_log
+from pimentowick.external import log as external_log
 
 __all__ = ["CHECKPOINT", "Checkpoint", "Collector", "make_checkpoint"]
 
@@ -56,10 +56,10 @@
     text = base64.b64encode(packed).decode()
     size = record_bytes - RECORD_MARGIN_BYTES
     slices = [text[start : start + size] for start in range(0, len(text), size)]
-    name = platform_log.make_id()
+    name = external_log.make_id()
     return [
         {
-            "id": platform_log.make_id(),
+            "id": external_log.make_id(),
             "type": CHECKPOINT,
             "checkpoint": name,
             "covers": covers,
--- a/pimentowick/replication/replica.py
+++ b/pimentowick/replication/replica.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from pimentowick import exception, supervisor
-from pimentowick.platform import log as platform_log
+from pimentowick.external import log as external_log
 from pimentowick.replication import checkpoint
 
 __all__ = ["Replica"]
@@ -27,7 +27,7 @@
     """Follows one stream and keeps its fold up to date.
 
     Args:
-        log: `pimentowick.platform.log.Log` to read from.
+        log: `pimentowick.external.log.Log` to read from.
         stream: Name of the stream.
         fold: `pimentowick.replication.fold.Fold` to keep.
         get_wait: Function that returns how long the log may hold an empty answer, in
@@ -269,7 +269,7 @@
             LogUnavailableError: It is not known whether the append took place.
         """
         for record in records:
-            record.setdefault("id", platform_log.make_id())
+            record.setdefault("id", external_log.make_id())
         deadline = time.monotonic() + timeout_s
         # Where the answer is lost, the follower may have passed the records by the
         # time that the loss is noticed; the search begins before them.
--- a/pimentowick/replication/tests/memory.py
+++ b/pimentowick/replication/tests/memory.py
@@ -4,15 +4,15 @@
 import json
 
 from pimentowick import exception
+from pimentowick.external import log as external_log
 from pimentowick.fakes import log as fake_log
-from pimentowick.platform import log as platform_log
 
 __all__ = ["MemoryLog"]
 
 POLL_S = 0.002
 
 
-class MemoryLog(platform_log.Log):
+class MemoryLog(external_log.Log):
     """The stand-in log without a socket.
 
     Attributes:
@@ -54,7 +54,7 @@
         self._check()
         rows = self.kept.read(stream, offset, limit)
         records = [(at, json.loads(text)) for at, text in rows]
-        return platform_log.Page(records, *self.kept.measure(stream))
+        return external_log.Page(records, *self.kept.measure(stream))
 
     def land_late(self):
         """Let the held appends take effect."""
--- a/pimentowick/routing/lifetime.py
+++ b/pimentowick/routing/lifetime.py
@@ -18,7 +18,7 @@
     """Estimates the lifetime of blocks that nobody used again.
 
     Examples:
-        >>> from pimentowick.platform import engine
+        >>> from pimentowick.external import engine
         >>> lifetime = CacheLifetime()
         >>> lifetime.note([engine.CacheEvent(0, "stored", "b")], 1, 10.0)
         >>> lifetime.note([engine.CacheEvent(1, "evicted", "b")], 2, 16.0)
@@ -44,7 +44,7 @@
         """Take the events of one answer.
 
         Args:
-            events: List of `pimentowick.platform.engine.CacheEvent`.
+            events: List of `pimentowick.external.engine.CacheEvent`.
             following: Sequence number that the next event gets.
             now: Monotonic time of the answer.
         """
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -6,7 +6,7 @@
 import time
 
 from pimentowick import exception, verdict
-from pimentowick.platform import engine as platform_engine
+from pimentowick.external import engine as external_engine
 from pimentowick.routing import attempt as routing_attempt
 from pimentowick.routing import prefix as routing_prefix
 from pimentowick.routing import retry
@@ -92,9 +92,9 @@
                     if "texts" in each and each["index"] == produced:
                         produced += len(each["texts"])
                         request.work["generate"]["resume_tokens"] = produced
-                        yield platform_engine.Tokens(each["index"], each["texts"])
+                        yield external_engine.Tokens(each["index"], each["texts"])
                     elif each.get("end"):
-                        yield platform_engine.End(each["finish_reason"], each["tokens"])
+                        yield external_engine.End(each["finish_reason"], each["tokens"])
 
     async def call(self, request):
         """Return the frame with the answer of a plain service.
--- a/pimentowick/routing/tests/conftest.py
+++ b/pimentowick/routing/tests/conftest.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from pimentowick.external import hosts
 from pimentowick.membership import peer as membership_peer
 from pimentowick.membership import pool
-from pimentowick.platform import hosts
 
 PLACES = 32
 
--- a/pimentowick/routing/tests/test_lifetime.py
+++ b/pimentowick/routing/tests/test_lifetime.py
@@ -1,6 +1,6 @@
 import random
 
-from pimentowick.platform import engine
+from pimentowick.external import engine
 from pimentowick.routing import lifetime
 
 
--- a/pimentowick/scheduling/tests/test_admission.py
+++ b/pimentowick/scheduling/tests/test_admission.py
@@ -6,8 +6,8 @@
 
 from pimentowick import exception
 from pimentowick.agent import work as agent_work
+from pimentowick.external import engine as external_engine
 from pimentowick.fakes import simulation
-from pimentowick.platform import engine as platform_engine
 from pimentowick.scheduling import admission, limiter, model
 
 TOKENS = 40
@@ -45,7 +45,7 @@
         deadline_s=deadline_s,
         cost=tokens,
     )
-    generation = platform_engine.Generation(name, 1, "lm", None, "x" * 100, tokens)
+    generation = external_engine.Generation(name, 1, "lm", None, "x" * 100, tokens)
     return agent_work.GenerateWork(envelope, generation)
 
 
