Test the gateway against stand-ins of the platform; share an append fairly

Ruled out: a race between entries, since the append is conditional. Change: one change with a limit an append; stand-ins of the store (appends under conditions, producers, keyed topics, groups, lost and late answers) and of replicas (cut, crossed, unsigned, second answers); the second read on a connection no longer waits for ever for a request that it does not send; old jobs leave the store.

--- /dev/null
+++ b/pimentowick/fakes/platform_site.py
@@ -0,0 +1,156 @@
+"""The users' platform in this process: store, replicas and entries, for tests."""
+
+import contextlib
+import dataclasses
+import socket
+
+from pimentowick import client as http_client
+from pimentowick.fakes import platform_store, replica, wait
+from pimentowick.gateway import daemon
+from pimentowick.platform import node
+
+__all__ = ["HOST", "Site", "make_route", "make_settings", "open_site"]
+
+HOST = "desk.example"
+SERVICE = "lm"
+WAIT_S = 15.0
+POLL_S = 0.01
+LOOPBACK = "127.0.0.1"
+
+
+def find_port(kind=socket.SOCK_STREAM):
+    """Return a free port."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind((LOOPBACK, 0))
+        return sock.getsockname()[1]
+
+
+def make_route(prefix, kind, **changes):
+    """Return a route as the operator writes it."""
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 5000,
+        "slo_ms": 1000,
+        "priority": 0,
+        "service": SERVICE,
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+def make_settings(store_address, **changes):
+    """Return settings of an entry on this machine."""
+    port = find_port(socket.SOCK_DGRAM)
+    settings = node.NodeSettings(
+        name="entry",
+        ip=LOOPBACK,
+        failure_domain="here",
+        callers_address=f"{LOOPBACK}:{find_port()}",
+        ready_address=f"{LOOPBACK}:{find_port()}",
+        peer_ports=(port, port),
+        store_address=store_address,
+        stop_grace_s=4.0,
+        drain_s=2.0,
+        result_retention_s=60.0,
+        least_lease_s=1.0,
+        record_bytes=262_144,
+        call_bytes=2_097_152,
+        parts=8,
+    )
+    return dataclasses.replace(settings, **changes)
+
+
+class Site:
+    """A store, replicas and entries.
+
+    Args:
+        replicas: The `replica.Replica` objects.
+        routes: Routes as the operator writes them.
+        entries: Number of entries.
+    """
+
+    def __init__(self, replicas, routes, entries=1):
+        self.store = platform_store.PlatformStore()
+        self.replicas = replicas
+        self.routes = routes
+        self.gateways = []
+        self.client = http_client.Client()
+        self._entries = entries
+        self._version = 0
+
+    async def start(self):
+        """Start everything and wait until the entries are ready."""
+        await self.client.start()
+        await self.store.start()
+        for each in self.replicas:
+            await each.start()
+            self.list_replica(each)
+        self.publish(self.routes)
+        for _ in range(self._entries):
+            await self.start_entry()
+
+    async def start_entry(self):
+        """Start one more entry."""
+        settings = make_settings(self.store.address)
+        gateway = daemon.Gateway(settings, metrics_port=find_port())
+        await gateway.start()
+        self.gateways.append(gateway)
+        await wait.wait_for(lambda: self._is_ready(gateway), WAIT_S, POLL_S)
+        return gateway
+
+    def _is_ready(self, gateway):
+        return gateway.is_ready and len(gateway.table.by_id) >= len(self.replicas)
+
+    def publish(self, routes):
+        """Write the next version of the configuration."""
+        self._version += 1
+        self.routes = routes
+        services = [{"name": SERVICE, "max_conns": 100}]
+        data = {"version": self._version, "routes": routes, "services": services}
+        self.store.put("keyed.op", "config", data)
+
+    def list_replica(self, each, **changes):
+        """Write the entry of a replica."""
+        self.store.put("keyed.servers", each.id, each.describe(SERVICE, **changes))
+
+    async def call(self, method, path, body=None, entry=0, **headers):
+        """Send a request to an entry; header names have underscores for dashes."""
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await self.client.fetch(
+            method,
+            self.gateways[entry].settings.callers_address,
+            path,
+            body,
+            {"Host": HOST, **names},
+            timeout_s=WAIT_S,
+        )
+
+    async def close(self):
+        """Stop everything."""
+        for gateway in self.gateways:
+            await gateway.close()
+        for each in self.replicas:
+            await each.close()
+        await self.store.close()
+        await self.client.close()
+
+
+@contextlib.asynccontextmanager
+async def open_site(replicas=None, routes=None, entries=1):
+    """Yield a started `Site`.
+
+    Args:
+        replicas: The `replica.Replica` objects; one by default.
+        routes: Routes as the operator writes them; one stream by default.
+        entries: Number of entries.
+    """
+    routes = routes or [make_route("/chat/", "stream", resumable=True)]
+    site = Site(replicas or [replica.Replica()], routes, entries)
+    try:
+        await site.start()
+        yield site
+    finally:
+        await site.close()
--- /dev/null
+++ b/pimentowick/fakes/platform_store.py
@@ -0,0 +1,328 @@
+"""Stand-in of the users' platform's store: a log with keyed topics and groups."""
+
+import asyncio
+import base64
+import collections
+import json
+import struct
+import time
+
+from pimentowick.fakes import faults, server
+
+__all__ = ["PlatformStore"]
+
+LENGTH = struct.Struct(">I")
+HEAD = struct.Struct(">QQ")
+PAGE_ITEMS = 500
+MAX_STORED_BYTES = 400_000_000
+KEPT_APPENDS = 5
+
+
+class _Partition:
+    """Records from `first` on, and the newest one of each key."""
+
+    def __init__(self, keyed):
+        self.keyed = keyed
+        self.first = 0
+        self.records = []
+        self.newest = {}
+        self.producers = {}
+        self.changed = asyncio.Event()
+
+    @property
+    def end(self):
+        return self.first + len(self.records)
+
+    def append(self, contents):
+        first = self.end
+        for content in contents:
+            self._note_newest(content)
+            self.records.append(content)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return first
+
+    def _note_newest(self, content):
+        if not self.keyed:
+            return
+        size = 1 + content[0]
+        key = content[1:size].decode(errors="replace")
+        self.newest.pop(key, None)
+        if content[size:]:
+            self.newest[key] = (content[size:], self.end)
+
+    def trim(self, before):
+        count = max(0, min(before, self.end) - self.first)
+        del self.records[:count]
+        self.first += count
+
+
+class PlatformStore(server.Server):
+    """The store.
+
+    Args:
+        port: Port to listen on; 0 lets the kernel choose.
+        parts: Partitions of a topic.
+
+    Attributes:
+        late_s: If set, appends get no answer and take effect this many seconds
+            later, if their condition still holds.
+        stored_limit: Bytes of records from which on appends get 507.
+        calls: Number of calls by path.
+    """
+
+    def __init__(self, port=0, parts=8):
+        super().__init__(port)
+        self.parts = parts
+        self.late_s = None
+        self.stored_limit = MAX_STORED_BYTES
+        self.calls = collections.Counter()
+        self.partitions = {}
+        self.groups = {}
+
+    def list_routes(self):
+        """Return the routes of the store."""
+        return [
+            ("/-/log-append", _AppendHandler),
+            ("/-/log-read", _ReadHandler),
+            ("/-/log-newest", _NewestHandler),
+            ("/-/log-trim", _TrimHandler),
+            ("/-/log-join", _JoinHandler),
+            ("/-/log-leave", _LeaveHandler),
+            ("/-/log-commit", _CommitHandler),
+            ("/-/log-owners", _OwnersHandler),
+        ]
+
+    def get_partition(self, topic, part):
+        """Return a partition; a topic is made on first use."""
+        key = (topic, int(part))
+        if key not in self.partitions:
+            self.partitions[key] = _Partition(topic.startswith("keyed."))
+        return self.partitions[key]
+
+    def put(self, topic, key, value, part=0):
+        """Write a keyed record as the operator or a target does."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        content = bytes([len(key)]) + key.encode() + data
+        return self.get_partition(topic, part).append([content])
+
+    def count_bytes(self):
+        """Return the bytes of all records."""
+        return sum(len(r) for p in self.partitions.values() for r in p.records)
+
+    def get_group(self, name):
+        """Return a group, without members whose lease has ended."""
+        group = self.groups.setdefault(name, _Group(self.parts))
+        group.drop_lapsed()
+        return group
+
+
+class _Group:
+    def __init__(self, parts):
+        self.parts = parts
+        self.generation = 0
+        self.members = {}
+        self.topics = set()
+        self.offsets = {}
+
+    def drop_lapsed(self):
+        now = time.monotonic()
+        lapsed = [name for name, ends_at in self.members.items() if ends_at < now]
+        for name in lapsed:
+            del self.members[name]
+        if lapsed:
+            self.generation += 1
+
+    def list_rows(self):
+        """Return rows of topic, partition, member and offset."""
+        names = sorted(self.members)
+        rows = []
+        for topic in sorted(self.topics):
+            for part in range(self.parts if names else 0):
+                offset = self.offsets.get((topic, part), 0)
+                rows.append([topic, part, names[part % len(names)], offset])
+        return rows
+
+
+class _Handler(faults.Handler):
+    async def prepare(self):
+        self.server.calls[self.request.path] += 1
+        await super().prepare()
+
+    def find_partition(self):
+        return self.server.get_partition(
+            self.get_query_argument("topic"), self.get_query_argument("part")
+        )
+
+
+class _AppendHandler(_Handler):
+    async def post(self):
+        topic = self.get_query_argument("topic")
+        if topic in ("keyed.op", "keyed.servers"):
+            await self.answer({"error": "forbidden"}, 403)
+            return
+        if self.server.late_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.server.late_s, self._append)
+            await self.go_silent()
+        status, body = self._append()
+        await self.answer(body, status)
+
+    def _append(self):
+        partition = self.find_partition()
+        contents = list(_split(self.request.body))
+        if self.server.count_bytes() >= self.server.stored_limit:
+            return 507, {"error": "full"}
+        fenced = self._check_producer(partition)
+        if fenced is not None:
+            return fenced
+        at = self.get_query_argument("at", None)
+        if at is not None and int(at) != partition.end:
+            return 412, {"end": partition.end}
+        first = partition.append(contents)
+        answer = (200, {"offset": first, "end": partition.end})
+        self._note_producer(partition, answer)
+        return answer
+
+    def _read_producer(self):
+        name = self.get_query_argument("producer", None)
+        epoch = int(self.get_query_argument("epoch", "0"))
+        return name, epoch, int(self.get_query_argument("sequence", "0"))
+
+    def _check_producer(self, partition):
+        name, epoch, sequence = self._read_producer()
+        if name is None or name not in partition.producers:
+            return None
+        known_epoch, answers = partition.producers[name]
+        if epoch < known_epoch:
+            return 409, {"why": "fenced"}
+        if epoch > known_epoch or not answers:
+            return None
+        if sequence in answers:
+            return answers[sequence]
+        wanted = max(answers) + 1
+        if sequence != wanted:
+            return 409, {"why": "seq", "sequence": wanted}
+        return None
+
+    def _note_producer(self, partition, answer):
+        name, epoch, sequence = self._read_producer()
+        if name is None:
+            return
+        known_epoch, answers = partition.producers.get(name, (epoch, {}))
+        if epoch > known_epoch:
+            answers = {}
+        if self.request.body:
+            answers[sequence] = answer
+        for old in sorted(answers)[:-KEPT_APPENDS]:
+            del answers[old]
+        partition.producers[name] = (epoch, answers)
+
+
+def _split(body):
+    at = 0
+    while at < len(body):
+        (size,) = LENGTH.unpack_from(body, at)
+        at += LENGTH.size
+        yield body[at : at + size]
+        at += size
+
+
+class _ReadHandler(_Handler):
+    async def get(self):
+        partition = self.find_partition()
+        start = int(self.get_query_argument("from"))
+        if start < partition.first:
+            await self.answer({"first": partition.first}, 410)
+            return
+        ends_at = time.monotonic() + self._read_wait()
+        while start >= partition.end and time.monotonic() < ends_at:
+            try:
+                async with asyncio.timeout(ends_at - time.monotonic()):
+                    await partition.changed.wait()
+            except TimeoutError:
+                break
+        contents = partition.records[start - partition.first :]
+        body = HEAD.pack(partition.end, partition.first)
+        for content in contents:
+            body += LENGTH.pack(len(content)) + content
+        await self.answer(body)
+
+    def _read_wait(self):
+        return int(self.get_query_argument("wait_ms", "0")) / 1000
+
+
+class _NewestHandler(_Handler):
+    async def get(self):
+        partition = self.find_partition()
+        after = self.get_query_argument("after", "")
+        keys = sorted(key for key in partition.newest if key > after)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(partition.newest[key][0]).decode(),
+                "offset": partition.newest[key][1],
+            }
+            for key in keys[:PAGE_ITEMS]
+        ]
+        await self.answer(
+            {
+                "items": items,
+                "has_more": len(keys) > PAGE_ITEMS,
+                "end": partition.end,
+            }
+        )
+
+
+class _TrimHandler(_Handler):
+    async def post(self):
+        self.find_partition().trim(int(self.get_query_argument("before")))
+        await self.answer({})
+
+
+class _GroupHandler(_Handler):
+    def find_group(self, body):
+        return self.server.get_group(body["group"])
+
+
+class _JoinHandler(_GroupHandler):
+    async def post(self):
+        body = self.read_object()
+        group = self.find_group(body)
+        member = body["member"]
+        if member not in group.members or not group.topics >= set(body["topics"]):
+            group.generation += 1
+        group.topics |= set(body["topics"])
+        group.members[member] = time.monotonic() + body["ttl_ms"] / 1000
+        rows = [
+            [t, p, offset] for t, p, name, offset in group.list_rows() if name == member
+        ]
+        await self.answer({"generation": group.generation, "parts": rows})
+
+
+class _LeaveHandler(_GroupHandler):
+    async def post(self):
+        body = self.read_object()
+        group = self.find_group(body)
+        if group.members.pop(body["member"], None) is not None:
+            group.generation += 1
+        await self.answer({})
+
+
+class _CommitHandler(_GroupHandler):
+    async def post(self):
+        body = self.read_object()
+        group = self.find_group(body)
+        key = (body["topic"], body["part"])
+        held = [row for row in group.list_rows() if (row[0], row[1]) == key]
+        if not held or held[0][2] != body["member"]:
+            await self.answer({"error": "not the holder"}, 409)
+            return
+        group.offsets[key] = body["offset"]
+        await self.answer({})
+
+
+class _OwnersHandler(_GroupHandler):
+    async def get(self):
+        group = self.server.get_group(self.get_query_argument("group"))
+        await self.answer({"parts": group.list_rows()})
--- a/pimentowick/gateway/batch.py
+++ b/pimentowick/gateway/batch.py
@@ -79,7 +79,7 @@
                 self._check_room(found, exchange.host, tokens)
                 return records
 
-            await book.commit(build, SUBMIT_TIMEOUT_S)
+            await book.commit(build, SUBMIT_TIMEOUT_S, limited=True)
         except exception.RefusedError as error:
             _note("batch.refused", job_id, error.refusal.code, tokens=tokens)
             await exchange.refuse(error.refusal)
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -17,6 +17,7 @@
     metric,
     neighbour,
     ownership,
+    record,
     relay,
     route,
     runner,
@@ -48,6 +49,9 @@
 UNREADY_S = 2.5
 STOP_MARGIN_S = 0.7
 CLEAN_EVERY_S = 5.0
+# Clocks of hosts differ; a job stays somewhat longer than it has to.
+REMOVE_MARGIN_S = 30.0
+REMOVE_TIMEOUT_S = 5.0
 
 
 class _ConfigurationFollower(feed.Follower):
@@ -57,8 +61,8 @@
         self.current = None
 
     def reset(self, records):
-        for record in records:
-            self.apply(record)
+        for entry in records:
+            self.apply(entry)
 
     def apply(self, record):
         if record.key != operator.CONFIGURATION_KEY or not record.value:
@@ -91,9 +95,9 @@
         self.feed = None
 
     def reset(self, records):
-        found = {record.key for record in records if record.value}
-        for record in records:
-            self.apply(record)
+        found = {entry.key for entry in records if entry.value}
+        for entry in records:
+            self.apply(entry)
         for target_id in list(self._table.by_id):
             if target_id not in found:
                 self._miss(target_id)
@@ -148,8 +152,8 @@
         self._neighbours = neighbours
 
     def reset(self, records):
-        for record in records:
-            self.apply(record)
+        for entry in records:
+            self.apply(entry)
 
     def apply(self, record):
         if record.value:
@@ -163,9 +167,10 @@
 
     Args:
         settings: `pimentowick.platform.node.NodeSettings`.
+        metrics_port: TCP port of the metrics page.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, metrics_port=METRICS_PORT):
         self.settings = settings
         self.started_at = time.time()
         self._supervisor = supervisor.Supervisor("gateway")
@@ -212,7 +217,7 @@
         self._callers = exchange.Server(settings.callers_address, self._serve)
         self._checks = exchange.Server(settings.ready_address, self._answer_check)
         self._metrics_page = exchange.Server(
-            f"{settings.ip}:{METRICS_PORT}", self._answer_metrics
+            f"{settings.ip}:{metrics_port}", self._answer_metrics
         )
         self._feeds = self._make_feeds()
 
@@ -373,10 +378,38 @@
             decision.note_belief("gateway.not_withdrawn", why=str(error))
 
     async def _clean(self):
-        """Drop the jobs that nobody may read any more from the store."""
+        """Drop what is out of date: targets that are gone, jobs nobody reads."""
         while True:
             await asyncio.sleep(CLEAN_EVERY_S)
             self._targets.drop_missing()
+            for book in self.ledgers:
+                await self._remove_old_jobs(book)
+
+    async def _remove_old_jobs(self, book):
+        """Drop the jobs that nobody may read any more from the store.
+
+        The store takes no appends once it is full, and keeps the newest record of
+        each key for good.
+        """
+        oldest = time.time() - self.settings.result_retention_s - REMOVE_MARGIN_S
+        for found in list(book.book.jobs.values()):
+            part = ownership.find_part(found.id, self.settings.parts)
+            if found.is_open or found.submitted_s > oldest:
+                continue
+            if part not in self.ownership.parts:
+                continue
+
+            def build(view, wanted=found):
+                if view.jobs.get(wanted.id) is not wanted:
+                    return []
+                return record.make_removal(wanted)
+
+            try:
+                await book.commit(build, REMOVE_TIMEOUT_S)
+            except exception.LogError as error:
+                decision.note_belief("job.not_removed", job=found.id, why=str(error))
+                return
+            decision.note_request("job.removed", found.id, outcome="too_old")
 
     async def _answer_check(self, request):
         status = 200 if self.is_ready else 503
--- a/pimentowick/gateway/ledger.py
+++ b/pimentowick/gateway/ledger.py
@@ -42,11 +42,13 @@
     Attributes:
         build: Function that gets the `job.Book` and returns records.
         future: Ends with the change.
+        limited: Whether no other such change may share its append.
         unsettled: Whether an append with this change had no answer yet.
     """
 
     build: object
     future: asyncio.Future
+    limited: bool = False
     unsettled: bool = False
 
 
@@ -99,19 +101,22 @@
         for call in _split(records, self._call_bytes):
             await self.store.append(topic, part, call, None)
 
-    async def commit(self, build, timeout_s):
+    async def commit(self, build, timeout_s, limited=False):
         """Append what `build` returns for the state at the end of the partition.
 
         Args:
             build: Function from the `job.Book` to a list of records; an empty list
                 says that there is nothing to do. What it raises is raised here.
             timeout_s: How long to try, in seconds.
+            limited: Whether `build` keeps a limit over several keys. Changes that
+                share an append don't see each other, so only one of these is in it.
 
         Raises:
             NotWrittenError: Time is up, and the change will never take effect.
             UnsettledError: Time is up, and it may take effect.
         """
-        change = _Change(build, asyncio.get_running_loop().create_future())
+        future = asyncio.get_running_loop().create_future()
+        change = _Change(build, future, limited)
         self._waiting.append(change)
         self._wake.set()
         try:
@@ -185,6 +190,8 @@
             found_keys = {record.key for record in found}
             if not found or found_keys & keys:
                 continue
+            if change.limited and any(other.limited for other in batch):
+                continue
             if batch and size + found_size > self._call_bytes:
                 break
             batch.append(change)
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -178,6 +178,10 @@
         self.owned = frozenset()
         self.neighbours = None
 
+    def list_runs(self):
+        """Return what this entry has to run or runs."""
+        return list(self._runs.values())
+
     def wake(self):
         """Look at what waits and what has to yield soon."""
         self._wake.set()
@@ -239,6 +243,7 @@
             for found in list(book.book.open_jobs.values()):
                 route = configuration.find(found.host, found.path)
                 if route is None or not route.due_s:
+                    # The operator may bring the route back; its jobs wait.
                     continue
                 self._collect_job(book, found, route, seen)
         for key, run in list(self._runs.items()):
--- /dev/null
+++ b/pimentowick/gateway/tests/test_batch.py
@@ -0,0 +1,268 @@
+import asyncio
+import base64
+
+import orjson
+import pytest
+
+from pimentowick.fakes import faults, platform_site, replica, wait
+
+BATCH = platform_site.make_route(
+    "/lot/",
+    "batch",
+    run_target_ms=20_000,
+    retention_s=60,
+    max_attempts=3,
+    max_count=1000,
+)
+ROUTES = [BATCH, platform_site.make_route("/chat/", "stream", resumable=True)]
+TEXT = "word 1\nword 2\nword 3"
+
+
+def make_body(count, tokens=10, size=4):
+    items = [
+        {
+            "id": f"item{number}",
+            "path": f"/lot/{number}",
+            "headers": {"X-Pimentowick-Model": "m"},
+            "body": base64.b64encode(b"x" * size).decode(),
+            "tokens": tokens,
+        }
+        for number in range(count)
+    ]
+    return orjson.dumps({"items": items})
+
+
+async def submit(site, body, job_id="job1", entry=0):
+    return await site.call(
+        "POST", "/lot/new", body, entry, X_Pimentowick_Request_Id=job_id
+    )
+
+
+async def read(site, after=0, entry=0, job_id="job1"):
+    answer = await site.call("GET", f"/-/lots/{job_id}?after={after}", entry=entry)
+    return answer.status, orjson.loads(answer.body)
+
+
+async def read_all(site, count, entry=0):
+    async def is_listed():
+        status, data = await read(site, entry=entry)
+        return data["results"] if status == 200 and data["next"] == count else None
+
+    return await wait.wait_for(is_listed, 20, 0.02)
+
+
+def list_last_events(site):
+    return [run.last_event for run in site.gateways[0].runner.list_runs()]
+
+
+def run_with(replicas, check, entries=1):
+    async def run():
+        async with platform_site.open_site(replicas, ROUTES, entries) as site:
+            await check(site)
+
+    asyncio.run(run())
+
+
+def test_job_is_listed_alike_at_all_entries():
+    async def check(site):
+        assert (await submit(site, make_body(5))).status == 202
+        first = await read_all(site, 5)
+        second = await read_all(site, 5, entry=1)
+        assert first == second
+        assert {row["text"] for row in first} == {TEXT}
+        status, page = await read(site, after=2, entry=1)
+        assert (status, page["results"]) == (200, first[2:])
+
+    run_with([replica.Replica()], check, entries=2)
+
+
+def test_job_that_is_sent_again_is_accepted_once():
+    # The caller gets no answer and sends the job again, to another entry.
+    server = replica.Replica()
+
+    async def check(site):
+        body = make_body(3)
+        statuses = await asyncio.gather(
+            *(submit(site, body, entry=n % 2) for n in range(6))
+        )
+        assert {answer.status for answer in statuses} == {202}
+        results = await read_all(site, 3)
+        assert len({row["id"] for row in results}) == 3
+
+    run_with([server], check, entries=2)
+
+
+def test_append_whose_answer_is_lost_lists_the_job_once():
+    # The store takes the append and its answer is lost. Appended again, the job
+    # would stand twice; refused, it would run although the caller was told not.
+    async def check(site):
+        site.store.board.place(
+            faults.Order("lose_answer", count=2, path="/-/log-append")
+        )
+        assert (await submit(site, make_body(2))).status == 202
+        await read_all(site, 2)
+        jobs = [
+            record
+            for (topic, _), partition in site.store.partitions.items()
+            for record in partition.records
+            if topic == "keyed.jobs" and record[1:3] == b"j/"
+        ]
+        assert len(jobs) == 1
+
+    run_with([replica.Replica()], check)
+
+
+def test_append_that_may_still_land_is_not_called_refused():
+    # The store is silent, and the append may take effect seconds later. A 503 would
+    # promise that nothing of the job ever runs.
+    async def check(site):
+        site.store.late_s = 60.0
+        answer = await submit(site, make_body(2))
+        assert answer.status == 504
+
+    run_with([replica.Replica()], check)
+
+
+def test_job_is_refused_while_the_store_turns_all_away():
+    # The store answers 503: nothing was done, so the refusal is true.
+    async def check(site):
+        site.store.board.place(faults.Order("down", path="/-/log-append"))
+        assert (await submit(site, make_body(2))).status == 503
+        site.store.board.place(faults.Order("clear"))
+        status, _ = await read(site)
+        assert status == 404
+
+    run_with([replica.Replica()], check)
+
+
+def test_jobs_beyond_the_quota_are_refused():
+    async def check(site):
+        servers = site.replicas
+        servers[0].gap_s = 5.0
+        assert (await submit(site, make_body(9, tokens=100))).status == 202
+        assert (await submit(site, make_body(2, tokens=100), "job2")).status == 429
+        assert (await submit(site, make_body(9, tokens=100))).status == 202
+
+    run_with([replica.Replica()], check)
+
+
+def test_run_that_breaks_off_goes_on_after_its_last_event():
+    # A target crashes in the middle of an item. The text that is there is kept, and
+    # every event stands in it once.
+    server = replica.Replica()
+    server.plan = [
+        replica.Behaviour(cut_after=2, half_event=True, held=True),
+        replica.Behaviour("fail"),
+    ]
+
+    async def check(site):
+        await submit(site, make_body(1))
+        await wait.wait_for(lambda: "2" in list_last_events(site), 10, 0.01)
+        server.release.set()
+        results = await read_all(site, 1)
+        assert results == [{"id": "item0", "state": "done", "text": TEXT}]
+        assert server.headers[-1]["Last-Event-Id"] == "2"
+
+    run_with([server], check)
+
+
+@pytest.mark.parametrize(("kind", "runs"), [("fail", 3), ("impossible", 1)])
+def test_item_that_can_never_be_done_is_given_up(kind, runs):
+    # An item fails at each run, or the target says that it can never be done. Tried
+    # for ever, it would hold a place that others wait for.
+    server = replica.Replica()
+    server.plan = [replica.Behaviour(kind) for _ in range(10)]
+
+    async def check(site):
+        await submit(site, make_body(1))
+        results = await read_all(site, 1)
+        assert results[0]["state"] == "dead"
+        assert server.runs == {"item0": runs}
+
+    run_with([server], check)
+
+
+def test_ended_job_stops_and_keeps_what_is_listed():
+    # A caller ends a job at an entry that does not run it.
+    server = replica.Replica(events=400, gap_s=0.02)
+
+    async def check(site):
+        await submit(site, make_body(4))
+        await wait.wait_for(lambda: server.running == 4, 10, 0.01)
+        for entry in (0, 1, 1):
+            answer = await site.call("DELETE", "/-/lots/job1", entry=entry)
+            assert answer.status == 200
+        await wait.wait_for(lambda: server.running == 0, 10, 0.01)
+        status, page = await read(site, entry=1)
+        assert (status, page["total"]) == (200, 4)
+
+    run_with([server], check, entries=2)
+
+
+def test_body_of_an_item_is_given_until_it_is_listed():
+    server = replica.Replica(events=400, gap_s=0.02)
+
+    async def check(site):
+        body = make_body(1, size=600_000)
+        assert (await submit(site, body)).status == 202
+        answer = await site.call("GET", "/-/items/job1?id=item0", entry=1)
+        assert (answer.status, answer.body) == (200, b"x" * 600_000)
+        assert (await site.call("GET", "/-/items/job1?id=none")).status == 404
+
+    run_with([server], check, entries=2)
+
+
+def test_job_of_another_caller_is_not_shown():
+    # Rivals share the fleet: whoever knows a job's identifier reads it only under
+    # the host that it was submitted to.
+    async def check(site):
+        await submit(site, make_body(1))
+        answer = await site.client.fetch(
+            "GET",
+            site.gateways[0].settings.callers_address,
+            "/-/lots/job1",
+            headers={"Host": "other.example"},
+        )
+        assert answer.status == 404
+
+    run_with([replica.Replica()], check)
+
+
+def test_entry_that_is_not_sure_does_not_say_unknown():
+    # The store is away, and another entry may have accepted the job meanwhile.
+    async def check(site):
+        site.store.board.place(faults.Order("down"))
+        status, _ = await read(site)
+        assert status == 503
+
+    run_with([replica.Replica()], check)
+
+
+def test_another_entry_takes_over_after_the_recorded_text():
+    # The entry that runs an item stops. Its successor goes on after the events that
+    # were recorded.
+    server = replica.Replica(events=60, gap_s=0.02)
+
+    async def check(site):
+        await submit(site, make_body(8))
+        await wait.wait_for(lambda: any(list_last_events(site)), 10, 0.01)
+        await asyncio.wait_for(site.gateways[0].drain(), 20)
+        results = await read_all(site, 8, entry=1)
+        wanted = "\n".join(f"word {n}" for n in range(1, 61))
+        assert {row["text"] for row in results} == {wanted}
+        assert any("Last-Event-Id" in headers for headers in server.headers)
+
+    run_with([server], check, entries=2)
+
+
+def test_new_entry_learns_all_jobs_from_the_newest_records():
+    # An entry starts after the log has dropped its old records.
+    async def check(site):
+        await submit(site, make_body(3))
+        first = await read_all(site, 3)
+        for partition in site.store.partitions.values():
+            partition.trim(partition.end)
+        await site.start_entry()
+        assert await read_all(site, 3, entry=1) == first
+
+    run_with([replica.Replica()], check)
--- /dev/null
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -0,0 +1,257 @@
+import asyncio
+import os
+
+import orjson
+import pytest
+
+from pimentowick import exception
+from pimentowick.fakes import faults, platform_site, replica, wait
+from pimentowick.gateway import daemon, decision
+from pimentowick.platform import node
+
+ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
+
+
+def run_with(replicas, check, entries=1):
+    async def run():
+        async with platform_site.open_site(replicas, ROUTES, entries) as site:
+            await check(site, site.gateways[0])
+
+    asyncio.run(run())
+
+
+async def check_ready(site, gateway):
+    address = gateway.settings.ready_address
+    return (await site.client.fetch("GET", address, "/-/readiness")).status
+
+
+async def wait_true(predicate):
+    await wait.wait_for(predicate, 15, 0.01)
+
+
+def test_target_that_leaves_gets_no_new_work():
+    servers = [replica.Replica(f"i-{n}") for n in range(2)]
+
+    async def check(site, gateway):
+        site.list_replica(servers[0], state="draining")
+        await wait_true(lambda: gateway.table.by_id["i-0"].registration.leaving)
+        for number in range(4):
+            await send(site, f"r{number}")
+        assert not servers[0].runs
+
+    run_with(servers, check)
+
+
+def test_targets_that_lapsed_while_the_store_was_away_get_time():
+    # The store was away, and the entries of all targets ran out meanwhile. Dropped at
+    # once, sound targets would be without work until they have registered again.
+    server = replica.Replica()
+
+    async def check(site, gateway):
+        found = gateway._feeds["targets"]
+        site.store.board.place(faults.Order("down"))
+        await wait_true(lambda: found.lost_at is not None)
+        site.store.put("keyed.servers", server.id, b"")
+        site.store.board.place(faults.Order("clear"))
+        await wait_true(lambda: found.lost_at is None)
+        assert server.id in gateway.table.by_id
+        site.list_replica(server)
+        await wait_true(lambda: not gateway._targets._missing_since)
+        assert server.id in gateway.table.by_id
+
+    run_with([server], check)
+
+
+def test_target_that_is_not_listed_is_gone():
+    server = replica.Replica()
+
+    async def check(site, gateway):
+        site.store.put("keyed.servers", server.id, b"")
+        await wait_true(lambda: not gateway.table.by_id)
+        assert (await send(site)).status == 503
+
+    run_with([server], check)
+
+
+@pytest.mark.parametrize(
+    "value", [b"\xff\x00", b"[]", b'{"service": 1}', b'{"service": "lm", "slots": 0}']
+)
+def test_entry_that_cannot_be_read_harms_no_other(value):
+    server = replica.Replica()
+
+    async def check(site, gateway):
+        site.store.put("keyed.servers", "odd", value)
+        site.publish(ROUTES)
+        await wait_true(lambda: gateway.configuration.current.version == 2)
+        assert set(gateway.table.by_id) == {server.id}
+
+    run_with([server], check)
+
+
+def test_older_configuration_never_takes_the_place_of_a_newer_one():
+    async def check(site, gateway):
+        site.publish([])
+        await wait_true(lambda: gateway.configuration.current.version == 2)
+        site._version = 0
+        site.publish(ROUTES)
+        site.store.put("keyed.op", "config", b"not a configuration")
+        site.publish([*ROUTES])
+        site._version = 2
+        site.publish(ROUTES)
+        await wait_true(lambda: gateway.configuration.current.version == 3)
+
+    run_with([replica.Replica()], check)
+
+
+def test_entry_is_not_ready_without_the_store():
+    # A new entry that knows neither routes nor targets must not get callers.
+    async def run():
+        settings = platform_site.make_settings("127.0.0.1:9")
+        gateway = daemon.Gateway(settings, platform_site.find_port())
+        await gateway.start()
+        try:
+            assert not gateway.is_ready
+        finally:
+            await gateway.close()
+
+    asyncio.run(run())
+
+
+def test_entry_goes_on_while_the_store_is_away():
+    async def check(site, gateway):
+        site.store.board.place(faults.Order("down"))
+        await wait_true(lambda: gateway._feeds["targets"].lost_at is not None)
+        assert (await send(site)).status == 200
+        assert await check_ready(site, gateway) == 200
+
+    run_with([replica.Replica()], check)
+
+
+def test_planned_stop_finishes_what_is_under_way():
+    # The balancer notices seconds after the stop that an entry is not ready. What
+    # comes until then is served, and nothing is cut.
+    server = replica.Replica(events=30, gap_s=0.02)
+
+    async def check(site, gateway):
+        task = asyncio.create_task(send(site))
+        await wait_true(lambda: server.running == 1)
+        draining = asyncio.create_task(gateway.drain())
+        await wait_true(lambda: gateway._draining)
+        assert await check_ready(site, gateway) == 503
+        late = await send(site, "late")
+        assert late.status == 200
+        assert late.headers["Connection"] == "close"
+        assert (await task).status == 200
+        await draining
+        assert gateway._callers.busy == 0
+
+    run_with([server], check)
+
+
+def test_settings_are_read_again_and_cut_nothing(tmp_path, monkeypatch):
+    server = replica.Replica(events=20, gap_s=0.02)
+
+    async def check(site, gateway):
+        monkeypatch.setenv("PIMENTOWICK_NODE_FILE", str(tmp_path / "settings.conf"))
+        task = asyncio.create_task(send(site))
+        await wait_true(lambda: server.running == 1)
+        gateway.reload()
+        write_settings(tmp_path / "settings.conf", gateway.settings)
+        gateway.reload()
+        assert gateway.settings.stop_grace_s == 9.0
+        assert (await task).status == 200
+
+    run_with([server], check)
+
+
+def write_settings(path, settings):
+    path.write_text(
+        f"node_name=entry\nip={settings.ip}\nzone=here\nunknown.field=1\n"
+        f"listen.front={settings.callers_address}\n"
+        f"listen.ready={settings.ready_address}\n"
+        f"port_range={settings.peer_ports[0]},{settings.peer_ports[1]}\n"
+        f"platform.address={settings.store_address}\nbounds.grace_s=9\n"
+    )
+
+
+def test_settings_without_a_field_are_refused_with_its_name(tmp_path):
+    path = tmp_path / "settings.conf"
+    path.write_text("node_name=x\n")
+    with pytest.raises(exception.SettingsError, match=r"listen\.front"):
+        node.read_settings(path)
+
+
+def test_metrics_page_counts_requests():
+    async def check(site, gateway):
+        await send(site)
+        address = f"127.0.0.1:{gateway._metrics_page._port}"
+        answer = await site.client.fetch("GET", address, "/metrics")
+        text = answer.body.decode()
+        assert 'pimentowick_gateway_requests_total{kind="stream"' in text
+
+    run_with([replica.Replica()], check)
+
+
+def test_jobs_that_nobody_may_read_any_more_leave_the_store():
+    # The store keeps the newest record of each key for good and takes nothing more
+    # once it is full.
+    batch = platform_site.make_route("/lot/", "batch", run_target_ms=60_000)
+
+    async def run():
+        async with platform_site.open_site(routes=[batch]) as site:
+            gateway = site.gateways[0]
+            body = orjson.dumps({"items": [{"id": "i", "path": "/lot/1", "body": ""}]})
+            await site.call("POST", "/lot/x", body, X_Pimentowick_Request_Id="j")
+            books = [entry.book for entry in gateway.ledgers]
+            await wait_true(
+                lambda: any(j.results for book in books for j in book.jobs.values())
+            )
+            for entry in gateway.ledgers:
+                for found in entry.book.jobs.values():
+                    found.submitted_s = 0.0
+                await gateway._remove_old_jobs(entry)
+            newest = [
+                key
+                for (topic, _), part in site.store.partitions.items()
+                if topic == "keyed.jobs"
+                for key in part.newest
+            ]
+            assert not newest
+
+    asyncio.run(run())
+
+
+def test_log_blocks_nobody_and_says_what_it_left_out():
+    # Whoever reads the log stops reading. Waiting for it, the entry would stop
+    # serving; the lines that do not fit are counted instead.
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    now = 0.0
+    sink = decision._Sink(writing, clock=lambda: now)
+    for _ in range(3 * decision.BURST_LINES):
+        sink.write("x" * 200 + "\n")
+    assert sink.dropped > 0
+    os.set_blocking(reading, False)
+    while True:
+        try:
+            os.read(reading, 1 << 16)
+        except BlockingIOError:
+            break
+    now = 10.0
+    sink.write("line\n")
+    data = os.read(reading, 1 << 16)
+    assert b'"log.dropped"' in data
+    assert data.endswith(b"line\n")
+    os.close(reading)
+    sink.write("nobody reads\n")
+    os.close(writing)
+
+
+async def send(site, request_id="r1"):
+    return await site.call(
+        "POST",
+        "/chat/1",
+        b"hello",
+        X_Pimentowick_Request_Id=request_id,
+        X_Pimentowick_Deadline_Ms="8000",
+    )
--- /dev/null
+++ b/pimentowick/gateway/tests/test_ledger.py
@@ -0,0 +1,172 @@
+import asyncio
+
+import pytest
+
+from pimentowick import exception
+from pimentowick.fakes import faults, platform_store, wait
+from pimentowick.gateway import job, ledger, record
+from pimentowick.platform import store
+
+TOPIC = "keyed.jobs"
+CALL_BYTES = 100_000
+
+
+class Writer:
+    """A ledger with its tasks."""
+
+    def __init__(self, address):
+        self.store = store.Store(address, timeout_s=0.5)
+        self.ledger = ledger.Ledger(self.store, TOPIC, 0, 0.01, 0.2, CALL_BYTES)
+        self.tasks = []
+
+    async def start(self):
+        await self.store.start()
+        for work in (self.ledger.feed.run, self.ledger.run):
+            self.tasks.append(asyncio.create_task(work()))
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.store.close()
+
+
+def run_with(check, count=2):
+    async def run():
+        outside = platform_store.PlatformStore()
+        await outside.start()
+        writers = [Writer(outside.address) for _ in range(count)]
+        for writer in writers:
+            await writer.start()
+        try:
+            await check(outside, writers)
+        finally:
+            for writer in writers:
+                await writer.close()
+            await outside.close()
+
+    asyncio.run(run())
+
+
+def make_add(job_id, limit=None):
+    """Return a change that adds a job of one item, if fewer than `limit` are there."""
+    items = [job.Item(f"{job_id}-0", "/p", {}, b"body", 7)]
+    bodies, made = record.make_job(job_id, "h", "/p/", 0.0, items, 1 << 20)
+
+    def build(view):
+        if job_id in view.jobs:
+            return []
+        if limit is not None and len(view.jobs) >= limit:
+            raise exception.ConflictError("full")
+        return [*bodies, made]
+
+    return build
+
+
+def count_records(outside, key):
+    wanted = bytes([len(key)]) + key.encode()
+    records = outside.get_partition(TOPIC, 0).records
+    return sum(content.startswith(wanted) for content in records)
+
+
+def test_writers_that_race_write_each_key_once_and_keep_a_limit():
+    # Many entries accept jobs at the same time. Each decides by the state at the
+    # very end of the partition, so that together they never take one too many.
+    async def check(outside, writers):
+        changes = [
+            writer.ledger.commit(make_add(f"j{n % 12}", limit=10), 10, limited=True)
+            for n in range(24)
+            for writer in writers
+        ]
+        found = await asyncio.gather(*changes, return_exceptions=True)
+        refused = [each for each in found if isinstance(each, Exception)]
+        assert {type(each) for each in refused} == {exception.ConflictError}
+        counts = [count_records(outside, f"j/j{n}") for n in range(12)]
+        assert sorted(counts) == [0, 0] + [1] * 10
+
+    run_with(check, count=4)
+
+
+def test_lost_answers_write_nothing_twice():
+    # The store takes every other append and the answers are lost.
+    async def check(outside, writers):
+        for number in range(6):
+            order = faults.Order("lose_answer", count=1, path="/-/log-append")
+            outside.board.place(order)
+            await writers[number % 2].ledger.commit(make_add(f"j{number}"), 10)
+        assert [count_records(outside, f"j/j{n}") for n in range(6)] == [1] * 6
+
+    run_with(check)
+
+
+def test_append_that_lands_late_lands_once():
+    # The store answers nothing and does the append seconds later, if its condition
+    # still holds. By then the change was appended again.
+    async def check(outside, writers):
+        outside.late_s = 0.7
+        task = asyncio.create_task(writers[0].ledger.commit(make_add("a"), 10))
+        await wait.wait_for(lambda: outside.calls["/-/log-append"] == 1, 5, 0.005)
+        outside.late_s = None
+        await task
+        await writers[1].ledger.commit(make_add("b"), 10)
+        assert [count_records(outside, f"j/{name}") for name in "ab"] == [1, 1]
+
+    run_with(check)
+
+
+def test_outcome_is_unsettled_while_an_append_may_land():
+    # Given up now, the change may still take effect: that is no refusal.
+    async def check(outside, writers):
+        outside.late_s = 30.0
+        with pytest.raises(ledger.UnsettledError):
+            await writers[0].ledger.commit(make_add("a"), 1.5)
+
+    run_with(check)
+
+
+def test_outcome_is_settled_once_the_partition_moved_on():
+    # Another writer appended meanwhile: the append without an answer cannot land any
+    # more, and giving up is a true refusal.
+    async def check(outside, writers):
+        outside.late_s = 30.0
+        task = asyncio.create_task(writers[0].ledger.commit(make_add("a"), 4))
+        await wait.wait_for(lambda: outside.calls["/-/log-append"] == 1, 5, 0.005)
+        outside.put(TOPIC, "e/none", b"1")
+        outside.late_s = None
+        outside.board.place(faults.Order("down", path="/-/log-append"))
+        with pytest.raises(ledger.NotWrittenError):
+            await task
+        assert count_records(outside, "j/a") == 0
+
+    run_with(check)
+
+
+def test_changes_that_wait_share_an_append():
+    async def check(outside, writers):
+        await writers[0].ledger.commit(make_add("first"), 10)
+        before = outside.calls["/-/log-append"]
+        changes = [writers[0].ledger.commit(make_add(f"j{n}"), 10) for n in range(30)]
+        await asyncio.gather(*changes)
+        assert outside.calls["/-/log-append"] - before <= 3
+
+    run_with(check)
+
+
+def test_reader_loads_the_newest_records_when_the_log_has_gone_on():
+    # The records that an entry was to read next are gone: everything is read anew,
+    # and nothing that was dropped meanwhile stays.
+    async def check(outside, writers):
+        reader = writers[1]
+        await writers[0].ledger.commit(make_add("a"), 10)
+        await wait.wait_for(lambda: "a" in reader.ledger.book.jobs, 5, 0.005)
+        outside.board.place(faults.Order("down", path="/-/log-read"))
+        partition = outside.get_partition(TOPIC, 0)
+        outside.put(TOPIC, "j/a", b"")
+        await asyncio.sleep(0)
+        _, made = record.make_job("b", "h", "/p/", 0.0, [], 1 << 20)
+        outside.put(TOPIC, made.key, made.value)
+        partition.trim(partition.end)
+        outside.board.place(faults.Order("clear"))
+        await wait.wait_for(lambda: set(reader.ledger.book.jobs) == {"b"}, 5, 0.005)
+
+    run_with(check)
--- /dev/null
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -0,0 +1,99 @@
+import asyncio
+
+import orjson
+
+from pimentowick.fakes import platform_site, replica, wait
+from pimentowick.gateway import admission, neighbour, target
+
+ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
+
+
+def make_neighbours():
+    table = target.TargetTable()
+    table.put(target.Registration("t", "s", "127.0.0.1", 1, "a", 8))
+    line = admission.Admission(table, "a")
+    news = []
+    found = neighbour.Neighbours("me:1", table, line, lambda: news.append(1))
+    return found, table.by_id["t"], line, news
+
+
+def tell(found, number, loads, waiting=None, sender="other:2"):
+    data = {"from": sender, "number": number, "loads": loads, "waiting": waiting or {}}
+    found.datagram_received(orjson.dumps(data), ("other", 2))
+
+
+def test_loads_of_neighbours_are_summed():
+    found, seen, line, news = make_neighbours()
+    tell(found, 1, {"t": [2, 1]}, {"s": 3})
+    tell(found, 1, {"t": [1, 0]}, sender="third:3")
+    assert (seen.peers_online, seen.peers_batch) == (3, 1)
+    assert line.peers_waiting["s"] == 3
+    assert found.get_batch_counts("t") == {"other:2": 1}
+    assert len(news) == 2
+
+
+def test_datagrams_that_overtake_each_other_do_no_harm():
+    found, seen, _, _ = make_neighbours()
+    tell(found, 2, {"t": [5, 0]})
+    tell(found, 1, {"t": [1, 0]})
+    assert seen.peers_online == 5
+
+
+def test_garbled_datagrams_change_nothing():
+    found, seen, _, _ = make_neighbours()
+    for data in (b"", b"[]", b"{}", b'{"from": 1, "number": "x", "loads": 3}'):
+        found.datagram_received(data, ("other", 2))
+    assert seen.peers_online == 0
+
+
+def test_silent_neighbour_is_not_counted_any_more(monkeypatch):
+    # An entry loses power. Its requests are gone from the targets, and counted for
+    # ever they would keep places empty.
+    found, seen, _, news = make_neighbours()
+    tell(found, 1, {"t": [5, 2]})
+    peer = found.peers["other:2"]
+    peer.heard_at -= neighbour.SILENT_S + 1
+    found._drop_silent()
+    assert (seen.peers_online, seen.peers_batch) == (0, 0)
+    assert len(news) == 2
+    peer.heard_at -= neighbour.FORGET_S
+    found._drop_silent()
+    assert not found.peers
+
+
+def test_batch_items_yield_to_the_requests_of_another_entry():
+    # All places of a target run batch items of one entry. Requests come at another
+    # entry; engines know no priority, so the items have to go before the requests
+    # can start.
+    server = replica.Replica(events=400, gap_s=0.02, slots=4)
+    batch = platform_site.make_route("/lot/", "batch", run_target_ms=60_000)
+
+    async def run():
+        async with platform_site.open_site([server], [*ROUTES, batch], 2) as site:
+            body = orjson.dumps(
+                {"items": [{"id": f"i{n}", "path": "/lot/1"} for n in range(6)]}
+            )
+            await site.call("POST", "/lot/x", body, X_Pimentowick_Request_Id="j")
+            await wait.wait_for(lambda: server.running == 3, 10, 0.01)
+            tasks = [asyncio.create_task(send(site, n)) for n in range(4)]
+            await wait.wait_for(lambda: count_streams(server) == 4, 10, 0.01)
+            await wait.wait_for(lambda: server.running == 4, 10, 0.01)
+            for task in tasks:
+                task.cancel()
+
+    asyncio.run(run())
+
+
+def count_streams(server):
+    return sum(name.startswith("online") for name in server.runs)
+
+
+async def send(site, number):
+    await site.call(
+        "POST",
+        "/chat/1",
+        b"x",
+        1,
+        X_Pimentowick_Request_Id=f"online{number}",
+        X_Pimentowick_Deadline_Ms="9000",
+    )
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -177,6 +177,7 @@
             # The answer to an earlier request, late; the identifier tells.
             reader = _Reader(request.request_id, sink)
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
+            http.finish()
             await http.read_response(reader)
         outcome = self._judge(reader)
         kept = (
