--- a/pimentowick/gateway/batch.py
+++ b/pimentowick/gateway/batch.py
@@ -54,7 +54,7 @@
             items = message.decode_submission(exchange.body)
         except exception.ValidationError as error:
             _note("batch.refused", job_id, "invalid", why=str(error))
-            await exchange.refuse(verdict.Refusal(400, "invalid", str(error)))
+            await exchange.refuse(verdict.Refusal(400, "bad_request", str(error)))
             return
         book = find_ledger(self._ledgers, job_id)
         bodies, job_record = record.make_job(
@@ -199,7 +199,7 @@
         return max(0, int(text))
     except ValueError:
         raise exception.RefusedError(
-            verdict.Refusal(400, "bad_position", "The position is no number.")
+            verdict.Refusal(400, "bad_request", "The position is no number.")
         ) from None
 
 
@@ -212,7 +212,7 @@
 def _make_unsure():
     return verdict.Refusal(
         503,
-        "store_away",
+        "log_unavailable",
         "The store does not answer. Come again.",
         retry_after=RETRY_S,
     )
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -435,7 +435,7 @@
             raise exception.RefusedError(
                 verdict.Refusal(
                     503,
-                    "no_configuration",
+                    "not_ready",
                     "This entry knows no configuration yet.",
                     retry_after=1.0,
                 )
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -199,7 +199,7 @@
         except Exception:
             logger.exception("Answering {} failed.", exchange.method)
             refusal = verdict.Refusal(
-                502,
+                500,
                 "internal",
                 "An unexpected error.",
                 verdict.Verdict.MAY_HAVE_RUN,
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -306,7 +306,7 @@
         line = self._admission.describe(self._service)
         refusal = verdict.Refusal(
             503,
-            why,
+            "busy",
             "All targets are busy. Come back after the time in Retry-After.",
             retry_after=refusing.make_retry_after(line),
         )
@@ -325,7 +325,7 @@
         await self._exchange.refuse(
             verdict.Refusal(
                 502,
-                why,
+                "target_lost",
                 "A target broke off. The request may have run.",
                 verdict.Verdict.MAY_HAVE_RUN,
             )
