--- /dev/null
+++ b/pimentowick/soak/fleet.py
@@ -0,0 +1,148 @@
+"""Gateways as processes, before stand-ins of the platform in this process."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+from pimentowick import client as http_client
+from pimentowick import exception
+from pimentowick.fakes import platform_site, platform_store, replica, wait
+
+__all__ = ["Fleet", "GatewayProcess"]
+
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.05
+GRACE_S = 6
+
+
+class GatewayProcess:
+    """One gateway at an IP number of loopback of its own.
+
+    Args:
+        number: Number of the gateway, from 0.
+        directory: Where its settings and its log go.
+        store_address: ``IP:port`` of the store.
+    """
+
+    def __init__(self, number, directory, store_address):
+        self.ip = f"127.0.1.{number + 1}"
+        self.address = f"{self.ip}:8144"
+        self.ready_address = f"{self.ip}:8140"
+        self._log_path = pathlib.Path(directory, f"gateway-{number}.log")
+        self._settings_path = pathlib.Path(directory, f"gateway-{number}.conf")
+        self._settings_path.write_text(
+            f"node_name=gateway-{number}\nip={self.ip}\nzone=here\n"
+            f"listen.front={self.address}\nlisten.ready={self.ready_address}\n"
+            f"port_range=7660,7675\nplatform.address={store_address}\n"
+            f"bounds.grace_s={GRACE_S}\n",
+            encoding="utf-8",
+        )
+        self._process = None
+
+    @property
+    def is_running(self):
+        """Whether the process is there."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self):
+        """Start the process."""
+        with self._log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pimentowick.gateway",
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PIMENTOWICK_NODE_FILE": str(self._settings_path)},
+            )
+
+    def send(self, number):
+        """Send a signal."""
+        if self.is_running:
+            self._process.send_signal(number)
+
+    async def wait(self):
+        """Wait for the end of the process; return its status."""
+        return await asyncio.wait_for(self._process.wait(), STOP_TIMEOUT_S)
+
+    async def close(self):
+        """End the process."""
+        if self.is_running:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGKILL)
+            await self.wait()
+
+    def read_log(self):
+        """Return what the process has logged."""
+        return self._log_path.read_text(encoding="utf-8", errors="replace")
+
+
+class Fleet:
+    """Store, replicas and gateways.
+
+    Args:
+        directory: Where settings and logs go.
+        gateways: Number of gateways.
+        replicas: Number of replicas that stream.
+    """
+
+    def __init__(self, directory, gateways=3, replicas=3):
+        self._directory = directory
+        self._count = gateways
+        self.store = platform_store.PlatformStore()
+        self.replicas = [
+            replica.Replica(f"i-{n}", events=12, gap_s=0.02) for n in range(replicas)
+        ]
+        self.gateways = []
+        self.client = http_client.Client(max_connections=200)
+
+    async def start(self):
+        """Start everything and wait until all gateways are ready."""
+        await self.client.start()
+        await self.store.start()
+        for each in self.replicas:
+            await each.start()
+            self.store.put("keyed.servers", each.id, each.describe("lm"))
+        routes = [
+            platform_site.make_route("/chat/", "stream", resumable=True),
+            platform_site.make_route("/draft/", "stream"),
+            platform_site.make_route(
+                "/lot/", "batch", run_target_ms=20_000, max_attempts=50
+            ),
+        ]
+        data = {"version": 1, "routes": routes, "services": [{"name": "lm"}]}
+        self.store.put("keyed.op", "config", data)
+        for number in range(self._count):
+            gateway = GatewayProcess(number, self._directory, self.store.address)
+            self.gateways.append(gateway)
+            await gateway.start()
+        await self.wait_ready()
+
+    async def wait_ready(self):
+        """Wait until all gateways say that they are ready."""
+        for gateway in self.gateways:
+            await wait.wait_for(
+                lambda gateway=gateway: self.is_ready(gateway), READY_TIMEOUT_S, POLL_S
+            )
+
+    async def is_ready(self, gateway):
+        """Return whether a gateway says that it is ready."""
+        try:
+            answer = await self.client.fetch(
+                "GET", gateway.ready_address, "/-/readiness", timeout_s=1.0
+            )
+        except exception.UnavailableError:
+            return False
+        return answer.status == 200
+
+    async def close(self):
+        """End everything."""
+        for gateway in self.gateways:
+            await gateway.close()
+        for each in self.replicas:
+            await each.close()
+        await self.store.close()
+        await self.client.close()
