Join a text only to the very piece that it began after

Ruled out: a stale view (appends are conditional), a lost record (the feed's offsets have no gap), extra events of a cancelled run (they end the run). Change: each piece names its writer, and gateway/transcript.py goes on only after that very piece; runner.py loses its recording.

--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -27,6 +27,7 @@
         tokens: Tokens of the prompt and most tokens of the answer.
         pieces: Texts of the events so far, as recorded.
         last_event: Identifier of the last event recorded, or None.
+        last_piece: Name of the last piece recorded, or None.
         failures: Answers that said the run failed.
         result: The `Result`, or None.
         keys: Kind and number of the records that belong to the item alone.
@@ -39,6 +40,7 @@
     tokens: int
     pieces: list = dataclasses.field(default_factory=list)
     last_event: str | None = None
+    last_piece: str | None = None
     failures: int = 0
     result: "Result | None" = None
     keys: list = dataclasses.field(default_factory=list)
@@ -170,6 +172,7 @@
         if number == len(item.pieces) and item.result is None:
             item.pieces.append(data["text"])
             item.last_event = data["last"]
+            item.last_piece = data["writer"]
 
     def _add_result(self, job, item, data):
         texts = item.pieces[: data["after"]] + data["texts"]
--- a/pimentowick/gateway/record.py
+++ b/pimentowick/gateway/record.py
@@ -45,9 +45,18 @@
     return bodies, store.KeyedRecord(f"j/{job_id}", orjson.dumps(data))
 
 
-def make_piece(job_id, number, index, texts, last_event):
-    """Return the record of some more text of an item that goes on running."""
-    data = {"text": "\n".join(texts), "last": last_event}
+def make_piece(job_id, number, index, writer, texts, last_event):
+    """Return the record of some more text of an item that goes on running.
+
+    Args:
+        job_id: Identifier of the job.
+        number: Number of the item.
+        index: Number of the piece.
+        writer: Name that no other piece has.
+        texts: Data of the events.
+        last_event: Identifier of the last of them.
+    """
+    data = {"text": "\n".join(texts), "last": last_event, "writer": writer}
     return store.KeyedRecord(f"t/{job_id}/{number}/{index}", orjson.dumps(data))
 
 
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -12,7 +12,7 @@
     health,
     ownership,
     placing,
-    record,
+    transcript,
     upstream,
 )
 from pimentowick.platform import message
@@ -37,62 +37,47 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Run:
-    """One item under way at this entry.
+    """One item that this entry has to run.
 
     Attributes:
-        book: The `pimentowick.gateway.ledger.Ledger` of its job.
         job: The `pimentowick.gateway.job.Job`.
-        number: Number of the item.
-        item: The `pimentowick.gateway.job.Item`.
-        route: The `pimentowick.gateway.route.Route` of the job, or None.
-        texts: Data of the events that are not recorded yet.
-        last_event: Identifier of the last event, or None.
-        pieces: Number of pieces recorded when the texts began.
-        steps_done: Events made so far.
+        route: The `pimentowick.gateway.route.Route` of the job.
+        transcript: The `pimentowick.gateway.transcript.Transcript`.
         not_before: Monotonic time of the next try.
         failures: Tries in a row without an event.
         target: The `pimentowick.gateway.target.Target`, while it runs.
         task: The task, while it runs.
     """
 
-    book: object
     job: object
-    number: int
-    item: object
     route: object
-    texts: list = dataclasses.field(default_factory=list)
-    last_event: str | None = None
-    pieces: int = 0
-    steps_done: int = 0
+    transcript: object
     not_before: float = 0.0
     failures: int = 0
     target: object = None
     task: object = None
 
+    @property
+    def item(self):
+        """The `pimentowick.gateway.job.Item`."""
+        return self.transcript.item
+
     @property
     def due_at(self):
         """Unix time at which the item is due."""
         return self.job.submitted_s + self.route.due_s
 
     @property
-    def is_wanted(self):
-        """Whether the item still has to run."""
-        known = self.book.book.jobs.get(self.job.id)
-        return known is self.job and not self.job.ended and self.item.result is None
-
-    def sync(self):
-        """Take over what is recorded, if another entry has recorded more."""
-        if len(self.item.pieces) != self.pieces:
-            self.pieces = len(self.item.pieces)
-            self.texts = []
-            self.last_event = self.item.last_event
+    def steps_done(self):
+        """Events made here."""
+        return self.transcript.made
 
 
 class _Sink(upstream.Sink):
     """Collects the events of one run."""
 
-    def __init__(self, run):
-        self._run = run
+    def __init__(self, transcript):
+        self._transcript = transcript
         self._splitter = event.EventSplitter()
         self.status = 0
         self.events = 0
@@ -115,27 +100,14 @@
     def _take(self, entry):
         if entry.id is None or not self.in_order:
             return
-        last = self._run.last_event
-        if last is not None and not _follows(last, entry.id):
-            self.in_order = False
-            return
-        self._run.texts.append(entry.data)
-        self._run.last_event = entry.id
-        self._run.steps_done += 1
-        self.events += 1
+        self.in_order = self._transcript.add(entry)
+        self.events += self.in_order
 
     def is_whole(self):
         """Return whether the stream ended between two events, all in order."""
         return self._splitter.is_empty() and self.in_order
 
 
-def _follows(last, event_id):
-    try:
-        return int(event_id) == int(last) + 1
-    except ValueError:
-        return False
-
-
 class Runner:
     """Runs the items that are this entry's.
 
@@ -205,7 +177,7 @@
         self.owned = frozenset()
         for run in runs:
             await self._stop(run)
-        saves = [self._record_piece(run) for run in runs if run.texts]
+        saves = [run.transcript.save(RECORD_EVERY_S) for run in runs]
         await asyncio.gather(*saves, return_exceptions=True)
         self._runs.clear()
 
@@ -263,7 +235,8 @@
             if run is None or run.job is not found:
                 if run is not None:
                     self._cancel(run)
-                run = _Run(book, found, number, item, route)
+                made = transcript.Transcript(book, found, number)
+                run = _Run(found, route, made)
                 self._runs[key] = run
             run.route = route
 
@@ -334,16 +307,17 @@
             await asyncio.gather(task, return_exceptions=True)
 
     async def _run_item(self, run, target):
-        run.sync()
-        sink = _Sink(run)
+        made = run.transcript
+        made.sync()
+        sink = _Sink(made)
         headers = message.encode_item(
-            run.item, run.job.host, RUN_LIMIT_S, target.id, run.last_event
+            run.item, run.job.host, RUN_LIMIT_S, target.id, made.last_event
         )
         request = upstream.Request(
             run.item.id, "POST", run.item.path, headers, run.item.body
         )
         started_at = time.monotonic()
-        saver = asyncio.create_task(self._record_pieces(run))
+        saver = asyncio.create_task(_save_often(made))
         sending = asyncio.ensure_future(self._pools(target).send(request, sink))
         try:
             outcome = await _watch(sending, sink)
@@ -361,7 +335,7 @@
             status=outcome.status,
             target=target.id,
             events=sink.events,
-            last_event=run.last_event,
+            last_event=made.last_event,
             failures=run.item.failures,
             took_s=time.monotonic() - started_at,
         )
@@ -370,14 +344,14 @@
 
     async def _conclude(self, run, outcome, sink):
         if outcome.end == upstream.End.WHOLE and outcome.status == 200:
-            if sink.is_whole() and run.last_event is not None:
-                await self._list_done(run)
+            if sink.is_whole() and run.transcript.last_event is not None:
+                await run.transcript.finish(RECORD_TIMEOUT_S)
                 return
         if outcome.end == upstream.End.WHOLE and outcome.status == 422:
             await self._list_dead(run, "impossible")
             return
         if outcome.end == upstream.End.WHOLE and outcome.status == 500:
-            await self._record_failure(run)
+            await run.transcript.note_failure(RECORD_TIMEOUT_S)
         if sink.events:
             run.failures = 0
         run.failures += 1
@@ -387,24 +361,8 @@
             run.failures = 0
         run.not_before = time.monotonic() + min(pause, LONGEST_PAUSE_S)
 
-    async def _list_done(self, run):
-        texts = list(run.texts)
-        after = run.pieces
-
-        def build(view):
-            if not run.is_wanted or len(run.item.pieces) != after:
-                return []
-            return [record.make_result(run.job.id, run.number, True, after, texts)]
-
-        await run.book.commit(build, RECORD_TIMEOUT_S)
-
     async def _list_dead(self, run, why):
-        def build(view):
-            if not run.is_wanted:
-                return []
-            return [record.make_result(run.job.id, run.number, False, 0, [])]
-
-        await run.book.commit(build, RECORD_TIMEOUT_S)
+        await run.transcript.give_up(RECORD_TIMEOUT_S)
         decision.note_request(
             "item.given_up",
             run.item.id,
@@ -413,40 +371,15 @@
             failures=run.item.failures,
         )
 
-    async def _record_failure(self, run):
-        index = run.item.failures
 
-        def build(view):
-            if not run.is_wanted or run.item.failures != index:
-                return []
-            return [record.make_failure(run.job.id, run.number, index)]
-
-        await run.book.commit(build, RECORD_TIMEOUT_S)
-
-    async def _record_pieces(self, run):
-        while True:
-            await asyncio.sleep(RECORD_EVERY_S)
-            try:
-                await self._record_piece(run)
-            except exception.LogError as error:
-                decision.note_request("item.unrecorded", run.item.id, why=str(error))
-
-    async def _record_piece(self, run):
-        texts = list(run.texts)
-        last_event = run.last_event
-        index = run.pieces
-        if not texts:
-            return
-
-        def build(view):
-            if not run.is_wanted or len(run.item.pieces) != index:
-                return []
-            return [record.make_piece(run.job.id, run.number, index, texts, last_event)]
-
-        await run.book.commit(build, RECORD_EVERY_S)
-        if len(run.item.pieces) == index + 1 and run.item.last_event == last_event:
-            run.pieces = index + 1
-            run.texts = run.texts[len(texts) :]
+async def _save_often(made):
+    """Record the text of a run from time to time until cancelled."""
+    while True:
+        await asyncio.sleep(RECORD_EVERY_S)
+        try:
+            await made.save(RECORD_EVERY_S)
+        except exception.LogError as error:
+            decision.note_request("item.unrecorded", made.item.id, why=str(error))
 
 
 async def _watch(sending, sink):
--- a/pimentowick/gateway/tests/test_batch.py
+++ b/pimentowick/gateway/tests/test_batch.py
@@ -52,7 +52,7 @@
 
 
 def list_last_events(site):
-    return [run.last_event for run in site.gateways[0].runner.list_runs()]
+    return [run.transcript.last_event for run in site.gateways[0].runner.list_runs()]
 
 
 def run_with(replicas, check, entries=1):
