--- a/pimentowick/soak/run.py
+++ b/pimentowick/soak/run.py
@@ -70,6 +70,7 @@
             self.findings.faults = maker.made
             self._ending.set()
             await asyncio.gather(*callers)
+            await self._start_ended()
             await self.fleet.wait_ready()
             await self._check_jobs()
             self._check_runs()
@@ -131,6 +132,7 @@
             try:
                 answer = await self._send("POST", "/lot/1", body, {REQUEST_ID: job_id})
             except exception.UnavailableError:
+                await asyncio.sleep(PAUSE_S)
                 continue
             if answer.status == 202:
                 self.accepted[job_id] = set(names)
@@ -138,6 +140,12 @@
             await asyncio.sleep(PAUSE_S)
         self._report(f"{job_id}: never accepted")
 
+    async def _start_ended(self):
+        for gateway in self.fleet.gateways:
+            if not gateway.is_running:
+                self._report(f"{gateway.ip}: ended by itself")
+                await gateway.start()
+
     async def _check_jobs(self):
         self.findings.jobs = len(self.accepted)
         for job_id, names in self.accepted.items():
--- a/pimentowick/soak/trouble.py
+++ b/pimentowick/soak/trouble.py
@@ -3,11 +3,13 @@
 import asyncio
 import signal
 
-from pimentowick.fakes import faults, replica
+from pimentowick.fakes import faults, replica, wait
 
 __all__ = ["KINDS", "Trouble"]
 
 APPEND = "/-/log-append"
+READY_S = 20.0
+POLL_S = 0.05
 
 
 class Trouble:
@@ -57,7 +59,10 @@
         await gateway.start()
 
     async def _hang_up(self):
-        self._choose_gateway().send(signal.SIGHUP)
+        gateway = self._choose_gateway()
+        # Before its first line runs, nothing can keep a process from ending by it.
+        await wait.wait_for(lambda: self._fleet.is_ready(gateway), READY_S, POLL_S)
+        gateway.send(signal.SIGHUP)
 
     async def _store_down(self):
         await self._order_store(faults.Order("down"))
