--- /dev/null
+++ b/benchmarks/bench_gateway.py
@@ -0,0 +1,111 @@
+"""Slopes of the gateway: what a neighbour, a target, a route and an item cost."""
+
+import time
+import tracemalloc
+
+import orjson
+
+from benchmarks import capacity_fit
+from pimentowick.gateway import (
+    admission,
+    event,
+    job,
+    neighbour,
+    placing,
+    record,
+    route,
+    target,
+)
+
+__all__ = ["run"]
+
+SIZES = (20, 80, 320)
+ROUNDS = 400
+MICROSECONDS = 1e6
+
+
+def _measure(function, rounds=ROUNDS):
+    """Return the processor time of a call, in microseconds: the best of five."""
+    best = float("inf")
+    for _ in range(5):
+        began_at = time.process_time()
+        for _ in range(rounds):
+            function()
+        best = min(best, time.process_time() - began_at)
+    return best / rounds * MICROSECONDS
+
+
+def _make_table(count):
+    table = target.TargetTable()
+    for number in range(count):
+        table.put(
+            target.Registration(f"t{number}", "s", "10.0.0.1", 1 + number, "a", 8)
+        )
+    return table
+
+
+def _measure_datagram(targets):
+    """Return the cost of a datagram whose sender has work at so many targets."""
+    table = _make_table(targets)
+    found = neighbour.Neighbours(
+        "me:1", table, admission.Admission(table, "a"), lambda: None
+    )
+    numbers = iter(range(1, 1_000_000))
+
+    def take():
+        number = next(numbers)
+        loads = {f"t{n}": (number % 3, 1) for n in range(targets)}
+        data = {"from": "x:1", "number": number, "loads": loads, "waiting": {}}
+        found.datagram_received(orjson.dumps(data), ("x", 1))
+
+    return _measure(take)
+
+
+def _measure_choice(targets):
+    served = _make_table(targets).list_service("s")
+    return _measure(lambda: placing.choose_for_online(served, 0.0, "a"))
+
+
+def _measure_route(count):
+    routes = [
+        route.Route(f"r{n}", f"h{n}", "/p/", route.Kind.ONCE, {"s": 1}, 1, 1)
+        for n in range(count)
+    ]
+    table = route.Configuration(1, routes)
+    return _measure(lambda: table.find(f"h{count - 1}", "/p/1"))
+
+
+def _measure_events(count):
+    data = b"".join(b"id: %d\ndata: some words\n\n" % n for n in range(count))
+    return _measure(lambda: event.EventSplitter().feed(data), rounds=50)
+
+
+def _measure_job_memory(items):
+    tracemalloc.start()
+    book = job.Book()
+    made = [
+        job.Item(f"i{n}", "/p", {}, str(n).encode().ljust(1000), 100)
+        for n in range(items)
+    ]
+    bodies, row = record.make_job("j", "h", "/p", 0.0, made, 1 << 18)
+    del made
+    for entry in [*bodies, row]:
+        book.apply(entry.key, entry.value)
+    del bodies, row
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size / 1024
+
+
+def run():
+    """Print the slopes."""
+    rows = [
+        ("a datagram, by its sender's targets", "us", _measure_datagram),
+        ("a choice of a target, by targets", "us", _measure_choice),
+        ("a route, by routes", "us", _measure_route),
+        ("a chunk of events, by events", "us", _measure_events),
+        ("a job of 1 KB items in memory, by items", "KB", _measure_job_memory),
+    ]
+    for name, unit, measure in rows:
+        points = [(size, measure(size)) for size in SIZES]
+        capacity_fit.print_line(name, unit, points)
