Start each entry's share of the free places with batch items

Change: entries tell how many items wait; each starts its share of the room a round, and a round lasts until the start is told.

--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -55,7 +55,8 @@
     def take():
         number = next(numbers)
         loads = {f"t{n}": (number % 3, 1) for n in range(targets)}
-        data = {"from": "x:1", "number": number, "loads": loads, "waiting": {}}
+        data = {"from": "x:1", "number": number, "loads": loads}
+        data |= {"waiting": {}, "pending": {}}
         found.datagram_received(orjson.dumps(data), ("x", 1))
 
     return _measure(take)
--- a/pimentowick/gateway/beside.py
+++ b/pimentowick/gateway/beside.py
@@ -7,9 +7,36 @@
     prompt, some milliseconds of a target.
 """
 
+import random
+
 from pimentowick import rendezvous
 
-__all__ = ["count_yields", "order_items"]
+__all__ = ["count_starts", "count_yields", "order_items"]
+
+
+def count_starts(room, own, others, draw=random.random):
+    """Return how many items an entry starts now, its share of the room there is.
+
+    All entries see the same free places at the same time. Each filling them alone,
+    most items would have to yield again before their first event (194 of 404 yields
+    on a measured day).
+
+    Args:
+        room: Free places for batch items.
+        own: Items that wait at this entry.
+        others: Items that wait at other entries.
+        draw: Function that returns a number from 0 to 1.
+
+    Examples:
+        >>> count_starts(6, 5, 10, lambda: 0.0), count_starts(6, 5, 0)
+        (2, 5)
+        >>> count_starts(1, 1, 3, lambda: 0.7), count_starts(1, 1, 3, lambda: 0.8)
+        (0, 1)
+    """
+    if room <= 0 or own <= 0:
+        return 0
+    share = room * own / (own + others)
+    return min(own, room, int(share + draw()))
 
 
 def count_yields(target, own, peers):
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import time
 
@@ -42,6 +43,7 @@
         heard_at: Monotonic time of that.
         loads: Online requests and batch items by target identifier.
         waiting: Requests that wait there, by service.
+        pending: Batch items that wait there, by service.
     """
 
     address: str
@@ -49,6 +51,12 @@
     heard_at: float = 0.0
     loads: dict = dataclasses.field(default_factory=dict)
     waiting: dict = dataclasses.field(default_factory=dict)
+    pending: dict = dataclasses.field(default_factory=dict)
+
+    @property
+    def is_busy(self):
+        """Whether anything of it is counted."""
+        return bool(self.loads or self.waiting or self.pending)
 
 
 class Neighbours(asyncio.DatagramProtocol):
@@ -62,6 +70,8 @@
 
     Attributes:
         peers: The `Neighbour` objects by address.
+        pending: Batch items that wait here, by service; the runner's.
+        peers_pending: Batch items that wait at other entries, by service.
     """
 
     def __init__(self, address, table, admission, on_news):
@@ -74,6 +84,8 @@
         self._changed = asyncio.Event()
         self._number = time.time_ns()
         self._sums = {}
+        self.pending = {}
+        self.peers_pending = collections.Counter()
 
     async def start(self):
         """Open the socket."""
@@ -86,7 +98,7 @@
     async def close(self):
         """Tell that nothing runs here, and close the socket."""
         if self._transport is not None:
-            self._send({"loads": {}, "waiting": {}})
+            self._send({"loads": {}, "waiting": {}, "pending": {}})
             self._transport.close()
             self._transport = None
 
@@ -100,7 +112,7 @@
         """Forget an entry."""
         peer = self.peers.pop(address, None)
         if peer is not None:
-            self._replace(peer, {}, {})
+            self._replace(peer, {}, {}, {})
 
     def note_change(self):
         """Note that what runs here has changed."""
@@ -115,6 +127,11 @@
                 counts[peer.address] = items
         return counts
 
+    @property
+    def flush_s(self):
+        """Seconds from a change until it is told."""
+        return max(FLUSH_S, FLUSH_PER_PEER_S * len(self.peers))
+
     async def run(self):
         """Send until cancelled."""
         while True:
@@ -123,8 +140,7 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
-            pause = max(FLUSH_S, FLUSH_PER_PEER_S * len(self.peers))
-            await asyncio.sleep(pause)
+            await asyncio.sleep(self.flush_s)
             self._changed.clear()
             self._drop_silent()
             self._send(self._describe())
@@ -134,7 +150,7 @@
         loads = {t.id: (t.online, t.batch) for t in targets if t.online or t.batch}
         services = self._admission.list_services()
         waiting = {name: self._admission.count_waiting(name) for name in services}
-        return {"loads": loads, "waiting": waiting}
+        return {"loads": loads, "waiting": waiting, "pending": self.pending}
 
     def _send(self, data):
         self._number += 1
@@ -154,6 +170,7 @@
             number = found["number"]
             loads = {key: (int(a), int(b)) for key, (a, b) in found["loads"].items()}
             waiting = {key: int(count) for key, count in found["waiting"].items()}
+            pending = {key: int(count) for key, count in found["pending"].items()}
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             decision.note_belief("neighbour.garbled", sender=addr[0], why=str(error))
             return
@@ -164,7 +181,7 @@
         changed = loads != peer.loads or waiting != peer.waiting
         peer.number = number
         peer.heard_at = time.monotonic()
-        self._replace(peer, loads, waiting)
+        self._replace(peer, loads, waiting, pending)
         if changed:
             self._on_news()
 
@@ -175,16 +192,16 @@
         now = time.monotonic()
         dropped = False
         for peer in list(self.peers.values()):
-            if now - peer.heard_at > SILENT_S and (peer.loads or peer.waiting):
+            if now - peer.heard_at > SILENT_S and peer.is_busy:
                 decision.note_belief("neighbour.silent", neighbour=peer.address)
-                self._replace(peer, {}, {})
+                self._replace(peer, {}, {}, {})
                 dropped = True
             if now - peer.heard_at > FORGET_S:
                 self.peers.pop(peer.address)
         if dropped:
             self._on_news()
 
-    def _replace(self, peer, loads, waiting):
+    def _replace(self, peer, loads, waiting, pending):
         """Put what a neighbour says now in the place of what it said before.
 
         The sums are kept, not worked out anew: with 40 entries each gets some 300
@@ -198,8 +215,11 @@
             self._tell(target_id)
         self._admission.peers_waiting.subtract(peer.waiting)
         self._admission.peers_waiting.update(waiting)
+        self.peers_pending.subtract(peer.pending)
+        self.peers_pending.update(pending)
         peer.loads = loads
         peer.waiting = waiting
+        peer.pending = pending
 
     def _add(self, target_id, online, batch):
         known = self._sums.get(target_id, (0, 0))
--- a/pimentowick/gateway/placing.py
+++ b/pimentowick/gateway/placing.py
@@ -11,7 +11,7 @@
 
 import random
 
-__all__ = ["choose_for_batch", "choose_for_online", "count_free"]
+__all__ = ["choose_for_batch", "choose_for_online", "count_free", "count_room"]
 
 # Places of a target that batch items leave free: an online request that comes in
 # then starts without waiting for an item to yield.
@@ -27,6 +27,16 @@
     )
 
 
+def count_room(targets, now):
+    """Return how many more batch items all targets together can take."""
+    return sum(_get_room(target) for target in targets if target.is_usable(now))
+
+
+def _get_room(target):
+    taken = target.all_online + target.all_batch
+    return max(0, target.slots - HEADROOM - taken)
+
+
 def choose_for_online(targets, now, failure_domain, avoid=frozenset()):
     """Return the target for an online request, or None while all are full.
 
@@ -61,8 +71,8 @@
     best = None
     best_rank = None
     for target in targets:
-        room = target.slots - HEADROOM - target.all_online - target.all_batch
-        if not target.is_usable(now) or room <= 0:
+        room = _get_room(target)
+        if not target.is_usable(now) or not room:
             continue
         rank = (
             -room / target.slots,
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -1,6 +1,7 @@
 """Running the items of batch jobs at targets."""
 
 import asyncio
+import collections
 import dataclasses
 import time
 
@@ -21,6 +22,8 @@
 
 # How often what waits is looked at when nothing changes.
 TICK_S = 0.1
+# Beyond the time until a start is told: the way between hosts, and a turn there.
+ROUND_MARGIN_S = 0.01
 # News of neighbours come some hundred times a second.
 LEAST_PAUSE_S = 0.005
 # Text that was generated is recorded this often, so that an entry that takes over
@@ -44,6 +47,7 @@
     Attributes:
         job: The `pimentowick.gateway.job.Job`.
         route: The `pimentowick.gateway.route.Route` of the job.
+        service: Name of the service that the item goes to.
         transcript: The `pimentowick.gateway.transcript.Transcript`.
         not_before: Monotonic time of the next try.
         failures: Tries in a row without an event.
@@ -53,6 +57,7 @@
 
     job: object
     route: object
+    service: str
     transcript: object
     not_before: float = 0.0
     failures: int = 0
@@ -150,6 +155,7 @@
         self._wake = asyncio.Event()
         self._saving = set()
         self._collected = None
+        self._next_round_at = 0.0
         self.owned = frozenset()
         self.neighbours = None
 
@@ -165,7 +171,7 @@
         """Start and stop runs until cancelled."""
         while True:
             try:
-                async with asyncio.timeout(TICK_S):
+                async with asyncio.timeout(self._get_pause()):
                     await self._wake.wait()
             except TimeoutError:
                 pass
@@ -175,6 +181,11 @@
             self._start_waiting()
             await asyncio.sleep(LEAST_PAUSE_S)
 
+    def _get_pause(self):
+        """Return how long nothing has to be looked at."""
+        left_s = self._next_round_at - time.monotonic()
+        return min(TICK_S, left_s) if left_s > 0 else TICK_S
+
     async def close(self):
         """Stop all runs and record how far they are."""
         self.owned = frozenset()
@@ -243,9 +254,11 @@
                 if run is not None:
                     self._cancel(run)
                 made = transcript.Transcript(book, found, number)
-                run = _Run(found, route, made)
+                run = _Run(found, route, route.choose_service(), made)
                 self._runs[key] = run
-            run.route = route
+            if run.route is not route:
+                run.route = route
+                run.service = route.choose_service()
 
     def _start_waiting(self):
         now = time.monotonic()
@@ -255,23 +268,44 @@
             for run in self._runs.values()
             if run.task is None and run.not_before <= now
         ]
-        full = set()
+        ready = []
         for run in beside.order_items(waiting, unix_now):
             if unix_now > run.job.submitted_s + run.route.abandon_after_s:
                 self._spawn(run, self._list_dead(run, "abandoned"))
-                continue
-            if run.item.failures >= run.route.max_attempts:
+            elif run.item.failures >= run.route.max_attempts:
                 self._spawn(run, self._list_dead(run, "failed"))
-                continue
-            service = run.route.choose_service()
-            if service in full:
+            else:
+                ready.append(run)
+        self._tell_pending(ready)
+        if ready and now >= self._next_round_at:
+            self._start_share(ready, now)
+
+    def _tell_pending(self, ready):
+        pending = collections.Counter(run.service for run in ready)
+        if pending != self.neighbours.pending:
+            self.neighbours.pending = dict(pending)
+            self._on_change()
+
+    def _start_share(self, ready, now):
+        """Start as many items as are this entry's share of the free places."""
+        allowed = {}
+        for service in {run.service for run in ready}:
+            room = placing.count_room(self._table.list_service(service), now)
+            own = self.neighbours.pending.get(service, 0)
+            others = max(0, self.neighbours.peers_pending[service])
+            allowed[service] = beside.count_starts(room, own, others)
+        for run in ready:
+            if not allowed[run.service]:
                 continue
             target = placing.choose_for_batch(
-                self._table.list_service(service), now, self._failure_domain
+                self._table.list_service(run.service), now, self._failure_domain
             )
             if target is None:
-                full.add(service)
+                allowed[run.service] = 0
                 continue
+            allowed[run.service] -= 1
+            # What starts here is known to the others only after that.
+            self._next_round_at = now + self.neighbours.flush_s + ROUND_MARGIN_S
             self._start(run, target)
 
     def _start(self, run, target):
--- a/pimentowick/gateway/tests/test_decisions.py
+++ b/pimentowick/gateway/tests/test_decisions.py
@@ -88,6 +88,22 @@
     assert yields == min(total, max(0, online + total - SLOTS))
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_entries_that_see_the_same_places_fill_them_together(seed):
+    # A wave of online requests ends and places become free at once. Eight entries
+    # with items that wait all see them before they hear of each other's starts. Each
+    # taking what it sees, eight times as many items would start as have a place.
+    draw = random.Random(seed)
+    waiting = [draw.randrange(1, 12) for _ in range(8)]
+    room = draw.randrange(1, 30)
+    started = sum(
+        beside.count_starts(room, own, sum(waiting) - own, draw.random)
+        for own in waiting
+    )
+    wanted = min(room, sum(waiting))
+    assert abs(started - wanted) <= len(waiting) / 2
+
+
 def test_hopeless_requests_are_refused_and_others_wait():
     # Two of five targets are lost in a wave: more requests come than places become
     # free. Those that would be late are told at once, the others are in time.
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -18,7 +18,8 @@
 
 
 def tell(found, number, loads, waiting=None, sender="other:2"):
-    data = {"from": sender, "number": number, "loads": loads, "waiting": waiting or {}}
+    data = {"from": sender, "number": number, "loads": loads, "pending": {}}
+    data["waiting"] = waiting or {}
     found.datagram_received(orjson.dumps(data), ("other", 2))
 
 
