Let connections that were just taken bring their request before a stop closes them

Ruled out: the target (it answered that it had gone, which is asked for again elsewhere). Change: 0.25 s for what the kernel had taken, then those without a request are closed at once.

--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -19,6 +19,9 @@
 # keeps them somewhat longer than the largest limit seen.
 IDLE_CONNECTION_S = 30
 BODY_TIMEOUT_S = 30
+# How long a connection that was just taken has to bring its request: a round trip to
+# callers (6 ms), and a turn of a busy loop.
+READ_S = 0.25
 REASONS = {421: "Misdirected Request"}
 
 
@@ -181,10 +184,11 @@
         A request that crosses the close was not read, and its caller knows that.
         """
         self._server.stop()
-        # Connections that the kernel had taken get a turn to be read.
-        await asyncio.sleep(0)
+        # What the kernel had taken is not read yet: closed now, its request would
+        # be lost half way through.
+        await asyncio.sleep(READ_S)
         for connection in list(self._idle):
-            await connection.close()
+            connection.stream.close()
 
     async def close(self):
         """Close all connections."""
