Give batch work up when an entry alone lost the store

Change: entries tell whether they reach the store; one that does not, while another one does, gives its parts up after half a lease. With the store away for all, work goes on.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -210,8 +210,13 @@
         self.runner.neighbours = self.neighbours
         member = f"{address}/{time.time_ns()}"
         self.ownership = ownership.Ownership(
-            self.store, member, settings.least_lease_s, self._note_parts
+            self.store,
+            member,
+            settings.least_lease_s,
+            self._note_parts,
+            self.neighbours.may_have_taken_over,
         )
+        self.neighbours.has_store = lambda: self.ownership.is_renewed
         self._relay = relay.Relay(self.admission, self._get_pool, self.metrics)
         self._desk = batch.BatchDesk(
             self.ledgers, settings.record_bytes, settings.call_bytes
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -44,6 +44,7 @@
         loads: Online requests and batch items by target identifier.
         waiting: Requests that wait there, by service.
         pending: Batch items that wait there, by service.
+        has_store: Whether it reaches the store.
     """
 
     address: str
@@ -52,6 +53,7 @@
     loads: dict = dataclasses.field(default_factory=dict)
     waiting: dict = dataclasses.field(default_factory=dict)
     pending: dict = dataclasses.field(default_factory=dict)
+    has_store: bool = False
 
     @property
     def is_busy(self):
@@ -71,6 +73,7 @@
     Attributes:
         peers: The `Neighbour` objects by address.
         pending: Batch items that wait here, by service; the runner's.
+        has_store: Function that returns whether this entry reaches the store.
         peers_pending: Batch items that wait at other entries, by service.
     """
 
@@ -85,6 +88,7 @@
         self._number = time.time_ns()
         self._sums = {}
         self.pending = {}
+        self.has_store = lambda: False
         self.peers_pending = collections.Counter()
 
     async def start(self):
@@ -98,7 +102,7 @@
     async def close(self):
         """Tell that nothing runs here, and close the socket."""
         if self._transport is not None:
-            self._send({"loads": {}, "waiting": {}, "pending": {}})
+            self._send({"loads": {}, "waiting": {}, "pending": {}, "store": False})
             self._transport.close()
             self._transport = None
 
@@ -132,6 +136,14 @@
         """Seconds from a change until it is told."""
         return max(FLUSH_S, FLUSH_PER_PEER_S * len(self.peers))
 
+    def may_have_taken_over(self):
+        """Return whether another entry reaches the store, or none can be heard."""
+        heard_since = time.monotonic() - SILENT_S
+        heard = [peer for peer in self.peers.values() if peer.heard_at > heard_since]
+        if not heard:
+            return bool(self.peers)
+        return any(peer.has_store for peer in heard)
+
     async def run(self):
         """Send until cancelled."""
         while True:
@@ -150,7 +162,12 @@
         loads = {t.id: (t.online, t.batch) for t in targets if t.online or t.batch}
         services = self._admission.list_services()
         waiting = {name: self._admission.count_waiting(name) for name in services}
-        return {"loads": loads, "waiting": waiting, "pending": self.pending}
+        return {
+            "loads": loads,
+            "waiting": waiting,
+            "pending": self.pending,
+            "store": self.has_store(),
+        }
 
     def _send(self, data):
         self._number += 1
@@ -181,6 +198,7 @@
         changed = loads != peer.loads or waiting != peer.waiting
         peer.number = number
         peer.heard_at = time.monotonic()
+        peer.has_store = bool(found.get("store"))
         self._replace(peer, loads, waiting, pending)
         if changed:
             self._on_news()
--- a/pimentowick/gateway/ownership.py
+++ b/pimentowick/gateway/ownership.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import time
 import zlib
 
 from pimentowick import exception
@@ -21,6 +22,9 @@
 # Renewals in the time of a lease: two may be lost.
 RENEWALS = 3
 LEASE_S = 3.0
+# The store may take a lease away before its end. Two renewals that failed while
+# others reach the store say so; a part run twice costs all that its items take.
+DOUBT_SHARE = 0.5
 
 
 def find_part(item_id, parts):
@@ -41,16 +45,21 @@
         member: Name of this start of the entry.
         least_lease_s: Shortest lease that the store takes, in seconds.
         on_change: Function called when other parts are dealt.
+        is_replaced: Function that returns whether other entries can have taken over
+            while this one does not reach the store.
 
     Attributes:
         parts: Numbers of the parts dealt to this entry.
+        renewed_at: Monotonic time of the last renewal, or None.
     """
 
-    def __init__(self, store, member, least_lease_s, on_change):
+    def __init__(self, store, member, least_lease_s, on_change, is_replaced):
         self._store = store
         self._member = member
         self._lease_s = max(LEASE_S, least_lease_s)
         self._on_change = on_change
+        self._is_replaced = is_replaced
+        self.renewed_at = None
         self._generation = 0
         self._joined = False
         self.parts = frozenset()
@@ -66,9 +75,28 @@
                     decision.note_belief(
                         "ownership.lost_store", parts=sorted(self.parts), why=str(error)
                     )
+                self._check_lapsed()
             pause = self._lease_s / RENEWALS
             await asyncio.sleep(pause * random.uniform(0.8, 1.0))
 
+    @property
+    def is_renewed(self):
+        """Whether the store has renewed the lease lately."""
+        if self.renewed_at is None:
+            return False
+        return time.monotonic() - self.renewed_at < self._lease_s * DOUBT_SHARE
+
+    def _check_lapsed(self):
+        """Give the parts up if others run them by now.
+
+        While the store is away for all entries, nobody takes over and work goes on.
+        """
+        if not self.parts or self.is_renewed or not self._is_replaced():
+            return
+        decision.note_belief("ownership.given_up", parts=sorted(self.parts))
+        self.parts = frozenset()
+        self._on_change()
+
     async def leave(self):
         """Give the parts back at once."""
         self.parts = frozenset()
@@ -83,6 +111,7 @@
         )
         self._generation = dealt.generation
         self._joined = True
+        self.renewed_at = time.monotonic()
         if dealt.parts == self.parts:
             return
         decision.note_belief(
