Pass no request on whose connection was closed while it waited for its turn

Ruled out: the queue (the request had not waited), the target (sound). Change: a connection counts as busy from a request's headers on, and a request whose connection is closed is not served.

--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -119,6 +119,7 @@
         self._chunks = []
 
     def headers_received(self, start_line, headers):
+        self._server.note_request(self._server_connection)
         self._exchange = Exchange(
             self._connection, start_line, headers, self._server.is_closing
         )
@@ -129,7 +130,10 @@
     def finish(self):
         self._exchange.body = b"".join(self._chunks)
         self._chunks.clear()
-        self._server.note_request(self._server_connection)
+        if self._connection.stream is None or self._connection.stream.closed():
+            # Closed while its last bytes waited for their turn: passed on now, the
+            # request would run for a caller who was told that it was not read.
+            return
         task = asyncio.create_task(self._server.serve(self._exchange))
         # The caller is gone: whatever is done for the request ends with its task.
         self._connection.set_close_callback(task.cancel)
@@ -187,6 +191,10 @@
         # What the kernel had taken is not read yet: closed now, its request would
         # be lost half way through.
         await asyncio.sleep(READ_S)
+        self.close_idle()
+
+    def close_idle(self):
+        """Close the connections on which no request has begun to arrive."""
         for connection in list(self._idle):
             connection.stream.close()
 
@@ -203,7 +211,7 @@
         return _Receiver(self, server_conn, request_conn)
 
     def note_request(self, server_conn):
-        """Note that a request on a connection was read whole."""
+        """Note that a request has begun to arrive on a connection."""
         self._idle.discard(server_conn)
 
     def on_close(self, server_conn):
