Keep to the operator's limits on callers and on connections to targets

Cause: the limits of the configuration were decoded, and fixed ones were enforced (32 KB of headers, 8 MB of body, 30 s idle); the limit of connections to a target was not looked at, while each entry kept up to 16 idle ones. Ruled out: leaving it to the server's own limits, which close without an answer. Change: 431 and 413 for what is beyond the limits, after reading and passing it over; connections close after the configured idle time, and when their headers take too long; idle connections to a target are shared among the entries within its limit. Tests also show that ambiguous framing is refused and that chunked bodies and other headers pass unchanged; those held before.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -44,6 +44,7 @@
         plan: `Behaviour` objects for the next requests; afterwards all are answered.
         runs: Number of runs by request identifier.
         headers: Headers of the requests that ran, in order.
+        uris: Their paths and queries.
         running: Requests that run now.
         most_running: Most that ran at once.
         release: Set by a test to let held answers break off.
@@ -58,6 +59,7 @@
         self.plan = []
         self.runs = collections.Counter()
         self.headers = []
+        self.uris = []
         self.running = 0
         self.most_running = 0
         self.release = asyncio.Event()
@@ -93,6 +95,7 @@
         request_id = self.request.headers[PREFIX + "Request-Id"]
         replica.runs[request_id] += 1
         replica.headers.append(dict(self.request.headers))
+        replica.uris.append(self.request.uri)
         replica.running += 1
         replica.most_running = max(replica.most_running, replica.running)
         try:
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -56,6 +56,8 @@
 # Clocks of hosts differ; a job stays somewhat longer than it has to.
 REMOVE_MARGIN_S = 30.0
 REMOVE_TIMEOUT_S = 5.0
+# For a service whose limit the configuration does not name; assumed.
+DEFAULT_CONNECTIONS = 100
 
 
 class Gateway:
@@ -115,7 +117,9 @@
         self._desk = batch.BatchDesk(
             self.ledgers, settings.record_bytes, settings.call_bytes
         )
-        self._callers = exchange.Server(settings.callers_address, self._serve)
+        self._callers = exchange.Server(
+            settings.callers_address, self._serve, self._get_limits
+        )
         self._checks = exchange.Server(settings.ready_address, self._answer_check)
         self._metrics_page = exchange.Server(
             f"{settings.ip}:{metrics_port}", self._answer_metrics
@@ -172,6 +176,7 @@
         self._supervisor.start_child("ownership", self.ownership.run)
         self._supervisor.start_child("runner", self.runner.run)
         self._supervisor.start_child("clean", self._clean)
+        self._supervisor.start_child("slow callers", self._callers.close_slow)
         decision.note_belief(
             "gateway.started", host=self.settings.name, store=self.store.address
         )
@@ -239,10 +244,27 @@
     def _get_pool(self, found):
         pool = self._pools.get(found)
         if pool is None:
-            pool = upstream.Pool(found.registration.ip, found.registration.port)
+            registration = found.registration
+            pool = upstream.Pool(
+                registration.ip, registration.port, lambda: self._count_idle(found)
+            )
             self._pools[found] = pool
         return pool
 
+    def _count_idle(self, found):
+        """Return how many idle connections this entry may keep to a target.
+
+        A target resets what goes beyond its limit, a request on its way included;
+        what it runs needs connections, too, and the rest is shared alike.
+        """
+        limits = self.configuration.current.max_connections
+        limit = limits.get(found.registration.service, DEFAULT_CONNECTIONS)
+        return max(0, limit - found.slots) // (len(self.neighbours.peers) + 1)
+
+    def _get_limits(self):
+        current = self.configuration.current
+        return route.Limits() if current is None else current.limits
+
     def _drop_pool(self, found):
         pool = self._pools.pop(found, None)
         if pool is not None:
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -10,15 +10,18 @@
 from tornado import httputil, iostream, netutil
 
 from pimentowick import exception, verdict, web
+from pimentowick.gateway import decision, route
 
 __all__ = ["Exchange", "Server"]
 
-MAX_HEADER_BYTES = 32_768
-MAX_BODY_BYTES = 8_388_608
-# Clients reuse connections up to four fifths of the configured limit; the server
-# keeps them somewhat longer than the largest limit seen.
-IDLE_CONNECTION_S = 30
+# Beyond these the connection ends without an answer; what lies between them and the
+# configured limits is read and passed over, so that the refusal arrives.
+PASSED_HEADER_BYTES = 131_072
+PASSED_BODY_BYTES = 33_554_432
 BODY_TIMEOUT_S = 30
+# How often connections are looked at whose headers are under way: well below the
+# limits seen (3 s).
+SLOW_CHECK_S = 0.25
 # How long a connection that was just taken has to bring its request: a round trip to
 # callers (6 ms), and a turn of a busy loop.
 READ_S = 0.25
@@ -35,6 +38,7 @@
         query: First value of each argument of the query.
         headers: `tornado.httputil.HTTPHeaders`.
         body: The whole body.
+        refusal: Why the request breaks a limit, a `verdict.Refusal`, or None.
         received_at: Monotonic time at which the headers were read.
         started: Whether the head of the answer is sent.
         finished: Whether the answer is sent or broken off.
@@ -47,6 +51,7 @@
         self.query = dict(urllib.parse.parse_qsl(query))
         self.headers = headers
         self.body = b""
+        self.refusal = None
         self.received_at = time.monotonic()
         self.started = False
         self.finished = False
@@ -117,18 +122,39 @@
         self._connection = connection
         self._exchange = None
         self._chunks = []
+        self._received = 0
+        self._limits = server.get_limits()
+        self._refusal = None
 
     def headers_received(self, start_line, headers):
         self._server.note_request(self._server_connection)
         self._exchange = Exchange(
             self._connection, start_line, headers, self._server.is_closing
         )
+        if _count_bytes(start_line, headers) > self._limits.header_bytes:
+            self._refusal = verdict.Refusal(
+                431, "headers_too_large", "The headers are too long. Shorten them."
+            )
+        length = headers.get("Content-Length", "")
+        if length.isdecimal():
+            self._check_body(int(length))
+
+    def _check_body(self, size):
+        if size > self._limits.body_bytes and self._refusal is None:
+            self._chunks.clear()
+            self._refusal = verdict.Refusal(
+                413, "too_large", "The body is larger than this entry takes. Split it."
+            )
 
     def data_received(self, chunk):
-        self._chunks.append(chunk)
+        self._received += len(chunk)
+        self._check_body(self._received)
+        if self._refusal is None:
+            self._chunks.append(chunk)
 
     def finish(self):
         self._exchange.body = b"".join(self._chunks)
+        self._exchange.refusal = self._refusal
         self._chunks.clear()
         if self._connection.stream is None or self._connection.stream.closed():
             # Closed while its last bytes waited for their turn: passed on now, the
@@ -142,18 +168,26 @@
         self._chunks.clear()
 
 
+def _count_bytes(start_line, headers):
+    """Return the length of a request's line and headers as they came."""
+    line = len(start_line.method) + len(start_line.path) + len(start_line.version) + 4
+    return line + sum(len(name) + len(text) + 4 for name, text in headers.get_all())
+
+
 class Server(httputil.HTTPServerConnectionDelegate):
     """An HTTP server for one address.
 
     Args:
         address: ``IP:port``.
         handle: Coroutine function that answers an `Exchange`.
+        get_limits: Function that returns the `route.Limits` in force.
 
     Attributes:
         busy: Number of requests that are not answered.
     """
 
-    def __init__(self, address, handle):
+    def __init__(self, address, handle, get_limits=route.Limits):
+        self.get_limits = get_limits
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._handle = handle
@@ -171,9 +205,8 @@
         sockets = netutil.bind_sockets(self._port, self._ip, backlog=1024)
         self._server = web.DrainingServer(
             self,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_CONNECTION_S,
+            max_header_size=PASSED_HEADER_BYTES,
+            max_body_size=PASSED_BODY_BYTES,
             body_timeout=BODY_TIMEOUT_S,
         )
         self._server.add_sockets(sockets)
@@ -193,6 +226,25 @@
         await asyncio.sleep(READ_S)
         self.close_idle()
 
+    async def close_slow(self):
+        """Close connections whose headers take too long, until cancelled.
+
+        A client that sends a byte now and then would hold a connection, and memory,
+        for nothing.
+        """
+        begun_at = {}
+        while True:
+            await asyncio.sleep(SLOW_CHECK_S)
+            now = time.monotonic()
+            limit_s = self.get_limits().header_timeout_s
+            # Tornado has no other way to ask whether part of a request is there.
+            begun = [conn for conn in self._idle if conn.stream._read_buffer_size]
+            begun_at = {conn: begun_at.get(conn, now) for conn in begun}
+            for connection, at in begun_at.items():
+                if now - at > limit_s:
+                    decision.note_belief("caller.slow", waited_s=now - at)
+                    connection.stream.close()
+
     def close_idle(self):
         """Close the connections on which no request has begun to arrive."""
         for connection in list(self._idle):
@@ -208,6 +260,8 @@
     def start_request(self, server_conn, request_conn):
         """Take a request; see `tornado.httputil.HTTPServerConnectionDelegate`."""
         self._idle.add(server_conn)
+        # All connections share this object, and look at it before each request.
+        self._server.conn_params.header_timeout = self.get_limits().idle_timeout_s
         return _Receiver(self, server_conn, request_conn)
 
     def note_request(self, server_conn):
@@ -222,6 +276,8 @@
         """Answer one request, whatever happens."""
         self.busy += 1
         try:
+            if exchange.refusal is not None:
+                raise exception.RefusedError(exchange.refusal)
             await self._handle(exchange)
         except iostream.StreamClosedError:
             pass
--- a/pimentowick/gateway/route.py
+++ b/pimentowick/gateway/route.py
@@ -4,7 +4,7 @@
 import enum
 import random
 
-__all__ = ["Configuration", "Kind", "Route"]
+__all__ = ["Configuration", "Kind", "Limits", "Route"]
 
 
 class Kind(enum.StrEnum):
@@ -72,6 +72,24 @@
         return random.choices(names, weights)[0]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What callers may send, and how long they may take; times in seconds.
+
+    Attributes:
+        header_bytes: Most bytes of a request's line and headers.
+        body_bytes: Most bytes of a body.
+        header_timeout_s: Longest time from the first byte of a request to the end of
+            its headers.
+        idle_timeout_s: Time after which a connection without a request is closed.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
 class Configuration:
     """One version of the operator's configuration.
 
@@ -79,8 +97,7 @@
         version: Number that grows with each change.
         routes: The `Route` objects.
         max_connections: Most connections to a target, by service.
-        max_body_bytes: Largest body of a request.
-        idle_timeout_s: Time after which an idle connection of a client ends.
+        limits: The `Limits` of callers.
 
     Examples:
         >>> make = lambda prefix: Route("r", "a", prefix, Kind.ONCE, {"s": 1}, 1, 1)
@@ -96,14 +113,12 @@
         version,
         routes,
         max_connections=None,
-        max_body_bytes=4_194_304,
-        idle_timeout_s=15.0,
+        limits=Limits(),
     ):
         self.version = version
         self.routes = routes
         self.max_connections = max_connections or {}
-        self.max_body_bytes = max_body_bytes
-        self.idle_timeout_s = idle_timeout_s
+        self.limits = limits
         self._by_host = {}
         for route in sorted(routes, key=lambda entry: -len(entry.path_prefix)):
             self._by_host.setdefault(route.host.lower(), []).append(route)
--- a/pimentowick/gateway/tests/test_exchange.py
+++ b/pimentowick/gateway/tests/test_exchange.py
@@ -5,7 +5,7 @@
 from tornado import httputil
 
 from pimentowick.fakes import platform_site, wait
-from pimentowick.gateway import exchange
+from pimentowick.gateway import exchange, route
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -91,3 +91,121 @@
         await server.close()
 
     asyncio.run(run())
+
+
+LIMITS = route.Limits(
+    header_bytes=500, body_bytes=1000, header_timeout_s=0.3, idle_timeout_s=0.6
+)
+
+
+def run_server(check, limits=LIMITS):
+    async def run():
+        passed_on = []
+
+        async def answer(request):
+            passed_on.append(request)
+            await request.answer(200, httputil.HTTPHeaders(), request.body)
+
+        address = f"127.0.0.1:{platform_site.find_port()}"
+        server = exchange.Server(address, answer, lambda: limits)
+        await server.start()
+        watch = asyncio.create_task(server.close_slow())
+        reader, writer = await asyncio.open_connection("127.0.0.1", server._port)
+        try:
+            async with asyncio.timeout(20):
+                await check(reader, writer, passed_on)
+        finally:
+            watch.cancel()
+            writer.close()
+            await server.close()
+
+    asyncio.run(run())
+
+
+def encode_chunked(*chunks):
+    parts = [f"{len(each):x}\r\n".encode() + each + b"\r\n" for each in chunks]
+    return b"".join(parts) + b"0\r\n\r\n"
+
+
+BIG = b"x" * 600
+LONG = b"Content-Length: 1200\r\n\r\n" + 2 * BIG
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunked(BIG, BIG)
+
+
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [
+        (b"X-Long: " + BIG + b"\r\nContent-Length: 2\r\n\r\nhi", b"431"),
+        (LONG, b"413"),
+        (CHUNKED, b"413"),
+    ],
+)
+def test_request_beyond_the_limits_is_refused_and_not_passed_on(rest, status):
+    # The operator bounds what clients may send. The refusal arrives even though the
+    # client is still sending, and the next request on the connection is served.
+    async def check(reader, writer, passed_on):
+        writer.write(b"POST /x HTTP/1.1\r\nHost: h\r\n" + rest)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.split()[1] == status
+        length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+        assert b'"not_run"' in await reader.readexactly(length)
+        assert not passed_on
+        writer.write(REQUEST)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.split()[1] == b"200"
+        assert len(passed_on) == 1
+
+    run_server(check)
+
+
+@pytest.mark.parametrize("sent", [b"", b"POST /x HT", b"POST /x HTTP/1.1\r\nHo"])
+def test_connection_that_stays_idle_or_is_slow_with_its_headers_is_closed(sent):
+    # Clients that stop, or send a byte now and then, would hold connections for good.
+    async def check(reader, writer, passed_on):
+        writer.write(sent)
+        assert await reader.read() == b""
+        assert not passed_on
+
+    run_server(check)
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
+        b"Content-Length: 2, 3\r\n\r\nhi!",
+        b"Content-Length: +2\r\n\r\nhi",
+        b"Content-Length: -2\r\n\r\n",
+        b"Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n",
+        b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length : 2\r\n\r\nhi",
+        b"X: a\rContent-Length: 2\r\n\r\nhi",
+        b"Transfer-Encoding: chunked\r\n\r\n2;\nhi\r\n0\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhixx\r\n0\r\n\r\n",
+    ],
+)
+def test_ambiguous_framing_is_refused(rest):
+    # A server behind this one could see the end of the body elsewhere, and take what
+    # follows for a request of another client.
+    async def check(reader, writer, passed_on):
+        writer.write(b"POST /x HTTP/1.1\r\nHost: h\r\n" + rest)
+        answer = await reader.read()
+        assert answer == b"" or answer.split()[1] == b"400"
+        assert not passed_on
+
+    run_server(check)
+
+
+def test_chunked_body_is_joined_and_requests_follow_each_other():
+    async def check(reader, writer, passed_on):
+        body = encode_chunked(b"he", b"llo")
+        head = b"POST /x?a=%20b&c HTTP/1.1\r\nHost: h\r\nX-Other: y; z\r\n"
+        writer.write((head + b"Transfer-Encoding: chunked\r\n\r\n" + body) * 2)
+        for _ in range(2):
+            await reader.readuntil(b"\r\n\r\n")
+            assert await reader.readexactly(5) == b"hello"
+        assert [each.uri for each in passed_on] == ["/x?a=%20b&c"] * 2
+        assert passed_on[0].headers["X-Other"] == "y; z"
+
+    run_server(check)
--- a/pimentowick/gateway/tests/test_online.py
+++ b/pimentowick/gateway/tests/test_online.py
@@ -237,3 +237,47 @@
 
 async def wait_true(predicate):
     await platform_site.wait.wait_for(predicate, 10, 0.005)
+
+
+def test_chunked_body_and_other_headers_reach_the_target_unchanged():
+    # What the caller sends in pieces arrives whole; headers that are no business of
+    # the entry pass, and those of the connection stay on it.
+    server = replica.Replica(events=0)
+
+    async def check(site):
+        address = site.gateways[0].settings.callers_address
+        ip, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = (
+            f"POST /fetch/a%2Fb?q=1&q=%20&r HTTP/1.1\r\nHost: {platform_site.HOST}\r\n"
+            f"{REQUEST_ID}: r9\r\nX-Other: a\r\nX-Other: b\r\nAccept: x/y;q=0.5\r\n"
+            "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n"
+        )
+        body = b"\r\n3\r\n\x00\xff\r\r\n2\r\n\n0\r\n0\r\n\r\n"
+        writer.write(head.encode() + body)
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert b" 200 " in answer.splitlines()[0]
+        assert await reader.readexactly(5) == b"\x00\xff\r\n0"
+        writer.close()
+        found = server.headers[0]
+        assert found["X-Other"] == "a,b"
+        assert found["Accept"] == "x/y;q=0.5"
+        assert "X-Hop" not in found and "Transfer-Encoding" not in found
+        assert server.uris == ["/fetch/a%2Fb?q=1&q=%20&r"]
+
+    run_with([server], check)
+
+
+@pytest.mark.parametrize(("limit", "kept"), [(100, 16), (15, 7), (8, 0), (None, 16)])
+def test_idle_connections_stay_within_the_limit_of_the_target(limit, kept):
+    # A target resets connections beyond its limit, also one with a request on it.
+    async def check(site):
+        gateway = site.gateways[0]
+        current = gateway.configuration.current
+        current.max_connections = {} if limit is None else {platform_site.SERVICE: limit}
+        target = next(iter(gateway.table.by_id.values()))
+        assert min(16, gateway._count_idle(target)) == kept
+        gateway.neighbours.add("127.0.0.1:1")
+        assert gateway._count_idle(target) == max(0, (limit or 100) - 8) // 2
+
+    run_with([replica.Replica(slots=8)], check)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -234,13 +234,15 @@
     Args:
         ip: IP number of the target.
         port: TCP port.
+        get_max_idle: Function that returns how many idle connections may be kept.
 
     Attributes:
         opened: Number of connections opened.
     """
 
-    def __init__(self, ip, port):
+    def __init__(self, ip, port, get_max_idle=lambda: MAX_IDLE):
         self._address = (ip, port)
+        self._get_max_idle = get_max_idle
         self._idle = []
         self.opened = 0
 
@@ -262,7 +264,7 @@
         except iostream.StreamClosedError:
             outcome = Outcome(End.CUT, "closed")
         finally:
-            if kept and len(self._idle) < MAX_IDLE:
+            if kept and len(self._idle) < min(MAX_IDLE, self._get_max_idle()):
                 self._idle.append(connection)
             else:
                 connection.close()
--- a/pimentowick/platform/operator.py
+++ b/pimentowick/platform/operator.py
@@ -98,8 +98,12 @@
         version=data.version,
         routes=tuple(_make_route(entry) for entry in data.routes),
         max_connections={entry.name: entry.max_conns for entry in data.services},
-        max_body_bytes=data.limits.max_body_bytes,
-        idle_timeout_s=data.limits.idle_timeout_ms / 1000,
+        limits=route.Limits(
+            header_bytes=data.limits.max_header_bytes,
+            body_bytes=data.limits.max_body_bytes,
+            header_timeout_s=data.limits.header_timeout_ms / 1000,
+            idle_timeout_s=data.limits.idle_timeout_ms / 1000,
+        ),
     )
 
 
