Log how long an online request waited for its place

Cause: a late first event could not be told apart by its line: whether the request waited here or at the target. What was ruled out: the target's own report, which lags by 50 ms and counts other callers. Change: online lines carry waited_s, from the request to its last send.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -192,6 +192,7 @@
         self._target_id = None
         self._status = 0
         self._sent = False
+        self._sent_at = None
 
     async def run(self):
         """Send the request until an answer is whole; return the reason of the end."""
@@ -252,6 +253,7 @@
             self._exchange.body,
         )
         self._sent = True
+        self._sent_at = time.monotonic()
         outcome = await self._pools(target).send(request, self._sink)
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
@@ -358,6 +360,7 @@
             runs=self._progress.runs,
             refusals=self._progress.refusals,
             events=self._sink.events,
+            waited_s=None if self._sent_at is None else self._sent_at - received_at,
             first_s=None if first_at is None else first_at - received_at,
             took_s=now - received_at,
             configuration=version,
--- a/pimentowick/gateway/tests/test_online.py
+++ b/pimentowick/gateway/tests/test_online.py
@@ -251,7 +251,8 @@
         head = (
             f"POST /fetch/a%2Fb?q=1&q=%20&r HTTP/1.1\r\nHost: {platform_site.HOST}\r\n"
             f"{REQUEST_ID}: r9\r\nX-Other: a\r\nX-Other: b\r\nAccept: x/y;q=0.5\r\n"
-            "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n"
+            "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+            "Transfer-Encoding: chunked\r\n"
         )
         body = b"\r\n3\r\n\x00\xff\r\r\n2\r\n\n0\r\n0\r\n\r\n"
         writer.write(head.encode() + body)
@@ -274,7 +275,9 @@
     async def check(site):
         gateway = site.gateways[0]
         current = gateway.configuration.current
-        current.max_connections = {} if limit is None else {platform_site.SERVICE: limit}
+        current.max_connections = (
+            {} if limit is None else {platform_site.SERVICE: limit}
+        )
         target = next(iter(gateway.table.by_id.values()))
         assert min(16, gateway._count_idle(target)) == kept
         gateway.neighbours.add("127.0.0.1:1")
