--- a/pimentowick/cli/application.py
+++ b/pimentowick/cli/application.py
@@ -8,6 +8,7 @@
 from pimentowick.cli import (
     amend,
     audit,
+    day_show,
     diff,
     fleet_status,
     history,
@@ -27,6 +28,7 @@
     token_make,
     token_retire,
     token_rotate,
+    trace,
     workspace_resume,
     workspace_stop,
 )
@@ -40,6 +42,7 @@
 COMMANDS = (
     amend.Amend,
     audit.Audit,
+    day_show.DayShow,
     diff.Diff,
     fleet_status.FleetStatus,
     history.History,
@@ -58,6 +61,7 @@
     token_make.TokenMake,
     token_retire.TokenRetire,
     token_rotate.TokenRotate,
+    trace.Trace,
     workspace_resume.WorkspaceResume,
     workspace_stop.WorkspaceStop,
 )
--- /dev/null
+++ b/pimentowick/cli/tests/test_trace.py
@@ -0,0 +1,132 @@
+import pathlib
+import re
+
+import pytest
+from cleo.io.inputs import argv_input
+from cleo.io.outputs import buffered_output
+
+from pimentowick.cli import application
+from pimentowick.gateway import history
+
+ROOT = pathlib.Path(__file__).parents[3]
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+SHOWN = re.findall(r"```text\n\$ (pimentowick trace .*)\n((?:.*\n)*?)```", PAGE)
+
+
+def run_command(words):
+    streams = [buffered_output.BufferedOutput() for _ in range(2)]
+    code = application.run_command(argv_input.ArgvInput(words), *streams)
+    return code, streams[0].fetch()
+
+
+def write_log(directory, name, *rows):
+    path = directory / f"{name}.log"
+    path.write_text("\n".join(rows))
+    return str(path)
+
+
+@pytest.mark.parametrize(("command", "printed"), SHOWN)
+def test_ways_from_an_id_to_its_cause_print_what_the_page_shows(
+    command, printed, monkeypatch
+):
+    monkeypatch.chdir(ROOT)
+    code, found = run_command(command.split())
+    assert code == 0
+    assert found.rstrip() == printed.rstrip()
+
+
+def test_page_shows_three_ways():
+    assert len(SHOWN) == 3
+
+
+def test_lines_of_several_processes_are_put_in_order(tmp_path):
+    # An item went on at another gateway; neither log alone says why it was late.
+    first = write_log(
+        tmp_path,
+        "front-1",
+        '{"time":10.0,"event":"item.yielded","id":"i1","target":"t1","events":5}',
+        "Traceback (most recent call last):",
+        '{"time":9.5,"event":"ownership.changed","parts":[]}',
+    )
+    second = write_log(
+        tmp_path,
+        "front-2",
+        '{"time":12.0,"event":"item.ran","id":"i1","job":"j","outcome":"answered"}',
+        '{"time":11.0,"event":"target.paused","target":"other","why":"closed"}',
+        '12.5 front-9 {"time":99.0,"event":"gateway.stopped"}',
+    )
+    lines, others = history.read_lines([second, first])
+    assert others == 1
+    own, around = history.find_related(lines, "i1")
+    assert [line.process for line in own] == ["front-1", "front-2"]
+    assert [line.event for line in around] == ["ownership.changed"]
+    assert "at 2 gateways" in history.explain(own, around)
+    assert history.find_related(lines, "j")[0] == own[1:]
+    assert lines[-1].process == "front-9"
+
+
+def make_online(outcome, status, **fields):
+    data = {
+        "time": 1.0,
+        "event": "online.ended",
+        "id": "r",
+        "outcome": outcome,
+        "status": status,
+        "target": "t1",
+        "service": "s",
+        "runs": 1,
+        "refusals": 0,
+        "events": 0,
+        "took_s": 0.5,
+        "free": 0,
+        "places": 8,
+        "waiting": 3,
+        **fields,
+    }
+    return history.Line("p", data)
+
+
+@pytest.mark.parametrize(
+    ("line", "words"),
+    [
+        (make_online("no_place", 503), "refused after 0.500 s without having run"),
+        (make_online("timeout", 504), "time was up after 0.500 s at target t1"),
+        (make_online("closed", 502), "answer was lost (closed); it may have run"),
+        (
+            make_online("answered", 200, waited_s=0.1, first_s=0.3),
+            "waited 0.100 s for a place, 0.200 s at the target",
+        ),
+    ],
+)
+def test_cause_is_said_in_a_sentence(line, words):
+    assert words in history.explain([line], [])
+
+
+def test_unknown_id_and_missing_file_are_said(tmp_path):
+    path = write_log(tmp_path, "a", '{"time":1.0,"event":"gateway.started"}')
+    code, found = run_command(["pimentowick", "trace", "nobody", path])
+    assert code == 0
+    assert "came to none of these processes" in found
+    code, _ = run_command(["pimentowick", "trace", "x", str(tmp_path / "none")])
+    assert code == 2
+
+
+def test_day_is_summarised(tmp_path):
+    path = write_log(
+        tmp_path,
+        "a",
+        '{"time":1.0,"event":"feed.lost","topic":"k"}',
+        '{"time":2.0,"event":"feed.regained","topic":"k","lost_s":1.0}',
+        '{"time":2.0,"event":"online.ended","id":"r","outcome":"no_place",'
+        '"status":503,"took_s":0.1}',
+        "no decision",
+    )
+    code, found = run_command(["pimentowick", "day", "show", path])
+    assert code == 0
+    assert "no_place 1" in found
+    assert "1 other lines" in found
+    assert "lost_s=1.0" in found
+    empty = write_log(tmp_path, "empty")
+    assert run_command(["pimentowick", "day", "show", empty])[1].strip() == (
+        "no decisions"
+    )
--- a/pimentowick/platform/node.py
+++ b/pimentowick/platform/node.py
@@ -64,7 +64,7 @@
     zone: str
     listen_front: str = pydantic.Field(alias="listen.front")
     listen_ready: str = pydantic.Field(alias="listen.ready")
-    port_range: str
+    port_range: str = pydantic.Field(pattern=r"^\d+(,\d+)?$")
     platform_address: str = pydantic.Field(alias="platform.address")
     grace_s: float = pydantic.Field(8.0, alias="bounds.grace_s")
     drain_ms: float = pydantic.Field(2000.0, alias="bounds.drain_ms")
@@ -75,6 +75,17 @@
     parts: int = pydantic.Field(8, alias="platform.parts")
 
 
+def _explain(path, numbers, error):
+    """Return a line for each fault: file, line, key, and what was expected."""
+    rows = []
+    for fault in error.errors(include_url=False):
+        key = str(fault["loc"][0])
+        place = f"{path}:{numbers[key]}" if key in numbers else str(path)
+        given = "" if fault["type"] == "missing" else f", not {fault['input']!r}"
+        rows.append(f"{place}: {key}: {fault['msg']}{given}")
+    return "\n".join(rows)
+
+
 def find_path():
     """Return the path of the settings file."""
     return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
@@ -88,12 +99,20 @@
     """
     try:
         lines = pathlib.Path(path).read_text(encoding="utf-8").splitlines()
-        pairs = (line.partition("=") for line in lines)
-        fields = _Fields(**{key.strip(): value.strip() for key, _, value in pairs})
-        first, _, last = fields.port_range.partition(",")
-        ports = (int(first), int(last or first))
     except (OSError, ValueError) as error:
         raise exception.SettingsError(f"{path}: {error}") from error
+    values = {}
+    numbers = {}
+    for number, line in enumerate(lines, 1):
+        key, _, value = line.partition("=")
+        values[key.strip()] = value.strip()
+        numbers[key.strip()] = number
+    try:
+        fields = _Fields(**values)
+    except pydantic.ValidationError as error:
+        raise exception.SettingsError(_explain(path, numbers, error)) from error
+    first, _, last = fields.port_range.partition(",")
+    ports = (int(first), int(last or first))
     return NodeSettings(
         name=fields.node_name,
         ip=fields.ip,
