Let targets rest that fail their requests, by what all entries saw

Cause: on the grown deployments targets fail some or all of what they get while they are listed as sound. Change: entries tell each other faded counts of bad and good outcomes of targets that somebody saw fail; a target rests while three bad outcomes and three in ten remain, a fifth of a service at most, and no neighbour alone decides. A request without an answer after a second counts as failed while it waits.

--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -14,6 +14,7 @@
     placing,
     record,
     route,
+    soundness,
     target,
 )
 
@@ -48,7 +49,11 @@
     """Return the cost of a datagram whose sender has work at so many targets."""
     table = _make_table(targets)
     found = neighbour.Neighbours(
-        "me:1", table, admission.Admission(table, "a"), lambda: None
+        "me:1",
+        table,
+        admission.Admission(table, "a"),
+        soundness.Soundness("a"),
+        lambda: None,
     )
     numbers = iter(range(1, 1_000_000))
 
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -15,6 +15,7 @@
     exchange,
     feed,
     follower,
+    health,
     ledger,
     metric,
     neighbour,
@@ -23,6 +24,7 @@
     relay,
     route,
     runner,
+    soundness,
     target,
     upstream,
 )
@@ -55,6 +57,8 @@
 STOP_MARGIN_S = 0.4
 DRAIN_CHECK_S = 0.02
 CLEAN_EVERY_S = 5.0
+# Entries tell each other more seldom than this.
+SOUNDNESS_CHECK_S = 0.1
 # Clocks of hosts differ; a job stays somewhat longer than it has to.
 REMOVE_MARGIN_S = 30.0
 REMOVE_TIMEOUT_S = 5.0
@@ -83,9 +87,11 @@
             self.table, settings.failure_domain, self._note_load, self._get_round_s
         )
         address = f"{settings.ip}:{settings.peer_ports[0]}"
+        self.soundness = soundness.Soundness(settings.failure_domain)
         self.neighbours = neighbour.Neighbours(
-            address, self.table, self.admission, self._note_places
+            address, self.table, self.admission, self.soundness, self._note_places
         )
+        found_health = health.Health(self.soundness)
         self.ledgers = [
             ledger.Ledger(
                 self.store, JOBS_TOPIC, part, JOBS_PAUSE_S, HOLD_S, settings.call_bytes
@@ -100,6 +106,7 @@
             self.ledgers,
             self.table,
             self._get_pool,
+            found_health,
             lambda: self.configuration.current,
             settings.parts,
             self.metrics,
@@ -115,7 +122,9 @@
             self.neighbours.may_have_taken_over,
         )
         self.neighbours.has_store = lambda: self.ownership.is_renewed
-        self._relay = relay.Relay(self.admission, self._get_pool, self.metrics)
+        self._relay = relay.Relay(
+            self.admission, self._get_pool, found_health, self.metrics
+        )
         self._desk = batch.BatchDesk(
             self.ledgers, settings.record_bytes, settings.call_bytes
         )
@@ -178,6 +187,7 @@
         self._supervisor.start_child("ownership", self.ownership.run)
         self._supervisor.start_child("runner", self.runner.run)
         self._supervisor.start_child("clean", self._clean)
+        self._supervisor.start_child("soundness", self._rest_unsound)
         self._supervisor.start_child("slow callers", self._callers.close_slow)
         decision.note_belief(
             "gateway.started", host=self.settings.name, store=self.store.address
@@ -302,6 +312,25 @@
         self.runner.owned = self.ownership.parts
         self.runner.wake()
 
+    async def _rest_unsound(self):
+        """Let targets rest that fail what they get, until cancelled."""
+        while True:
+            await asyncio.sleep(SOUNDNESS_CHECK_S)
+            changed = False
+            for targets in self.table.list_by_service():
+                ids = [found.id for found in targets]
+                unsound = self.soundness.find_unsound(ids)
+                for found in targets:
+                    if found.unsound == (found.id in unsound):
+                        continue
+                    found.unsound = not found.unsound
+                    name = "target.unsound" if found.unsound else "target.sound"
+                    bad = unsound.get(found.id, 0.0)
+                    decision.note_belief(name, target=found.id, bad=bad)
+                    changed = True
+            if changed:
+                self._note_places()
+
     async def _announce(self):
         """Write this entry's address where the others look, until it is there."""
         records = [store.KeyedRecord(self.neighbours.address, b"1")]
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -70,6 +70,7 @@
         address: ``IP:port`` of this entry.
         table: `pimentowick.gateway.target.TargetTable`.
         admission: `pimentowick.gateway.admission.Admission`.
+        soundness: `pimentowick.gateway.soundness.Soundness`.
         on_news: Function called when a neighbour told a change.
 
     Attributes:
@@ -79,11 +80,12 @@
         peers_pending: Weight of those that wait at other entries, by service.
     """
 
-    def __init__(self, address, table, admission, on_news):
+    def __init__(self, address, table, admission, soundness, on_news):
         self.address = address
         self.peers = {}
         self._table = table
         self._admission = admission
+        self._soundness = soundness
         self._on_news = on_news
         self._transport = None
         self._changed = asyncio.Event()
@@ -106,7 +108,7 @@
     async def close(self):
         """Tell that nothing runs here, and close the socket."""
         if self._transport is not None:
-            self._send({"loads": {}, "waiting": {}, "pending": {}, "store": False})
+            self._send({"loads": {}, "waiting": {}, "pending": {}})
             self._transport.close()
             self._transport = None
 
@@ -121,6 +123,7 @@
         peer = self.peers.pop(address, None)
         if peer is not None:
             self._replace(peer, {}, {}, {})
+            self._soundness.replace(address, "", {})
 
     def note_change(self):
         """Note that what runs here has changed."""
@@ -183,6 +186,8 @@
             "waiting": waiting,
             "pending": self.pending,
             "store": self.has_store(),
+            "failure_domain": self._soundness.failure_domain,
+            "failing": self._soundness.describe(),
         }
 
     def _send(self, data):
@@ -204,6 +209,10 @@
             loads = {key: (int(a), int(b)) for key, (a, b) in found["loads"].items()}
             waiting = {key: int(count) for key, count in found["waiting"].items()}
             pending = {key: float(count) for key, count in found["pending"].items()}
+            failing = {
+                key: (float(bad), float(good))
+                for key, (bad, good) in found.get("failing", {}).items()
+            }
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             decision.note_belief("neighbour.garbled", sender=addr[0], why=str(error))
             return
@@ -216,6 +225,8 @@
         peer.heard_at = time.monotonic()
         peer.has_store = bool(found.get("store"))
         self._replace(peer, loads, waiting, pending)
+        domain = str(found.get("failure_domain", ""))
+        self._soundness.replace(address, domain, failing)
         if changed:
             self._on_news()
 
@@ -231,6 +242,7 @@
                 self._replace(peer, {}, {}, {})
                 dropped = True
             if now - peer.heard_at > SILENT_S:
+                self._soundness.replace(peer.address, "", {})
                 # Started anew by a clock that was set back, it counts from below.
                 peer.number = 0
             if now - peer.heard_at > FORGET_S:
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -10,7 +10,6 @@
     admission,
     decision,
     event,
-    health,
     refusing,
     route,
     upstream,
@@ -142,11 +141,13 @@
     Args:
         admission: `pimentowick.gateway.admission.Admission`.
         pools: Function from a `target.Target` to its `upstream.Pool`.
+        health: `pimentowick.gateway.health.Health`.
         metrics: `pimentowick.gateway.metric.Metrics`.
     """
 
-    def __init__(self, admission, pools, metrics):
+    def __init__(self, admission, pools, health, metrics):
         self._admission = admission
+        self._health = health
         self._pools = pools
         self._metrics = metrics
 
@@ -181,6 +182,7 @@
     def __init__(self, relay, exchange, found, call, bound_s):
         self._admission = relay._admission
         self._pools = relay._pools
+        self._health = relay._health
         self._metrics = relay._metrics
         self._exchange = exchange
         self._route = found
@@ -254,10 +256,16 @@
         )
         self._sent = True
         self._sent_at = time.monotonic()
-        outcome = await self._pools(target).send(request, self._sink)
+        sink = self._sink
+        loop = asyncio.get_running_loop()
+        with self._health.watch(
+            target, self._route.objective_s, lambda: sink.status, loop.call_later
+        ):
+            outcome = await self._pools(target).send(request, sink)
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
-        health.note_outcome(target, outcome)
+        seen = self._place.online + self._place.batch
+        self._health.note_outcome(target, outcome, seen < target.slots / 2)
         return outcome
 
     async def _judge(self, outcome):
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -9,7 +9,6 @@
     beside,
     decision,
     event,
-    health,
     ownership,
     pace,
     placing,
@@ -133,6 +132,7 @@
         ledgers: The `pimentowick.gateway.ledger.Ledger` objects.
         table: `pimentowick.gateway.target.TargetTable`.
         pools: Function from a target to its `upstream.Pool`.
+        health: `pimentowick.gateway.health.Health`.
         get_configuration: Function that returns the configuration in force, or None.
         parts: Number of parts of the work.
         metrics: `pimentowick.gateway.metric.Metrics`.
@@ -146,6 +146,7 @@
         ledgers,
         table,
         pools,
+        health,
         get_configuration,
         parts,
         metrics,
@@ -156,6 +157,7 @@
         self._ledgers = ledgers
         self._table = table
         self._pools = pools
+        self._health = health
         self._get_configuration = get_configuration
         self._parts = parts
         self._metrics = metrics
@@ -389,7 +391,7 @@
             sending.cancel()
             saver.cancel()
             await asyncio.gather(saver, sending, return_exceptions=True)
-        health.note_outcome(target, outcome)
+        self._health.note_outcome(target, outcome)
         self._metrics.count_item(outcome.why)
         decision.note_request(
             "item.ran",
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -43,6 +43,7 @@
         gone: Whether it is no longer listed.
         paused_until: Monotonic time until which it gets no new work.
         failures: Connections in a row that failed.
+        unsound: Whether it fails too many of the requests that it gets.
     """
 
     def __init__(self, registration):
@@ -54,6 +55,7 @@
         self.gone = False
         self.paused_until = 0.0
         self.failures = 0
+        self.unsound = False
 
     @property
     def id(self):
@@ -78,7 +80,10 @@
     def is_usable(self, now):
         """Return whether new work may be sent."""
         return (
-            not self.gone and not self.registration.leaving and now >= self.paused_until
+            not self.gone
+            and not self.unsound
+            and not self.registration.leaving
+            and now >= self.paused_until
         )
 
 
@@ -122,6 +127,10 @@
         self._by_service[target.registration.service].pop(target_id)
         self._on_gone(target)
 
+    def list_by_service(self):
+        """Return the targets of each service."""
+        return [list(found.values()) for found in self._by_service.values()]
+
     def list_service(self, service):
         """Return the targets of a service."""
         return list(self._by_service.get(service, {}).values())
--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -282,6 +282,33 @@
     os.close(writing)
 
 
+def test_target_that_fails_all_it_gets_is_left_alone_for_a_while():
+    # A target is listed, takes requests at once and answers none: it looks free, and
+    # draws more than its share of them.
+    servers = [replica.Replica(f"i-{n}", gap_s=0.01) for n in range(6)]
+    servers[0].plan = [replica.Behaviour("vanish") for _ in range(60)]
+
+    async def check(site, gateway):
+        # Its connections alone would let it rest; this is about what it answers.
+        bad = gateway.table.by_id["i-0"]
+        for number in range(80):
+            bad.paused_until = 0.0
+            await send(site, f"r{number}")
+            if bad.unsound:
+                break
+        else:
+            raise AssertionError("the target that fails was never let rest")
+        others = [found for found in gateway.table.by_id.values() if found is not bad]
+        assert not any(found.unsound for found in others)
+        before = sum(servers[0].runs.values())
+        for number in range(10):
+            assert (await send(site, f"s{number}")).status == 200
+        if bad.unsound:
+            assert sum(servers[0].runs.values()) == before
+
+    run_with(servers, check)
+
+
 async def send(site, request_id="r1"):
     return await site.call(
         "POST",
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -3,7 +3,7 @@
 import orjson
 
 from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway import admission, neighbour, target
+from pimentowick.gateway import admission, neighbour, soundness, target
 
 ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
 
@@ -13,7 +13,9 @@
     table.put(target.Registration("t", "s", "127.0.0.1", 1, "a", 8))
     line = admission.Admission(table, "a")
     news = []
-    found = neighbour.Neighbours("me:1", table, line, lambda: news.append(1))
+    found = neighbour.Neighbours(
+        "me:1", table, line, soundness.Soundness("a"), lambda: news.append(1)
+    )
     return found, table.by_id["t"], line, news
 
 
