Split the runner and the daemon of the gateway by subject

Ruled out: splitting the class over several files by inheritance. Change: one run of an item is in execution.py, where a request goes in dispatch.py, dropping old jobs in retention.py; two names that nothing used are gone. Conclusion: no change of what runs.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -7,11 +7,12 @@
 
 from tornado import httputil
 
-from pimentowick import exception, supervisor, verdict
+from pimentowick import exception, supervisor
 from pimentowick.gateway import (
     admission,
     batch,
     decision,
+    dispatch,
     exchange,
     feed,
     follower,
@@ -20,15 +21,15 @@
     metric,
     neighbour,
     ownership,
-    record,
     relay,
+    retention,
     route,
     runner,
     soundness,
     target,
     upstream,
 )
-from pimentowick.platform import message, node, operator, store
+from pimentowick.platform import node, operator, store
 
 __all__ = ["Gateway", "run"]
 
@@ -59,9 +60,6 @@
 CLEAN_EVERY_S = 5.0
 # Entries tell each other more seldom than this.
 SOUNDNESS_CHECK_S = 0.1
-# Clocks of hosts differ; a job stays somewhat longer than it has to.
-REMOVE_MARGIN_S = 30.0
-REMOVE_TIMEOUT_S = 5.0
 # For a service whose limit the configuration does not name; assumed.
 DEFAULT_CONNECTIONS = 100
 
@@ -76,7 +74,6 @@
 
     def __init__(self, settings, metrics_port=METRICS_PORT):
         self.settings = settings
-        self.started_at = time.time()
         self._supervisor = supervisor.Supervisor("gateway")
         self._pools = {}
         self._draining = False
@@ -122,12 +119,10 @@
             self.neighbours.may_have_taken_over,
         )
         self.neighbours.has_store = lambda: self.ownership.is_renewed
-        self._relay = relay.Relay(
+        found_relay = relay.Relay(
             self.admission, self._get_pool, found_health, self.metrics
         )
-        self._desk = batch.BatchDesk(
-            self.ledgers, settings.record_bytes, settings.call_bytes
-        )
+        desk = batch.BatchDesk(self.ledgers, settings.record_bytes, settings.call_bytes)
         self._callers = exchange.Server(
             settings.callers_address, self._serve, self._get_limits
         )
@@ -136,6 +131,10 @@
             f"{settings.ip}:{metrics_port}", self._answer_metrics
         )
         self._feeds = self._make_feeds()
+        self._retention = retention.Retention(settings, self.ownership)
+        self._dispatch = dispatch.Dispatch(
+            self.configuration, self._feeds["configuration"], found_relay, desk
+        )
 
     def _make_feeds(self):
         configuration = feed.Feed(
@@ -355,33 +354,10 @@
             await asyncio.sleep(CLEAN_EVERY_S)
             self._targets.drop_missing()
             for book in self.ledgers:
-                await self._remove_old_jobs(book)
-
-    async def _remove_old_jobs(self, book):
-        """Drop the jobs that nobody may read any more from the store.
-
-        The store takes no appends once it is full, and keeps the newest record of
-        each key for good.
-        """
-        oldest = time.time() - self.settings.result_retention_s - REMOVE_MARGIN_S
-        for found in list(book.book.jobs.values()):
-            part = ownership.find_part(found.id, self.settings.parts)
-            if found.is_open or found.submitted_s > oldest:
-                continue
-            if part not in self.ownership.parts:
-                continue
-
-            def build(view, wanted=found):
-                if view.jobs.get(wanted.id) is not wanted:
-                    return []
-                return record.make_removal(wanted)
+                await self._retention.remove_old(book)
 
-            try:
-                await book.commit(build, REMOVE_TIMEOUT_S)
-            except exception.LogError as error:
-                decision.note_belief("job.not_removed", job=found.id, why=str(error))
-                return
-            decision.note_request("job.removed", found.id, outcome="too_old")
+    async def _serve(self, request):
+        await self._dispatch.serve(request)
 
     async def _answer_check(self, request):
         status = 200 if self.is_ready else 503
@@ -400,51 +376,6 @@
         body, headers = self.metrics.render()
         await request.answer(200, httputil.HTTPHeaders(headers), body)
 
-    async def _serve(self, request):
-        call = message.decode_call(request.headers)
-        current = self.configuration.current
-        if current is None:
-            raise exception.RefusedError(
-                verdict.Refusal(
-                    503,
-                    "not_ready",
-                    "This entry knows no configuration yet.",
-                    retry_after=1.0,
-                )
-            )
-        job_call = message.find_batch_call(request.method, request.path)
-        if job_call is not None:
-            await self._serve_job(request, call, *job_call)
-            return
-        found = current.find(request.host, request.path)
-        if found is None:
-            decision.note_request(
-                "online.no_route",
-                call.request_id,
-                outcome="unknown_route",
-                configuration=current.version,
-                age_s=time.monotonic() - self._feeds["configuration"].fresh_at,
-            )
-            raise exception.RefusedError(
-                verdict.Refusal(404, "unknown_route", "No route takes this path.")
-            )
-        if found.kind == route.Kind.BATCH:
-            await self._desk.submit(request, found, call)
-            return
-        await self._relay.serve(request, found, call, current.version)
-
-    async def _serve_job(self, request, call, wanted, job_id):
-        if wanted == message.BatchCall.END:
-            await self._desk.end(request, job_id)
-        elif wanted == message.BatchCall.READ:
-            await self._desk.read_results(request, job_id, call)
-        elif wanted == message.BatchCall.BODY:
-            await self._desk.read_body(request, job_id)
-        else:
-            raise exception.RefusedError(
-                verdict.Refusal(405, "wrong_method", "This path takes other methods.")
-            )
-
 
 def run():
     """Run an entry until it is told to stop."""
--- /dev/null
+++ b/pimentowick/gateway/dispatch.py
@@ -0,0 +1,76 @@
+"""Where a caller's request goes: to the relay, to the desk of jobs, or nowhere."""
+
+import time
+
+from pimentowick import exception, verdict
+from pimentowick.gateway import decision, route
+from pimentowick.platform import message
+
+__all__ = ["Dispatch"]
+
+
+class Dispatch:
+    """Chooses by the configuration in force.
+
+    Args:
+        configuration: `pimentowick.gateway.follower.ConfigurationFollower`.
+        feed: The `pimentowick.gateway.feed.Feed` that keeps it up to date.
+        relay: `pimentowick.gateway.relay.Relay`.
+        desk: `pimentowick.gateway.batch.BatchDesk`.
+    """
+
+    def __init__(self, configuration, feed, relay, desk):
+        self._configuration = configuration
+        self._feed = feed
+        self._relay = relay
+        self._desk = desk
+
+    async def serve(self, request):
+        """Answer one `exchange.Exchange`.
+
+        Raises:
+            RefusedError: The request is refused.
+        """
+        call = message.decode_call(request.headers)
+        current = self._configuration.current
+        if current is None:
+            raise exception.RefusedError(
+                verdict.Refusal(
+                    503,
+                    "not_ready",
+                    "This entry knows no configuration yet.",
+                    retry_after=1.0,
+                )
+            )
+        job_call = message.find_batch_call(request.method, request.path)
+        if job_call is not None:
+            await self._serve_job(request, call, *job_call)
+            return
+        found = current.find(request.host, request.path)
+        if found is None:
+            decision.note_request(
+                "online.no_route",
+                call.request_id,
+                outcome="unknown_route",
+                configuration=current.version,
+                age_s=time.monotonic() - self._feed.fresh_at,
+            )
+            raise exception.RefusedError(
+                verdict.Refusal(404, "unknown_route", "No route takes this path.")
+            )
+        if found.kind == route.Kind.BATCH:
+            await self._desk.submit(request, found, call)
+            return
+        await self._relay.serve(request, found, call, current.version)
+
+    async def _serve_job(self, request, call, wanted, job_id):
+        if wanted == message.BatchCall.END:
+            await self._desk.end(request, job_id)
+        elif wanted == message.BatchCall.READ:
+            await self._desk.read_results(request, job_id, call)
+        elif wanted == message.BatchCall.BODY:
+            await self._desk.read_body(request, job_id)
+        else:
+            raise exception.RefusedError(
+                verdict.Refusal(405, "wrong_method", "This path takes other methods.")
+            )
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -1,21 +1,19 @@
 """Running the items of batch jobs at targets."""
 
 import asyncio
-import dataclasses
 import time
 
 from pimentowick import exception
 from pimentowick.gateway import (
     beside,
     decision,
-    event,
+    execution,
     ownership,
     pace,
     placing,
     transcript,
     upstream,
 )
-from pimentowick.platform import message
 
 __all__ = ["Runner"]
 
@@ -25,9 +23,6 @@
 ROUND_MARGIN_S = 0.01
 # News of neighbours come some hundred times a second.
 LEAST_PAUSE_S = 0.005
-# Text that was generated is recorded this often, so that an entry that takes over
-# goes on there; a run of some seconds is lost otherwise.
-RECORD_EVERY_S = 2.0
 RECORD_TIMEOUT_S = 20.0
 # Pause of an item after a failure, doubled with each.
 FAILURE_PAUSE_S = 0.2
@@ -35,92 +30,6 @@
 UNREACHED_PAUSE_S = 0.1
 # Clocks of hosts differ, by a step of seconds at times: no item is given up early.
 CLOCK_MARGIN_S = 5.0
-# A target stops at this time by itself, should this entry vanish.
-RUN_LIMIT_S = 30.0
-# An item whose run brings no event for so long has lost its target.
-SILENT_S = 4.0
-
-
-@dataclasses.dataclass(eq=False, slots=True)
-class _Run:
-    """One item that this entry has to run.
-
-    Attributes:
-        job: The `pimentowick.gateway.job.Job`.
-        route: The `pimentowick.gateway.route.Route` of the job.
-        service: Name of the service that the item goes to.
-        transcript: The `pimentowick.gateway.transcript.Transcript`.
-        pace: The `pimentowick.gateway.pace.Pace` of the route.
-        not_before: Monotonic time of the next try.
-        failures: Tries in a row without an event.
-        target: The `pimentowick.gateway.target.Target`, while it runs.
-        task: The task, while it runs.
-    """
-
-    job: object
-    route: object
-    service: str
-    transcript: object
-    pace: object
-    not_before: float = 0.0
-    failures: int = 0
-    target: object = None
-    task: object = None
-
-    @property
-    def item(self):
-        """The `pimentowick.gateway.job.Item`."""
-        return self.transcript.item
-
-    @property
-    def due_at(self):
-        """Unix time at which the item is due."""
-        return self.job.submitted_s + self.route.due_s
-
-    @property
-    def steps_done(self):
-        """Events made here."""
-        return self.transcript.made
-
-    @property
-    def left_s(self):
-        """Seconds that the item still has to run."""
-        return self.pace.estimate_left(self.transcript.count_events())
-
-
-class _Sink(upstream.Sink):
-    """Collects the events of one run."""
-
-    def __init__(self, transcript):
-        self._transcript = transcript
-        self._splitter = event.EventSplitter()
-        self.status = 0
-        self.events = 0
-        self.in_order = True
-        self.heard_at = time.monotonic()
-
-    async def take_head(self, status, headers, answer):
-        self.status = status
-        self.heard_at = time.monotonic()
-        if not answer.signed or answer.encoded:
-            self.in_order = False
-
-    async def take_chunk(self, chunk):
-        if self.status != 200:
-            return
-        self.heard_at = time.monotonic()
-        for entry in self._splitter.feed(chunk):
-            self._take(entry)
-
-    def _take(self, entry):
-        if entry.id is None or not self.in_order:
-            return
-        self.in_order = self._transcript.add(entry)
-        self.events += self.in_order
-
-    def is_whole(self):
-        """Return whether the stream ended between two events, all in order."""
-        return self._splitter.is_empty() and self.in_order
 
 
 class Runner:
@@ -267,7 +176,7 @@
                     self._cancel(run)
                 made = transcript.Transcript(book, found, number)
                 taken = self._paces.setdefault(route.name, pace.Pace())
-                run = _Run(found, route, route.choose_service(), made, taken)
+                run = execution.Run(found, route, route.choose_service(), made, taken)
                 self._runs[key] = run
             if run.route is not route:
                 run.route = route
@@ -368,29 +277,13 @@
         next renewal, so the text is there by then.
         """
         self._cancel(run)
-        save = asyncio.create_task(_save_last(run.transcript))
+        save = asyncio.create_task(execution.save_last(run.transcript))
         self._saving.add(save)
         save.add_done_callback(self._saving.discard)
 
     async def _run_item(self, run, target):
-        made = run.transcript
-        made.sync()
-        sink = _Sink(made)
-        headers = message.encode_item(
-            run.item, run.job.host, RUN_LIMIT_S, target.id, made.last_event
-        )
-        request = upstream.Request(
-            run.item.id, "POST", run.item.path, headers, run.item.body
-        )
         started_at = time.monotonic()
-        saver = asyncio.create_task(_save_often(made))
-        sending = asyncio.ensure_future(self._pools(target).send(request, sink))
-        try:
-            outcome = await _watch(sending, sink)
-        finally:
-            sending.cancel()
-            saver.cancel()
-            await asyncio.gather(saver, sending, return_exceptions=True)
+        outcome, sink = await execution.send(run, target, self._pools(target))
         self._health.note_outcome(target, outcome)
         self._metrics.count_item(outcome.why)
         decision.note_request(
@@ -401,7 +294,7 @@
             status=outcome.status,
             target=target.id,
             events=sink.events,
-            last_event=made.last_event,
+            last_event=run.transcript.last_event,
             failures=run.item.failures,
             took_s=time.monotonic() - started_at,
         )
@@ -438,31 +331,3 @@
             outcome=why,
             failures=run.item.failures,
         )
-
-
-async def _save_often(made):
-    """Record the text of a run from time to time until cancelled."""
-    while True:
-        await asyncio.sleep(RECORD_EVERY_S)
-        try:
-            await made.save(RECORD_EVERY_S)
-        except exception.LogError as error:
-            decision.note_request("item.unrecorded", made.item.id, why=str(error))
-
-
-async def _save_last(made):
-    try:
-        await made.save(RECORD_EVERY_S)
-    except exception.LogError as error:
-        decision.note_request("item.unrecorded", made.item.id, why=str(error))
-
-
-async def _watch(sending, sink):
-    """Return the outcome of a run, or give it up once nothing comes any more."""
-    while True:
-        left_s = sink.heard_at + SILENT_S - time.monotonic()
-        done, _ = await asyncio.wait({sending}, timeout=max(0.0, left_s))
-        if done:
-            return sending.result()
-        if time.monotonic() - sink.heard_at >= SILENT_S:
-            return upstream.Outcome(upstream.End.CUT, "silent")
--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -244,7 +244,7 @@
             for entry in gateway.ledgers:
                 for found in entry.book.jobs.values():
                     found.submitted_s = 0.0
-                await gateway._remove_old_jobs(entry)
+                await gateway._retention.remove_old(entry)
             newest = [
                 key
                 for (topic, _), part in site.store.partitions.items()
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -16,7 +16,6 @@
 from pimentowick import client, exception
 
 __all__ = [
-    "GROUP_PART",
     "ChangedError",
     "Dealt",
     "KeyedRecord",
@@ -27,7 +26,6 @@
     "keyed_topic",
 ]
 
-GROUP_PART = 0
 LENGTH = struct.Struct(">I")
 HEAD = struct.Struct(">QQ")
 MAX_CALLS = 24
