Refuse late requests only where waiting takes much of their caller's time

Ruled out: holding them for all of the time they may wait (0.45 of it): those that are in time go before, so that a wait takes longer than estimated. Change: a request is refused at once if it would start later than its objective and later than 0.3 of its caller's time.

--- a/pimentowick/gateway/refusing.py
+++ b/pimentowick/gateway/refusing.py
@@ -16,6 +16,10 @@
 FIRST_EVENT_S = 0.08
 # A caller that waits longer than this share of its time gets no use of a late answer.
 LONGEST_SHARE = 0.45
+# One that would start later than this share of it is refused at once. Most waits turn
+# out longer than estimated, since requests that are in time go before; so it is less
+# than the longest.
+LATE_SHARE = 0.3
 LEAST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.5
 
@@ -55,10 +59,20 @@
     return (line.waiting + 1 - line.free) * line.hold_s / line.places
 
 
-def is_hopeless(line, objective_s):
-    """Return whether a request that comes now cannot start in time."""
+def is_hopeless(line, objective_s, time_s=0.0):
+    """Return whether a request that comes now is better told so at once.
+
+    Args:
+        line: The `Line`.
+        objective_s: Time within which an answer is in time, in seconds.
+        time_s: Time that its caller has, in seconds.
+
+    A late answer is worth something to its caller, a refusal nothing, and the new
+    attempt that it asks for is late, too; so a request waits for some part of the
+    time that its caller has.
+    """
     start_s = min(FIRST_EVENT_S, objective_s / 2)
-    return estimate_wait(line) + start_s > objective_s
+    return estimate_wait(line) > max(objective_s - start_s, LATE_SHARE * time_s)
 
 
 def make_retry_after(line):
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -231,7 +231,8 @@
             return place
         line = self._admission.describe(self._service)
         first = not self._progress.been_at
-        if first and refusing.is_hopeless(line, self._route.objective_s):
+        time_s = self._ends_at - self._exchange.received_at
+        if first and refusing.is_hopeless(line, self._route.objective_s, time_s):
             return None
         return await self._admission.wait(demand, avoid if line.places > 0 else ())
 
--- a/pimentowick/gateway/tests/test_decisions.py
+++ b/pimentowick/gateway/tests/test_decisions.py
@@ -164,6 +164,15 @@
     assert not refusing.is_hopeless(refusing.Line(18, 0, 0, 0.02), 0.05)
 
 
+def test_late_request_waits_as_long_as_its_answer_is_of_use():
+    # In a wave twenty requests more than places wait. Told to come back, their
+    # callers are late as well, and most are refused again.
+    line = refusing.Line(40, 0, 20, 0.8)
+    assert refusing.is_hopeless(line, 0.3)
+    assert not refusing.is_hopeless(line, 0.3, 2.0)
+    assert refusing.is_hopeless(line, 0.3, 1.0)
+
+
 def test_without_any_target_a_caller_is_not_held():
     line = refusing.Line(0, 0, 0, 0.5)
     assert refusing.is_hopeless(line, 10.0)
