Take a state for fresh only once a read reached the end

Its first read of all jobs had begun before and ended after, over a small link; the refresh that the caller's read asked for waited for that read and took it for its own. Besides, one read returns a megabyte at most, and was taken for all there was. Ruled out: a lost record (the job ran and was listed), the drop of bodies (the item had not been listed). Change: a refresh reads on until a read that began after it reached the end of the partition; a page says where that end is.

--- a/pimentowick/gateway/feed.py
+++ b/pimentowick/gateway/feed.py
@@ -20,6 +20,8 @@
 
 FIRST_DELAY_S = 0.1
 LAST_DELAY_S = 1.0
+# Reads of a megabyte until the end is reached; a partition holds some tens of them.
+MOST_READS = 100
 # Spreads the reads of entries that were started together.
 JITTER = 0.2
 
@@ -90,10 +92,18 @@
     async def refresh(self):
         """Read up to the present end now.
 
+        A read of everything that began before may end meanwhile, and one read may
+        not reach the end: what counts is a read from now on that does.
+
         Raises:
-            LogError: The store gave no answer.
+            LogError: The store gave no answer, or the end was not reached.
         """
-        await self._read_once(0.0)
+        asked_at = time.monotonic()
+        for _ in range(MOST_READS):
+            await self._read_once(0.0)
+            if self.fresh_at >= asked_at:
+                return
+        raise exception.LogError(f"{self.topic}: the end was not reached.")
 
     async def wait_changed(self, timeout_s):
         """Wait until records were taken, or for `timeout_s` seconds."""
@@ -127,7 +137,8 @@
             await self._load()
             return True
         found = self._take_page(page)
-        self._note_fresh(asked_at)
+        if self.end >= page.log_end:
+            self._note_fresh(asked_at)
         return found
 
     def _take_page(self, page):
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -67,10 +67,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
-    """Records as one read returned them; `end` is the offset behind the last."""
+    """Records as one read returned them.
+
+    Attributes:
+        records: The records.
+        end: Offset behind the last of them.
+        log_end: Offset behind the last record of the partition as of the read; more
+            than `end` where one read does not reach there.
+    """
 
     records: list
     end: int
+    log_end: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,7 +133,7 @@
             records.append(record)
         at += size
         offset += 1
-    return Page(records, offset), end
+    return Page(records, offset, end)
 
 
 class Store:
@@ -198,14 +206,14 @@
         if answer.status == 410:
             raise exception.LogTruncatedError(f"{topic}: {offset} is gone.")
         if answer.status == 404:
-            return Page([], offset)
+            return Page([], offset, offset)
         self._check(answer)
         if len(answer.body) < HEAD.size:
             raise UncertainError("The page is too short.")
-        page, end = _decode_page(answer.body, offset)
-        if end < offset:
+        page = _decode_page(answer.body, offset)
+        if page.log_end < offset:
             # The log never shrinks: another partition has taken its place.
-            raise exception.LogTruncatedError(f"{topic} ends at {end}.")
+            raise exception.LogTruncatedError(f"{topic} ends at {page.log_end}.")
         return page
 
     async def read_newest(self, topic, part):
@@ -223,7 +231,7 @@
                 query["after"] = after
             answer = await self._call("GET", "/-/log-newest", query)
             if answer.status == 404:
-                return Page([], 0)
+                return Page([], 0, 0)
             self._check(answer)
             data = answer.decode()
             end = data["end"] if end is None else end
@@ -231,7 +239,7 @@
             if not data.get("has_more") or not data["items"]:
                 break
             after = data["items"][-1]["key"]
-        return Page([record for record in records if record is not None], end)
+        return Page([record for record in records if record is not None], end, end)
 
     async def join(self, group, member, topic, lease_s, generation):
         """Join a group or stay in it; return what is `Dealt` to the member."""
