Count phases, refusals, store calls and places of a gateway; log every refusal

Cause: the metrics had one histogram to the end of an answer and a gauge for all else; refusals that no request's own line explains (no configuration yet, limits, methods) left no line. Ruled out: labels by target, of which there are hundreds. Change: histograms by kind and phase, counters by reason, code, status and call of the store, ages by topic, places, waiting requests, dropped lines; the page of metrics is checked against the code; `caller.refused` for each refusal without a line of its own. The relay's sink and the pools got modules of their own. Not counted: the time to connect.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -21,15 +21,14 @@
     metric,
     neighbour,
     ownership,
+    pools,
     relay,
     retention,
-    route,
     runner,
     soundness,
     target,
-    upstream,
 )
-from pimentowick.platform import node, operator, store
+from pimentowick.platform import message, node, operator, store
 
 __all__ = ["Gateway", "run"]
 
@@ -60,8 +59,8 @@
 CLEAN_EVERY_S = 5.0
 # Entries tell each other more seldom than this.
 SOUNDNESS_CHECK_S = 0.1
-# For a service whose limit the configuration does not name; assumed.
-DEFAULT_CONNECTIONS = 100
+# Refusals whose decision has a line of its own, with what decided it.
+LOGGED_CODES = frozenset({"busy", "deadline_passed", "target_lost"})
 
 
 class Gateway:
@@ -75,11 +74,11 @@
     def __init__(self, settings, metrics_port=METRICS_PORT):
         self.settings = settings
         self._supervisor = supervisor.Supervisor("gateway")
-        self._pools = {}
         self._draining = False
         self.store = store.Store(settings.store_address, STORE_TIMEOUT_S)
         self.metrics = metric.Metrics()
-        self.table = target.TargetTable(self._drop_pool)
+        self.configuration = follower.ConfigurationFollower()
+        self.table = target.TargetTable(lambda found: self.pools.drop(found))
         self.admission = admission.Admission(
             self.table, settings.failure_domain, self._note_load, self._get_round_s
         )
@@ -95,14 +94,14 @@
             )
             for part in range(JOB_PARTITIONS)
         ]
-        self.configuration = follower.ConfigurationFollower()
+        self.pools = pools.Pools(self.configuration, self.neighbours.peers)
         self._targets = follower.TargetFollower(self.table, self._note_places)
         self.runner = runner.Runner(
             address,
             settings.failure_domain,
             self.ledgers,
             self.table,
-            self._get_pool,
+            self.pools.get,
             found_health,
             lambda: self.configuration.current,
             settings.parts,
@@ -120,11 +119,14 @@
         )
         self.neighbours.has_store = lambda: self.ownership.is_renewed
         found_relay = relay.Relay(
-            self.admission, self._get_pool, found_health, self.metrics
+            self.admission, self.pools.get, found_health, self.metrics
         )
         desk = batch.BatchDesk(self.ledgers, settings.record_bytes, settings.call_bytes)
         self._callers = exchange.Server(
-            settings.callers_address, self._serve, self._get_limits
+            settings.callers_address,
+            lambda request: self._dispatch.serve(request),
+            self.configuration.get_limits,
+            self._note_refused,
         )
         self._checks = exchange.Server(settings.ready_address, self._answer_check)
         self._metrics_page = exchange.Server(
@@ -225,8 +227,7 @@
             await server.close()
         await self._supervisor.close()
         await self.neighbours.close()
-        for pool in self._pools.values():
-            pool.close()
+        self.pools.close()
         await self.store.close()
         decision.note_belief("gateway.stopped")
 
@@ -255,35 +256,6 @@
             and self._feeds["targets"].end is not None
         )
 
-    def _get_pool(self, found):
-        pool = self._pools.get(found)
-        if pool is None:
-            registration = found.registration
-            pool = upstream.Pool(
-                registration.ip, registration.port, lambda: self._count_idle(found)
-            )
-            self._pools[found] = pool
-        return pool
-
-    def _count_idle(self, found):
-        """Return how many idle connections this entry may keep to a target.
-
-        A target resets what goes beyond its limit, a request on its way included;
-        what it runs needs connections, too, and the rest is shared alike.
-        """
-        limits = self.configuration.current.max_connections
-        limit = limits.get(found.registration.service, DEFAULT_CONNECTIONS)
-        return max(0, limit - found.slots) // (len(self.neighbours.peers) + 1)
-
-    def _get_limits(self):
-        current = self.configuration.current
-        return route.Limits() if current is None else current.limits
-
-    def _drop_pool(self, found):
-        pool = self._pools.pop(found, None)
-        if pool is not None:
-            pool.close()
-
     def _note_load(self):
         self.neighbours.note_change()
         self.runner.wake()
@@ -359,23 +331,47 @@
             for book in self.ledgers:
                 await self._retention.remove_old(book)
 
-    async def _serve(self, request):
-        await self._dispatch.serve(request)
-
     async def _answer_check(self, request):
         status = 200 if self.is_ready else 503
         await request.answer(status, httputil.HTTPHeaders())
 
-    async def _answer_metrics(self, request):
+    def _note_refused(self, request):
+        refusal = request.refused
+        self.metrics.count_refusal(refusal)
+        if refusal.code not in LOGGED_CODES:
+            call = message.decode_call(request.headers)
+            decision.note_request(
+                "caller.refused",
+                call.request_id,
+                outcome=refusal.code,
+                status=refusal.status,
+            )
+
+    def _describe(self):
+        """Return the `metric.State`."""
         now = time.monotonic()
-        for name, entry in self._feeds.items():
-            self.metrics.set_state(f"{name}_age_s", now - entry.fresh_at)
-        self.metrics.set_state("targets", len(self.table.by_id))
-        self.metrics.set_state("store_calls", self.store.calls)
-        self.metrics.set_state("busy", self._callers.busy)
-        self.metrics.set_state(
-            "open_jobs", sum(len(entry.book.open_jobs) for entry in self.ledgers)
+        feeds = {
+            **self._feeds,
+            "jobs": max(self.ledgers, key=ledger.Ledger.get_age).feed,
+        }
+        services = {found.registration.service for found in self.table.by_id.values()}
+        lines = [self.admission.describe(service) for service in services]
+        return metric.State(
+            ages_s={name: now - entry.fresh_at for name, entry in feeds.items()},
+            places=sum(line.places for line in lines),
+            free=sum(line.free for line in lines),
+            waiting=sum(map(self.admission.count_waiting, services)),
+            targets=len(self.table.by_id),
+            unsound=sum(found.unsound for found in self.table.by_id.values()),
+            open_jobs=sum(len(entry.book.open_jobs) for entry in self.ledgers),
+            open_requests=self._callers.busy,
+            store_calls=self.store.calls,
+            store_bytes=self.store.bytes,
+            dropped_lines=decision.count_dropped(),
         )
+
+    async def _answer_metrics(self, request):
+        self.metrics.take_state(self._describe())
         body, headers = self.metrics.render()
         await request.answer(200, httputil.HTTPHeaders(headers), body)
 
--- a/pimentowick/gateway/decision.py
+++ b/pimentowick/gateway/decision.py
@@ -13,7 +13,7 @@
 import orjson
 from loguru import logger
 
-__all__ = ["configure", "note_belief", "note_request"]
+__all__ = ["configure", "count_dropped", "note_belief", "note_request"]
 
 # Well above the decisions of one entry on the bench's days; assumed, not measured.
 LINES_PER_S = 400
@@ -30,6 +30,7 @@
         self._at = clock()
         self._rest = b""
         self.dropped = 0
+        self.all_dropped = 0
 
     def write(self, message):
         now = self._clock()
@@ -37,6 +38,7 @@
         self._at = now
         if self._allowed < 1 or not self._flush():
             self.dropped += 1
+            self.all_dropped += 1
             return
         self._allowed -= 1
         line = str(message).encode()
@@ -62,6 +64,15 @@
         return True
 
 
+# The sink of this process, once it is configured.
+_sinks = []
+
+
+def count_dropped():
+    """Return how many lines of this process were left out."""
+    return sum(sink.all_dropped for sink in _sinks)
+
+
 def configure(level="INFO", descriptor=None):
     """Send the log to standard output.
 
@@ -72,9 +83,11 @@
     if descriptor is None:
         descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
+    sink = _Sink(descriptor)
+    _sinks[:] = [sink]
     logger.remove()
     logger.add(
-        _Sink(descriptor).write,
+        sink.write,
         level=level,
         format=_format,
         diagnose=False,
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -39,6 +39,7 @@
         headers: `tornado.httputil.HTTPHeaders`.
         body: The whole body.
         refusal: Why the request breaks a limit, a `verdict.Refusal`, or None.
+        refused: The `verdict.Refusal` that it was answered with, or None.
         received_at: Monotonic time at which the headers were read.
         started: Whether the head of the answer is sent.
         finished: Whether the answer is sent or broken off.
@@ -52,6 +53,7 @@
         self.headers = headers
         self.body = b""
         self.refusal = None
+        self.refused = None
         self.received_at = time.monotonic()
         self.started = False
         self.finished = False
@@ -105,6 +107,7 @@
 
     async def refuse(self, refusal):
         """Send a `pimentowick.verdict.Refusal`."""
+        self.refused = refusal
         headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
         if refusal.retry_after is not None:
             # The exact time: rounded up to whole seconds it would be most of what
@@ -181,13 +184,21 @@
         address: ``IP:port``.
         handle: Coroutine function that answers an `Exchange`.
         get_limits: Function that returns the `route.Limits` in force.
+        on_refused: Function that gets an `Exchange` that was refused.
 
     Attributes:
         busy: Number of requests that are not answered.
     """
 
-    def __init__(self, address, handle, get_limits=route.Limits):
+    def __init__(
+        self,
+        address,
+        handle,
+        get_limits=route.Limits,
+        on_refused=lambda exchange: None,
+    ):
         self.get_limits = get_limits
+        self._on_refused = on_refused
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._handle = handle
@@ -294,6 +305,8 @@
             await self._refuse_late(exchange, refusal)
         finally:
             self.busy -= 1
+            if exchange.refused is not None:
+                self._on_refused(exchange)
             if not exchange.finished:
                 exchange.abort()
 
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -3,7 +3,7 @@
 import time
 
 from pimentowick import exception
-from pimentowick.gateway import decision, feed
+from pimentowick.gateway import decision, feed, route
 from pimentowick.platform import operator
 
 __all__ = ["ConfigurationFollower", "EntryFollower", "TargetFollower"]
@@ -18,6 +18,10 @@
     def __init__(self):
         self.current = None
 
+    def get_limits(self):
+        """Return the `route.Limits` of callers that are in force."""
+        return route.Limits() if self.current is None else self.current.limits
+
     def reset(self, records):
         """Take the newest record of each key."""
         for entry in records:
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -9,7 +9,7 @@
 from pimentowick.gateway import (
     admission,
     decision,
-    event,
+    passing,
     refusing,
     route,
     upstream,
@@ -49,92 +49,6 @@
     been_at: set = dataclasses.field(default_factory=set)
 
 
-class _Sink(upstream.Sink):
-    """Passes the answer of a target on to the caller.
-
-    Events go on as they come. A plain answer is whole here before its first byte
-    goes on, so that one that breaks off can be asked for again.
-
-    Args:
-        exchange: The `exchange.Exchange`.
-        streaming: Whether the answer is a series of events.
-    """
-
-    def __init__(self, exchange, streaming):
-        self._exchange = exchange
-        self._streaming = streaming
-        self.last_event = None
-        self.events = 0
-        self.first_at = None
-        self.begin()
-
-    def begin(self):
-        """Get ready for the answer of the next target."""
-        self.status = 0
-        self.headers = None
-        self.held = []
-        self.passing = False
-        self.out_of_order = False
-        self._splitter = event.EventSplitter()
-
-    async def take_head(self, status, headers, answer):
-        self.status = status
-        self.headers = headers
-        self.passing = (
-            self._streaming and status == 200 and answer.signed and not answer.encoded
-        )
-
-    async def take_chunk(self, chunk):
-        if self.passing:
-            await self._pass_events(chunk)
-            return
-        self.held.append(chunk)
-
-    async def _pass_events(self, chunk):
-        events = self._splitter.feed(chunk)
-        wanted = [entry for entry in events if self._is_next(entry)]
-        if not wanted:
-            return
-        data = b"".join(entry.raw for entry in wanted)
-        if not self._exchange.started:
-            self.first_at = time.monotonic()
-            headers = message.drop_hop_headers(self.headers)
-            headers.pop("Content-Length", None)
-            await self._exchange.start(self.status, headers, data)
-            return
-        await self._exchange.write(data)
-
-    def _is_next(self, entry):
-        if self.out_of_order:
-            return False
-        if entry.id is not None:
-            if self._breaks_order(entry.id):
-                self.out_of_order = True
-                return False
-            self.last_event = entry.id
-        self.events += 1
-        return True
-
-    def _breaks_order(self, event_id):
-        if self.last_event is None:
-            return False
-        try:
-            return int(event_id) != int(self.last_event) + 1
-        except ValueError:
-            return False
-
-    def is_whole(self):
-        """Return whether a stream ended between two events, all in order."""
-        return self._splitter.is_empty() and not self.out_of_order
-
-    async def deliver(self):
-        """Send what was held, a whole plain answer."""
-        headers = message.drop_hop_headers(self.headers)
-        body = b"".join(self.held)
-        headers.pop("Content-Length", None)
-        await self._exchange.answer(self.status, headers, body)
-
-
 class Relay:
     """Sends online requests to targets.
 
@@ -189,7 +103,7 @@
         self._call = call
         self._ends_at = exchange.received_at + bound_s
         self._progress = _Progress()
-        self._sink = _Sink(exchange, found.kind == route.Kind.STREAM)
+        self._sink = passing.Sink(exchange, found.kind == route.Kind.STREAM)
         self._service = found.choose_service()
         self._place = None
         self._status = 0
@@ -358,7 +272,15 @@
         first_at = self._sink.first_at
         line = self._admission.describe(self._service)
         place = self._place
-        self._metrics.count_request(self._route.kind, why, now - received_at)
+        waited_s = None if self._sent_at is None else self._sent_at - received_at
+        first_s = None if first_at is None else first_at - received_at
+        phases = {
+            "queue": waited_s,
+            "first_event": first_s,
+            "pause": self._sink.longest_pause_s,
+            "whole": now - received_at,
+        }
+        self._metrics.count_request(self._route.kind, why, self._status, phases)
         decision.note_request(
             name,
             self._call.request_id,
@@ -373,8 +295,9 @@
             runs=self._progress.runs,
             refusals=self._progress.refusals,
             events=self._sink.events,
-            waited_s=None if self._sent_at is None else self._sent_at - received_at,
-            first_s=None if first_at is None else first_at - received_at,
+            waited_s=waited_s,
+            first_s=first_s,
+            pause_s=self._sink.longest_pause_s,
             took_s=now - received_at,
             configuration=version,
             free=line.free,
--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -3,6 +3,7 @@
 
 import orjson
 import pytest
+from loguru import logger
 
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
@@ -222,11 +223,48 @@
         address = f"127.0.0.1:{gateway._metrics_page._port}"
         answer = await site.client.fetch("GET", address, "/metrics")
         text = answer.body.decode()
-        assert 'pimentowick_gateway_requests_total{kind="stream"' in text
+        for wanted in (
+            'pimentowick_gateway_requests_total{kind="stream",outcome="answered"',
+            'pimentowick_gateway_phase_seconds_count{kind="stream",phase="first_event"}',
+            'pimentowick_gateway_store_calls_total{call="join"}',
+            'pimentowick_gateway_store_bytes_total{call="newest",direction="in"}',
+            'pimentowick_gateway_places{state="free"} 8',
+            'pimentowick_gateway_targets{state="listed"} 1',
+            'pimentowick_gateway_age_seconds{topic="jobs"}',
+        ):
+            assert wanted in text
+        first = read_counter(text, "store_calls_total", "join")
+        await wait_true(lambda: gateway.store.calls["join"] > first)
+        again = await site.client.fetch("GET", address, "/metrics")
+        assert read_counter(again.body.decode(), "store_calls_total", "join") > first
 
     run_with([replica.Replica()], check)
 
 
+def read_counter(text, name, call):
+    line = f'pimentowick_gateway_{name}{{call="{call}"}} '
+    return float(text.partition(line)[2].split()[0])
+
+
+def test_every_refusal_has_a_line_and_is_counted():
+    # A caller complains about a refusal that no decision on a request has made.
+    async def check(site, gateway):
+        gateway.configuration.current = None
+        assert (await send(site)).status == 503
+        address = f"127.0.0.1:{gateway._metrics_page._port}"
+        text = (await site.client.fetch("GET", address, "/metrics")).body.decode()
+        assert 'refusals_total{code="not_ready",verdict="not_run"} 1' in text
+
+    lines = []
+    number = logger.add(lambda found: lines.append(found.record["extra"].get("line")))
+    try:
+        run_with([replica.Replica()], check)
+    finally:
+        logger.remove(number)
+    found = [orjson.loads(line) for line in lines if line and "caller.refused" in line]
+    assert [(each["id"], each["outcome"]) for each in found] == [("r1", "not_ready")]
+
+
 def test_jobs_that_nobody_may_read_any_more_leave_the_store():
     # The store keeps the newest record of each key for good and takes nothing more
     # once it is full.
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -9,6 +9,7 @@
 
 import base64
 import binascii
+import collections
 import dataclasses
 import struct
 import urllib.parse
@@ -145,13 +146,15 @@
             one that reads; without the time it may wait, and the way of its bytes.
 
     Attributes:
-        calls: Number of calls sent.
+        calls: Number of calls sent, by name.
+        bytes: Bytes of bodies, by name of the call and direction, out or in.
     """
 
     def __init__(self, address, timeout_s=1.5):
         self.address = address
         self.timeout_s = timeout_s
-        self.calls = 0
+        self.calls = collections.Counter()
+        self.bytes = collections.Counter()
         self._client = client.Client(max_connections=MAX_CALLS)
 
     async def start(self):
@@ -262,14 +265,18 @@
         self._check(await self._call("POST", "/-/log-leave", body=data))
 
     async def _call(self, method, path, query=None, body=None, wait_s=0.0):
-        self.calls += 1
+        name = path.rpartition("-")[2]
+        size = len(body) if isinstance(body, bytes) else 0
+        self.calls[name] += 1
+        self.bytes[name, "out"] += size
         target = path
         if query:
             target += "?" + urllib.parse.urlencode(query)
         try:
             if method == "GET":
-                return await self._read(target, self.timeout_s + wait_s)
-            size = len(body) if isinstance(body, bytes) else 0
+                answer = await self._read(target, self.timeout_s + wait_s)
+                self.bytes[name, "in"] += len(answer.body)
+                return answer
             timeout_s = self.timeout_s + size / LEAST_BYTES_PER_S
             return await self._client.fetch(
                 method, self.address, target, body, timeout_s=timeout_s
--- a/pimentowick/tests/test_pages.py
+++ b/pimentowick/tests/test_pages.py
@@ -142,7 +142,10 @@
 
 def test_operators_page_names_every_metric():
     page = pages.read_page("OPERATIONS.md")
-    text = (pages.ROOT / "pimentowick" / "metrics.py").read_text(encoding="utf-8")
+    text = "".join(
+        (pages.ROOT / "pimentowick" / path).read_text(encoding="utf-8")
+        for path in ("metrics.py", "gateway/metric.py")
+    )
     names = set(re.findall(r'"(pimentowick_[a-z_]+)"', text))
     assert names
     assert names == set(re.findall(r"^\| `(pimentowick_[a-z_]+)`", page, re.MULTILINE))
