Give up the items of jobs whose route was removed for good

Cause: items of an open job wait for a route that the operator removed, and no entry listed them: the job stayed open, its bodies in the store and its tokens in the quota. Ruled out: giving them up with the change itself, since an operator who moves a route may remove it before it is added elsewhere. Change: after ten seconds without a route they are listed as not done.

--- /dev/null
+++ b/pimentowick/gateway/orphan.py
@@ -0,0 +1,38 @@
+"""Open jobs whose route the operator has removed."""
+
+__all__ = ["GRACE_S", "Orphans"]
+
+# An operator who moves a route may remove it before adding it elsewhere; its jobs
+# wait for so long. Assumed.
+GRACE_S = 10.0
+
+
+class Orphans:
+    """Notes since when open jobs have no route.
+
+    Without an end their items would stay open for good, and their bodies in the store.
+    """
+
+    def __init__(self):
+        self._since = {}
+
+    def list_given_up(self, ledgers, configuration, now):
+        """Return (ledger, job) of the jobs without a route for longer than that.
+
+        Args:
+            ledgers: The `pimentowick.gateway.ledger.Ledger` objects.
+            configuration: The `pimentowick.gateway.route.Configuration` in force.
+            now: Monotonic time, in seconds.
+        """
+        orphans = {
+            found.id: (entry, found)
+            for entry in ledgers
+            for found in entry.book.open_jobs.values()
+            if configuration.find_batch(found.host, found.path) is None
+        }
+        self._since = {job_id: self._since.get(job_id, now) for job_id in orphans}
+        return [
+            orphans[job_id]
+            for job_id, since in self._since.items()
+            if now - since > GRACE_S
+        ]
--- a/pimentowick/gateway/route.py
+++ b/pimentowick/gateway/route.py
@@ -131,3 +131,8 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def find_batch(self, host, path):
+        """Return the route of batch jobs for a path, or None."""
+        found = self.find(host, path)
+        return found if found is not None and found.due_s else None
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -8,6 +8,7 @@
     beside,
     decision,
     execution,
+    orphan,
     ownership,
     pace,
     placing,
@@ -19,6 +20,8 @@
 
 # How often what waits is looked at when nothing changes.
 TICK_S = 0.1
+# Longer than it takes to record that an item is given up.
+ORPHANS_EVERY_S = 2.0
 # Beyond the time until a start is told: the way between hosts, and a turn there.
 ROUND_MARGIN_S = 0.01
 # News of neighbours come some hundred times a second.
@@ -77,6 +80,9 @@
         self._saving = set()
         self._collected = None
         self._next_round_at = 0.0
+        self._orphans = orphan.Orphans()
+        self._next_orphans_at = 0.0
+        self._ending = set()
         self.owned = frozenset()
         self.neighbours = None
 
@@ -99,6 +105,7 @@
             self._wake.clear()
             self.yield_places()
             self._collect()
+            self._give_up_orphans()
             self._start_waiting()
             await asyncio.sleep(LEAST_PAUSE_S)
 
@@ -152,8 +159,8 @@
         self._collected = state
         for book in self._ledgers:
             for found in list(book.book.open_jobs.values()):
-                route = configuration.find(found.host, found.path)
-                if route is None or not route.due_s:
+                route = configuration.find_batch(found.host, found.path)
+                if route is None:
                     # The operator may bring the route back; its jobs wait.
                     continue
                 self._collect_job(book, found, route, seen)
@@ -182,6 +189,45 @@
                 run.route = route
                 run.service = route.choose_service()
 
+    def _give_up_orphans(self):
+        """List the items of jobs whose route was removed as not done."""
+        now = time.monotonic()
+        configuration = self._get_configuration()
+        if configuration is None or now < self._next_orphans_at:
+            return
+        self._next_orphans_at = now + ORPHANS_EVERY_S
+        found = self._orphans.list_given_up(self._ledgers, configuration, now)
+        for book, job in found:
+            for number, item in enumerate(job.items):
+                part = ownership.find_part(item.id, self._parts)
+                key = (job.id, number)
+                if item.result is None and part in self.owned:
+                    made = transcript.Transcript(book, job, number)
+                    self._end_orphan(key, made)
+
+    def _end_orphan(self, key, made):
+        if key in self._ending:
+            return
+
+        async def end():
+            try:
+                await made.give_up(RECORD_TIMEOUT_S)
+                outcome = "route_removed"
+                decision.note_request("item.given_up", made.item.id, outcome=outcome)
+            except exception.LogError as error:
+                decision.note_request("item.delayed", made.item.id, why=str(error))
+            finally:
+                self._ending.discard(key)
+
+        self._ending.add(key)
+        self._keep(end())
+
+    def _keep(self, work):
+        """Run some work on records until it ends or this entry stops."""
+        task = asyncio.create_task(work)
+        self._saving.add(task)
+        task.add_done_callback(self._saving.discard)
+
     def _start_waiting(self):
         now = time.monotonic()
         unix_now = time.time()
@@ -277,9 +323,7 @@
         next renewal, so the text is there by then.
         """
         self._cancel(run)
-        save = asyncio.create_task(execution.save_last(run.transcript))
-        self._saving.add(save)
-        save.add_done_callback(self._saving.discard)
+        self._keep(execution.save_last(run.transcript))
 
     async def _run_item(self, run, target):
         started_at = time.monotonic()
--- a/pimentowick/gateway/tests/test_batch.py
+++ b/pimentowick/gateway/tests/test_batch.py
@@ -6,6 +6,7 @@
 
 from pimentowick import exception
 from pimentowick.fakes import faults, platform_site, replica, wait
+from pimentowick.gateway import orphan, runner
 
 BATCH = platform_site.make_route(
     "/lot/",
@@ -317,3 +318,37 @@
         assert (await submit(site, make_body(1))).status == 202
 
     run_with([replica.Replica()], check)
+
+
+def test_items_of_a_removed_route_are_given_up_after_a_while(monkeypatch):
+    # The operator removes a route for good while a job of it is open. Its items can
+    # never run; without an end the job's reader would wait for good.
+    monkeypatch.setattr(orphan, "GRACE_S", 0.2)
+    monkeypatch.setattr(runner, "ORPHANS_EVERY_S", 0.05)
+
+    async def check(site):
+        server = site.replicas[0]
+        server.plan = [replica.Behaviour("silent")] * 9
+        assert (await submit(site, make_body(2))).status == 202
+        site.publish([route for route in ROUTES if route is not BATCH])
+        found = await read_all(site, 2)
+        assert [row["state"] for row in found] == ["dead", "dead"]
+
+    run_with([replica.Replica()], check)
+
+
+def test_jobs_wait_for_a_route_that_comes_back():
+    async def check(site):
+        site.publish([route for route in ROUTES if route is not BATCH])
+        await wait.wait_for(
+            lambda: len(site.gateways[0].configuration.current.routes) == 1, 10, 0.01
+        )
+        site.publish(ROUTES)
+        await wait.wait_for(
+            lambda: len(site.gateways[0].configuration.current.routes) == 2, 10, 0.01
+        )
+        assert (await submit(site, make_body(2))).status == 202
+        found = await read_all(site, 2)
+        assert [row["state"] for row in found] == ["done", "done"]
+
+    run_with([replica.Replica()], check)
