Keep a place that comes in the turn in which its wait ends

Cause: found by reading. On a host that stood still, the end of a wait and a free place are due in the same turn; the wait ended with nothing, and the place that had been given was taken by nobody until the process ended, here and in what all others are told. And a request that avoids the only free target held up all behind it. Ruled out: that the caller's cancellation does the same (it gives the place back). Change: the wait returns the place; those in line behind are served.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -125,9 +125,10 @@
             async with asyncio.timeout_at(self._convert(demand.give_up_at)):
                 return await future
         except TimeoutError:
-            return None
+            # A place may have come in the very turn in which time was up.
+            return future.result() if _is_given(future) else None
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
+            if _is_given(future):
                 future.result().close()
             raise
         finally:
@@ -183,6 +184,8 @@
                 if limit < 0:
                     return
             place = self._choose(service, avoid)
+            if place is None and avoid:
+                continue
             if place is None:
                 return
             line.remove(entry)
@@ -204,3 +207,7 @@
     def _convert(self, monotonic_at):
         loop = asyncio.get_running_loop()
         return loop.time() + monotonic_at - time.monotonic()
+
+
+def _is_given(future):
+    return future.done() and not future.cancelled()
