Let requests that lost their target go before those that wait

Cause: since new requests queue behind those that wait anywhere, a stream that lost its target in a wave queued, too, as one that is late already: at the end of the line. Ruled out: keeping its place (the target that held it is gone). Change: a request that had a place takes a free one at once and goes first in line.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -23,12 +23,14 @@
         priority: Rank of its route; 0 is the most urgent.
         start_by: Monotonic time by which it has to start to be in time.
         give_up_at: Monotonic time at which waiting has no use any more.
+        begun: Whether it had a place before, and lost its target.
     """
 
     service: str
     priority: int
     start_by: float
     give_up_at: float
+    begun: bool = False
 
 
 class Place:
@@ -108,8 +110,14 @@
         )
 
     def take_now(self, demand, avoid=frozenset()):
-        """Return a `Place` if one is free and nobody waits, or None."""
-        if self._waiting.get(demand.service) or self.peers_waiting[demand.service] > 0:
+        """Return a `Place` if one is free and nobody waits, or None.
+
+        A request that lost its target goes before those that wait: its caller may
+        have part of the answer, and the place that it had became free.
+        """
+        waiting = self.count_waiting(demand.service)
+        waiting += max(0, self.peers_waiting[demand.service])
+        if waiting and not demand.begun:
             return None
         return self._choose(demand.service, avoid)
 
@@ -173,8 +181,7 @@
         if not line:
             return
         now = time.monotonic()
-        # Those that can still be in time go before those that are late already.
-        line.sort(key=lambda e: (e[0].priority, e[0].start_by < now, e[0].start_by))
+        line.sort(key=lambda entry: _rank(entry[0], now))
         for entry in list(line):
             _, avoid, future = entry
             if future.done():
@@ -209,5 +216,14 @@
         return loop.time() + monotonic_at - time.monotonic()
 
 
+def _rank(demand, now):
+    """Return the key by which those that wait are ordered.
+
+    Those that can still be in time go before those that are late already.
+    """
+    late = demand.start_by < now
+    return demand.priority, not demand.begun, late, demand.start_by
+
+
 def _is_given(future):
     return future.done() and not future.cancelled()
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -138,6 +138,7 @@
 
     async def _take_place(self, demand):
         avoid = frozenset(self._progress.been_at)
+        demand = dataclasses.replace(demand, begun=bool(avoid))
         place = self._admission.take_now(demand, avoid)
         if place is None and avoid:
             place = self._admission.take_now(demand)
--- a/pimentowick/gateway/tests/test_admission.py
+++ b/pimentowick/gateway/tests/test_admission.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import time
 
 from pimentowick.gateway import admission, target
@@ -77,3 +78,26 @@
         assert line.take_now(make_demand(1.0)).target is found
 
     asyncio.run(run())
+
+
+def test_request_that_lost_its_target_goes_before_those_that_wait():
+    # A target crashes in the middle of a stream during a wave. Behind all that wait,
+    # the stream's caller would see a pause of seconds.
+    async def run():
+        line, found = make_admission(slots=2)
+        line.peers_waiting["s"] = 5
+        begun = dataclasses.replace(make_demand(-1.0), begun=True)
+        first = line.take_now(begun)
+        assert first.target is found
+        held = line.take_now(begun)
+        fresh = asyncio.create_task(line.wait(make_demand(5.0)))
+        await asyncio.sleep(0)
+        late = dataclasses.replace(begun, give_up_at=time.monotonic() + 5.0)
+        again = asyncio.create_task(line.wait(late))
+        await asyncio.sleep(0)
+        held.close()
+        assert (await asyncio.wait_for(again, 5)).target is found
+        assert not fresh.done()
+        fresh.cancel()
+
+    asyncio.run(run())
