--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -53,7 +53,7 @@
 STORE_TIMEOUT_S = 1.0
 # The balancer notices within two checks, a second apart, that an entry leaves.
 UNREADY_S = 2.5
-# What closing takes (1 ms between its log lines on the bench), and room for a slow
+# What closing takes (1 ms between its log lines), and room for a slow
 # host.
 STOP_MARGIN_S = 0.4
 DRAIN_CHECK_S = 0.02
--- a/pimentowick/gateway/decision.py
+++ b/pimentowick/gateway/decision.py
@@ -15,7 +15,7 @@
 
 __all__ = ["configure", "count_dropped", "note_belief", "note_request"]
 
-# Well above the decisions of one entry on the bench's days; assumed, not measured.
+# Well above the decisions of one entry seen so far; assumed, not measured.
 LINES_PER_S = 400
 BURST_LINES = 800
 
--- a/pimentowick/gateway/refusing.py
+++ b/pimentowick/gateway/refusing.py
@@ -12,7 +12,7 @@
 __all__ = ["Line", "estimate_wait", "is_hopeless", "make_retry_after"]
 
 # Time from the start at a target to the first event on a target with free places
-# (the caller's median on the bench's calm day was 69 ms; the rest is a margin).
+# (69 ms at the median of a calm day; the rest is a margin).
 FIRST_EVENT_S = 0.08
 # A caller that waits longer than this share of its time gets no use of a late answer.
 LONGEST_SHARE = 0.45
--- a/pimentowick/gateway/soundness.py
+++ b/pimentowick/gateway/soundness.py
@@ -18,7 +18,7 @@
 __all__ = ["Soundness", "Tally"]
 
 HALF_LIFE_S = 2.0
-# Lost answers of a sound target (3 in 100 on the bench's days) stay below both.
+# Sound targets that lose 3 in 100 of their answers stay below both.
 LEAST_BAD = 3.0
 LEAST_SHARE = 0.3
 # What one neighbour may add: it may be cut off from sound targets, so that at least
