Choose the ports of entries under test where no connection gets one

The ports of an entry were found by binding to port 0 and letting go; until the entry listens, the kernel may give such a port to any connection that opens, and four workers side by side open thousands. Ruled out: entries of one process among each other (the ports differ), connections that have ended (servers bind beside those). Which connection took the port is not known. Change: ports come from below the kernel's range, a block for each process, and are looked at before use.

--- a/pimentowick/fakes/platform_site.py
+++ b/pimentowick/fakes/platform_site.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import dataclasses
+import itertools
+import os
 import socket
 
 from pimentowick import client as http_client
@@ -16,13 +18,33 @@
 WAIT_S = 15.0
 POLL_S = 0.01
 LOOPBACK = "127.0.0.1"
+# Below the range from which Linux gives connections theirs (from 32,768 by default),
+# one block for each process that runs tests side by side.
+FIRST_PORT = 12_000
+BLOCK_PORTS = 100
+PORT_BLOCKS = 200
+
+
+def _count_ports():
+    """Yield the ports of this process's block, again and again."""
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
+    while True:
+        yield from range(first, first + BLOCK_PORTS)
+
+
+_ports = _count_ports()
 
 
 def find_port(kind=socket.SOCK_STREAM):
-    """Return a free port."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free, and that no connection is given meanwhile."""
+    for port in itertools.islice(_ports, BLOCK_PORTS):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            # As servers do: a connection that has ended does not keep a port.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                sock.bind((LOOPBACK, port))
+                return port
+    raise OSError(f"No free port of {BLOCK_PORTS}.")
 
 
 def make_route(prefix, kind, **changes):
