Give each soak addresses of its own

Cause: all soaks put their gateways at 127.0.1.1 and on. Two at once, as two workers of the test run may have them, reached each other's gateways, whose store is another one: "refused, and it ran", "ran 2 times", "ended by itself". Change: the address holds the process's identifier.

--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -18,6 +18,19 @@
 GRACE_S = 6
 
 
+def make_ip(number, pid):
+    """Return the IP number of a gateway of the soak that a process runs.
+
+    Two soaks at one address would reach each other's gateways, with other stores.
+
+    Examples:
+        >>> make_ip(0, 1000), make_ip(2, 1001)
+        ('127.5.0.1', '127.5.1.3')
+    """
+    # Processes that run side by side have identifiers nearer than 62,500.
+    return f"127.{pid // 250 % 250 + 1}.{pid % 250}.{number + 1}"
+
+
 class GatewayProcess:
     """One gateway at an IP number of loopback of its own.
 
@@ -28,7 +41,7 @@
     """
 
     def __init__(self, number, directory, store_address):
-        self.ip = f"127.0.1.{number + 1}"
+        self.ip = make_ip(number, os.getpid())
         self.address = f"{self.ip}:8144"
         self.ready_address = f"{self.ip}:8140"
         self._log_path = pathlib.Path(directory, f"gateway-{number}.log")
