--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -1,5 +1,6 @@
 """Slopes of the gateway: what a neighbour, a target, a route and an item cost."""
 
+import os
 import time
 import tracemalloc
 
@@ -8,6 +9,7 @@
 from benchmarks import capacity_fit
 from pimentowick.gateway import (
     admission,
+    decision,
     event,
     job,
     neighbour,
@@ -86,6 +88,30 @@
     return _measure(lambda: event.EventSplitter().feed(data), rounds=50)
 
 
+def _measure_lines(count):
+    """Return the cost of so many lines of the log, as a request has them."""
+    with open(os.devnull, "w", encoding="utf-8") as outside:
+        decision.configure(descriptor=outside.fileno())
+
+        def write():
+            for _ in range(count):
+                decision.note_request(
+                    "online.sent",
+                    "51f08a2b3c4d5e6f",
+                    attempt=1,
+                    target="i-7f3a91c2",
+                    online=3,
+                    batch=4,
+                    slots=8,
+                    waited_s=0.0123456,
+                    left_s=4.9,
+                    resumed_at=None,
+                )
+
+        # Few enough not to meet the bound on lines a second.
+        return _measure(write, rounds=max(1, decision.BURST_LINES // (8 * count)))
+
+
 def _measure_job_memory(items):
     tracemalloc.start()
     book = job.Book()
@@ -110,6 +136,7 @@
         ("a choice of a target, by targets", "us", _measure_choice),
         ("a route, by routes", "us", _measure_route),
         ("a chunk of events, by events", "us", _measure_events),
+        ("lines of the log, by lines", "us", _measure_lines),
         ("a job of 1 KB items in memory, by items", "KB", _measure_job_memory),
     ]
     for name, unit, measure in rows:
--- a/pimentowick/cli/tests/test_trace.py
+++ b/pimentowick/cli/tests/test_trace.py
@@ -102,6 +102,41 @@
     assert words in history.explain([line], [])
 
 
+def test_request_of_a_gateway_that_was_killed_has_a_cause(tmp_path):
+    # A gateway is killed while a request is at a target. Its caller sees a closed
+    # connection; the line at the request's end was never written.
+    path = write_log(
+        tmp_path,
+        "front-1",
+        '{"time":10.0,"event":"online.sent","id":"r","target":"t1","online":2,'
+        '"batch":3,"slots":8}',
+        '{"time":12.5,"event":"gateway.started","host":"front-1"}',
+    )
+    code, found = run_command(["pimentowick", "trace", "r", path])
+    assert code == 0
+    assert "Gateway front-1 ended while it was at target t1" in found
+    assert "may have run" in found
+    assert "2.500 s later" in found
+
+
+def test_request_that_was_refused_by_a_gateway_not_ready_has_a_cause(tmp_path):
+    # All hosts lose power and are back. The first callers come before the gateway
+    # has read the configuration.
+    path = write_log(
+        tmp_path,
+        "front-1",
+        '{"time":10.0,"event":"gateway.started","host":"front-1"}',
+        '{"time":10.2,"event":"caller.refused","id":"r","outcome":"not_ready",'
+        '"status":503}',
+    )
+    code, found = run_command(["pimentowick", "trace", "r", path])
+    assert code == 0
+    assert "refused with 503 without having run" in found
+    assert "knew no configuration yet" in found
+    assert "started 0.200 s before" in found
+    assert "job" not in found
+
+
 def test_unknown_id_and_missing_file_are_said(tmp_path):
     path = write_log(tmp_path, "a", '{"time":1.0,"event":"gateway.started"}')
     code, found = run_command(["pimentowick", "trace", "nobody", path])
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -12,14 +12,27 @@
 
 import orjson
 
-__all__ = ["Line", "explain", "find_related", "read_lines", "summarise"]
+from pimentowick.gateway import loss
+
+__all__ = [
+    "Line",
+    "explain",
+    "find_related",
+    "find_restart",
+    "read_lines",
+    "summarise",
+]
 
 # What a gateway came to believe this long before a request may have decided it.
 BEFORE_S = 5.0
 AFTER_S = 1.0
+# The platform starts a process again within seconds of its end.
+RESTART_S = 10.0
 CONTEXT = ("feed.", "ownership.", "ledger.", "neighbour.", "configuration.", "gateway.")
 SLOWEST = 5
 COMMON = 10
+# Lines of something that is not over yet.
+UNDER_WAY = ("online.queued", "online.sent", "item.sent")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,9 +113,28 @@
         and "id" not in line.data
         and (line.event.startswith(CONTEXT) or line.data.get("target") in targets)
     ]
+    restart = find_restart(lines, own[-1])
+    if restart is not None and restart.time > end:
+        around.append(restart)
     return own, around
 
 
+def find_restart(lines, last):
+    """Return the line with which a process started again soon after another, or None.
+
+    Args:
+        lines: All `Line` objects, in order of time.
+        last: The `Line` after which it was started again.
+    """
+    for line in lines:
+        if line.time > last.time + RESTART_S:
+            return None
+        if line.time > last.time and line.process == last.process:
+            if line.event == "gateway.started":
+                return line
+    return None
+
+
 def _get_job(line):
     return line.data.get("job")
 
@@ -112,7 +144,11 @@
     if not own:
         return "No line names this id: it came to none of these processes."
     last = own[-1]
-    if last.event.startswith("online."):
+    if last.event in UNDER_WAY:
+        found = _explain_cut(last, around)
+    elif last.event == "caller.refused":
+        found = _explain_refused(last)
+    elif last.event.startswith("online."):
         found = _explain_online(last)
     elif last.event.startswith("item."):
         found = _explain_item(own)
@@ -121,6 +157,39 @@
     return " ".join([found, *_explain_around(last, around)])
 
 
+def _explain_cut(last, around):
+    """Return what became of a request whose log ends while it was under way."""
+    data = last.data
+    where = f"waited for a place of {data.get('service')}"
+    if last.event.endswith(".sent"):
+        where = f"was at target {data.get('target')}, so that it may have run"
+    restarts = [
+        line
+        for line in around
+        if line.event == "gateway.started" and line.time > last.time
+    ]
+    if not restarts:
+        return f"No line tells its end. The last one says that it {where}."
+    after_s = restarts[-1].time - last.time
+    return (
+        f"Gateway {last.process} ended while it {where}: the gateway was started "
+        f"again {after_s:.3f} s later and knows nothing of it."
+    )
+
+
+def _explain_refused(line):
+    data = line.data
+    if data.get("outcome") == "not_ready":
+        return (
+            f"It was refused with {data.get('status')} without having run: gateway "
+            f"{line.process} knew no configuration yet."
+        )
+    return (
+        f"It was refused with {data.get('status')} ({data.get('outcome')}) before a "
+        "target was chosen."
+    )
+
+
 def _explain_online(line):
     data = line.data
     outcome = data.get("outcome")
@@ -195,6 +264,10 @@
 def _explain_around(last, around):
     counts = collections.Counter(line.event for line in around)
     found = []
+    started = [line for line in around if line.event == "gateway.started"]
+    if started and started[-1].time <= last.time:
+        ago_s = last.time - started[-1].time
+        found.append(f"The gateway had been started {ago_s:.3f} s before.")
     if counts["feed.lost"]:
         found.append("The store could not be read then.")
     if counts["ledger.delayed"]:
@@ -242,6 +315,7 @@
             f"waited {line.data.get('waited_s')} s, target {line.data.get('target')}"
         )
     items = [line for line in lines if line.event.startswith("item.")]
+    rows.extend(loss.to_rows(loss.list_losses(lines)))
     rows.append("items by event: " + _count(items, "event"))
     runs = [line for line in items if line.event == "item.ran"]
     rows.append("  runs by outcome: " + _count(runs, "outcome"))
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -48,6 +48,11 @@
     refusals: int = 0
     been_at: set = dataclasses.field(default_factory=set)
 
+    @property
+    def attempts(self):
+        """Number of targets that it was sent to and is done with."""
+        return self.runs + self.refusals
+
 
 class Relay:
     """Sends online requests to targets.
@@ -149,6 +154,17 @@
         time_s = self._ends_at - self._exchange.received_at
         if first and refusing.is_hopeless(line, self._route.objective_s, time_s):
             return None
+        decision.note_request(
+            "online.queued",
+            self._call.request_id,
+            kind=self._route.kind,
+            service=self._service,
+            attempt=self._progress.attempts + 1,
+            free=line.free,
+            places=line.places,
+            waiting=line.waiting,
+            expected_s=refusing.estimate_wait(line),
+        )
         return await self._admission.wait(demand, avoid if line.places > 0 else ())
 
     async def _send(self, target):
@@ -172,6 +188,19 @@
         )
         self._sent = True
         self._sent_at = time.monotonic()
+        decision.note_request(
+            "online.sent",
+            self._call.request_id,
+            kind=self._route.kind,
+            attempt=self._progress.attempts + 1,
+            target=target.id,
+            online=self._place.online,
+            batch=self._place.batch,
+            slots=target.slots,
+            waited_s=self._sent_at - self._exchange.received_at,
+            left_s=left_s,
+            resumed_at=resumed_at,
+        )
         sink = self._sink
         loop = asyncio.get_running_loop()
         with self._health.watch(
@@ -266,6 +295,14 @@
         await self._exchange.refuse(verdict.make_expired(verdict.Verdict.MAY_HAVE_RUN))
         return "timeout"
 
+    def _is_in_time(self, first_s, took_s):
+        """Return whether the caller got its answer within the objective."""
+        if self._status != 200 or not self._exchange.finished:
+            return False
+        if self._route.kind != route.Kind.STREAM:
+            return took_s <= self._route.objective_s
+        return first_s is not None and first_s <= self._route.objective_s
+
     def note(self, name, why, version):
         """Log the end of the request."""
         now = time.monotonic()
@@ -288,7 +325,9 @@
             outcome=why,
             status=self._status,
             route=self._route.name,
+            kind=self._route.kind,
             service=self._service,
+            in_time=self._is_in_time(first_s, now - received_at),
             target=None if place is None else place.target.id,
             seen_online=None if place is None else place.online,
             seen_batch=None if place is None else place.batch,
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -147,6 +147,7 @@
                 decision.note_request(
                     "item.yielded",
                     run.item.id,
+                    job=run.job.id,
                     target=target.id,
                     online=target.all_online,
                     batch=target.all_batch,
@@ -294,6 +295,18 @@
             self._start(run, target)
 
     def _start(self, run, target):
+        decision.note_request(
+            "item.sent",
+            run.item.id,
+            job=run.job.id,
+            target=target.id,
+            online=target.all_online,
+            batch=target.all_batch,
+            slots=target.slots,
+            after_event=run.item.last_event,
+            left_s=run.left_s,
+            due_in_s=run.due_at - time.time(),
+        )
         run.target = target
         target.batch += 1
         self._on_change()
@@ -351,6 +364,7 @@
             last_event=run.transcript.last_event,
             failures=run.item.failures,
             took_s=time.monotonic() - started_at,
+            due_in_s=run.due_at - time.time(),
         )
         run.pace.note_run(sink.events, time.monotonic() - started_at)
         self._release(run)
--- /dev/null
+++ b/pimentowick/gateway/tests/test_loss.py
@@ -0,0 +1,99 @@
+import pytest
+
+from pimentowick.gateway import history, loss
+
+
+def make_line(event, at=1.0, process="front-1", **fields):
+    return history.Line(process, {"time": at, "event": event, "id": "x", **fields})
+
+
+def make_sent(**fields):
+    data = {"attempt": 1, "target": "t", "online": 1, "batch": 0, "slots": 8}
+    return make_line("online.sent", **{**data, "waited_s": 0.0, **fields})
+
+
+def make_ended(**fields):
+    data = {"kind": "stream", "outcome": "answered", "status": 200, "in_time": False}
+    return make_line("online.ended", 2.0, **{**data, "first_s": 0.5, **fields})
+
+
+@pytest.mark.parametrize(
+    ("own", "cause"),
+    [
+        ([make_sent(), make_ended(in_time=True)], ""),
+        ([make_sent(), make_ended()], "late: slow at a target with free places"),
+        ([make_sent(batch=7), make_ended()], "late: sent to a full target"),
+        ([make_sent(waited_s=0.4), make_ended()], "late: waited for a place"),
+        (
+            [make_sent(), make_sent(attempt=2), make_ended()],
+            "late: its first target failed",
+        ),
+        ([make_ended(outcome="no_place", status=503)], "no_place, status 503"),
+        ([make_sent()], "its gateway ended"),
+        ([make_line("online.left", kind="stream")], "its caller left"),
+        ([make_line("caller.refused", outcome="not_ready")], "refused: not_ready"),
+    ],
+)
+def test_online_request_counts_under_one_cause(own, cause):
+    assert loss.explain_online(own)[1] == cause
+
+
+def make_ran(due_in_s, outcome="answered", process="front-1"):
+    return make_line("item.ran", 9.0, process, outcome=outcome, due_in_s=due_in_s)
+
+
+ITEM_SENT = make_line("item.sent", due_in_s=9.0)
+YIELDED = make_line("item.yielded", 2.0)
+
+
+@pytest.mark.parametrize(
+    ("own", "cause"),
+    [
+        ([ITEM_SENT, make_ran(1.0)], ""),
+        ([ITEM_SENT, make_ran(-1.0)], "late: waited for a place"),
+        (
+            [ITEM_SENT, YIELDED, ITEM_SENT, make_ran(-1.0)],
+            "late: it gave its place to online requests",
+        ),
+        (
+            [ITEM_SENT, ITEM_SENT, make_ran(-1.0)],
+            "late: its gateway ended or lost its part",
+        ),
+        (
+            [ITEM_SENT, YIELDED, ITEM_SENT, make_ran(-1.0, process="front-2")],
+            "late: its part was dealt to another gateway",
+        ),
+        (
+            [ITEM_SENT, make_ran(4.0, "cut"), ITEM_SENT, make_ran(-1.0)],
+            "late: a target broke off",
+        ),
+        (
+            [make_line("item.sent", due_in_s=-1.0), make_ran(-4.0)],
+            "late: it began after it was due",
+        ),
+        ([ITEM_SENT], "not done by the end of the log"),
+        ([make_line("item.given_up", outcome="failed")], "given up: failed"),
+    ],
+)
+def test_item_counts_under_one_cause(own, cause):
+    assert loss.explain_item(own) == cause
+
+
+def test_causes_of_a_kind_add_up_to_what_was_not_in_time():
+    # On-call looks for the largest cause of a bad day; a request that counted twice,
+    # or not at all, would send them the wrong way.
+    lines = []
+    for number, ended in enumerate(
+        [
+            make_ended(in_time=True),
+            make_ended(),
+            make_ended(),
+            make_ended(outcome="timeout", status=504),
+        ]
+    ):
+        for line in (make_sent(), ended):
+            data = {**line.data, "id": f"r{number}"}
+            lines.append(history.Line("front-1", data))
+    found = loss.list_losses(lines)
+    assert [(entry.count, entry.asked) for entry in found] == [(2, 4), (1, 4)]
+    assert loss.to_rows(found)[0] == "not in time, stream: 3 of 4"
