Keep an entry's name in the group over a restart

Ruled out: a shorter lease (a host that stands still for 1 s would lose its parts). Change: the member's name is the address alone; nothing else can use it. Before: the new test times out without any part. After: the parts of before are there with the first renewal, and the group's generation stays.

--- a/pimentowick/fakes/platform_site.py
+++ b/pimentowick/fakes/platform_site.py
@@ -114,9 +114,9 @@
         for _ in range(self._entries):
             await self.start_entry()
 
-    async def start_entry(self):
-        """Start one more entry."""
-        settings = make_settings(self.store.address)
+    async def start_entry(self, settings=None):
+        """Start one more entry, by default one with addresses of its own."""
+        settings = settings or make_settings(self.store.address)
         gateway = daemon.Gateway(settings, metrics_port=find_port())
         await gateway.start()
         self.gateways.append(gateway)
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -113,10 +113,12 @@
             self.neighbours.note_change,
         )
         self.runner.neighbours = self.neighbours
-        member = f"{address}/{time.time_ns()}"
         self.ownership = ownership.Ownership(
             self.store,
-            member,
+            # The same after a restart: to the store the parts of a process that was
+            # killed stay its own until the lease ends, and under a new name it would
+            # have none of them for three seconds. Nothing else can use the address.
+            address,
             settings.least_lease_s,
             self._note_parts,
             self.neighbours.may_have_taken_over,
--- a/pimentowick/gateway/ownership.py
+++ b/pimentowick/gateway/ownership.py
@@ -42,7 +42,7 @@
 
     Args:
         store: `pimentowick.platform.store.Store`.
-        member: Name of this start of the entry.
+        member: Name of the entry in the group, the same after each start.
         least_lease_s: Shortest lease that the store takes, in seconds.
         on_change: Function called when other parts are dealt.
         is_replaced: Function that returns whether other entries can have taken over
--- a/pimentowick/gateway/tests/test_ownership.py
+++ b/pimentowick/gateway/tests/test_ownership.py
@@ -66,3 +66,29 @@
             assert one.neighbours.may_have_taken_over()
 
     asyncio.run(run())
+
+
+def test_entry_that_is_killed_goes_on_with_its_parts_at_once():
+    # All hosts lose power for a second. To the store the members of before hold the
+    # batch work until their leases end; entries that came back under other names
+    # would leave all targets without batch items for as long.
+    server = replica.Replica()
+
+    async def run():
+        async with platform_site.open_site([server], entries=2) as site:
+            first, other = site.gateways
+            for each in (first, other):
+                await wait.wait_for(lambda: len(each.ownership.parts) == 4, 10, 0.01)
+            held = first.ownership.parts
+            await first.close()
+            # Its socket is closed in the next turn.
+            await asyncio.sleep(0)
+            site.gateways.remove(first)
+            group = site.store.get_group(ownership.GROUP)
+            generation = group.generation
+            again = await site.start_entry(first.settings)
+            await wait.wait_for(lambda: again.runner.owned, 10, 0.005)
+            assert again.runner.owned == held
+            assert group.generation == generation
+
+    asyncio.run(run())
