Leave parts that are dealt anew to their holder until it has recorded them

Cause: the store deals parts anew while their holder runs them: all to the first that renews after an outage in which the leases have lapsed, or all at once without a request. The new holder began at once, from a text up to 2 s old, and the old one went on until its next renewal, so that items ran twice in places that others needed. Ruled out: shorter pauses between renewals (each is a call that is paid for). Change: gateways tell each other which parts they run or are still recording; new parts are taken once nobody heard says so, after a lease at the latest (gateway/handover.py).

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -16,6 +16,7 @@
     exchange,
     feed,
     follower,
+    handover,
     health,
     ledger,
     metric,
@@ -124,6 +125,10 @@
             self.neighbours.may_have_taken_over,
         )
         self.neighbours.get_renewal_age = self.ownership.get_age
+        self._handover = handover.Handover(
+            self.ownership, self.runner, self.ledgers, self.neighbours
+        )
+        self.neighbours.get_held_parts = self._handover.list_held
         found_relay = relay.Relay(
             self.admission, self.pools.get, found_health, self.metrics
         )
@@ -272,21 +277,7 @@
         self.runner.wake()
 
     def _note_parts(self):
-        if self.ownership.parts <= self.runner.owned:
-            self.runner.owned = self.ownership.parts
-            self.runner.wake()
-            return
-        self._supervisor.start_child("take over", self._take_over)
-
-    async def _take_over(self):
-        """Run the items of new parts, after what their last holder recorded."""
-        for book in self.ledgers:
-            try:
-                await book.feed.refresh()
-            except exception.LogError as error:
-                decision.note_belief("ownership.not_refreshed", why=str(error))
-        self.runner.owned = self.ownership.parts
-        self.runner.wake()
+        self._supervisor.start_child("take over", self._handover.take_over)
 
     async def _rest_unsound(self):
         """Let targets rest that fail what they get, until cancelled."""
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -49,6 +49,7 @@
         waiting: Requests that wait there, by service.
         pending: Weight of the batch items that wait there, by service.
         renewed_at: Monotonic time at which the store last renewed its lease, or None.
+        parts: Parts of the batch work that it runs, or whose texts it is recording.
     """
 
     address: str
@@ -58,6 +59,7 @@
     waiting: dict = dataclasses.field(default_factory=dict)
     pending: dict = dataclasses.field(default_factory=dict)
     renewed_at: float | None = None
+    parts: frozenset = frozenset()
 
     @property
     def is_busy(self):
@@ -80,6 +82,7 @@
         pending: Weight of the batch items that wait here, by service; the runner's.
         get_renewal_age: Function that returns how many seconds ago the store renewed
             this entry's lease, or None.
+        get_held_parts: Function that returns the parts of the batch work held here.
         peers_pending: Weight of those that wait at other entries, by service.
     """
 
@@ -98,6 +101,7 @@
         self._sums = {}
         self.pending = {}
         self.get_renewal_age = lambda: None
+        self.get_held_parts = lambda: ()
         self.peers_pending = collections.Counter()
 
     async def start(self):
@@ -177,6 +181,12 @@
             peer.renewed_at is not None and peer.renewed_at > since for peer in heard
         )
 
+    def list_held_parts(self):
+        """Return the parts of the batch work that others say they hold."""
+        since = time.monotonic() - SILENT_S
+        heard = [peer.parts for peer in self.peers.values() if peer.heard_at > since]
+        return frozenset().union(*heard)
+
     async def run(self):
         """Send until cancelled."""
         while True:
@@ -202,6 +212,7 @@
             "waiting": waiting,
             "pending": self.pending,
             "renewed_s_ago": self.get_renewal_age(),
+            "parts": sorted(self.get_held_parts()),
             "failure_domain": self._soundness.failure_domain,
             "failing": self._soundness.describe(),
         }
@@ -229,6 +240,7 @@
                 key: (float(bad), float(good))
                 for key, (bad, good) in found.get("failing", {}).items()
             }
+            parts = frozenset(map(int, found.get("parts", ())))
             age_s = found.get("renewed_s_ago")
             renewed_at = None if age_s is None else time.monotonic() - float(age_s)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -242,6 +254,7 @@
         peer.number = number
         peer.heard_at = time.monotonic()
         peer.renewed_at = renewed_at
+        peer.parts = parts
         self._replace(peer, loads, waiting, pending)
         domain = str(found.get("failure_domain", ""))
         self._soundness.replace(address, domain, failing)
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -1,6 +1,7 @@
 """Running the items of batch jobs at targets."""
 
 import asyncio
+import collections
 import time
 
 from pimentowick import exception
@@ -84,6 +85,7 @@
         self._orphans = orphan.Orphans()
         self._next_orphans_at = 0.0
         self._ending = set()
+        self._recording = collections.Counter()
         self.owned = frozenset()
         self.neighbours = None
 
@@ -91,6 +93,19 @@
         """Return what this entry has to run or runs."""
         return list(self._runs.values())
 
+    def own(self, parts):
+        """Run the items of these parts from now on, and of no others."""
+        self.owned = parts
+        # What is not run any more is recorded before neighbours hear that it is free.
+        self._collect()
+        self._on_change()
+        self.wake()
+
+    @property
+    def recording(self):
+        """Parts that were given up, and whose texts are not recorded yet."""
+        return frozenset(self._recording)
+
     def wake(self):
         """Look at what waits and what has to yield soon."""
         self._wake.set()
@@ -342,11 +357,21 @@
     def _hand_over(self, run):
         """Stop a run and record how far it is, for whoever goes on.
 
-        A part that was taken away is dealt to another entry only with this entry's
-        next renewal, so the text is there by then.
+        Neighbours wait for it (see `pimentowick.gateway.handover`).
         """
         self._cancel(run)
-        self._keep(execution.save_last(run.transcript))
+        part = ownership.find_part(run.item.id, self._parts)
+        self._recording[part] += 1
+        self._keep(self._record_last(run.transcript, part))
+
+    async def _record_last(self, made, part):
+        try:
+            await execution.save_last(made)
+        finally:
+            self._recording[part] -= 1
+            if not self._recording[part]:
+                del self._recording[part]
+            self._on_change()
 
     async def _run_item(self, run, target):
         started_at = time.monotonic()
