Give the gateway's decisions a folder and the field's names

Cause: decisions lay among 35 flat modules under names of our own (beside, placing, refusing, pace, soundness, passing, orphan, desk). Ruled out: moving input and output as well in the same commit. Change: gateway/policy/ holds target_choice, load_shedding, preemption, batch_queue (the latter two were one), service_time and outlier_detection; response, route_removal and job_api beside it; items are preempted, targets ejected, in code, logs, metrics and pages.

--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -13,12 +13,11 @@
     event,
     job,
     neighbour,
-    placing,
     record,
     route,
-    soundness,
     target,
 )
+from pimentowick.gateway.policy import outlier_detection, target_choice
 
 __all__ = ["run"]
 
@@ -54,7 +53,7 @@
         "me:1",
         table,
         admission.Admission(table, "a"),
-        soundness.Soundness("a"),
+        outlier_detection.OutlierDetection("a"),
         lambda: None,
     )
     numbers = iter(range(1, 1_000_000))
@@ -71,7 +70,7 @@
 
 def _measure_choice(targets):
     served = _make_table(targets).list_service("s")
-    return _measure(lambda: placing.choose_for_online(served, 0.0, "a"))
+    return _measure(lambda: target_choice.choose_for_online(served, 0.0, "a"))
 
 
 def _measure_route(count):
--- a/pimentowick/cli/tests/test_trace.py
+++ b/pimentowick/cli/tests/test_trace.py
@@ -44,7 +44,7 @@
     first = write_log(
         tmp_path,
         "front-1",
-        '{"time":10.0,"event":"item.yielded","id":"i1","target":"t1","events":5}',
+        '{"time":10.0,"event":"item.preempted","id":"i1","target":"t1","events":5}',
         "Traceback (most recent call last):",
         '{"time":9.5,"event":"ownership.changed","parts":[]}',
     )
--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -5,7 +5,7 @@
 import dataclasses
 import time
 
-from pimentowick.gateway import beside, placing, refusing
+from pimentowick.gateway.policy import batch_queue, load_shedding, target_choice
 
 __all__ = ["Admission", "Demand", "Place"]
 
@@ -99,12 +99,12 @@
         return [name for name, line in self._waiting.items() if line]
 
     def describe(self, service):
-        """Return the `refusing.Line` of a service."""
+        """Return the `load_shedding.Line` of a service."""
         now = time.monotonic()
         usable = [t for t in self._table.list_service(service) if t.is_usable(now)]
-        return refusing.Line(
+        return load_shedding.Line(
             places=sum(target.slots for target in usable),
-            free=placing.count_free(usable, now),
+            free=target_choice.count_free(usable, now),
             waiting=self.count_waiting(service) + self.peers_waiting[service],
             hold_s=self.hold_s.get(service, FIRST_HOLD_S),
         )
@@ -167,7 +167,7 @@
             return
         others = max(0, self.peers_waiting[service])
         free = self.describe(service).free
-        allowed = beside.count_starts(free, own, others)
+        allowed = batch_queue.count_starts(free, own, others)
         if free:
             round_s = self._get_round_s()
             self._next_share_at[service] = now + round_s
@@ -199,7 +199,7 @@
             future.set_result(place)
 
     def _choose(self, service, avoid):
-        target = placing.choose_for_online(
+        target = target_choice.choose_for_online(
             self._table.list_service(service),
             time.monotonic(),
             self._failure_domain,
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -10,7 +10,6 @@
 from pimentowick import exception, supervisor
 from pimentowick.gateway import (
     admission,
-    batch,
     decision,
     dispatch,
     exchange,
@@ -18,6 +17,7 @@
     follower,
     handover,
     health,
+    job_api,
     ledger,
     metric,
     neighbour,
@@ -26,9 +26,9 @@
     relay,
     retention,
     runner,
-    soundness,
     target,
 )
+from pimentowick.gateway.policy import outlier_detection
 from pimentowick.platform import message, node, operator, store
 
 __all__ = ["Gateway", "run"]
@@ -60,7 +60,7 @@
 DRAIN_CHECK_S = 0.02
 CLEAN_EVERY_S = 5.0
 # Entries tell each other more seldom than this.
-SOUNDNESS_CHECK_S = 0.1
+OUTLIERS_CHECK_S = 0.1
 # Refusals whose decision has a line of its own, with what decided it.
 LOGGED_CODES = frozenset({"busy", "deadline_passed", "target_lost"})
 
@@ -88,11 +88,11 @@
             lambda: self.neighbours.round_s,
         )
         address = f"{settings.ip}:{settings.peer_ports[0]}"
-        self.soundness = soundness.Soundness(settings.failure_domain)
+        self.outliers = outlier_detection.OutlierDetection(settings.failure_domain)
         self.neighbours = neighbour.Neighbours(
-            address, self.table, self.admission, self.soundness, self._note_places
+            address, self.table, self.admission, self.outliers, self._note_places
         )
-        found_health = health.Health(self.soundness)
+        found_health = health.Health(self.outliers)
         self.ledgers = [
             ledger.Ledger(
                 self.store, JOBS_TOPIC, part, JOBS_PAUSE_S, HOLD_S, settings.call_bytes
@@ -132,7 +132,7 @@
         found_relay = relay.Relay(
             self.admission, self.pools.get, found_health, self.metrics
         )
-        desk = batch.BatchDesk(self.ledgers, settings.record_bytes, settings.call_bytes)
+        jobs = job_api.JobApi(self.ledgers, settings.record_bytes, settings.call_bytes)
         self._callers = exchange.Server(
             settings.callers_address,
             lambda request: self._dispatch.serve(request),
@@ -146,7 +146,7 @@
         self._feeds = self._make_feeds()
         self._retention = retention.Retention(settings, self.ownership)
         self._dispatch = dispatch.Dispatch(
-            self.configuration, self._feeds["configuration"], found_relay, desk
+            self.configuration, self._feeds["configuration"], found_relay, jobs
         )
 
     def _make_feeds(self):
@@ -199,7 +199,7 @@
         self._supervisor.start_child("ownership", self.ownership.run)
         self._supervisor.start_child("runner", self.runner.run)
         self._supervisor.start_child("clean", self._clean)
-        self._supervisor.start_child("soundness", self._rest_unsound)
+        self._supervisor.start_child("outliers", self._eject_outliers)
         self._supervisor.start_child("slow callers", self._callers.close_slow)
         decision.note_belief(
             "gateway.started", host=self.settings.name, store=self.store.address
@@ -279,20 +279,20 @@
     def _note_parts(self):
         self._supervisor.start_child("take over", self._handover.take_over)
 
-    async def _rest_unsound(self):
+    async def _eject_outliers(self):
         """Let targets rest that fail what they get, until cancelled."""
         while True:
-            await asyncio.sleep(SOUNDNESS_CHECK_S)
+            await asyncio.sleep(OUTLIERS_CHECK_S)
             changed = False
             for targets in self.table.list_by_service():
                 ids = [found.id for found in targets]
-                unsound = self.soundness.find_unsound(ids)
+                ejected = self.outliers.find_outliers(ids)
                 for found in targets:
-                    if found.unsound == (found.id in unsound):
+                    if found.ejected == (found.id in ejected):
                         continue
-                    found.unsound = not found.unsound
-                    name = "target.unsound" if found.unsound else "target.sound"
-                    bad = unsound.get(found.id, 0.0)
+                    found.ejected = not found.ejected
+                    name = "target.ejected" if found.ejected else "target.readmitted"
+                    bad = ejected.get(found.id, 0.0)
                     decision.note_belief(name, target=found.id, bad=bad)
                     changed = True
             if changed:
@@ -355,7 +355,7 @@
             free=sum(line.free for line in lines),
             waiting=sum(map(self.admission.count_waiting, services)),
             targets=len(self.table.by_id),
-            unsound=sum(found.unsound for found in self.table.by_id.values()),
+            ejected=sum(found.ejected for found in self.table.by_id.values()),
             open_jobs=sum(len(entry.book.open_jobs) for entry in self.ledgers),
             open_requests=self._callers.busy,
             store_calls=self.store.calls,
--- a/pimentowick/gateway/dispatch.py
+++ b/pimentowick/gateway/dispatch.py
@@ -1,4 +1,4 @@
-"""Where a caller's request goes: to the relay, to the desk of jobs, or nowhere."""
+"""Where a caller's request goes: to the relay, to the interface of jobs, or nowhere."""
 
 import time
 
@@ -16,14 +16,14 @@
         configuration: `pimentowick.gateway.follower.ConfigurationFollower`.
         feed: The `pimentowick.gateway.feed.Feed` that keeps it up to date.
         relay: `pimentowick.gateway.relay.Relay`.
-        desk: `pimentowick.gateway.batch.BatchDesk`.
+        job_api: `pimentowick.gateway.job_api.JobApi`.
     """
 
-    def __init__(self, configuration, feed, relay, desk):
+    def __init__(self, configuration, feed, relay, job_api):
         self._configuration = configuration
         self._feed = feed
         self._relay = relay
-        self._desk = desk
+        self._job_api = job_api
 
     async def serve(self, request):
         """Answer one `exchange.Exchange`.
@@ -59,17 +59,17 @@
                 verdict.Refusal(404, "unknown_route", "No route takes this path.")
             )
         if found.kind == route.Kind.BATCH:
-            await self._desk.submit(request, found, call)
+            await self._job_api.submit(request, found, call)
             return
         await self._relay.serve(request, found, call, current.version)
 
     async def _serve_job(self, request, call, wanted, job_id):
         if wanted == message.BatchCall.END:
-            await self._desk.end(request, job_id)
+            await self._job_api.end(request, job_id)
         elif wanted == message.BatchCall.READ:
-            await self._desk.read_results(request, job_id, call)
+            await self._job_api.read_results(request, job_id, call)
         elif wanted == message.BatchCall.BODY:
-            await self._desk.read_body(request, job_id)
+            await self._job_api.read_body(request, job_id)
         else:
             raise exception.RefusedError(
                 verdict.Refusal(405, "wrong_method", "This path takes other methods.")
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -28,7 +28,7 @@
         route: The `pimentowick.gateway.route.Route` of the job.
         service: Name of the service that the item goes to.
         transcript: The `pimentowick.gateway.transcript.Transcript`.
-        pace: The `pimentowick.gateway.pace.Pace` of the route.
+        service_time: The `service_time.ServiceTime` of the route (`gateway.policy`).
         not_before: Monotonic time of the next try.
         failures: Tries in a row without an event.
         target: The `pimentowick.gateway.target.Target`, while it runs.
@@ -39,7 +39,7 @@
     route: object
     service: str
     transcript: object
-    pace: object
+    service_time: object
     not_before: float = 0.0
     failures: int = 0
     target: object = None
@@ -63,7 +63,7 @@
     @property
     def left_s(self):
         """Seconds that the item still has to run."""
-        return self.pace.estimate_left(self.transcript.count_events())
+        return self.service_time.estimate_left(self.transcript.count_events())
 
 
 class Sink(upstream.Sink):
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -23,11 +23,11 @@
     """Learns from the outcomes of this entry's requests.
 
     Args:
-        soundness: The `pimentowick.gateway.soundness.Soundness`.
+        outliers: The `pimentowick.gateway.policy.outlier_detection.OutlierDetection`.
     """
 
-    def __init__(self, soundness):
-        self._soundness = soundness
+    def __init__(self, outliers):
+        self._outliers = outliers
 
     @contextlib.contextmanager
     def watch(self, target, objective_s, has_head, call_later):
@@ -42,7 +42,7 @@
 
         def check():
             if not has_head():
-                self._soundness.note(target.id, False)
+                self._outliers.note(target.id, False)
 
         handle = call_later(max(SILENT_S, 2 * objective_s), check)
         try:
@@ -67,11 +67,11 @@
         if outcome.end == upstream.End.NOT_RUN and outcome.connected:
             target.paused_until = max(target.paused_until, now + FULL_PAUSE_S)
             if free:
-                self._soundness.note(target.id, False)
+                self._outliers.note(target.id, False)
             return
         if outcome.connected and outcome.status != DEADLINE_STATUS:
             whole = outcome.end == upstream.End.WHOLE
-            self._soundness.note(target.id, whole and outcome.status < 500)
+            self._outliers.note(target.id, whole and outcome.status < 500)
         if outcome.end == upstream.End.WHOLE or outcome.status:
             target.failures = 0
             return
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -244,10 +244,10 @@
         end = f"Its last run was whole, at target {last.get('target')}."
     if end is None:
         end = f"Its last run broke off ({last.get('outcome', own[-1].event)})."
-    runs = counts["item.ran"] + counts["item.yielded"]
+    runs = counts["item.ran"] + counts["item.preempted"]
     return (
         f"{end} It ran {runs} times at {len(processes)} gateways, and gave its place "
-        f"to online requests {counts['item.yielded']} times."
+        f"to online requests {counts['item.preempted']} times."
     )
 
 
--- a/pimentowick/gateway/batch.py
+++ b/pimentowick/gateway/job_api.py
@@ -9,7 +9,7 @@
 from pimentowick.gateway import decision, ledger, record
 from pimentowick.platform import message
 
-__all__ = ["BatchDesk", "find_ledger"]
+__all__ = ["JobApi", "find_ledger"]
 
 # A caller waits some seconds for the acceptance; past this it comes again.
 SUBMIT_TIMEOUT_S = 3.0
@@ -27,7 +27,7 @@
     return ledgers[zlib.crc32(job_id.encode()) % len(ledgers)]
 
 
-class BatchDesk:
+class JobApi:
     """Answers the calls about batch jobs.
 
     Args:
--- a/pimentowick/gateway/loss.py
+++ b/pimentowick/gateway/loss.py
@@ -86,10 +86,10 @@
 
 def _explain_late_item(own, runs):
     processes = {line.process for line in own}
-    yields = sum(line.event == "item.yielded" for line in own)
+    preemptions = sum(line.event == "item.preempted" for line in own)
     broken = sum(line.data.get("outcome") != "answered" for line in runs)
     sent = [line for line in own if line.event == "item.sent"]
-    if len(sent) > yields + len(runs):
+    if len(sent) > preemptions + len(runs):
         return "its gateway ended or lost its part"
     if len(processes) > 1:
         return "its part was dealt to another gateway"
@@ -97,7 +97,7 @@
         return "a target broke off"
     if sent and sent[0].data.get("due_in_s", 0.0) < 0:
         return "it began after it was due"
-    if yields:
+    if preemptions:
         return "it gave its place to online requests"
     return "waited for a place"
 
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -24,7 +24,7 @@
         free: Those without an online request.
         waiting: Online requests that wait here.
         targets: Number of targets that are listed.
-        unsound: Number of those that rest, since they fail what they get.
+        ejected: Number of those that rest, since they fail what they get.
         open_jobs: Number of jobs with items that may still run.
         open_requests: Number of requests that are not answered yet.
         store_calls: Calls of the store by name.
@@ -37,7 +37,7 @@
     free: int
     waiting: int
     targets: int
-    unsound: int
+    ejected: int
     open_jobs: int
     open_requests: int
     store_calls: dict
@@ -92,7 +92,7 @@
             "pimentowick_gateway_waiting_requests", "Online requests that wait here."
         )
         self._targets = self._make_gauge(
-            "pimentowick_gateway_targets", "Targets by state: listed, unsound."
+            "pimentowick_gateway_targets", "Targets by state: listed, ejected."
         )
         self._jobs = self._make_gauge(
             "pimentowick_gateway_open_jobs", "Jobs with items that may still run."
@@ -147,7 +147,7 @@
         self._places.set({"state": "free"}, state.free)
         self._waiting.set({}, state.waiting)
         self._targets.set({"state": "listed"}, state.targets)
-        self._targets.set({"state": "unsound"}, state.unsound)
+        self._targets.set({"state": "ejected"}, state.ejected)
         self._jobs.set({}, state.open_jobs)
         self._busy.set({}, state.open_requests)
         for name, count in state.store_calls.items():
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -21,7 +21,7 @@
 
 __all__ = ["Neighbour", "Neighbours"]
 
-# Coalesces the changes of one wave; an item yields this much later.
+# Coalesces the changes of one wave; an item is preempted this much later.
 FLUSH_S = 0.01
 # Datagrams that one entry gets in a second at most, measured at 60 us of processor
 # time each. Each of its peers sends its share, and saves up some while nothing
@@ -76,7 +76,7 @@
         address: ``IP:port`` of this entry.
         table: `pimentowick.gateway.target.TargetTable`.
         admission: `pimentowick.gateway.admission.Admission`.
-        soundness: `pimentowick.gateway.soundness.Soundness`.
+        outliers: `pimentowick.gateway.policy.outlier_detection.OutlierDetection`.
         on_news: Function called when a neighbour told a change.
 
     Attributes:
@@ -88,12 +88,12 @@
         peers_pending: Weight of those that wait at other entries, by service.
     """
 
-    def __init__(self, address, table, admission, soundness, on_news):
+    def __init__(self, address, table, admission, outliers, on_news):
         self.address = address
         self.peers = {}
         self._table = table
         self._admission = admission
-        self._soundness = soundness
+        self._outliers = outliers
         self._on_news = on_news
         self._transport = None
         self._changed = asyncio.Event()
@@ -132,7 +132,7 @@
         peer = self.peers.pop(address, None)
         if peer is not None:
             self._replace(peer, {}, {}, {})
-            self._soundness.replace(address, "", {})
+            self._outliers.replace(address, "", {})
 
     def note_change(self):
         """Note that what runs here has changed."""
@@ -210,14 +210,14 @@
         services = self._admission.list_services()
         waiting = {name: self._admission.count_waiting(name) for name in services}
         age_s = self.get_renewal_age()
-        failing = self._soundness.describe()
+        failing = self._outliers.describe()
         return {
             "loads": loads,
             "waiting": waiting,
             "pending": self.pending,
             "renewed_s_ago": None if age_s is None else round(age_s, AGE_DIGITS),
             "parts": sorted(self.get_held_parts()),
-            "failure_domain": self._soundness.failure_domain if failing else "",
+            "failure_domain": self._outliers.failure_domain if failing else "",
             "failing": failing,
         }
 
@@ -270,7 +270,7 @@
         peer.parts = parts
         self._replace(peer, loads, waiting, pending)
         domain = str(found.get("failure_domain", ""))
-        self._soundness.replace(address, domain, failing)
+        self._outliers.replace(address, domain, failing)
         if changed:
             self._on_news()
 
@@ -286,7 +286,7 @@
                 self._replace(peer, {}, {}, {})
                 dropped = True
             if now - peer.heard_at > SILENT_S:
-                self._soundness.replace(peer.address, "", {})
+                self._outliers.replace(peer.address, "", {})
                 # Started anew by a clock that was set back, it counts from below.
                 peer.number = 0
             if now - peer.heard_at > FORGET_S:
--- a/pimentowick/gateway/beside.py
+++ b/pimentowick/gateway/policy/batch_queue.py
@@ -1,24 +1,14 @@
-"""How much batch work runs beside online requests, and who yields.
+"""Which batch items start beside online requests, how many of them, and in which order.
 
 Notes:
-    Load pattern: online requests come in waves that last seconds, a batch item holds
-    its place longer than a wave. An item yields within a message between entries,
-    and goes on elsewhere after its last event: that costs one more read of its
-    prompt, some milliseconds of a target.
+    Load pattern: places become free in the lows between waves of online requests, for
+    a few seconds; all entries see them at the same time and have items that wait.
 """
 
 import math
 import random
 
-from pimentowick import rendezvous
-
-__all__ = [
-    "count_starts",
-    "count_yields",
-    "is_late",
-    "order_items",
-    "weigh_pending",
-]
+__all__ = ["count_starts", "is_late", "order_items", "weigh_pending"]
 
 LATE_WEIGHT = 0.1
 
@@ -27,7 +17,7 @@
     """Return how many items an entry starts now, its share of the room there is.
 
     All entries see the same free places at the same time. Each filling them alone,
-    most items would have to yield again before their first event (194 of 404 yields
+    most items would be preempted again before their first event (194 of 404 preemptions
     on a measured day).
 
     Args:
@@ -48,34 +38,6 @@
     return min(math.ceil(own), room, int(share + draw()))
 
 
-def count_yields(target, own, peers):
-    """Return how many of its own items an entry takes off a target.
-
-    All entries work it out alike from what they told each other, so that together
-    they take off as many items as the target has requests too many.
-
-    Args:
-        target: The `pimentowick.gateway.target.Target`.
-        own: Name of this entry.
-        peers: Number of items of each other entry at the target, by name.
-
-    Returns:
-        Number of items.
-    """
-    excess = target.all_online + target.all_batch - target.slots
-    if excess <= 0 or not target.batch:
-        return 0
-    counts = dict(peers)
-    counts[own] = target.batch
-    order = sorted(counts, key=lambda name: rendezvous.weigh(target.id, name))
-    for name in order:
-        share = min(excess, counts[name])
-        if name == own:
-            return share
-        excess -= share
-    return 0
-
-
 def order_items(pending, now):
     """Return what waits in the order in which it starts.
 
--- a/pimentowick/gateway/refusing.py
+++ b/pimentowick/gateway/policy/load_shedding.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-__all__ = ["Line", "estimate_wait", "is_hopeless", "make_retry_after"]
+__all__ = ["Line", "estimate_wait", "make_retry_after", "should_shed"]
 
 # Time from the start at a target to the first event on a target with free places
 # (69 ms at the median of a calm day; the rest is a margin).
@@ -59,7 +59,7 @@
     return (line.waiting + 1 - line.free) * line.hold_s / line.places
 
 
-def is_hopeless(line, objective_s, time_s=0.0):
+def should_shed(line, objective_s, time_s=0.0):
     """Return whether a request that comes now is better told so at once.
 
     Args:
--- a/pimentowick/gateway/soundness.py
+++ b/pimentowick/gateway/policy/outlier_detection.py
@@ -15,7 +15,7 @@
 import dataclasses
 import time
 
-__all__ = ["Soundness", "Tally"]
+__all__ = ["OutlierDetection", "Tally"]
 
 HALF_LIFE_S = 2.0
 # Sound targets that lose 3 in 100 of their answers stay below both.
@@ -27,7 +27,7 @@
 # A count that has faded below this is not told any more.
 LEAST_TOLD = 0.3
 # Most targets of a service that rest at once: the load of the others grows by it,
-# and an entry that is cut off would else take all of them for unsound.
+# and an entry that is cut off would else eject all of them.
 MOST_RESTING_SHARE = 0.2
 
 
@@ -47,7 +47,7 @@
         self.at = now
 
 
-class Soundness:
+class OutlierDetection:
     """Keeps the counts of this entry and of its neighbours.
 
     Args:
@@ -87,7 +87,7 @@
         else:
             self._peers.pop(address, None)
 
-    def find_unsound(self, targets, now=None):
+    def find_outliers(self, targets, now=None):
         """Return the bad outcomes of each target of one service that should rest.
 
         Args:
--- a/pimentowick/gateway/pace.py
+++ b/pimentowick/gateway/policy/service_time.py
@@ -1,6 +1,6 @@
 """How long the items of a batch route take, from those that ran."""
 
-__all__ = ["Pace"]
+__all__ = ["ServiceTime"]
 
 # Weight of the newest run in the means.
 WEIGHT = 0.1
@@ -9,16 +9,16 @@
 INTERRUPTION_SHARE = 1.2
 
 
-class Pace:
+class ServiceTime:
     """Moving means of one route; nothing is known before the first item is done.
 
     Examples:
-        >>> pace = Pace()
-        >>> pace.estimate_left(0)
+        >>> found = ServiceTime()
+        >>> found.estimate_left(0)
         0.0
-        >>> pace.note_run(50, 1.0)
-        >>> pace.note_item(100)
-        >>> round(pace.estimate_left(40), 3)
+        >>> found.note_run(50, 1.0)
+        >>> found.note_item(100)
+        >>> round(found.estimate_left(40), 3)
         1.44
     """
 
--- a/pimentowick/gateway/placing.py
+++ b/pimentowick/gateway/policy/target_choice.py
@@ -3,10 +3,10 @@
 Notes:
     Load pattern: online requests hold a place for about a second and come in waves
     of some seconds at twice to five times the lows; batch items fill the lows. An
-    online request may go to a target that is full of batch items, since one of those
-    yields at once (see `pimentowick.gateway.beside`); it may not go where other
-    online requests fill all places, since engines know no priority and it would wait
-    behind them.
+    online request may go to a target that is full of batch items, since one of those is
+    preempted at once (see `pimentowick.gateway.policy.preemption`); it may not go where
+    other online requests fill all places, since engines know no priority and it would
+    wait behind them.
 
     What entries know of each other is some 20 to 80 ms old. Each taking the least busy
     target, all would send what comes in that time to the same one. Here a target is
@@ -22,9 +22,9 @@
 __all__ = ["choose_for_batch", "choose_for_online", "count_free", "count_room"]
 
 # Share of all places that batch items leave free: an online request that comes in
-# then starts without waiting for an item to yield, and the item is not broken off.
-# None at all cost 1,953 yields in place of 526 on a day at full load, a place of each
-# target (a seventh) left batch work that time undone.
+# then starts without waiting for a preemption, and the item is not broken off.
+# None at all cost 1,953 preemptions in place of 526 on a day at full load, a place of
+# each target (a seventh) left batch work that time undone.
 HEADROOM_SHARE = 0.06
 
 
@@ -62,7 +62,7 @@
         and target.all_online < target.slots
     ]
     free = [target for target in usable if _count_untaken(target) > 0]
-    # Where none is free, an item yields, sooner where few already have to.
+    # Where none is free, an item is preempted, sooner where few already have to.
     drawn = _draw(free, _count_untaken, failure_domain) or _draw(
         usable, lambda target: target.slots - target.all_online, failure_domain
     )
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -6,14 +6,8 @@
 import time
 
 from pimentowick import verdict
-from pimentowick.gateway import (
-    admission,
-    decision,
-    passing,
-    refusing,
-    route,
-    upstream,
-)
+from pimentowick.gateway import admission, decision, response, route, upstream
+from pimentowick.gateway.policy import load_shedding
 from pimentowick.platform import message
 
 __all__ = ["Relay"]
@@ -108,7 +102,7 @@
         self._call = call
         self._ends_at = exchange.received_at + bound_s
         self._progress = _Progress()
-        self._sink = passing.Sink(exchange, found.kind == route.Kind.STREAM)
+        self._sink = response.Sink(exchange, found.kind == route.Kind.STREAM)
         self._service = found.choose_service()
         self._place = None
         self._status = 0
@@ -123,8 +117,8 @@
         demand = admission.Demand(
             self._service,
             self._route.priority,
-            received_at + objective_s - refusing.FIRST_EVENT_S,
-            received_at + time_s * refusing.LONGEST_SHARE,
+            received_at + objective_s - load_shedding.FIRST_EVENT_S,
+            received_at + time_s * load_shedding.LONGEST_SHARE,
         )
         while True:
             place = await self._take_place(demand)
@@ -152,7 +146,7 @@
         line = self._admission.describe(self._service)
         first = not self._progress.been_at
         time_s = self._ends_at - self._exchange.received_at
-        if first and refusing.is_hopeless(line, self._route.objective_s, time_s):
+        if first and load_shedding.should_shed(line, self._route.objective_s, time_s):
             return None
         decision.note_request(
             "online.queued",
@@ -163,7 +157,7 @@
             free=line.free,
             places=line.places,
             waiting=line.waiting,
-            expected_s=refusing.estimate_wait(line),
+            expected_s=load_shedding.estimate_wait(line),
         )
         return await self._admission.wait(demand, avoid if line.places > 0 else ())
 
@@ -260,7 +254,7 @@
             503,
             "busy",
             "All targets are busy. Come back after the time in Retry-After.",
-            retry_after=refusing.make_retry_after(line),
+            retry_after=load_shedding.make_retry_after(line),
         )
         self._status = 503
         await self._exchange.refuse(refusal)
--- a/pimentowick/gateway/orphan.py
+++ b/pimentowick/gateway/route_removal.py
@@ -1,13 +1,13 @@
 """Open jobs whose route the operator has removed."""
 
-__all__ = ["GRACE_S", "Orphans"]
+__all__ = ["GRACE_S", "RemovedRoutes"]
 
 # An operator who moves a route may remove it before adding it elsewhere; its jobs
 # wait for so long. Assumed.
 GRACE_S = 10.0
 
 
-class Orphans:
+class RemovedRoutes:
     """Notes since when open jobs have no route.
 
     Without an end their items would stay open for good, and their bodies in the store.
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -6,23 +6,26 @@
 
 from pimentowick import exception
 from pimentowick.gateway import (
-    beside,
     decision,
     execution,
-    orphan,
     ownership,
-    pace,
-    placing,
+    route_removal,
     transcript,
     upstream,
 )
+from pimentowick.gateway.policy import (
+    batch_queue,
+    preemption,
+    service_time,
+    target_choice,
+)
 
 __all__ = ["Runner"]
 
 # How often what waits is looked at when nothing changes.
 TICK_S = 0.1
 # Longer than it takes to record that an item is given up.
-ORPHANS_EVERY_S = 2.0
+REMOVED_EVERY_S = 2.0
 # News of neighbours come some hundred times a second. Items yield at once; what waits
 # is put in order less often, which costs some 10 us an item.
 LEAST_PAUSE_S = 0.005
@@ -76,14 +79,14 @@
         self._metrics = metrics
         self._on_change = on_change
         self._runs = {}
-        self._paces = {}
+        self._service_times = {}
         self._wake = asyncio.Event()
         self._saving = set()
         self._collected = None
         self._next_round_at = 0.0
         self._next_look_at = 0.0
-        self._orphans = orphan.Orphans()
-        self._next_orphans_at = 0.0
+        self._removed = route_removal.RemovedRoutes()
+        self._next_removed_at = 0.0
         self._ending = set()
         self._recording = collections.Counter()
         self.owned = frozenset()
@@ -119,7 +122,7 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            self.yield_places()
+            self.preempt()
             self._look_at_waiting()
             await asyncio.sleep(LEAST_PAUSE_S)
 
@@ -129,7 +132,7 @@
             return
         self._next_look_at = now + LOOK_PAUSE_S
         self._collect()
-        self._give_up_orphans()
+        self._give_up_removed()
         self._start_waiting()
 
     def _get_pause(self):
@@ -146,7 +149,7 @@
         self._runs.clear()
         await asyncio.gather(*self._saving, return_exceptions=True)
 
-    def yield_places(self):
+    def preempt(self):
         """Take items off targets that have more requests than places."""
         running = {}
         for run in self._runs.values():
@@ -155,12 +158,12 @@
         for runs in running.values():
             target = runs[0].target
             peers = self.neighbours.get_batch_counts(target.id)
-            count = beside.count_yields(target, self._name, peers)
+            count = preemption.count_preemptions(target, self._name, peers)
             runs.sort(key=lambda run: run.steps_done)
             for run in runs[:count]:
-                self._metrics.count_item("yielded")
+                self._metrics.count_item("preempted")
                 decision.note_request(
-                    "item.yielded",
+                    "item.preempted",
                     run.item.id,
                     job=run.job.id,
                     target=target.id,
@@ -208,30 +211,32 @@
                 if run is not None:
                     self._cancel(run)
                 made = transcript.Transcript(book, found, number)
-                taken = self._paces.setdefault(route.name, pace.Pace())
+                taken = self._service_times.setdefault(
+                    route.name, service_time.ServiceTime()
+                )
                 run = execution.Run(found, route, route.choose_service(), made, taken)
                 self._runs[key] = run
             if run.route is not route:
                 run.route = route
                 run.service = route.choose_service()
 
-    def _give_up_orphans(self):
+    def _give_up_removed(self):
         """List the items of jobs whose route was removed as not done."""
         now = time.monotonic()
         configuration = self._get_configuration()
-        if configuration is None or now < self._next_orphans_at:
+        if configuration is None or now < self._next_removed_at:
             return
-        self._next_orphans_at = now + ORPHANS_EVERY_S
-        found = self._orphans.list_given_up(self._ledgers, configuration, now)
+        self._next_removed_at = now + REMOVED_EVERY_S
+        found = self._removed.list_given_up(self._ledgers, configuration, now)
         for book, job in found:
             for number, item in enumerate(job.items):
                 part = ownership.find_part(item.id, self._parts)
                 key = (job.id, number)
                 if item.result is None and part in self.owned:
                     made = transcript.Transcript(book, job, number)
-                    self._end_orphan(key, made)
+                    self._end_removed(key, made)
 
-    def _end_orphan(self, key, made):
+    def _end_removed(self, key, made):
         if key in self._ending:
             return
 
@@ -263,7 +268,7 @@
             if run.task is None and run.not_before <= now
         ]
         ready = []
-        for run in beside.order_items(waiting, unix_now):
+        for run in batch_queue.order_items(waiting, unix_now):
             given_up_at = run.job.submitted_s + run.route.abandon_after_s
             if unix_now > given_up_at + CLOCK_MARGIN_S:
                 self._spawn(run, self._list_dead(run, "abandoned"))
@@ -280,7 +285,7 @@
         for run in ready:
             by_service.setdefault(run.service, []).append(run)
         pending = {
-            service: round(beside.weigh_pending(runs, now), 1)
+            service: round(batch_queue.weigh_pending(runs, now), 1)
             for service, runs in by_service.items()
         }
         if pending != self.neighbours.pending:
@@ -291,14 +296,14 @@
         """Start as many items as are this entry's share of the free places."""
         allowed = {}
         for service in {run.service for run in ready}:
-            room = placing.count_room(self._table.list_service(service), now)
+            room = target_choice.count_room(self._table.list_service(service), now)
             own = self.neighbours.pending.get(service, 0)
             others = max(0, self.neighbours.peers_pending[service])
-            allowed[service] = beside.count_starts(room, own, others)
+            allowed[service] = batch_queue.count_starts(room, own, others)
         for run in ready:
             if not allowed[run.service]:
                 continue
-            target = placing.choose_for_batch(
+            target = target_choice.choose_for_batch(
                 self._table.list_service(run.service), now, self._failure_domain
             )
             if target is None:
@@ -391,14 +396,14 @@
             took_s=time.monotonic() - started_at,
             due_in_s=run.due_at - time.time(),
         )
-        run.pace.note_run(sink.events, time.monotonic() - started_at)
+        run.service_time.note_run(sink.events, time.monotonic() - started_at)
         self._release(run)
         await self._conclude(run, outcome, sink)
 
     async def _conclude(self, run, outcome, sink):
         if outcome.end == upstream.End.WHOLE and outcome.status == 200:
             if sink.is_whole() and run.transcript.last_event is not None:
-                run.pace.note_item(run.transcript.count_events())
+                run.service_time.note_item(run.transcript.count_events())
                 await run.transcript.finish(RECORD_TIMEOUT_S)
                 return
         if outcome.end == upstream.End.WHOLE and outcome.status == 422:
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -43,7 +43,7 @@
         gone: Whether it is no longer listed.
         paused_until: Monotonic time until which it gets no new work.
         failures: Connections in a row that failed.
-        unsound: Whether it fails too many of the requests that it gets.
+        ejected: Whether it fails too many of the requests that it gets.
     """
 
     def __init__(self, registration):
@@ -55,7 +55,7 @@
         self.gone = False
         self.paused_until = 0.0
         self.failures = 0
-        self.unsound = False
+        self.ejected = False
 
     @property
     def id(self):
@@ -81,7 +81,7 @@
         """Return whether new work may be sent."""
         return (
             not self.gone
-            and not self.unsound
+            and not self.ejected
             and not self.registration.leaving
             and now >= self.paused_until
         )
--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -8,7 +8,8 @@
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import daemon, decision, soundness
+from pimentowick.gateway import daemon, decision
+from pimentowick.gateway.policy import outlier_detection
 from pimentowick.platform import node
 
 ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
@@ -323,7 +324,7 @@
 def test_target_that_fails_all_it_gets_is_left_alone_for_a_while(monkeypatch):
     # A target is listed, takes requests at once and answers none: it looks free, and
     # draws more than its share of them.
-    monkeypatch.setattr(soundness, "HALF_LIFE_S", 600.0)
+    monkeypatch.setattr(outlier_detection, "HALF_LIFE_S", 600.0)
     servers = [replica.Replica(f"i-{n}", gap_s=0.01) for n in range(6)]
     servers[0].plan = [replica.Behaviour("vanish") for _ in range(60)]
 
@@ -333,17 +334,17 @@
         for number in range(80):
             bad.paused_until = 0.0
             await send(site, f"r{number}")
-            if bad.unsound:
+            if bad.ejected:
                 break
         else:
             raise AssertionError("the target that fails was never let rest")
         others = [found for found in gateway.table.by_id.values() if found is not bad]
-        assert not any(found.unsound for found in others)
+        assert not any(found.ejected for found in others)
         before = sum(servers[0].runs.values())
         for number in range(10):
             bad.paused_until = 0.0
             assert (await send(site, f"s{number}")).status == 200
-        assert bad.unsound
+        assert bad.ejected
         assert sum(servers[0].runs.values()) == before
 
     run_with(servers, check)
--- a/pimentowick/gateway/tests/test_batch.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -6,7 +6,7 @@
 
 from pimentowick import exception
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import orphan, runner
+from pimentowick.gateway import route_removal, runner
 
 BATCH = platform_site.make_route(
     "/lot/",
@@ -323,8 +323,8 @@
 def test_items_of_a_removed_route_are_given_up_after_a_while(monkeypatch):
     # The operator removes a route for good while a job of it is open. Its items can
     # never run; without an end the job's reader would wait for good.
-    monkeypatch.setattr(orphan, "GRACE_S", 0.2)
-    monkeypatch.setattr(runner, "ORPHANS_EVERY_S", 0.05)
+    monkeypatch.setattr(route_removal, "GRACE_S", 0.2)
+    monkeypatch.setattr(runner, "REMOVED_EVERY_S", 0.05)
 
     async def check(site):
         server = site.replicas[0]
--- a/pimentowick/gateway/tests/test_loss.py
+++ b/pimentowick/gateway/tests/test_loss.py
@@ -43,7 +43,7 @@
 
 
 ITEM_SENT = make_line("item.sent", due_in_s=9.0)
-YIELDED = make_line("item.yielded", 2.0)
+PREEMPTED = make_line("item.preempted", 2.0)
 
 
 @pytest.mark.parametrize(
@@ -52,7 +52,7 @@
         ([ITEM_SENT, make_ran(1.0)], ""),
         ([ITEM_SENT, make_ran(-1.0)], "late: waited for a place"),
         (
-            [ITEM_SENT, YIELDED, ITEM_SENT, make_ran(-1.0)],
+            [ITEM_SENT, PREEMPTED, ITEM_SENT, make_ran(-1.0)],
             "late: it gave its place to online requests",
         ),
         (
@@ -60,7 +60,7 @@
             "late: its gateway ended or lost its part",
         ),
         (
-            [ITEM_SENT, YIELDED, ITEM_SENT, make_ran(-1.0, process="front-2")],
+            [ITEM_SENT, PREEMPTED, ITEM_SENT, make_ran(-1.0, process="front-2")],
             "late: its part was dealt to another gateway",
         ),
         (
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -3,7 +3,8 @@
 import orjson
 
 from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway import admission, neighbour, soundness, target
+from pimentowick.gateway import admission, neighbour, target
+from pimentowick.gateway.policy import outlier_detection
 
 ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
 
@@ -14,7 +15,11 @@
     line = admission.Admission(table, "a")
     news = []
     found = neighbour.Neighbours(
-        "me:1", table, line, soundness.Soundness("a"), lambda: news.append(1)
+        "me:1",
+        table,
+        line,
+        outlier_detection.OutlierDetection("a"),
+        lambda: news.append(1),
     )
     return found, table.by_id["t"], line, news
 
--- a/pimentowick/gateway/tests/test_soundness.py
+++ b/pimentowick/gateway/tests/test_outlier_detection.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pimentowick.gateway import soundness
+from pimentowick.gateway.policy import outlier_detection
 
 TARGETS = [f"t{n}" for n in range(22)]
 
@@ -11,7 +11,9 @@
     """Entries that tell each other all their counts every 0.1 s."""
 
     def __init__(self, count, domains=3):
-        self.found = [soundness.Soundness(f"d{n % domains}") for n in range(count)]
+        self.found = [
+            outlier_detection.OutlierDetection(f"d{n % domains}") for n in range(count)
+        ]
         self.resting = [set() for _ in self.found]
 
     def exchange(self, now):
@@ -20,7 +22,7 @@
             for other in self.found:
                 if other is not entry:
                     other.replace(number, entry.failure_domain, told)
-        self.resting = [set(entry.find_unsound(TARGETS, now)) for entry in self.found]
+        self.resting = [set(entry.find_outliers(TARGETS, now)) for entry in self.found]
 
 
 def replay(seed, is_bad, seconds=8, per_second=200, domains=3):
@@ -85,29 +87,29 @@
 
 
 def test_entry_that_is_cut_off_does_not_take_all_targets_for_unsound():
-    found = soundness.Soundness("a")
+    found = outlier_detection.OutlierDetection("a")
     for target in TARGETS:
         for _ in range(9):
             found.note(target, False, 0.0)
-    assert len(found.find_unsound(TARGETS, 0.0)) == 4
-    assert len(found.find_unsound(TARGETS[:2], 0.0)) == 1
-    assert not found.find_unsound(TARGETS[:1], 0.0)
+    assert len(found.find_outliers(TARGETS, 0.0)) == 4
+    assert len(found.find_outliers(TARGETS[:2], 0.0)) == 1
+    assert not found.find_outliers(TARGETS[:1], 0.0)
 
 
 def test_target_gets_requests_again_once_its_failures_have_faded():
-    found = soundness.Soundness("a")
+    found = outlier_detection.OutlierDetection("a")
     for _ in range(6):
         found.note("t0", False, 0.0)
-    assert found.find_unsound(TARGETS, 0.5) == {"t0": pytest.approx(6 * 0.5**0.25)}
-    assert not found.find_unsound(TARGETS, 2.5)
+    assert found.find_outliers(TARGETS, 0.5) == {"t0": pytest.approx(6 * 0.5**0.25)}
+    assert not found.find_outliers(TARGETS, 2.5)
     assert found.describe(60.0) == {}
 
 
 def test_two_neighbours_have_to_agree_and_one_that_is_gone_is_not_counted():
-    found = soundness.Soundness("a")
+    found = outlier_detection.OutlierDetection("a")
     found.replace("p", "b", {"t0": [9.0, 1.0]})
-    assert not found.find_unsound(TARGETS)
+    assert not found.find_outliers(TARGETS)
     found.replace("q", "b", {"t0": [2.0, 1.0]})
-    assert list(found.find_unsound(TARGETS)) == ["t0"]
+    assert list(found.find_outliers(TARGETS)) == ["t0"]
     found.replace("p", "b", {})
-    assert not found.find_unsound(TARGETS)
+    assert not found.find_outliers(TARGETS)
--- a/pimentowick/gateway/tests/test_decisions.py
+++ b/pimentowick/gateway/tests/test_policy.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from pimentowick.gateway import beside, placing, refusing, target
+from pimentowick.gateway import target
+from pimentowick.gateway.policy import (
+    batch_queue,
+    load_shedding,
+    preemption,
+    target_choice,
+)
 
 SLOTS = 8
 
@@ -32,19 +38,19 @@
                 each.online -= 1
                 running -= 1
         while running < wanted:
-            chosen = placing.choose_for_online(targets, 0.0, "a")
+            chosen = target_choice.choose_for_online(targets, 0.0, "a")
             chosen.online += 1
             running += 1
         for each in targets:
-            each.batch -= beside.count_yields(each, "me", {})
+            each.batch -= preemption.count_preemptions(each, "me", {})
             assert each.online <= each.slots
             assert each.online + each.batch <= each.slots
-        while (chosen := placing.choose_for_batch(targets, 0.0, "a")) is not None:
+        while (chosen := target_choice.choose_for_batch(targets, 0.0, "a")) is not None:
             chosen.batch += 1
         totals = [each.online + each.batch for each in targets]
         assert max(totals) <= SLOTS
         online = sum(each.online for each in targets)
-        headroom = math.ceil(5 * SLOTS * placing.HEADROOM_SHARE)
+        headroom = math.ceil(5 * SLOTS * target_choice.HEADROOM_SHARE)
         assert sum(totals) >= max(online, 5 * SLOTS - headroom)
 
 
@@ -72,7 +78,7 @@
     # most would wait there behind others while places elsewhere stay free.
     seeds = range(200)
     crowded = sum(
-        count_crowded(lambda t: placing.choose_for_online(t, 0.0, "a"), seed)
+        count_crowded(lambda t: target_choice.choose_for_online(t, 0.0, "a"), seed)
         for seed in seeds
     )
     baseline = sum(count_crowded(choose_least_busy, seed) for seed in seeds)
@@ -85,25 +91,25 @@
     for each in targets:
         each.online = SLOTS - 1
         each.peers_online = 1
-    assert placing.choose_for_online(targets, 0.0, "a") is None
+    assert target_choice.choose_for_online(targets, 0.0, "a") is None
 
 
 def test_target_that_leaves_rests_or_was_tried_is_passed_over():
     targets = make_targets(4)
     targets[0].gone = True
     targets[1].paused_until = 5.0
-    assert placing.choose_for_online(targets, 1.0, "a", {"t2"}).id == "t3"
-    assert placing.choose_for_online(targets, 9.0, "a", {"t2", "t3"}).id == "t1"
+    assert target_choice.choose_for_online(targets, 1.0, "a", {"t2"}).id == "t3"
+    assert target_choice.choose_for_online(targets, 9.0, "a", {"t2", "t3"}).id == "t1"
 
 
 def test_equal_targets_nearby_go_first():
     targets = make_targets(1, domain="far") + make_targets(1, domain="near")
-    chosen = {placing.choose_for_online(targets, 0.0, "near") for _ in range(20)}
+    chosen = {target_choice.choose_for_online(targets, 0.0, "near") for _ in range(20)}
     assert chosen == {targets[1]}
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_entries_yield_together_as_much_as_needed(seed):
+def test_entries_preempt_together_as_much_as_needed(seed):
     # Several entries run items at a target that online requests have filled. Each
     # decides alone from what all have told, and together they take off as many
     # items as there are requests too many: fewer would make online callers wait,
@@ -111,16 +117,16 @@
     draw = random.Random(seed)
     counts = {f"e{n}": draw.randrange(4) for n in range(5)}
     online = draw.randrange(SLOTS + 3)
-    yields = 0
+    preempted = 0
     for name, own in counts.items():
         (seen,) = make_targets(1)
         seen.batch = own
         seen.peers_batch = sum(counts.values()) - own
         seen.peers_online = online
         peers = {key: value for key, value in counts.items() if key != name and value}
-        yields += beside.count_yields(seen, name, peers)
+        preempted += preemption.count_preemptions(seen, name, peers)
     total = sum(counts.values())
-    assert yields == min(total, max(0, online + total - SLOTS))
+    assert preempted == min(total, max(0, online + total - SLOTS))
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -132,14 +138,14 @@
     waiting = [draw.randrange(1, 12) for _ in range(8)]
     room = draw.randrange(1, 30)
     started = sum(
-        beside.count_starts(room, own, sum(waiting) - own, draw.random)
+        batch_queue.count_starts(room, own, sum(waiting) - own, draw.random)
         for own in waiting
     )
     wanted = min(room, sum(waiting))
     assert abs(started - wanted) <= len(waiting) / 2
 
 
-def test_hopeless_requests_are_refused_and_others_wait():
+def test_requests_that_would_be_late_are_refused_and_others_wait():
     # Two of five targets are lost in a wave: more requests come than places become
     # free. Those that would be late are told at once, the others are in time.
     hold_s = 0.8
@@ -147,36 +153,36 @@
     places = 24
     outcomes = collections.Counter()
     for waiting in range(60):
-        line = refusing.Line(places, 0, waiting, hold_s)
-        hopeless = refusing.is_hopeless(line, objective_s)
+        line = load_shedding.Line(places, 0, waiting, hold_s)
+        shed = load_shedding.should_shed(line, objective_s)
         in_time = (waiting + 1) * hold_s / places + 0.08 <= objective_s
-        assert hopeless != in_time
-        outcomes[hopeless] += 1
-        if hopeless:
-            again_s = refusing.make_retry_after(line)
+        assert shed != in_time
+        outcomes[shed] += 1
+        if shed:
+            again_s = load_shedding.make_retry_after(line)
             assert 0.1 <= again_s <= 1.5
     assert outcomes[False] == 6
 
 
-def test_short_objective_does_not_make_every_wait_hopeless():
+def test_short_objective_does_not_make_every_wait_too_long():
     # A service answers within 20 ms and promises 50: a request waits the millisecond
     # until a place is free.
-    assert not refusing.is_hopeless(refusing.Line(18, 0, 0, 0.02), 0.05)
+    assert not load_shedding.should_shed(load_shedding.Line(18, 0, 0, 0.02), 0.05)
 
 
 def test_late_request_waits_as_long_as_its_answer_is_of_use():
     # In a wave twenty requests more than places wait. Told to come back, their
     # callers are late as well, and most are refused again.
-    line = refusing.Line(40, 0, 20, 0.8)
-    assert refusing.is_hopeless(line, 0.3)
-    assert not refusing.is_hopeless(line, 0.3, 2.0)
-    assert refusing.is_hopeless(line, 0.3, 1.0)
+    line = load_shedding.Line(40, 0, 20, 0.8)
+    assert load_shedding.should_shed(line, 0.3)
+    assert not load_shedding.should_shed(line, 0.3, 2.0)
+    assert load_shedding.should_shed(line, 0.3, 1.0)
 
 
 def test_without_any_target_a_caller_is_not_held():
-    line = refusing.Line(0, 0, 0, 0.5)
-    assert refusing.is_hopeless(line, 10.0)
-    assert refusing.make_retry_after(line) == refusing.LONGEST_RETRY_S
+    line = load_shedding.Line(0, 0, 0, 0.5)
+    assert load_shedding.should_shed(line, 10.0)
+    assert load_shedding.make_retry_after(line) == load_shedding.LONGEST_RETRY_S
 
 
 Item = collections.namedtuple("Item", "due_at steps_done left_s", defaults=(0.0,))
@@ -184,14 +190,14 @@
 
 def test_items_due_first_start_first_and_late_ones_last():
     late, soon, far, begun = Item(5, 9), Item(20, 0), Item(30, 0), Item(30, 4)
-    order = beside.order_items([late, far, begun, soon], 10)
+    order = batch_queue.order_items([late, far, begun, soon], 10)
     assert order == [soon, begun, far, late]
 
 
 def test_item_that_cannot_be_done_in_time_leaves_its_place_to_one_that_can():
-    hopeless, sound = Item(14, 0, 5.0), Item(30, 0, 5.0)
-    assert beside.order_items([hopeless, sound], 10) == [sound, hopeless]
-    assert beside.weigh_pending([hopeless, sound], 10) == 1 + beside.LATE_WEIGHT
+    late, early = Item(14, 0, 5.0), Item(30, 0, 5.0)
+    assert batch_queue.order_items([late, early], 10) == [early, late]
+    assert batch_queue.weigh_pending([late, early], 10) == (1 + batch_queue.LATE_WEIGHT)
 
 
 class RunningItem:
@@ -209,10 +215,10 @@
 
 
 def order_by_due_time(pending, now):
-    return sorted(pending, key=lambda e: (beside.is_late(e, now), e.due_at))
+    return sorted(pending, key=lambda e: (batch_queue.is_late(e, now), e.due_at))
 
 
-def count_in_time(seed, knows_work, order=beside.order_items):
+def count_in_time(seed, knows_work, order=batch_queue.order_items):
     """Replay an overload second by second; return the items done in time."""
     draw = random.Random(seed)
     waiting, running, in_time = [], [], 0
