Keep what ended during an outage of the store

Ruled out: records of texts at neighbours instead of the store (a second store). Change: a text that is whole goes on being listed after its part was lost; a gateway that stops tries to record until it has to end; one that was just started listens for 0.5 s before it takes parts; texts hold a part also while the store is away, but not those of a gateway that alone lost it. Before: both new tests of test_job_api.py fail, their items run twice.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -211,21 +211,27 @@
         self._draining = True
         decision.note_belief("gateway.draining", busy=self._callers.busy)
         self._callers.close_connections()
-        await self._stop_batch()
+        ends_at = began_at + self.settings.stop_grace_s - STOP_MARGIN_S
+        batch = asyncio.create_task(self._stop_batch(ends_at))
         # The balancer goes on sending callers here while too few other entries are
         # ready. Taken until the end, some would be cut by it.
         await asyncio.sleep(max(0.0, began_at + UNREADY_S - time.monotonic()))
         await self._callers.stop_listening()
-        ends_at = began_at + self.settings.stop_grace_s - STOP_MARGIN_S
         while self._callers.busy and time.monotonic() < ends_at:
             await asyncio.sleep(DRAIN_CHECK_S)
+        await batch
         decision.note_belief("gateway.drained", busy=self._callers.busy)
 
-    async def _stop_batch(self):
-        for name in ("ownership", "runner"):
+    async def _stop_batch(self, ends_at):
+        """Record how far the items are and give the parts back.
+
+        While the store is away that is tried until the process has to end: it may be
+        back before, and what is not recorded has to be made again.
+        """
+        for name in ("ownership", "runner", "take over"):
             self._supervisor.stop_child(name)
         try:
-            async with asyncio.timeout(UNREADY_S):
+            async with asyncio.timeout(ends_at - time.monotonic()):
                 await self.runner.close()
                 await self.ownership.leave()
                 await self._withdraw()
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -29,6 +29,7 @@
         service: Name of the service that the item goes to.
         transcript: The `pimentowick.gateway.transcript.Transcript`.
         service_time: The `service_time.ServiceTime` of the route (`gateway.policy`).
+        is_whole: Whether all of its text is here and only has to be listed.
         not_before: Monotonic time of the next try.
         failures: Tries in a row without an event.
         target: The `pimentowick.gateway.target.Target`, while it runs.
@@ -40,6 +41,7 @@
     service: str
     transcript: object
     service_time: object
+    is_whole: bool = False
     not_before: float = 0.0
     failures: int = 0
     target: object = None
@@ -144,10 +146,10 @@
             decision.note_request("item.unrecorded", made.item.id, why=str(error))
 
 
-async def save_last(made):
+async def save_last(made, timeout_s):
     """Record the text of a run that has ended here; a failure is logged only."""
     try:
-        await made.save(RECORD_EVERY_S)
+        await made.save(timeout_s)
     except exception.LogError as error:
         decision.note_request("item.unrecorded", made.item.id, why=str(error))
 
--- a/pimentowick/gateway/handover.py
+++ b/pimentowick/gateway/handover.py
@@ -9,8 +9,9 @@
 
     So a part is left to a neighbour for as long as that says that it has it: it learns
     soon that the part is not its own any more, records what its items have made, and
-    says so. One that is silent is not waited for, nor are the texts of one that does
-    not reach the store: they can't be recorded.
+    says so. One that is silent is not waited for, nor are the texts of one that alone
+    does not reach the store: they can't be recorded. An entry that was just started
+    listens first, since it knows nothing of what others hold.
 """
 
 import asyncio
@@ -21,10 +22,9 @@
 
 __all__ = ["Handover"]
 
-# As long as a lease: a holder that has not renewed by then has lost the part.
+# A holder that hears nothing of the store for a second, and tries again half a second
+# later, has let go by then.
 LONGEST_WAIT_S = 3.0
-# A renewal older than this was followed by one that failed: they come once a second.
-RENEWED_S = 1.5
 # Well below the time that neighbours need to tell each other something.
 CHECK_S = 0.02
 
@@ -47,8 +47,7 @@
 
     def list_held(self):
         """Return the parts that nobody else should run yet."""
-        age_s = self._ownership.get_age()
-        if age_s is None or age_s > RENEWED_S:
+        if self._ownership.is_alone:
             return self._runner.owned
         return self._runner.owned | self._runner.recording
 
@@ -56,6 +55,8 @@
         """Give up the parts that are lost, and take each new one once it is free."""
         wanted = self._ownership.parts
         self._runner.own(self._runner.owned & wanted)
+        while not self._neighbours.has_listened:
+            await asyncio.sleep(CHECK_S)
         began_at = time.monotonic()
         left = wanted - self._runner.owned
         while left:
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -34,6 +34,8 @@
 SILENT_S = 1.2
 # A neighbour that was not heard for so long is not written to any more.
 FORGET_S = 20.0
+# All that send have sent by then.
+LISTEN_S = IDLE_S + 0.1
 MAX_BYTES = 60_000
 # Of a time in seconds; the news itself is tens of milliseconds old.
 AGE_DIGITS = 2
@@ -96,6 +98,7 @@
         self._outliers = outliers
         self._on_news = on_news
         self._transport = None
+        self._started_at = float("-inf")
         self._changed = asyncio.Event()
         self._number = time.time_ns()
         self._saved = MOST_SAVED
@@ -109,6 +112,7 @@
     async def start(self):
         """Open the socket."""
         ip, _, port = self.address.rpartition(":")
+        self._started_at = time.monotonic()
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(ip, int(port))
@@ -183,6 +187,11 @@
             peer.renewed_at is not None and peer.renewed_at > since for peer in heard
         )
 
+    @property
+    def has_listened(self):
+        """Whether all neighbours have been heard that send anything."""
+        return time.monotonic() - self._started_at >= LISTEN_S
+
     def list_held_parts(self):
         """Return the parts of the batch work that others say they hold."""
         since = time.monotonic() - SILENT_S
--- a/pimentowick/gateway/ownership.py
+++ b/pimentowick/gateway/ownership.py
@@ -53,6 +53,7 @@
     Attributes:
         parts: Numbers of the parts dealt to this entry.
         renewed_at: Monotonic time of the last renewal, or None.
+        is_alone: Whether others reach the store, and this entry did not.
     """
 
     def __init__(self, store, member, least_lease_s, on_change, is_replaced):
@@ -62,6 +63,7 @@
         self._on_change = on_change
         self._is_replaced = is_replaced
         self.renewed_at = None
+        self.is_alone = False
         self._failed_since = None
         self._generation = 0
         self._joined = False
@@ -100,6 +102,7 @@
             return
         if not self._is_replaced(self._failed_since + SAME_TIME_S):
             return
+        self.is_alone = True
         decision.note_belief("ownership.given_up", parts=sorted(self.parts))
         self.parts = frozenset()
         self._on_change()
@@ -120,6 +123,7 @@
         self._joined = True
         self.renewed_at = time.monotonic()
         self._failed_since = None
+        self.is_alone = False
         if dealt.parts == self.parts:
             return
         decision.note_belief(
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -31,6 +31,9 @@
 LEAST_PAUSE_S = 0.005
 LOOK_PAUSE_S = 0.02
 RECORD_TIMEOUT_S = 20.0
+# For a text that another entry goes on after: recorded later, it would take the place
+# of what that has made since.
+HAND_OVER_S = 2.0
 # Pause of an item after a failure, doubled with each.
 FAILURE_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 2.0
@@ -89,6 +92,7 @@
         self._next_removed_at = 0.0
         self._ending = set()
         self._recording = collections.Counter()
+        self._listing = set()
         self.owned = frozenset()
         self.neighbours = None
 
@@ -144,8 +148,8 @@
     async def close(self):
         """Stop all runs and record how far they are."""
         self.owned = frozenset()
-        for run in self._runs.values():
-            self._hand_over(run)
+        for key, run in self._runs.items():
+            self._hand_over(key, run, RECORD_TIMEOUT_S)
         self._runs.clear()
         await asyncio.gather(*self._saving, return_exceptions=True)
 
@@ -194,7 +198,7 @@
                 self._collect_job(book, found, route, seen)
         for key, run in list(self._runs.items()):
             if key not in seen:
-                self._hand_over(run)
+                self._hand_over(key, run, HAND_OVER_S)
                 del self._runs[key]
 
     def _collect_job(self, book, found, route, seen):
@@ -205,6 +209,8 @@
             if ownership.find_part(item.id, self._parts) not in self.owned:
                 continue
             key = (found.id, number)
+            if key in self._listing:
+                continue
             seen.add(key)
             run = self._runs.get(key)
             if run is None or run.job is not found:
@@ -327,6 +333,7 @@
             left_s=run.left_s,
             due_in_s=run.due_at - time.time(),
         )
+        run.is_whole = False
         run.target = target
         target.batch += 1
         self._on_change()
@@ -359,24 +366,36 @@
             self._release(run)
             task.cancel()
 
-    def _hand_over(self, run):
+    def _hand_over(self, key, run, timeout_s):
         """Stop a run and record how far it is, for whoever goes on.
 
-        Neighbours wait for it (see `pimentowick.gateway.handover`).
+        Neighbours wait for it (see `pimentowick.gateway.handover`). A text that is
+        whole goes on being listed: while the store is away, items end that would all
+        have to run again.
         """
-        self._cancel(run)
         part = ownership.find_part(run.item.id, self._parts)
+        if run.is_whole and run.task is not None:
+            self._listing.add(key)
+            task = run.task
+        else:
+            self._cancel(run)
+            last = execution.save_last(run.transcript, timeout_s)
+            task = asyncio.create_task(last)
         self._recording[part] += 1
-        self._keep(self._record_last(run.transcript, part))
-
-    async def _record_last(self, made, part):
-        try:
-            await execution.save_last(made)
-        finally:
-            self._recording[part] -= 1
-            if not self._recording[part]:
-                del self._recording[part]
-            self._on_change()
+        self._saving.add(task)
+        task.add_done_callback(lambda done: self._end_recording(key, part, done))
+
+    def _end_recording(self, key, part, task):
+        self._saving.discard(task)
+        self._recording[part] -= 1
+        if not self._recording[part]:
+            del self._recording[part]
+        if key in self._listing:
+            self._listing.discard(key)
+            # Not listed after all, it is looked at again.
+            self._collected = None
+        self._on_change()
+        self.wake()
 
     async def _run_item(self, run, target):
         started_at = time.monotonic()
@@ -404,6 +423,7 @@
         if outcome.end == upstream.End.WHOLE and outcome.status == 200:
             if sink.is_whole() and run.transcript.last_event is not None:
                 run.service_time.note_item(run.transcript.count_events())
+                run.is_whole = True
                 await run.transcript.finish(RECORD_TIMEOUT_S)
                 return
         if outcome.end == upstream.End.WHOLE and outcome.status == 422:
--- a/pimentowick/gateway/tests/test_handover.py
+++ b/pimentowick/gateway/tests/test_handover.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 import types
 
 import orjson
@@ -17,9 +18,9 @@
         self.owned = frozenset(parts)
 
 
-def make_handover(parts, age_s=0.1):
+def make_handover(parts, is_alone=False):
     found, *_ = test_neighbour.make_neighbours()
-    member = types.SimpleNamespace(parts=frozenset(parts), get_age=lambda: age_s)
+    member = types.SimpleNamespace(parts=frozenset(parts), is_alone=is_alone)
     ours = Runner()
     return handover.Handover(member, ours, [], found), ours, found
 
@@ -88,11 +89,30 @@
 
 
 def test_texts_that_cannot_be_recorded_hold_no_part():
-    # An entry that lost the store gives its parts up; waiting for its records would
+    # An entry that alone lost the store gives its parts up; waiting for its texts would
     # leave the items standing for seconds.
-    found, ours, _ = make_handover({1}, age_s=5.0)
+    found, ours, _ = make_handover({1}, is_alone=True)
     ours.owned, ours.recording = frozenset({1}), frozenset({2})
     assert found.list_held() == {1}
-    found, ours, _ = make_handover({1}, age_s=0.5)
+    found, ours, _ = make_handover({1})
     ours.owned, ours.recording = frozenset({1}), frozenset({2})
     assert found.list_held() == {1, 2}
+
+
+def test_entry_that_was_just_started_listens_before_it_takes_parts():
+    # An entry is back from its restart at the end of an outage and is the first to
+    # renew: it is dealt the parts of all, and has not heard yet that they run.
+    async def run():
+        found, ours, others = make_handover({1})
+        others._started_at = time.monotonic()
+        task = asyncio.create_task(found.take_over())
+        await asyncio.sleep(0.1)
+        tell_parts(others, 1, [1])
+        others._started_at -= neighbour.LISTEN_S
+        await asyncio.sleep(0.1)
+        assert not ours.owned
+        tell_parts(others, 2, [])
+        await asyncio.wait_for(task, 5)
+        assert ours.owned == {1}
+
+    asyncio.run(run())
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -6,7 +6,7 @@
 
 from pimentowick import exception
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import route_removal, runner
+from pimentowick.gateway import daemon, route_removal, runner
 
 BATCH = platform_site.make_route(
     "/lot/",
@@ -352,3 +352,55 @@
         assert [row["state"] for row in found] == ["done", "done"]
 
     run_with([replica.Replica()], check)
+
+
+async def start_whole_item(site, server):
+    """Return the gateway at which an item has ended that can't be listed."""
+    assert (await submit(site, make_body(1))).status == 202
+    await wait.wait_for(lambda: server.running, 10, 0.005)
+    site.store.board.place(faults.Order("down"))
+
+    def find():
+        for gateway in site.gateways:
+            if any(run.is_whole for run in gateway.runner.list_runs()):
+                return gateway
+
+    return await wait.wait_for(find, 10, 0.005)
+
+
+def test_item_that_ended_during_an_outage_is_listed_though_its_part_is_lost():
+    # The store is away for seconds. Items end meanwhile; with the store's return all
+    # parts are dealt anew. Dropped for that, their texts would all be made again.
+    server = replica.Replica(events=10, gap_s=0.02)
+
+    async def check(site):
+        found = (await start_whole_item(site, server)).runner
+        found.own(frozenset())
+        assert found.recording
+        site.store.board.place(faults.Order("clear"))
+        (row,) = await read_all(site, 1)
+        assert row["state"] == "done"
+        assert server.runs == {"item0": 1}
+        await wait.wait_for(lambda: not found.recording, 10, 0.005)
+
+    run_with([server], check)
+
+
+def test_entry_that_stops_during_an_outage_lists_what_it_has_when_the_store_is_back():
+    # Hosts are restarted while the store is away for a few seconds, less than a
+    # process has to end. Given up sooner, all that ran there would be made again.
+    server = replica.Replica(events=10, gap_s=0.02)
+
+    async def check(site):
+        found = await start_whole_item(site, server)
+        draining = asyncio.create_task(found.drain())
+        await wait.wait_for(lambda: found.runner.recording, 10, 0.005)
+        await asyncio.wait({draining}, timeout=daemon.UNREADY_S + 0.2)
+        assert not draining.done()
+        site.store.board.place(faults.Order("clear"))
+        await asyncio.wait_for(draining, 20)
+        (row,) = await read_all(site, 1, entry=1 - site.gateways.index(found))
+        assert row["state"] == "done"
+        assert server.runs == {"item0": 1}
+
+    run_with([server], check, entries=2)
