Call a gateway cut off only after a try that others' renewals came before

At the end of an outage for all, others were renewed while this gateway's try still waited for an answer that was lost in it; it took itself for cut off and sent the job's last attempt on. Ruled out: holding jobs at cut gateways again (the gain of sending them on is larger). Change: a try is broken off once others are seen to reach the store, and the next one begins at once; only if that fails, or is late, the gateway is passed over.

--- a/pimentowick/gateway/ownership.py
+++ b/pimentowick/gateway/ownership.py
@@ -33,6 +33,8 @@
 # A store that answers at all answers within this time: 0.24 s at sixty times its usual
 # 4 ms.
 LATE_ANSWER_S = 0.4
+# How often is looked at what others tell, while the store gives no answer.
+CHECK_S = 0.05
 
 
 def find_part(item_id, parts):
@@ -70,58 +72,106 @@
         self._is_replaced = is_replaced
         self.renewed_at = None
         self.is_alone = False
-        self._failed_since = None
         self._began_at = None
+        self._failed_since = None
+        self._passed_at = None
+        self._is_proved = False
         self._generation = 0
-        self._joined = False
         self.parts = frozenset()
 
     async def run(self):
         """Renew until cancelled."""
         while True:
-            was_passed_over = self.is_passed_over
             self._began_at = time.monotonic()
             try:
-                await self._renew()
+                await self._try()
             except exception.LogError as error:
-                if self._failed_since is None:
-                    self._failed_since = self._began_at
-                if self._joined:
-                    self._joined = False
-                    decision.note_belief(
-                        "ownership.lost_store", parts=sorted(self.parts), why=str(error)
-                    )
-                if was_passed_over:
-                    self._give_up_lapsed()
+                self._note_failure(error)
             finally:
                 self._began_at = None
-            pause = self._lease_s / RENEWALS
-            await asyncio.sleep(pause * random.uniform(0.8, 1.0))
+            await self._pause()
 
-    def get_age(self):
-        """Return how many seconds ago the lease was renewed, or None."""
-        if self.renewed_at is None:
-            return None
-        return time.monotonic() - self.renewed_at
+    async def _try(self):
+        """Renew; break off as soon as others are seen to reach the store.
 
-    @property
-    def is_passed_over(self):
-        """Whether others have reached the store since this entry does not.
+        After an outage a try may wait for an answer that was lost in it, where a new
+        one gets its answer at once.
 
-        While the store is away for all entries, nobody takes over and work goes on.
-        Parts are given up by what this was before a try: one that began before may
-        still wait for the store of an outage that is over, where the next one finds it.
+        Raises:
+            LogError: The lease was not renewed.
+        """
+        renewal = asyncio.ensure_future(self._renew())
+        try:
+            while not renewal.done():
+                await asyncio.wait({renewal}, timeout=CHECK_S)
+                if not renewal.done() and self._sees_others():
+                    raise exception.LogError("Others reach the store meanwhile.")
+            renewal.result()
+        finally:
+            renewal.cancel()
+
+    async def _pause(self):
+        """Wait until the next renewal; not at all once others reach the store again."""
+        pause_s = self._lease_s / RENEWALS * random.uniform(0.8, 1.0)
+        if self._failed_since is None:
+            await asyncio.sleep(pause_s)
+            return
+        ends_at = time.monotonic() + pause_s
+        while not self._sees_others():
+            left_s = ends_at - time.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(CHECK_S, left_s))
+
+    def _sees_others(self):
+        """Return whether others are seen for the first time to reach the store.
+
+        That is after this entry has stopped to. While the store is away for all,
+        nobody takes over and work goes on.
         """
         lost_since = self._get_lost_since()
-        return lost_since is not None and self._is_replaced(lost_since + SAME_TIME_S)
+        if lost_since is None or self._passed_at is not None:
+            return False
+        if not self._is_replaced(lost_since + SAME_TIME_S):
+            return False
+        self._passed_at = time.monotonic()
+        return True
 
     def _get_lost_since(self):
         """Return the monotonic time since which the store gives no answer, or None."""
         if self._failed_since is not None:
             return self._failed_since
-        if self._began_at is None or time.monotonic() - self._began_at < LATE_ANSWER_S:
+        return self._began_at if self._is_late() else None
+
+    def _is_late(self):
+        if self._began_at is None:
+            return False
+        return time.monotonic() - self._began_at >= LATE_ANSWER_S
+
+    @property
+    def is_passed_over(self):
+        """Whether others reach the store, and a try since that was seen failed here."""
+        if self._passed_at is None:
+            return False
+        if self._is_proved:
+            return True
+        return self._is_late() and self._began_at >= self._passed_at
+
+    def _note_failure(self, error):
+        if self._failed_since is None:
+            self._failed_since = self._began_at
+            decision.note_belief(
+                "ownership.lost_store", parts=sorted(self.parts), why=str(error)
+            )
+        if self._passed_at is not None and self._began_at >= self._passed_at:
+            self._is_proved = True
+            self._give_up_lapsed()
+
+    def get_age(self):
+        """Return how many seconds ago the lease was renewed, or None."""
+        if self.renewed_at is None:
             return None
-        return self._began_at
+        return time.monotonic() - self.renewed_at
 
     def _give_up_lapsed(self):
         """Give the parts up if the lease may have ended, for others run them by now."""
@@ -145,9 +195,10 @@
             GROUP, self._member, TOPIC, self._lease_s, self._generation
         )
         self._generation = dealt.generation
-        self._joined = True
         self.renewed_at = time.monotonic()
         self._failed_since = None
+        self._passed_at = None
+        self._is_proved = False
         self.is_alone = False
         if dealt.parts == self.parts:
             return
