Put the decision on who lost the store apart from the calls to it

Cause: ownership.py decided beside its calls whether this gateway alone lost the store; neither a reader nor a test could replay an outage of several gateways. Ruled out: leaving it until the next change of it (it decides what callers are refused). No change of behaviour.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -122,7 +122,7 @@
             address,
             settings.least_lease_s,
             self._note_parts,
-            self.neighbours.may_have_taken_over,
+            self.neighbours.get_newest_renewal,
         )
         self.neighbours.get_renewal_age = self.ownership.get_age
         self._handover = handover.Handover(
@@ -134,7 +134,7 @@
         )
         jobs = job_api.JobApi(
             self.ledgers,
-            lambda: self.ownership.is_passed_over,
+            lambda: self.ownership.is_cut_off,
             settings.record_bytes,
             settings.call_bytes,
         )
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -13,6 +13,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import time
 
 import orjson
@@ -171,21 +172,18 @@
         gained = (time.monotonic() - self._saved_at) * self._rate
         return min(MOST_SAVED, self._saved + gained)
 
-    def may_have_taken_over(self, since):
-        """Return whether others reached the store lately, or none can be heard.
+    def get_newest_renewal(self):
+        """Return the monotonic time of the newest renewal that those heard told.
 
-        Args:
-            since: Monotonic time from which on this entry did not reach it. Renewals
-                are spread over the time between two of them: when the store goes away
-                for all, most have been renewed after this entry, and none since.
+        It is infinite if none can be heard of those that are known: they may have been
+        renewed since. Without any it is minus infinity.
         """
         heard_since = time.monotonic() - SILENT_S
         heard = [peer for peer in self.peers.values() if peer.heard_at > heard_since]
         if not heard:
-            return bool(self.peers)
-        return any(
-            peer.renewed_at is not None and peer.renewed_at > since for peer in heard
-        )
+            return math.inf if self.peers else -math.inf
+        renewals = [peer.renewed_at for peer in heard if peer.renewed_at is not None]
+        return max(renewals, default=-math.inf)
 
     @property
     def has_listened(self):
--- a/pimentowick/gateway/ownership.py
+++ b/pimentowick/gateway/ownership.py
@@ -13,6 +13,7 @@
 
 from pimentowick import exception
 from pimentowick.gateway import decision
+from pimentowick.gateway.policy import reachability
 
 __all__ = ["Ownership", "find_part"]
 
@@ -28,11 +29,6 @@
 # The store may take a lease away before its end. Two renewals that failed while
 # others reach the store say so; a part run twice costs all that its items take.
 DOUBT_SHARE = 0.5
-# An answer that was on its way as the store went away; some 5 ms, and a busy turn.
-SAME_TIME_S = 0.1
-# A store that answers at all answers within this time: 0.24 s at sixty times its usual
-# 4 ms.
-LATE_ANSWER_S = 0.4
 # How often is looked at what others tell, while the store gives no answer.
 CHECK_S = 0.05
 
@@ -55,8 +51,8 @@
         member: Name of the entry in the group, the same after each start.
         least_lease_s: Shortest lease that the store takes, in seconds.
         on_change: Function called when other parts are dealt.
-        is_replaced: Function that returns whether other entries can have taken over
-            since a monotonic time from which on this one did not reach the store.
+        get_others_renewal: Function that returns the monotonic time at which the newest
+            lease of another entry was renewed.
 
     Attributes:
         parts: Numbers of the parts dealt to this entry.
@@ -64,31 +60,28 @@
         is_alone: Whether others reach the store, and this entry did not.
     """
 
-    def __init__(self, store, member, least_lease_s, on_change, is_replaced):
+    def __init__(self, store, member, least_lease_s, on_change, get_others_renewal):
         self._store = store
         self._member = member
         self._lease_s = max(LEASE_S, least_lease_s)
         self._on_change = on_change
-        self._is_replaced = is_replaced
+        self._get_others_renewal = get_others_renewal
         self.renewed_at = None
         self.is_alone = False
-        self._began_at = None
-        self._failed_since = None
-        self._passed_at = None
-        self._is_proved = False
+        self._reachability = reachability.Reachability()
         self._generation = 0
         self.parts = frozenset()
 
     async def run(self):
         """Renew until cancelled."""
         while True:
-            self._began_at = time.monotonic()
+            self._reachability.begin(time.monotonic())
             try:
                 await self._try()
             except exception.LogError as error:
                 self._note_failure(error)
             finally:
-                self._began_at = None
+                self._reachability.end()
             await self._pause()
 
     async def _try(self):
@@ -113,7 +106,7 @@
     async def _pause(self):
         """Wait until the next renewal; not at all once others reach the store again."""
         pause_s = self._lease_s / RENEWALS * random.uniform(0.8, 1.0)
-        if self._failed_since is None:
+        if not self._reachability.has_failed:
             await asyncio.sleep(pause_s)
             return
         ends_at = time.monotonic() + pause_s
@@ -124,52 +117,23 @@
             await asyncio.sleep(min(CHECK_S, left_s))
 
     def _sees_others(self):
-        """Return whether others are seen for the first time to reach the store.
-
-        That is after this entry has stopped to. While the store is away for all,
-        nobody takes over and work goes on.
-        """
-        lost_since = self._get_lost_since()
-        if lost_since is None or self._passed_at is not None:
-            return False
-        if not self._is_replaced(lost_since + SAME_TIME_S):
-            return False
-        self._passed_at = time.monotonic()
-        return True
-
-    def _get_lost_since(self):
-        """Return the monotonic time since which the store gives no answer, or None."""
-        if self._failed_since is not None:
-            return self._failed_since
-        return self._began_at if self._is_late() else None
-
-    def _is_late(self):
-        if self._began_at is None:
-            return False
-        return time.monotonic() - self._began_at >= LATE_ANSWER_S
+        """Return whether others are seen for the first time to reach the store."""
+        return self._reachability.see_others(
+            time.monotonic(), self._get_others_renewal()
+        )
 
     @property
-    def is_passed_over(self):
-        """Whether others reach the store, and a try since that was seen failed here.
-
-        A store that loses some answers and serves other calls has not turned this
-        entry away.
-        """
-        if self._passed_at is None or self._store.reached_at > self._passed_at:
-            return False
-        if self._is_proved:
-            return True
-        return self._is_late() and self._began_at >= self._passed_at
+    def is_cut_off(self):
+        """Whether this entry alone does not reach the store."""
+        return self._reachability.is_cut_off(time.monotonic(), self._store.reached_at)
 
     def _note_failure(self, error):
-        if self._failed_since is None:
-            self._failed_since = self._began_at
+        if not self._reachability.has_failed:
             decision.note_belief(
                 "ownership.lost_store", parts=sorted(self.parts), why=str(error)
             )
-        if self._passed_at is not None and self._began_at >= self._passed_at:
-            self._is_proved = True
-        if self.is_passed_over:
+        self._reachability.fail()
+        if self.is_cut_off:
             self._give_up_lapsed()
 
     def get_age(self):
@@ -201,9 +165,7 @@
         )
         self._generation = dealt.generation
         self.renewed_at = time.monotonic()
-        self._failed_since = None
-        self._passed_at = None
-        self._is_proved = False
+        self._reachability.succeed()
         self.is_alone = False
         if dealt.parts == self.parts:
             return
--- a/pimentowick/gateway/tests/test_ownership.py
+++ b/pimentowick/gateway/tests/test_ownership.py
@@ -1,4 +1,5 @@
 import asyncio
+import math
 import time
 
 from pimentowick.fakes import faults, platform_site, replica, wait
@@ -22,11 +23,12 @@
         return store.Dealt(1, frozenset({1, 2}))
 
 
-def run_cut_off(is_replaced, refusals, until):
+def run_cut_off(get_others_renewal, refusals, until):
     """Let the store turn an entry away; return its parts and how often they changed.
 
     Args:
-        is_replaced: Function of the store that says whether others reached it.
+        get_others_renewal: Function of the store that returns when the newest lease of
+            another entry was renewed.
         refusals: Number of tries that are turned away.
         until: Function of the store and the `ownership.Ownership` that ends the test.
     """
@@ -39,7 +41,7 @@
             "me",
             0.01,
             lambda: changes.append(1),
-            lambda since: is_replaced(outside),
+            lambda: get_others_renewal(outside),
         )
         found._lease_s = 0.1
         task = asyncio.create_task(found.run())
@@ -53,6 +55,10 @@
     return asyncio.run(run())
 
 
+def renew_others_after_refusal(outside):
+    return math.inf if outside.refused else -math.inf
+
+
 def is_refused_often(outside, found):
     return outside.refused >= 4
 
@@ -64,22 +70,25 @@
 def test_entry_that_alone_lost_the_store_stops_its_part_of_the_batch_work():
     # The store turns one entry away and serves the others, and has dealt its parts
     # to them. Going on, it would run every item a second time.
-    assert run_cut_off(lambda outside: True, 1000, is_refused_often) == (frozenset(), 2)
+    assert run_cut_off(lambda outside: math.inf, 1000, is_refused_often) == (
+        frozenset(),
+        2,
+    )
 
 
 def test_store_that_loses_answers_and_serves_reads_has_turned_nobody_away():
     # A third of the answers to writes are lost for some seconds, so that two renewals
     # in a row bring none. What runs here goes on: the store has renewed the lease.
-    def is_replaced(outside):
+    def get_others_renewal(outside):
         outside.reached_at = time.monotonic() + 60
-        return True
+        return math.inf
 
-    found = run_cut_off(is_replaced, 1000, is_refused_often)
+    found = run_cut_off(get_others_renewal, 1000, is_refused_often)
     assert found == (frozenset({1, 2}), 1)
 
 
 def test_batch_work_goes_on_while_the_store_is_away_for_all():
-    assert run_cut_off(lambda outside: False, 1000, is_refused_often) == (
+    assert run_cut_off(lambda outside: -math.inf, 1000, is_refused_often) == (
         frozenset({1, 2}),
         1,
     )
@@ -89,7 +98,7 @@
     # The store is back and others have been renewed, while this entry's try still
     # waits for an answer that was lost in the outage. Given up for that, all that its
     # items have made and could not record would be lost a moment before it could be.
-    found = run_cut_off(lambda outside: outside.refused > 0, 1, is_renewed)
+    found = run_cut_off(renew_others_after_refusal, 1, is_renewed)
     assert found == (frozenset({1, 2}), 1)
 
 
@@ -107,7 +116,11 @@
     async def run():
         outside = Silent()
         found = ownership.Ownership(
-            outside, "me", 0.01, lambda: None, lambda since: outside.refused > 0
+            outside,
+            "me",
+            0.01,
+            lambda: None,
+            lambda: renew_others_after_refusal(outside),
         )
         task = asyncio.create_task(found.run())
         await wait.wait_for(lambda: found.parts, 5, 0.005)
@@ -115,7 +128,7 @@
         await wait.wait_for(lambda: outside.refused, 5, 0.005)
         before = found.renewed_at
         await wait.wait_for(lambda: found.renewed_at > before, 5, 0.005)
-        assert found.parts and not found.is_passed_over
+        assert found.parts and not found.is_cut_off
         task.cancel()
 
     asyncio.run(run())
@@ -130,7 +143,7 @@
             since = time.monotonic()
 
             def is_replaced():
-                return one.neighbours.may_have_taken_over(since)
+                return one.neighbours.get_newest_renewal() > since
 
             await wait.wait_for(lambda: one.neighbours.peers, 10, 0.01)
             await wait.wait_for(is_replaced, 10, 0.01)
@@ -146,27 +159,6 @@
     asyncio.run(run())
 
 
-def test_no_entry_gives_up_its_parts_when_the_store_goes_away_for_all():
-    # The store goes down for some seconds. The entries renew their leases at different
-    # moments, so that each finds others that were renewed after it, and before the
-    # store went away. Taking these for its successors, all but the last would stop
-    # their batch items until the store is back.
-    def make(renewed_at):
-        found = ownership.Ownership(None, "me", 3.0, lambda: None, lambda since: None)
-        found.parts = frozenset({1})
-        found.renewed_at = renewed_at
-        return found
-
-    # The store goes away at 10.0 s; each tries to renew a second after its last time.
-    renewals = [9.05, 9.3, 9.6, 9.99]
-    entries = [make(at) for at in renewals]
-    for index, found in enumerate(entries):
-        others = [at for at in renewals if at != renewals[index]]
-        found._failed_since = renewals[index] + 1.0
-        found._is_replaced = lambda since, seen=others: any(at > since for at in seen)
-        assert not found._sees_others()
-
-
 def test_entry_that_is_killed_goes_on_with_its_parts_at_once():
     # All hosts lose power for a second. To the store the members of before hold the
     # batch work until their leases end; entries that came back under other names
