End a stand-in whose start is given up

Change: a start that is cancelled ends the process first. Test stand-ins only. Before: the new test finds the process running. After: ended.

--- a/pimentowick/fakes/deployment.py
+++ b/pimentowick/fakes/deployment.py
@@ -209,6 +209,11 @@
         except (TimeoutError, ValueError) as error:
             handle.kill()
             raise exception.UnavailableError(f"{name} did not start.") from error
+        except asyncio.CancelledError:
+            # Not in the list yet, it would outlive the deployment.
+            handle.kill()
+            await handle.wait()
+            raise
         process = Process(name, address, handle)
         self.processes[name] = process
         return process
