Send a wave's requests where batch items have all places but a few

As the load rises fivefold within an instant, batch items have all places but a few.

Only as many requests go to places that nobody has as there are such places, by what all gateways send until they know of each other's (Little's law); the others go where an item is preempted for them. The gateways whose items have to give way are told directly, not through relays only. Besides: gateways without batch work are not woken by each bundle; reports that say nothing new cost less; a gateway that alone lost the store sends reads on at once unless it has what is asked for.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -199,11 +199,13 @@
             future.set_result(place)
 
     def _choose(self, service, avoid):
+        targets = self._table.list_service(service)
         target = target_choice.choose_for_online(
-            self._table.list_service(service),
+            targets,
             time.monotonic(),
             self._failure_domain,
             avoid,
+            self._estimate_coming(service, targets),
         )
         if target is None:
             return None
@@ -211,6 +213,18 @@
         self._on_change()
         return place
 
+    def _estimate_coming(self, service, targets):
+        """Return how many requests all entries send until they know of each other's.
+
+        So many run at a time as come while one of them holds its place.
+
+        References:
+            J. D. C. Little, "A proof for the queuing formula L = lambda W", 1961.
+        """
+        running = sum(found.all_online for found in targets)
+        hold_s = self.hold_s.get(service, FIRST_HOLD_S)
+        return running / hold_s * self._get_round_s()
+
     def _convert(self, monotonic_at):
         loop = asyncio.get_running_loop()
         return loop.time() + monotonic_at - time.monotonic()
--- a/pimentowick/gateway/content.py
+++ b/pimentowick/gateway/content.py
@@ -189,6 +189,10 @@
         if records:
             await self._store.append(topic, part, records, None)
 
+    def has(self, job_id, references):
+        """Return whether all of some contents are kept here."""
+        return all((job_id, found.name) in self._cache for found in references)
+
     async def read(self, job_id, references, keep=True):
         """Return some contents of a job, bytes by name.
 
--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -173,13 +173,15 @@
         Raises:
             RefusedError: They can't be read now.
         """
+        contents = self._storage.contents
+        if self._is_cut_off() and not contents.has(job_id, references):
+            _note("batch.unsure", job_id, "cut_off", contents=len(references))
+            raise exception.RefusedError(_make_unsure(ELSEWHERE_S))
         try:
-            return await self._storage.contents.read(job_id, references)
+            return await contents.read(job_id, references)
         except exception.LogError as error:
-            elsewhere = self._is_cut_off()
             _note("batch.unsure", job_id, "contents_away", why=str(error))
-            retry_s = ELSEWHERE_S if elsewhere else RETRY_S
-            raise exception.RefusedError(_make_unsure(retry_s)) from error
+            raise exception.RefusedError(_make_unsure()) from error
 
     async def read_body(self, exchange, job_id):
         """Answer with the body of an item that is not listed."""
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -259,6 +259,24 @@
             self._send_to(self.peers, report)
             return
         self._send_bundles(self._relay.tell(report, time.monotonic()))
+        self._send_to(self._list_affected(), report)
+
+    def _list_affected(self):
+        """Return those whose batch items have to give way to requests of this entry.
+
+        Told by relays, they would take their items off a tenth of a second later, and
+        the requests would wait for that at the target.
+        """
+        crowded = [
+            found.id
+            for found in self._table.by_id.values()
+            if found.online and found.all_online + found.all_batch > found.slots
+        ]
+        return [
+            peer.address
+            for peer in self.peers.values()
+            if any(peer.loads.get(target_id, (0, 0))[1] for target_id in crowded)
+        ]
 
     def _send_bundles(self, bundles):
         for bundle in bundles:
@@ -388,19 +406,22 @@
         The sums are kept, not worked out anew: with 40 entries each gets some 300
         datagrams a second.
         """
-        for target_id, (online, batch) in peer.loads.items():
-            self._add(target_id, -online, -batch)
-        for target_id, (online, batch) in loads.items():
-            self._add(target_id, online, batch)
-        for target_id in peer.loads.keys() | loads.keys():
-            self._tell(target_id)
-        self._admission.peers_waiting.subtract(peer.waiting)
-        self._admission.peers_waiting.update(waiting)
-        self.peers_pending.subtract(peer.pending)
-        self.peers_pending.update(pending)
-        peer.loads = loads
-        peer.waiting = waiting
-        peer.pending = pending
+        if loads != peer.loads:
+            for target_id, (online, batch) in peer.loads.items():
+                self._add(target_id, -online, -batch)
+            for target_id, (online, batch) in loads.items():
+                self._add(target_id, online, batch)
+            for target_id in peer.loads.keys() | loads.keys():
+                self._tell(target_id)
+            peer.loads = loads
+        if waiting != peer.waiting:
+            self._admission.peers_waiting.subtract(peer.waiting)
+            self._admission.peers_waiting.update(waiting)
+            peer.waiting = waiting
+        if pending != peer.pending:
+            self.peers_pending.subtract(peer.pending)
+            self.peers_pending.update(pending)
+            peer.pending = pending
 
     def _add(self, target_id, online, batch):
         known = self._sums.get(target_id, (0, 0))
--- a/pimentowick/gateway/policy/target_choice.py
+++ b/pimentowick/gateway/policy/target_choice.py
@@ -12,6 +12,12 @@
     target, all would send what comes in that time to the same one. Here a target is
     drawn by its free places, one of all and one nearby, and the less busy is taken.
 
+    As a wave begins, batch items have all places but a few. Where all entries send what
+    comes in that time to these few, most of it waits there, behind requests that can't
+    be preempted, while places of batch items would be had elsewhere. So only as many
+    requests go to places that nobody has as there are such places; the others go where
+    an item is preempted for them.
+
 References:
     M. Mitzenmacher, "The power of two choices in randomized load balancing", 2001.
 """
@@ -44,7 +50,9 @@
     return max(0, sum(max(0, _count_untaken(t)) for t in usable) - headroom)
 
 
-def choose_for_online(targets, now, failure_domain, avoid=frozenset()):
+def choose_for_online(
+    targets, now, failure_domain, avoid=frozenset(), coming=1.0, draw=random.random
+):
     """Return the target for an online request, or None while all are full.
 
     Args:
@@ -53,6 +61,8 @@
         failure_domain: That of this entry; equal targets nearby go first, since
             bytes between failure domains are paid for.
         avoid: Identifiers of targets that this request was at.
+        coming: Requests that all entries send until they know of each other's.
+        draw: Function that returns a number from 0 to 1.
     """
     usable = [
         target
@@ -62,10 +72,15 @@
         and target.all_online < target.slots
     ]
     free = [target for target in usable if _count_untaken(target) > 0]
-    # Where none is free, an item is preempted, sooner where few already have to.
-    drawn = _draw(free, _count_untaken, failure_domain) or _draw(
-        usable, lambda target: target.slots - target.all_online, failure_domain
-    )
+    taken = [target for target in usable if _count_untaken(target) <= 0]
+    places = sum(map(_count_untaken, free))
+    if taken and places <= draw() * max(places, coming):
+        # An item is preempted, sooner where few already have to.
+        drawn = _draw(
+            taken, lambda target: target.slots - target.all_online, failure_domain
+        )
+    else:
+        drawn = _draw(free, _count_untaken, failure_domain)
     if not drawn:
         return None
     return min(drawn, key=lambda target: _rank(target, failure_domain))
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -25,6 +25,7 @@
 
 # How often what waits is looked at when nothing changes.
 TICK_S = 0.1
+IDLE_S = 1.0
 # Longer than it takes to record that an item is given up.
 REMOVED_EVERY_S = 2.0
 # News of neighbours come some hundred times a second. Items yield at once; what waits
@@ -111,7 +112,7 @@
         # What is not run any more is recorded before neighbours hear that it is free.
         self._collect()
         self._on_change()
-        self.wake()
+        self._wake.set()
 
     @property
     def recording(self):
@@ -119,8 +120,9 @@
         return frozenset(self._recording)
 
     def wake(self):
-        """Look at what waits and what has to yield soon."""
-        self._wake.set()
+        """Look at what waits and what has to be preempted soon."""
+        if self.owned or self._runs:
+            self._wake.set()
 
     async def run(self):
         """Start and stop runs until cancelled."""
@@ -146,6 +148,9 @@
 
     def _get_pause(self):
         """Return how long nothing has to be looked at."""
+        if not self.owned and not self._runs:
+            # Most of many entries have no part of the batch work.
+            return IDLE_S
         next_at = max(self._next_round_at, self._next_look_at)
         left_s = next_at - time.monotonic()
         return min(TICK_S, left_s) if left_s > 0 else TICK_S
@@ -195,6 +200,8 @@
         if state == self._collected:
             return
         self._collected = state
+        if not self.owned and not self._runs:
+            return
         for found in list(book.open_jobs.values()):
             part = ownership.find_part(found.id, self._parts)
             if part not in self.owned:
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -157,3 +157,14 @@
         X_Pimentowick_Request_Id=f"online{entry}",
         X_Pimentowick_Deadline_Ms="60000",
     )
+
+
+def test_entry_whose_items_give_way_is_told_at_once(monkeypatch):
+    # Told by relays only, it would take its items off a tenth of a second later.
+    monkeypatch.setattr(neighbour, "RELAYED_FROM", 1)
+    found, seen, _, _ = make_neighbours()
+    tell(found, 1, {"t": [0, 8]})
+    tell(found, 1, {"t": [3, 0]}, sender="third:3")
+    assert found._list_affected() == []
+    seen.online = 1
+    assert found._list_affected() == ["other:2"]
