--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import orjson
+import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
 from pimentowick.gateway import admission, neighbour, target
@@ -72,19 +73,23 @@
     assert not found.peers
 
 
-def test_batch_items_yield_to_the_requests_of_another_entry():
-    # All places of a target run batch items of one entry. Requests come at another
-    # entry; engines know no priority, so the items have to go before the requests
+@pytest.mark.parametrize("jobs", [1, 6])
+def test_batch_items_yield_to_the_requests_of_another_entry(jobs):
+    # All places of a target run batch items, of one entry or of two. Requests come at
+    # one entry; engines know no priority, so the items have to go before the requests
     # can start.
     server = replica.Replica(events=400, gap_s=0.02, slots=4)
     batch = platform_site.make_route("/lot/", "batch", run_target_ms=60_000)
 
     async def run():
         async with platform_site.open_site([server], [*ROUTES, batch], 2) as site:
-            body = orjson.dumps(
-                {"items": [{"id": f"i{n}", "path": "/lot/1"} for n in range(6)]}
-            )
-            await site.call("POST", "/lot/x", body, X_Pimentowick_Request_Id="j")
+            for job in range(jobs):
+                items = [f"i{job}{n}" for n in range(6 // jobs)]
+                body = orjson.dumps(
+                    {"items": [{"id": name, "path": "/lot/1"} for name in items]}
+                )
+                name = f"j{job}"
+                await site.call("POST", "/lot/x", body, X_Pimentowick_Request_Id=name)
             await wait.wait_for(lambda: server.running == 3, 10, 0.01)
             tasks = [asyncio.create_task(send(site, n)) for n in range(4)]
             await wait.wait_for(lambda: count_streams(server) == 4, 10, 0.01)
