--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -104,7 +104,9 @@
             return [made]
 
         try:
-            await storage.accepted.commit(build, ends_at - time.monotonic(), True)
+            await storage.accepted.commit(
+                build, ends_at - time.monotonic(), limited=True
+            )
         except (exception.RefusedError, ledger.NotWrittenError):
             await self._drop_bodies(job_id, references.values())
             raise
