Make calls to the store again before they are given up, and serve by the first targets

Since bodies are written apart, a job takes two calls one after the other; each lost answer was waited for until its time was up (1 to 1.5 s), past the 0.4 s in which a job has to be accepted.

Contents are written and read by calls that are made again after 0.12 s, up to three at a time; the first answer counts, and a name is always written with the same bytes. An acceptance is looked up in the partition while its answer is out. Three tests fail on the code before and pass.

Besides: after the return of all, a gateway serves once it has read the first page of the targets.

--- a/pimentowick/gateway/content.py
+++ b/pimentowick/gateway/content.py
@@ -19,6 +19,7 @@
 import zlib
 
 from pimentowick import exception
+from pimentowick.gateway import hedging
 from pimentowick.platform import store as platform_store
 
 __all__ = ["Contents", "MissingError", "Reference"]
@@ -130,7 +131,9 @@
         while True:
             try:
                 async with asyncio.timeout(ends_at - time.monotonic()):
-                    return await self._store.append(topic, part, records, None)
+                    return await hedging.hedge(
+                        lambda: self._store.append(topic, part, records, None)
+                    )
             except TimeoutError:
                 raise exception.LogError("The store took no contents.") from None
             except exception.LogError:
@@ -237,8 +240,10 @@
         topic, part = self._find_partition(job_id)
         size = sum(entry.size + FRAME_BYTES * entry.chunks for entry in group)
         try:
-            page = await self._store.read(
-                topic, part, group[0].offset, most_kb=math.ceil(size / KILOBYTE)
+            page = await hedging.hedge(
+                lambda: self._store.read(
+                    topic, part, group[0].offset, most_kb=math.ceil(size / KILOBYTE)
+                )
             )
         except exception.LogTruncatedError:
             return {}
@@ -252,7 +257,10 @@
         """
         topic, part = self._find_partition(job_id)
         prefix = _make_key(job_id, "", None)
-        return _join(job_id, await self._store.read_prefix(topic, part, prefix))
+        found = await hedging.hedge(
+            lambda: self._store.read_prefix(topic, part, prefix)
+        )
+        return _join(job_id, found)
 
     def _get_cached(self, job_id, name):
         value = self._cache.get((job_id, name))
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -223,7 +223,8 @@
         needs to serve.
         """
         ends_at = time.monotonic() + READ_LATER_S
-        while not self.is_ready and time.monotonic() < ends_at:
+        first = (self._feeds["configuration"], self._feeds["targets"])
+        while time.monotonic() < ends_at and None in [entry.end for entry in first]:
             await asyncio.sleep(READY_CHECK_S)
         await found.run()
 
@@ -287,12 +288,14 @@
         """Whether requests can be served.
 
         Jobs may still be read: after a loss of power that takes seconds over a small
-        link, and online requests don't need them.
+        link, and online requests don't need them. Nor do they need all of thousands of
+        targets.
         """
+        is_begun = self.table.by_id or self._feeds["targets"].end is not None
         return (
             not self._draining
             and self.configuration.current is not None
-            and self._feeds["targets"].end is not None
+            and bool(is_begun)
         )
 
     def _note_load(self):
--- a/pimentowick/gateway/feed.py
+++ b/pimentowick/gateway/feed.py
@@ -29,6 +29,9 @@
 class Follower:
     """What a feed tells; the methods do nothing by default."""
 
+    def preview(self, records):
+        """Take some of the newest records while the first read is under way."""
+
     def reset(self, records):
         """Take the newest record of each key, in order of offset."""
 
@@ -158,7 +161,8 @@
             if self.end != known:
                 return
             asked_at = time.monotonic()
-            page = await self.store.read_newest(self.topic, self.part)
+            preview = self.follower.preview if self.end is None else _pass_over
+            page = await self.store.read_newest(self.topic, self.part, preview)
             later, end = await self._read_later(page)
             if self.end is not None and end < self.end:
                 return
@@ -205,3 +209,7 @@
     def _tell_changed(self):
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def _pass_over(records):
+    """Take no notice of a page: what is known stays until all is read."""
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -60,6 +60,12 @@
         self._missing_since = {}
         self.feed = None
 
+    def preview(self, records):
+        """Take some targets before all are read: requests can be sent to them."""
+        for entry in records:
+            if entry.value:
+                self.apply(entry)
+
     def reset(self, records):
         """Take the newest record of each key."""
         found = {entry.key for entry in records if entry.value}
--- a/pimentowick/gateway/ledger.py
+++ b/pimentowick/gateway/ledger.py
@@ -25,6 +25,9 @@
 
 FIRST_DELAY_S = 0.05
 LAST_DELAY_S = 0.8
+# An append that has no answer by then may have lost it: what it did is looked up.
+LATE_S = 0.12
+LOOK_S = 0.3
 # How long a change whose time is up waits for the answer to an append with it.
 FLIGHT_S = 1.2
 # Well below the store's limit of a call, for the frames of the records.
@@ -178,7 +181,9 @@
         for change in batch:
             change.unsettled = True
         try:
-            await self.store.append(self.feed.topic, self.feed.part, records, at)
+            if not await self._append(records, at):
+                _settle(batch)
+                return
         except platform_store.RejectedError:
             # An earlier append of the same change may still be without an answer.
             for change, unsettled in zip(batch, before, strict=True):
@@ -195,6 +200,34 @@
         for change in batch:
             self._end(change)
 
+    async def _append(self, records, at):
+        """Append; return False if the partition has moved on before the answer came.
+
+        An answer may be lost or late although the store has taken the records: whether
+        it has shows in the partition long before the call is given up on.
+        """
+        topic, part = self.feed.topic, self.feed.part
+        task = asyncio.ensure_future(self.store.append(topic, part, records, at))
+        try:
+            while True:
+                done, _ = await asyncio.wait({task}, timeout=LATE_S)
+                if done:
+                    task.result()
+                    return True
+                if await self._has_moved(at):
+                    return False
+        finally:
+            task.cancel()
+
+    async def _has_moved(self, at):
+        """Return whether the partition is known to end behind an offset by now."""
+        try:
+            async with asyncio.timeout(LOOK_S):
+                await self.feed.refresh()
+        except (TimeoutError, exception.LogError):
+            pass
+        return self.feed.end > at
+
     def _build_waiting(self):
         batch = []
         records = []
--- a/pimentowick/gateway/tests/test_job_storage.py
+++ b/pimentowick/gateway/tests/test_job_storage.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import content, event
+from pimentowick.gateway import content, event, job, record
 from pimentowick.gateway.tests import test_job_api, test_transcript
 
 BODY_BYTES = 20_000
@@ -121,3 +121,73 @@
         assert await contents.read("j2", list(kept.values())) == {"b/0/w": b"body"}
 
     test_transcript.run_with(check)
+
+
+# Longer than any of these tests waits: calls that are not answered stay open.
+NEVER_S = 300.0
+
+
+async def lose_first_answer(outside, late_s, work):
+    """Run some work of which the first append gets no answer; return its result."""
+    appends = outside.calls["/-/log-append"]
+    outside.late_s = late_s
+    task = asyncio.create_task(work)
+    await wait.wait_for(lambda: outside.calls["/-/log-append"] > appends, 5, 0.001)
+    outside.late_s = None
+    return await task
+
+
+def test_lost_answer_does_not_hold_up_the_bodies_of_a_job():
+    # The store loses a third of its answers for some seconds. A job is written in two
+    # calls; each waited for until its time is up, its caller would be told after the
+    # time that it has.
+    async def check(outside, one, other):
+        await wait.wait_for(lambda: one.storage.is_loaded, 5, 0.005)
+        one.store.timeout_s = NEVER_S
+        put = one.storage.contents.put("j", {"b/0/w": b"body"}, 5)
+        written = await lose_first_answer(outside, NEVER_S, put)
+        named = await other.storage.contents.read("j", list(written.values()))
+        assert named == {"b/0/w": b"body"}
+
+    test_transcript.run_with(check)
+
+
+def test_lost_answer_does_not_hold_up_the_acceptance_of_a_job():
+    # The store takes the job and its answer is lost. That it was taken shows in the
+    # partition long before the call is given up on.
+    async def check(outside, one, other):
+        await wait.wait_for(lambda: one.storage.is_loaded, 5, 0.005)
+        one.store.timeout_s = NEVER_S
+        body = content.Reference("b/0/w", 0, 1, 4)
+        made = record.make_job("j", "h", "/p/", 0.0, [job.Item("i", "/p", {}, 7, body)])
+
+        def build(view):
+            return [] if "j" in view.jobs else [made]
+
+        commit = one.storage.accepted.commit(build, 5)
+        await lose_first_answer(outside, 0.05, commit)
+        assert len(outside.get_partition("keyed.jobs", 0).records) == 1
+
+    test_transcript.run_with(check)
+
+
+def test_lost_answer_does_not_hold_up_the_reading_of_contents():
+    async def check(outside, one, other):
+        written = await one.storage.contents.put("j", {"b/0/w": b"body"}, 5)
+        await wait.wait_for(lambda: other.storage.is_loaded, 5, 0.005)
+        await asyncio.gather(*(cancel(task) for task in other.tasks))
+        other.store.timeout_s = NEVER_S
+        outside.board.place(faults.Order("stall", count=1, path="/-/log-read"))
+        for task in one.tasks:
+            await cancel(task)
+        named = await asyncio.wait_for(
+            other.storage.contents.read("j", list(written.values())), 20
+        )
+        assert named == {"b/0/w": b"body"}
+
+    test_transcript.run_with(check)
+
+
+async def cancel(task):
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -229,11 +229,19 @@
             raise exception.LogTruncatedError(f"{topic} ends at {page.log_end}.")
         return page
 
-    async def read_newest(self, topic, part):
+    async def read_newest(self, topic, part, on_page=lambda records: None):
         """Return the newest record of each key, as a `Page`.
 
         The pages are no snapshot, so `end` is that of the first and `log_end` that of
         the last: reading on from `end` brings whatever changed in between.
+
+        Args:
+            topic: Name of the topic.
+            part: Number of the partition.
+            on_page: Function that gets the records of each page as it comes.
+
+        Raises:
+            LogError: There is no answer.
         """
         records = []
         end = None
@@ -242,6 +250,7 @@
             end = page.end if end is None else end
             log_end = page.end
             records += page.records
+            on_page(page.records)
         return Page(records, end or 0, log_end)
 
     async def read_prefix(self, topic, part, prefix):
