Make appends of jobs and outcomes again while their answers are out

A first append that has no effect yet shows nothing in the partition, and was waited for until its time was up.

The same append is made again under the same condition, up to three times: no more than one of them takes effect. Outcomes are appended again under new keys, of which the first by offset counts. Tests with an append that is done at once, after 0.3 s and never.

--- a/pimentowick/gateway/ledger.py
+++ b/pimentowick/gateway/ledger.py
@@ -27,6 +27,8 @@
 LAST_DELAY_S = 0.8
 # An append that has no answer by then may have lost it: what it did is looked up.
 LATE_S = 0.12
+# Appends with the same records under way at once.
+MOST_APPENDS = 3
 LOOK_S = 0.3
 # How long a change whose time is up waits for the answer to an append with it.
 FLIGHT_S = 1.2
@@ -203,21 +205,31 @@
     async def _append(self, records, at):
         """Append; return False if the partition has moved on before the answer came.
 
-        An answer may be lost or late although the store has taken the records: whether
-        it has shows in the partition long before the call is given up on.
+        An answer may be lost or late, and the records taken at once, seconds later or
+        never. Whether they were shows in the partition; until they are, the same append
+        is made again: under one condition no more than one takes effect.
         """
         topic, part = self.feed.topic, self.feed.part
-        task = asyncio.ensure_future(self.store.append(topic, part, records, at))
+        tasks = set()
+        errors = []
         try:
-            while True:
-                done, _ = await asyncio.wait({task}, timeout=LATE_S)
-                if done:
-                    task.result()
+            while tasks or not errors:
+                if not errors and len(tasks) < MOST_APPENDS:
+                    append = self.store.append(topic, part, records, at)
+                    tasks.add(asyncio.ensure_future(append))
+                done, tasks = await asyncio.wait(
+                    tasks, timeout=LATE_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                found = [task.exception() for task in done]
+                if None in found:
                     return True
-                if await self._has_moved(at):
+                errors += found
+                if not done and await self._has_moved(at):
                     return False
+            raise _choose_error(errors)
         finally:
-            task.cancel()
+            for task in tasks:
+                task.cancel()
 
     async def _has_moved(self, at):
         """Return whether the partition is known to end behind an offset by now."""
@@ -275,3 +287,15 @@
     """Note that the partition has moved on: a former append cannot land any more."""
     for change in batch:
         change.unsettled = False
+
+
+def _choose_error(errors):
+    """Return the error that says most of some appends with the same records.
+
+    Nothing was done only if none of them did anything.
+    """
+    for kind in (platform_store.ChangedError, platform_store.UncertainError):
+        for error in errors:
+            if isinstance(error, kind):
+                return error
+    return errors[-1]
--- a/pimentowick/gateway/outcome_log.py
+++ b/pimentowick/gateway/outcome_log.py
@@ -14,7 +14,7 @@
 import time
 
 from pimentowick import exception
-from pimentowick.gateway import decision, feed, record
+from pimentowick.gateway import decision, feed, hedging, record
 
 __all__ = ["OutcomeLog"]
 
@@ -119,14 +119,19 @@
 
     async def _append_waiting(self):
         batch = list(self._waiting)
-        records = [entry for change in batch for entry in change.build()]
-        if records:
-            topic, part = self.feed.topic, self.feed.part
-            end = await self._store.append(topic, part, records, None)
-            if self.feed.end == end - len(records):
-                self.feed.take(records, end - len(records))
+        await hedging.hedge(lambda: self._append(batch))
         for change in batch:
             if change in self._waiting:
                 self._waiting.remove(change)
             if not change.future.done():
                 change.future.set_result(None)
+
+    async def _append(self, batch):
+        """Append what changes still need; each time under keys of its own."""
+        records = [entry for change in batch for entry in change.build()]
+        if not records:
+            return
+        topic, part = self.feed.topic, self.feed.part
+        end = await self._store.append(topic, part, records, None)
+        if self.feed.end == end - len(records):
+            self.feed.take(records, end - len(records))
--- a/pimentowick/gateway/tests/test_job_storage.py
+++ b/pimentowick/gateway/tests/test_job_storage.py
@@ -152,9 +152,11 @@
     test_transcript.run_with(check)
 
 
-def test_lost_answer_does_not_hold_up_the_acceptance_of_a_job():
-    # The store takes the job and its answer is lost. That it was taken shows in the
-    # partition long before the call is given up on.
+@pytest.mark.parametrize("late_s", [0.05, NEVER_S])
+def test_lost_answer_does_not_hold_up_the_acceptance_of_a_job(late_s):
+    # The store takes the job and its answer is lost: that shows in the partition long
+    # before the call is given up on. Or it may take it seconds later: then the same
+    # append is made again, and one of the two takes effect.
     async def check(outside, one, other):
         await wait.wait_for(lambda: one.storage.is_loaded, 5, 0.005)
         one.store.timeout_s = NEVER_S
@@ -165,7 +167,7 @@
             return [] if "j" in view.jobs else [made]
 
         commit = one.storage.accepted.commit(build, 5)
-        await lose_first_answer(outside, 0.05, commit)
+        await lose_first_answer(outside, late_s, commit)
         assert len(outside.get_partition("keyed.jobs", 0).records) == 1
 
     test_transcript.run_with(check)
@@ -188,6 +190,27 @@
     test_transcript.run_with(check)
 
 
+@pytest.mark.parametrize("late_s", [0.3, NEVER_S])
+def test_lost_answer_does_not_hold_up_the_listing_of_an_item(late_s):
+    # The same result may be taken twice; it is listed once, for all alike.
+    async def check(outside, one, other):
+        await one.accept()
+        made = await one.open_transcript()
+        made.add(event.Event(b"", "1", "a"))
+        one.store.timeout_s = NEVER_S
+        listing = made.give_up(5)
+        await lose_first_answer(outside, late_s, listing)
+        outcomes = outside.get_partition("keyed.outcomes", 0)
+        jobs = other.storage.book.jobs
+        await wait.wait_for(lambda: jobs["j"].results, 5, 0.005)
+        if late_s != NEVER_S:
+            await wait.wait_for(lambda: outcomes.end >= 2, 5, 0.005)
+        await other.storage.refresh()
+        assert len(jobs["j"].results) == 1
+
+    test_transcript.run_with(check)
+
+
 async def cancel(task):
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
