Tell a target that is listed later what others have there

Cause, found by reading: since reports that say nothing new cost nothing, a target that another entry uses before this one has read of it stayed at 0 requests of others here until that entry's loads changed, for seconds with batch items alone.

A target that is listed anew gets what the others told before. Without the call the test finds 0 and 0 in place of 1 and 4.

--- a/pimentowick/gateway/content.py
+++ b/pimentowick/gateway/content.py
@@ -309,9 +309,7 @@
 
 
 def _is_whole(reference, named):
-    return len(named.get(reference.name, b"")) == reference.size and (
-        reference.name in named
-    )
+    return reference.name in named and len(named[reference.name]) == reference.size
 
 
 def _group_neighbours(references):
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -85,7 +85,10 @@
         self.store = store.Store(settings.store_address, STORE_TIMEOUT_S)
         self.metrics = metric.Metrics()
         self.configuration = follower.ConfigurationFollower()
-        self.table = target.TargetTable(lambda found: self.pools.drop(found))
+        self.table = target.TargetTable(
+            lambda found: self.pools.drop(found),
+            lambda target_id: self.neighbours.tell_target(target_id),
+        )
         self.admission = admission.Admission(
             self.table,
             settings.failure_domain,
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -412,7 +412,7 @@
             for target_id, (online, batch) in loads.items():
                 self._add(target_id, online, batch)
             for target_id in peer.loads.keys() | loads.keys():
-                self._tell(target_id)
+                self.tell_target(target_id)
             peer.loads = loads
         if waiting != peer.waiting:
             self._admission.peers_waiting.subtract(peer.waiting)
@@ -431,7 +431,8 @@
         else:
             self._sums.pop(target_id, None)
 
-    def _tell(self, target_id):
+    def tell_target(self, target_id):
+        """Set what other entries have at a target, if it is listed."""
         found = self._table.by_id.get(target_id)
         if found is not None:
             sums = self._sums.get(target_id, (0, 0))
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -93,15 +93,18 @@
     Args:
         on_gone: Function that gets a `Target` that is no longer listed or started
             anew.
+        on_new: Function that gets the identifier of a target that is listed for the
+            first time, or was started anew.
 
     Attributes:
         by_id: The `Target` objects.
     """
 
-    def __init__(self, on_gone=lambda target: None):
+    def __init__(self, on_gone=lambda target: None, on_new=lambda target_id: None):
         self.by_id = {}
         self._by_service = {}
         self._on_gone = on_gone
+        self._on_new = on_new
 
     def put(self, registration):
         """Take a registration."""
@@ -117,6 +120,7 @@
         target = Target(registration)
         self.by_id[registration.id] = target
         self._by_service.setdefault(registration.service, {})[target.id] = target
+        self._on_new(target.id)
 
     def remove(self, target_id):
         """Forget a target; unknown ones are let be."""
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -11,8 +11,7 @@
 
 
 def make_neighbours():
-    table = target.TargetTable()
-    table.put(target.Registration("t", "s", "127.0.0.1", 1, "a", 8))
+    table = target.TargetTable(on_new=lambda target_id: found.tell_target(target_id))
     line = admission.Admission(table, "a")
     news = []
     found = neighbour.Neighbours(
@@ -23,6 +22,7 @@
         outlier_detection.OutlierDetection("a"),
         lambda: news.append(1),
     )
+    table.put(target.Registration("t", "s", "127.0.0.1", 1, "a", 8))
     return found, table.by_id["t"], line, news
 
 
@@ -42,6 +42,18 @@
     assert len(news) == 2
 
 
+def test_target_that_is_listed_later_has_the_load_that_was_told_before():
+    # A target comes, and other entries use it before this one has read of it. What
+    # they tell stays the same for seconds while batch items run there.
+    found, *_ = make_neighbours()
+    tell(found, 1, {"t": [0, 2], "new": [1, 4]})
+    registration = target.Registration("new", "s", "127.0.0.1", 2, "a", 8)
+    found._table.put(registration)
+    tell(found, 2, {"t": [0, 2], "new": [1, 4]})
+    new = found._table.by_id["new"]
+    assert (new.peers_online, new.peers_batch) == (1, 4)
+
+
 def test_datagrams_that_overtake_each_other_do_no_harm():
     found, seen, _, _ = make_neighbours()
     tell(found, 2, {"t": [5, 0]})
