--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -28,13 +28,12 @@
 IDLE_S = 1.0
 # Longer than it takes to record that an item is given up.
 REMOVED_EVERY_S = 2.0
-# News of neighbours come some hundred times a second. Items yield at once; what waits
-# is put in order less often, which costs some 10 us an item.
+# News of neighbours comes some tens of times a second. Items are preempted at once;
+# what waits is put in order less often, which costs some 10 us an item.
 LEAST_PAUSE_S = 0.005
 LOOK_PAUSE_S = 0.02
 RECORD_TIMEOUT_S = 20.0
-# For a text that another entry goes on after: recorded later, it would take the place
-# of what that has made since.
+# For a text that another entry goes on after: it reads what is recorded by then.
 HAND_OVER_S = 2.0
 # Pause of an item after a failure, doubled with each.
 FAILURE_PAUSE_S = 0.2
