Let the item of two tests end only once the store is down

Cause: start_whole_item takes the store down as soon as a target runs the item, which lasts 0.2 s. Beside a load the item was over, and its end recorded, before the store was taken down; the condition that follows (a run that is whole and not listed) then stays false.

Ruled out: a result lost by the gateway; in the failing runs the item was listed, as it should be.

Change: the stand-in of a target holds the last event until the test lets it go, which is after the store is down. No pause decides any more.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -47,7 +47,8 @@
         uris: Their paths and queries.
         running: Requests that run now.
         most_running: Most that ran at once.
-        release: Set by a test to let held answers break off.
+        holds_last: Whether streams wait for `release` before their last event.
+        release: Set by a test to let held answers go on, or break off.
     """
 
     def __init__(self, replica_id="i-1", events=3, gap_s=0.0, slots=8):
@@ -62,6 +63,7 @@
         self.uris = []
         self.running = 0
         self.most_running = 0
+        self.holds_last = False
         self.release = asyncio.Event()
 
     def list_routes(self):
@@ -151,6 +153,8 @@
             if behaviour.kind == "wrong_order" and sent == 1:
                 continue
             await asyncio.sleep(self.server.gap_s)
+            if self.server.holds_last and number == self.server.events:
+                await self.server.release.wait()
             if self.closed.is_set():
                 return
             self.write(f"id: {number}\ndata: word {number}\n\n")
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -375,9 +375,12 @@
 
 async def start_whole_item(site, server):
     """Return the gateway at which an item has ended that can't be listed."""
+    # Ended before the store is away, the item could be listed after all.
+    server.holds_last = True
     assert (await submit(site, make_body(1))).status == 202
     await wait.wait_for(lambda: server.running, 10, 0.005)
     site.store.board.place(faults.Order("down"))
+    server.release.set()
 
     def find():
         for gateway in site.gateways:
