Serve callers by the keys of their workspaces

On the shifted deployment callers belong to workspaces.

Looking a key up once per connection: it may be taken away meanwhile. An age of the configuration by the monotonic clock, which stands still while a host is suspended, or by the time of day, which is set; by the moment of an answer, which may have been on its way for any time. A job's identifier for all workspaces with a refusal for the second one: it tells rivals which identifiers are in use.

Change. - Keys are looked up by digest, once per request. Targets get the workspace's name; the callers' key, and what callers send in that header in any spelling, is dropped. No key, two, another scheme: 401 with the scheme named. - An unknown key is looked for in the store before it gets a 401 if what is known is more than a second old; all that come meanwhile share one look. Without an answer of the store: 503. - Where the users ask for keys to be out of force everywhere within a bound, a gateway refuses keyed requests as not run once the store was asked longer ago than that, by a clock that goes on while the host is suspended. If others reach the store, it leaves the balancer's rotation 2.5 s before. - A job belongs to its workspace: under another's key it is as one that never was, the same identifier in two workspaces is two jobs, and tokens that wait are counted by workspace and route (one condition guards them, as before). - The workspace's priority goes before the route's. - `pimentowick trace` names each of these refusals, and finds a job by the identifier that its caller gave.

No key is in any line of the log, nor in what is said of a configuration that can't be read.

--- a/pimentowick/fakes/platform_site.py
+++ b/pimentowick/fakes/platform_site.py
@@ -92,15 +92,20 @@
         replicas: The `replica.Replica` objects.
         routes: Routes as the operator writes them.
         entries: Number of entries.
+        tenants: Workspaces as the operator writes them; none by default, so that
+            callers need no keys.
+        changes: Further fields of the entries' `node.NodeSettings`.
     """
 
-    def __init__(self, replicas, routes, entries=1):
+    def __init__(self, replicas, routes, entries=1, tenants=None, **changes):
         self.store = platform_store.PlatformStore()
         self.replicas = replicas
         self.routes = routes
+        self.tenants = tenants
         self.gateways = []
         self.client = http_client.Client()
         self._entries = entries
+        self._changes = changes
         self._version = 0
 
     async def start(self):
@@ -116,7 +121,7 @@
 
     async def start_entry(self, settings=None):
         """Start one more entry, by default one with addresses of its own."""
-        settings = settings or make_settings(self.store.address)
+        settings = settings or make_settings(self.store.address, **self._changes)
         gateway = daemon.Gateway(settings, metrics_port=find_port())
         await gateway.start()
         self.gateways.append(gateway)
@@ -132,6 +137,8 @@
         self.routes = routes
         services = [{"name": SERVICE, "max_conns": 100}]
         data = {"version": self._version, "routes": routes, "services": services}
+        if self.tenants is not None:
+            data["tenants"] = self.tenants
         self.store.put("keyed.op", "config", data)
 
     def list_replica(self, each, **changes):
@@ -161,16 +168,19 @@
 
 
 @contextlib.asynccontextmanager
-async def open_site(replicas=None, routes=None, entries=1):
+async def open_site(replicas=None, routes=None, entries=1, tenants=None, **changes):
     """Yield a started `Site`.
 
     Args:
         replicas: The `replica.Replica` objects; one by default.
         routes: Routes as the operator writes them; one stream by default.
         entries: Number of entries.
+        tenants: Workspaces as the operator writes them.
+        changes: Further fields of the entries' settings.
     """
     routes = routes or [make_route("/chat/", "stream", resumable=True)]
-    site = Site(replicas or [replica.Replica()], routes, entries)
+    replicas = replicas or [replica.Replica()]
+    site = Site(replicas, routes, entries, tenants, **changes)
     try:
         await site.start()
         yield site
--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -20,14 +20,14 @@
 
     Attributes:
         service: Name of the service.
-        priority: Rank of its route; 0 is the most urgent.
+        rank: What goes before what, as a tuple; the least is the most urgent.
         start_by: Monotonic time by which it has to start to be in time.
         give_up_at: Monotonic time at which waiting has no use any more.
         begun: Whether it had a place before, and lost its target.
     """
 
     service: str
-    priority: int
+    rank: tuple
     start_by: float
     give_up_at: float
     begun: bool = False
@@ -236,7 +236,7 @@
     Those that can still be in time go before those that are late already.
     """
     late = demand.start_by < now
-    return demand.priority, not demand.begun, late, demand.start_by
+    return demand.rank, not demand.begun, late, demand.start_by
 
 
 def _is_given(future):
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -11,6 +11,7 @@
 from pimentowick import exception, supervisor
 from pimentowick.gateway import (
     admission,
+    authentication,
     decision,
     dispatch,
     exchange,
@@ -67,7 +68,15 @@
 # Entries tell each other more seldom than this.
 OUTLIERS_CHECK_S = 0.1
 # Refusals whose decision has a line of its own, with what decided it.
-LOGGED_CODES = frozenset({"busy", "deadline_passed", "target_lost"})
+LOGGED_CODES = frozenset(
+    {
+        "busy",
+        "configuration_old",
+        "deadline_passed",
+        "target_lost",
+        "unauthorized",
+    }
+)
 
 
 class Gateway:
@@ -155,8 +164,18 @@
         )
         self._feeds = self._make_feeds()
         self._retention = retention.Retention(settings, self.ownership, self.storage)
+        self.authentication = authentication.Authentication(
+            self.configuration,
+            self._feeds["configuration"],
+            settings.revoke_s,
+            lambda: self.ownership.is_cut_off,
+        )
         self._dispatch = dispatch.Dispatch(
-            self.configuration, self._feeds["configuration"], found_relay, jobs
+            self.configuration,
+            self._feeds["configuration"],
+            self.authentication,
+            found_relay,
+            jobs,
         )
 
     def _make_feeds(self):
@@ -299,6 +318,7 @@
             not self._draining
             and self.configuration.current is not None
             and bool(is_begun)
+            and not self.authentication.should_leave_rotation
         )
 
     def _note_load(self):
@@ -388,7 +408,10 @@
         services = {found.registration.service for found in self.table.by_id.values()}
         lines = [self.admission.describe(service) for service in services]
         return metric.State(
-            ages_s={name: now - entry.fresh_at for name, entry in feeds.items()},
+            ages_s={
+                **{name: now - entry.fresh_at for name, entry in feeds.items()},
+                "keys": self.authentication.age_s,
+            },
             places=sum(line.places for line in lines),
             free=sum(line.free for line in lines),
             waiting=sum(map(self.admission.count_waiting, services)),
--- a/pimentowick/gateway/dispatch.py
+++ b/pimentowick/gateway/dispatch.py
@@ -3,7 +3,7 @@
 import time
 
 from pimentowick import exception, verdict
-from pimentowick.gateway import decision, route
+from pimentowick.gateway import decision, route, workspace
 from pimentowick.platform import message
 
 __all__ = ["Dispatch"]
@@ -19,13 +19,15 @@
     Args:
         configuration: `pimentowick.gateway.follower.ConfigurationFollower`.
         feed: The `pimentowick.gateway.feed.Feed` that keeps it up to date.
+        authentication: `pimentowick.gateway.authentication.Authentication`.
         relay: `pimentowick.gateway.relay.Relay`.
         job_api: `pimentowick.gateway.job_api.JobApi`.
     """
 
-    def __init__(self, configuration, feed, relay, job_api):
+    def __init__(self, configuration, feed, authentication, relay, job_api):
         self._configuration = configuration
         self._feed = feed
+        self._authentication = authentication
         self._relay = relay
         self._job_api = job_api
 
@@ -48,8 +50,27 @@
             )
         job_call = message.find_batch_call(request.method, request.path)
         if job_call is not None:
-            await self._serve_job(request, call, *job_call)
+            is_public = current.has_public_batch(request.host)
+            caller = await self._identify(request, call, is_public)
+            await self._serve_job(request, call, caller, *job_call)
             return
+        found = self._find_route(current, request, call)
+        caller = await self._identify(request, call, found.is_public)
+        if self._configuration.current is not current:
+            current = self._configuration.current
+            found = self._find_route(current, request, call)
+        if found.kind == route.Kind.BATCH:
+            await self._job_api.submit(request, found, call, caller)
+            return
+        is_keyed = current.workspaces is not None
+        await self._relay.serve(request, found, call, current.version, caller, is_keyed)
+
+    async def _identify(self, request, call, is_public):
+        found = await self._authentication.identify(call, is_public)
+        request.workspace = None if found is None else found.name
+        return found
+
+    def _find_route(self, current, request, call):
         found = current.find(request.host, request.path)
         if found is None:
             decision.note_request(
@@ -62,12 +83,11 @@
             raise exception.RefusedError(
                 verdict.Refusal(404, "unknown_route", "No route takes this path.")
             )
-        if found.kind == route.Kind.BATCH:
-            await self._job_api.submit(request, found, call)
-            return
-        await self._relay.serve(request, found, call, current.version)
+        return found
 
-    async def _serve_job(self, request, call, wanted, job_id):
+    async def _serve_job(self, request, call, caller, wanted, job_id):
+        name = None if caller is None else caller.name
+        job_id = workspace.scope_job_id(name, job_id)
         if wanted == message.BatchCall.END:
             await self._job_api.end(request, job_id)
         elif wanted == message.BatchCall.READ:
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -11,6 +11,7 @@
 
 from pimentowick import exception, verdict, web
 from pimentowick.gateway import decision, route
+from pimentowick.platform import message
 
 __all__ = ["Exchange", "Server"]
 
@@ -26,6 +27,7 @@
 # callers (6 ms), and a turn of a busy loop.
 READ_S = 0.25
 REASONS = {421: "Misdirected Request"}
+UNAUTHORIZED = 401
 
 
 class Exchange:
@@ -40,6 +42,7 @@
         body: The whole body.
         refusal: Why the request breaks a limit, a `verdict.Refusal`, or None.
         refused: The `verdict.Refusal` that it was answered with, or None.
+        workspace: Name of the caller's workspace, or None if it isn't known.
         received_at: Monotonic time at which the headers were read.
         started: Whether the head of the answer is sent.
         finished: Whether the answer is sent or broken off.
@@ -54,6 +57,7 @@
         self.body = b""
         self.refusal = None
         self.refused = None
+        self.workspace = None
         self.received_at = time.monotonic()
         self.started = False
         self.finished = False
@@ -113,6 +117,8 @@
             # The exact time: rounded up to whole seconds it would be most of what
             # an online caller has.
             headers["Retry-After"] = f"{refusal.retry_after:.2f}"
+        if refusal.status == UNAUTHORIZED:
+            headers["WWW-Authenticate"] = message.SCHEME
         await self.answer(refusal.status, headers, orjson.dumps(refusal.to_dict()))
 
 
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -121,7 +121,7 @@
     made = run.transcript
     sink = Sink(made)
     headers = message.encode_item(
-        run.item, len(made.body), run.job.host, RUN_LIMIT_S, target.id, made.last_event
+        run.item, len(made.body), run.job, RUN_LIMIT_S, target.id, made.last_event
     )
     request = upstream.Request(run.item.id, "POST", run.item.path, headers, made.body)
     saver = asyncio.create_task(_save_often(made))
--- a/pimentowick/gateway/feed.py
+++ b/pimentowick/gateway/feed.py
@@ -42,6 +42,11 @@
         """Note that all records that the store had were told."""
 
 
+def read_clock():
+    """Return a time in seconds that goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Feed:
     """Reads one partition for as long as it runs.
 
@@ -54,23 +59,28 @@
             paid for, and a busy topic would otherwise be read once a record.
         wait_s: How long the store may hold a read, in seconds. A connection that
             fell silent is noticed after this time and the store's timeout.
+        clock: Function that returns the time of `proved_at`.
 
     Attributes:
         end: Offset behind the last record read, or None before the first.
         fresh_at: Monotonic time as of which the records are known to be complete.
+        proved_at: The same moment, on the clock that goes on while the host is
+            suspended.
         lost_at: Monotonic time since which reads fail, or None.
         returned_at: Monotonic time at which reads worked again after a failure.
     """
 
-    def __init__(self, store, topic, part, follower, pause_s, wait_s):
+    def __init__(self, store, topic, part, follower, pause_s, wait_s, clock=read_clock):
         self.store = store
         self.topic = topic
         self.part = part
         self.follower = follower
         self.pause_s = pause_s
         self.wait_s = wait_s
+        self.clock = clock
         self.end = None
         self.fresh_at = float("-inf")
+        self.proved_at = float("-inf")
         self.lost_at = None
         self.returned_at = float("-inf")
         self._changed = asyncio.Event()
@@ -129,6 +139,7 @@
 
     async def _read_once(self, wait_s):
         asked_at = time.monotonic()
+        proves_at = self.clock()
         if self.end is None:
             await self._load()
             return True
@@ -141,7 +152,7 @@
             return True
         found = self._take_page(page)
         if self.end >= page.log_end:
-            self._note_fresh(asked_at)
+            self._note_fresh(asked_at, proves_at)
         return found
 
     def _take_page(self, page):
@@ -161,6 +172,7 @@
             if self.end != known:
                 return
             asked_at = time.monotonic()
+            proves_at = self.clock()
             preview = self.follower.preview if self.end is None else _pass_over
             page = await self.store.read_newest(self.topic, self.part, preview)
             later, end = await self._read_later(page)
@@ -171,7 +183,7 @@
             for record in later:
                 self.follower.apply(record)
             self.end = end
-        self._note_fresh(asked_at)
+        self._note_fresh(asked_at, proves_at)
         self._tell_changed()
 
     async def _read_later(self, page):
@@ -192,8 +204,9 @@
             end = found.end
         return later, end
 
-    def _note_fresh(self, asked_at):
+    def _note_fresh(self, asked_at, proves_at):
         self.fresh_at = max(self.fresh_at, asked_at)
+        self.proved_at = max(self.proved_at, proves_at)
         if self.lost_at is not None:
             lost_s = time.monotonic() - self.lost_at
             decision.note_belief("feed.regained", topic=self.topic, lost_s=lost_s)
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -33,6 +33,7 @@
 COMMON = 10
 # Lines of something that is not over yet.
 UNDER_WAY = ("online.queued", "online.sent", "item.sent")
+EXPLAINED_CALLERS = ("caller.unidentified",)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,7 +100,7 @@
         lines: All `Line` objects, in order of time.
         wanted: Identifier of a request, an item or a job.
     """
-    own = [line for line in lines if wanted in (line.data.get("id"), _get_job(line))]
+    own = [line for line in lines if _is_named(wanted, line)]
     if not own:
         return [], []
     begin, end = own[0].time - BEFORE_S, own[-1].time + AFTER_S
@@ -119,6 +120,12 @@
     return own, around
 
 
+def _is_named(wanted, line):
+    """Return whether a line is of an id; jobs stand with their workspace before it."""
+    names = [str(line.data.get("id")), str(_get_job(line))]
+    return any(name == wanted or name.endswith(f":{wanted}") for name in names)
+
+
 def find_restart(lines, last):
     """Return the line with which a process started again soon after another, or None.
 
@@ -146,6 +153,8 @@
     last = own[-1]
     if last.event in UNDER_WAY:
         found = _explain_cut(last, around)
+    elif last.event in EXPLAINED_CALLERS:
+        found = _explain_caller(last)
     elif last.event == "caller.refused":
         found = _explain_refused(last)
     elif last.event.startswith("online."):
@@ -177,6 +186,31 @@
     )
 
 
+def _explain_caller(line):
+    """Return why a request was refused for what its workspace is or has sent."""
+    data = line.data
+    known = f"version {data.get('configuration')} of the configuration"
+    age_s = data.get("age_s")
+    if age_s is not None:
+        known += f", {age_s:.1f} s old"
+    reasons = {
+        "key_missing": "It was refused with 401: it carried no key that can be read.",
+        "key_unknown": (
+            f"It was refused with 401: no workspace has its key in {known}. The key "
+            "was taken away, or never given."
+        ),
+        "key_unsure": (
+            f"It was refused with 503 without having run: no workspace has its key in "
+            f"{known}, and the store did not say whether there is a newer one."
+        ),
+        "configuration_old": (
+            f"It was refused with 503 without having run: gateway {line.process} knows "
+            f"{known}, and a key may have been taken away since."
+        ),
+    }
+    return reasons.get(data.get("outcome"), _explain_refused(line))
+
+
 def _explain_refused(line):
     data = line.data
     if data.get("outcome") == "not_ready":
--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -97,12 +97,13 @@
     """One accepted batch job.
 
     Attributes:
-        id: Identifier given by the client.
+        id: Name among all jobs (see `pimentowick.gateway.workspace`).
         host: Host header of the submission; only callers there may read it.
         path: Path of the submission.
         submitted_s: Unix time of the acceptance.
         items: The `Item` objects by number.
         outcome: The `Outcome`.
+        workspace: Name of the workspace that it belongs to, or None without one.
         learnt_at: Monotonic time at which it came as a new record, minus infinity if
             it was there before.
     """
@@ -114,6 +115,7 @@
     items: list
     outcome: Outcome = dataclasses.field(default_factory=Outcome)
     learnt_at: float = float("-inf")
+    workspace: str | None = None
 
     @property
     def ended(self):
@@ -230,6 +232,7 @@
             items,
             outcome,
             learnt_at,
+            data.get("workspace"),
         )
         self.jobs[job_id] = found
         self._note_open(found)
@@ -245,12 +248,14 @@
         else:
             self.open_jobs.pop(found.id, None)
 
-    def count_waiting_tokens(self, path_prefix, host):
-        """Return the tokens that wait on a route."""
+    def count_waiting_tokens(self, path_prefix, host, workspace=None):
+        """Return the tokens of a workspace that wait on a route."""
         return sum(
             job.count_waiting_tokens()
             for job in self.open_jobs.values()
-            if job.host == host and job.path.startswith(path_prefix)
+            if job.host == host
+            and job.workspace == workspace
+            and job.path.startswith(path_prefix)
         )
 
 
--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -6,7 +6,7 @@
 from tornado import httputil
 
 from pimentowick import exception, verdict
-from pimentowick.gateway import decision, ledger, record
+from pimentowick.gateway import decision, ledger, record, workspace
 from pimentowick.platform import message
 
 __all__ = ["JobApi"]
@@ -37,15 +37,17 @@
         self._storage = storage
         self._is_cut_off = is_cut_off
 
-    async def submit(self, exchange, found, call):
+    async def submit(self, exchange, found, call, caller):
         """Accept a job, or refuse it.
 
         Args:
             exchange: The `pimentowick.gateway.exchange.Exchange`.
             found: The `pimentowick.gateway.route.Route`.
             call: The `message.Call` of its headers.
+            caller: The `pimentowick.gateway.workspace.Workspace`, or None without one.
         """
-        job_id = call.request_id
+        owner = None if caller is None else caller.name
+        job_id = workspace.scope_job_id(owner, call.request_id)
         if job_id not in self._storage.book.jobs and self._is_cut_off():
             await self._refuse_cut_off(exchange, job_id)
             return
@@ -57,7 +59,7 @@
             return
         tokens = sum(item.tokens for item in items)
         try:
-            await self._accept(exchange, found, job_id, items, bodies)
+            await self._accept(exchange, found, job_id, owner, items, bodies)
         except exception.RefusedError as error:
             _note("batch.refused", job_id, error.refusal.code, tokens=tokens)
             await exchange.refuse(error.refusal)
@@ -73,7 +75,7 @@
         _note("batch.accepted", job_id, "accepted", items=len(items), tokens=tokens)
         await exchange.answer(202, httputil.HTTPHeaders())
 
-    async def _accept(self, exchange, found, job_id, items, bodies):
+    async def _accept(self, exchange, found, job_id, owner, items, bodies):
         """Record a job, its bodies first.
 
         Raises:
@@ -87,7 +89,7 @@
         if job_id in storage.book.jobs:
             return
         tokens = sum(item.tokens for item in items)
-        self._check_room(found, exchange.host, tokens)
+        self._check_room(found, exchange.host, owner, tokens)
         writer = uuid.uuid4().hex
         named = {record.name_body(n, writer): body for n, body in enumerate(bodies)}
         references = await storage.contents.put(
@@ -95,12 +97,14 @@
         )
         for name, item in zip(named, items, strict=True):
             item.body = references[name]
-        made = record.make_job(job_id, exchange.host, exchange.path, time.time(), items)
+        made = record.make_job(
+            job_id, exchange.host, exchange.path, time.time(), items, owner
+        )
 
         def build(view):
             if job_id in view.jobs:
                 return []
-            self._check_room(found, exchange.host, tokens)
+            self._check_room(found, exchange.host, owner, tokens)
             return [made]
 
         try:
@@ -129,11 +133,13 @@
         _note("batch.refused", job_id, "cut_off")
         await exchange.refuse(_make_unsure(ELSEWHERE_S))
 
-    def _check_room(self, found, host, tokens):
+    def _check_room(self, found, host, owner, tokens):
         """Refuse a job whose tokens do not fit beside those that wait."""
         if not found.max_waiting_tokens:
             return
-        waiting = self._storage.book.count_waiting_tokens(found.path_prefix, host)
+        waiting = self._storage.book.count_waiting_tokens(
+            found.path_prefix, host, owner
+        )
         if waiting + tokens > found.max_waiting_tokens:
             refusal = verdict.Refusal(
                 429,
--- a/pimentowick/gateway/record.py
+++ b/pimentowick/gateway/record.py
@@ -38,15 +38,16 @@
     return f"r/{number}/{writer}"
 
 
-def make_job(job_id, host, path, submitted_s, items):
+def make_job(job_id, host, path, submitted_s, items, workspace=None):
     """Return the record of an accepted job, whose bodies lie in the store already.
 
     Args:
-        job_id: Identifier given by the client.
+        job_id: Name of the job among all (see `pimentowick.gateway.workspace`).
         host: Host header of the submission.
         path: Path of the submission.
         submitted_s: Unix time of the acceptance.
         items: The `pimentowick.gateway.job.Item` objects, with references of bodies.
+        workspace: Name of the workspace that it belongs to, or None without one.
     """
     rows = [
         {
@@ -59,6 +60,8 @@
         for item in items
     ]
     data = {"host": host, "path": path, "submitted_s": submitted_s, "items": rows}
+    if workspace is not None:
+        data["workspace"] = workspace
     return store.KeyedRecord(f"j/{job_id}", orjson.dumps(data))
 
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -64,7 +64,7 @@
         self._pools = pools
         self._metrics = metrics
 
-    async def serve(self, exchange, found, call, version):
+    async def serve(self, exchange, found, call, version, workspace=None, keyed=False):
         """Answer one request.
 
         Args:
@@ -72,10 +72,15 @@
             found: The `route.Route`.
             call: The `message.Call` that its headers make.
             version: Version of the configuration that chose the route.
+            workspace: The caller's `pimentowick.gateway.workspace.Workspace`, or None.
+            keyed: Whether callers have keys, which no target may see.
+
+        Returns:
+            Whether it may have run.
         """
         deadline_s = call.deadline_s or DEFAULT_DEADLINE_S
         bound_s = min(deadline_s - MARGIN_S, found.timeout_s)
-        work = _Work(self, exchange, found, call, bound_s)
+        work = _Work(self, exchange, found, call, bound_s, workspace, keyed)
         try:
             async with asyncio.timeout(
                 exchange.received_at + bound_s - time.monotonic()
@@ -87,12 +92,13 @@
             work.note("online.left", "caller_left", version)
             raise
         work.note("online.ended", why, version)
+        return work.may_have_run
 
 
 class _Work:
     """One request under way."""
 
-    def __init__(self, relay, exchange, found, call, bound_s):
+    def __init__(self, relay, exchange, found, call, bound_s, workspace, keyed):
         self._admission = relay._admission
         self._pools = relay._pools
         self._health = relay._health
@@ -100,6 +106,8 @@
         self._exchange = exchange
         self._route = found
         self._call = call
+        self._workspace = workspace
+        self._keyed = keyed
         self._ends_at = exchange.received_at + bound_s
         self._progress = _Progress()
         self._sink = response.Sink(exchange, found.kind == route.Kind.STREAM)
@@ -109,14 +117,22 @@
         self._sent = False
         self._sent_at = None
 
+    @property
+    def may_have_run(self):
+        """Whether it may have run at a target."""
+        return self._sent or bool(self._progress.runs)
+
     async def run(self):
         """Send the request until an answer is whole; return the reason of the end."""
         objective_s = self._route.objective_s
         received_at = self._exchange.received_at
         time_s = self._ends_at - received_at
+        rank = (self._route.priority, self._route.priority)
+        if self._workspace is not None:
+            rank = self._workspace.rank(self._route.priority)
         demand = admission.Demand(
             self._service,
-            self._route.priority,
+            rank,
             received_at + objective_s - load_shedding.FIRST_EVENT_S,
             received_at + time_s * load_shedding.LONGEST_SHARE,
         )
@@ -172,6 +188,8 @@
             target.id,
             len(self._exchange.body),
             resumed_at,
+            None if self._workspace is None else self._workspace.name,
+            self._keyed,
         )
         request = upstream.Request(
             self._call.request_id,
@@ -319,6 +337,7 @@
             outcome=why,
             status=self._status,
             route=self._route.name,
+            workspace=None if self._workspace is None else self._workspace.name,
             kind=self._route.kind,
             service=self._service,
             in_time=self._is_in_time(first_s, now - received_at),
--- a/pimentowick/gateway/route.py
+++ b/pimentowick/gateway/route.py
@@ -38,6 +38,7 @@
         due_s: Time from a job's submission until its results are due.
         abandon_after_s: Time from a job's submission until items are given up.
         max_waiting_tokens: Most tokens of accepted items that wait; 0 is no limit.
+        is_public: Whether callers need no key.
     """
 
     name: str
@@ -53,6 +54,7 @@
     due_s: float = 0.0
     abandon_after_s: float = 60.0
     max_waiting_tokens: float = 0.0
+    is_public: bool = False
 
     @property
     def repeatable(self):
@@ -98,6 +100,8 @@
         routes: The `Route` objects.
         max_connections: Most connections to a target, by service.
         limits: The `Limits` of callers.
+        workspaces: The `pimentowick.gateway.workspace.Directory`, or None if callers
+            need no keys.
 
     Examples:
         >>> make = lambda prefix: Route("r", "a", prefix, Kind.ONCE, {"s": 1}, 1, 1)
@@ -114,11 +118,13 @@
         routes,
         max_connections=None,
         limits=Limits(),
+        workspaces=None,
     ):
         self.version = version
         self.routes = routes
         self.max_connections = max_connections or {}
         self.limits = limits
+        self.workspaces = workspaces
         self._by_host = {}
         for route in sorted(routes, key=lambda entry: -len(entry.path_prefix)):
             self._by_host.setdefault(route.host.lower(), []).append(route)
@@ -132,6 +138,19 @@
                 return route
         return None
 
+    def find_limited(self, name):
+        """Return a `workspace.Workspace` whose requests are limited, or None."""
+        if self.workspaces is None:
+            return None
+        found = self.workspaces.by_name.get(name)
+        return found if found is not None and found.rate_per_s > 0 else None
+
+    def has_public_batch(self, host):
+        """Return whether jobs may be submitted on a host without a key."""
+        host = host.lower()
+        routes = self._by_host.get(host) or self._by_host.get(host.partition(":")[0])
+        return any(found.is_public and found.due_s for found in routes or ())
+
     def find_batch(self, host, path):
         """Return the route of batch jobs for a path, or None."""
         found = self.find(host, path)
--- a/pimentowick/gateway/tests/test_admission.py
+++ b/pimentowick/gateway/tests/test_admission.py
@@ -13,7 +13,7 @@
 
 def make_demand(wait_s):
     now = time.monotonic()
-    return admission.Demand("s", 0, now + wait_s, now + wait_s)
+    return admission.Demand("s", (0, 0), now + wait_s, now + wait_s)
 
 
 def test_place_that_comes_as_the_wait_ends_is_not_lost():
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -36,6 +36,10 @@
 LOAD = "X-Pimentowick-Server-Load"
 WAIT = "X-Pimentowick-Wait-Ms"
 LAST_EVENT = "Last-Event-Id"
+AUTHORIZATION = "Authorization"
+SCHEME = "Token"
+# The wire calls a workspace a tenant.
+WORKSPACE = "X-Pimentowick-Tenant"
 # Headers that concern one connection only.
 HOP = {
     "connection",
@@ -83,12 +87,15 @@
         deadline_s: Seconds that the client waits, or None.
         wait_s: Seconds that a read may be held.
         last_event: Event after which a stream goes on, or "".
+        key: Key of the caller's workspace; None if nothing was sent for it, "" if what
+            was sent is no key.
     """
 
     request_id: str
     deadline_s: float | None
     wait_s: float
     last_event: str
+    key: str | None = dataclasses.field(default=None, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,10 +139,24 @@
         deadline_s=None if deadline is None else deadline / 1000,
         wait_s=0.0 if wait is None else wait / 1000,
         last_event=headers.get(LAST_EVENT, ""),
+        key=_decode_key(headers),
     )
 
 
-def encode_request(headers, left_s, target_id, length, last_event=None):
+def _decode_key(headers):
+    found = headers.get_list(AUTHORIZATION)
+    if not found:
+        return None
+    scheme, _, key = found[0].strip().partition(" ")
+    if len(found) > 1 or scheme.lower() != SCHEME.lower():
+        return ""
+    key = key.strip()
+    return "" if " " in key else key
+
+
+def encode_request(
+    headers, left_s, target_id, length, last_event=None, workspace=None, keyed=False
+):
     """Return the headers for a target from those of a client.
 
     Args:
@@ -145,8 +166,12 @@
             reused address refuses.
         length: Length of the body, in bytes.
         last_event: Event after which a resumed stream goes on.
+        workspace: Name of the caller's workspace, or None without one.
+        keyed: Whether callers have keys here, which no target may see.
     """
-    dropped = HOP | {DEADLINE.lower(), EXPECT_INSTANCE.lower()}
+    dropped = HOP | {DEADLINE.lower(), EXPECT_INSTANCE.lower(), WORKSPACE.lower()}
+    if keyed:
+        dropped = dropped | {AUTHORIZATION.lower()}
     dropped |= {
         name.strip().lower() for name in headers.get("Connection", "").split(",")
     }
@@ -154,7 +179,8 @@
         dropped = dropped | {LAST_EVENT.lower()}
     found = httputil.HTTPHeaders()
     for name, value in headers.get_all():
-        if name.lower() not in dropped:
+        # Some servers take an underscore in a name for a dash.
+        if name.lower().replace("_", "-") not in dropped:
             found.add(name, value)
     found["Content-Length"] = str(length)
     found[EXPECT_INSTANCE] = target_id
@@ -162,17 +188,30 @@
         found[DEADLINE] = str(max(1, int(left_s * 1000)))
     if last_event is not None:
         found[LAST_EVENT] = last_event
+    if workspace is not None:
+        found[WORKSPACE] = workspace
     return found
 
 
-def encode_item(item, size, host, left_s, target_id, last_event=None):
-    """Return the headers for a target from those of an item of a batch job."""
+def encode_item(item, size, found, left_s, target_id, last_event=None):
+    """Return the headers for a target from those of an item of a batch job.
+
+    Args:
+        item: The `pimentowick.gateway.job.Item`.
+        size: Length of its body, in bytes.
+        found: Its `pimentowick.gateway.job.Job`.
+        left_s: Seconds that the target may take.
+        target_id: Identifier that the target must have.
+        last_event: Event after which a resumed run goes on.
+    """
     headers = httputil.HTTPHeaders()
     for name, value in item.headers.items():
         headers.add(name, value)
-    headers["Host"] = host
+    headers["Host"] = found.host
     headers[REQUEST_ID] = item.id
-    return encode_request(headers, left_s, target_id, size, last_event)
+    return encode_request(
+        headers, left_s, target_id, size, last_event, found.workspace, keyed=True
+    )
 
 
 def decode_answer(status, headers):
--- a/pimentowick/platform/node.py
+++ b/pimentowick/platform/node.py
@@ -38,6 +38,8 @@
         record_bytes: Largest record of the store.
         call_bytes: Most bytes of the records of one append.
         parts: Partitions of a topic.
+        revoke_s: Seconds within which a key that was taken away is out of force at all
+            hosts, in touch with the store or not; None if that isn't asked.
         link_mbps: What the host's link carries, in megabits a second.
     """
 
@@ -56,6 +58,7 @@
     call_bytes: int
     parts: int
     link_mbps: float = 1000.0
+    revoke_s: float | None = None
 
 
 class _Fields(pydantic.BaseModel):
@@ -76,6 +79,8 @@
     call_bytes: int = pydantic.Field(2_097_152, alias="platform.call_bytes")
     parts: int = pydantic.Field(8, alias="platform.parts")
     link_mbps: float = pydantic.Field(1000.0, alias="limits.link_mbps")
+    strict_revoke: bool = pydantic.Field(False, alias="bounds.strict_revoke")
+    revoke_ms: float = pydantic.Field(5000.0, alias="bounds.revoke_ms")
 
 
 def _explain(path, numbers, error):
@@ -132,4 +137,5 @@
         call_bytes=fields.call_bytes,
         parts=fields.parts,
         link_mbps=fields.link_mbps,
+        revoke_s=fields.revoke_ms / 1000 if fields.strict_revoke else None,
     )
--- a/pimentowick/platform/operator.py
+++ b/pimentowick/platform/operator.py
@@ -9,7 +9,7 @@
 import pydantic
 
 from pimentowick import exception
-from pimentowick.gateway import route, target
+from pimentowick.gateway import route, target, workspace
 from pimentowick.platform import store
 
 __all__ = [
@@ -52,6 +52,7 @@
     retention_s: float = 60.0
     # The wire's name says nothing of the unit: it counts tokens that may wait.
     max_count: float = 0
+    public: bool = False
 
 
 class _Service(pydantic.BaseModel):
@@ -59,6 +60,14 @@
     max_conns: int = 100
 
 
+class _Tenant(pydantic.BaseModel):
+    name: str = pydantic.Field(min_length=1)
+    api_keys: list[str] = pydantic.Field([], repr=False)
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Limits(pydantic.BaseModel):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
@@ -71,6 +80,7 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
 
 
 class _Registration(pydantic.BaseModel):
@@ -92,6 +102,8 @@
     """
     try:
         data = _Configuration.model_validate(orjson.loads(value))
+    except pydantic.ValidationError as error:
+        raise exception.ValidationError(_explain(error)) from None
     except ValueError as error:
         raise exception.ValidationError(f"Configuration: {error}") from error
     return route.Configuration(
@@ -104,6 +116,27 @@
             header_timeout_s=data.limits.header_timeout_ms / 1000,
             idle_timeout_s=data.limits.idle_timeout_ms / 1000,
         ),
+        workspaces=_make_directory(data.tenants),
+    )
+
+
+def _explain(error):
+    """Return what is wrong with a record, without the values that it holds."""
+    faults = error.errors(include_url=False, include_input=False, include_context=False)
+    rows = [f"{'.'.join(map(str, row['loc']))}: {row['msg']}" for row in faults]
+    return f"Configuration: {'; '.join(rows)}"
+
+
+def _make_directory(tenants):
+    if tenants is None:
+        return None
+    return workspace.Directory(
+        {
+            workspace.Workspace(
+                entry.name, entry.priority, entry.rate_per_s, entry.burst
+            ): entry.api_keys
+            for entry in tenants
+        }
     )
 
 
@@ -126,6 +159,7 @@
         due_s=entry.run_target_ms / 1000,
         abandon_after_s=entry.retention_s,
         max_waiting_tokens=entry.max_count,
+        is_public=entry.public,
     )
 
 
