Keep the limits of workspaces over all gateways together

A workspace may send so many requests a second, and so many at once, over all gateways.

One holder a workspace: a round for nearly each request, and a workspace without service while its holder is lost. Shares that follow demand: most gateways saw none of a workspace's 1.4 requests a second lately.

Each gateway keeps a token bucket for each busy workspace and takes off it what the others let through, which they tell with the news that goes round already. Gateways that don't hear each other split the rate by their numbers; one that was just started begins with one request and refills once it has listened. A request that has not run is given back. Beyond the limit: 429 `rate_limit`, with the time at which a place is expected. Logs, metrics and `pimentowick trace` name the workspace, bounded to the first 20 by name in metrics.

--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -21,6 +21,7 @@
 from pimentowick.gateway.policy import (
     news_relay,
     outlier_detection,
+    quota,
     target_choice,
 )
 
@@ -60,6 +61,7 @@
         table,
         admission.Admission(table, "a"),
         outlier_detection.OutlierDetection("a"),
+        quota.SharedCount(),
         lambda: None,
     )
     numbers = iter(range(1, 1_000_000))
--- a/pimentowick/gateway/authentication.py
+++ b/pimentowick/gateway/authentication.py
@@ -126,4 +126,4 @@
 
 
 def _refuse_key(message):
-    return verdict.Refusal(401, "unauthorized", message)
+    return verdict.Refusal(401, "wrong_token", message)
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -30,7 +30,7 @@
     runner,
     target,
 )
-from pimentowick.gateway.policy import news_relay, outlier_detection
+from pimentowick.gateway.policy import news_relay, outlier_detection, quota
 from pimentowick.platform import message, node, operator, store
 
 __all__ = ["Gateway", "run"]
@@ -73,8 +73,9 @@
         "busy",
         "configuration_old",
         "deadline_passed",
+        "rate_limit",
         "target_lost",
-        "unauthorized",
+        "wrong_token",
     }
 )
 
@@ -106,14 +107,17 @@
         )
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         self.outliers = outlier_detection.OutlierDetection(settings.failure_domain)
+        self.quotas = quota.SharedCount(time.monotonic())
         self.neighbours = neighbour.Neighbours(
             address,
             news_relay.NewsRelay(address, settings.failure_domain, settings.link_mbps),
             self.table,
             self.admission,
             self.outliers,
+            self.quotas,
             self._note_places,
         )
+        self.neighbours.get_limit = self._get_limit
         found_health = health.Health(self.outliers)
         self.storage = job_storage.JobStorage(
             self.store, JOBS_TOPIC, OUTCOMES_TOPIC, JOBS_PAUSE_S, HOLD_S, settings
@@ -174,6 +178,7 @@
             self.configuration,
             self._feeds["configuration"],
             self.authentication,
+            self.quotas,
             found_relay,
             jobs,
         )
@@ -321,6 +326,12 @@
             and not self.authentication.should_leave_rotation
         )
 
+    def _get_limit(self, name):
+        """Return the `quota.Limit` of a workspace, or None if it has none."""
+        current = self.configuration.current
+        found = None if current is None else current.find_limited(name)
+        return None if found is None else quota.Limit(found.rate_per_s, found.burst)
+
     def _note_load(self):
         self.neighbours.note_change()
         self.runner.wake()
@@ -387,7 +398,7 @@
 
     def _note_refused(self, request):
         refusal = request.refused
-        self.metrics.count_refusal(refusal)
+        self.metrics.count_refusal(refusal, request.workspace)
         if refusal.code not in LOGGED_CODES:
             call = message.decode_call(request.headers)
             decision.note_request(
@@ -422,6 +433,8 @@
             store_calls=self.store.calls,
             store_bytes=self.store.bytes,
             dropped_lines=decision.count_dropped(),
+            quota_share=self.quotas.share,
+            quota_workspaces=self.quotas.count_buckets(),
         )
 
     async def _answer_metrics(self, request):
--- a/pimentowick/gateway/dispatch.py
+++ b/pimentowick/gateway/dispatch.py
@@ -4,6 +4,7 @@
 
 from pimentowick import exception, verdict
 from pimentowick.gateway import decision, route, workspace
+from pimentowick.gateway.policy import quota
 from pimentowick.platform import message
 
 __all__ = ["Dispatch"]
@@ -20,14 +21,16 @@
         configuration: `pimentowick.gateway.follower.ConfigurationFollower`.
         feed: The `pimentowick.gateway.feed.Feed` that keeps it up to date.
         authentication: `pimentowick.gateway.authentication.Authentication`.
+        quotas: The `pimentowick.gateway.policy.quota.Quota`.
         relay: `pimentowick.gateway.relay.Relay`.
         job_api: `pimentowick.gateway.job_api.JobApi`.
     """
 
-    def __init__(self, configuration, feed, authentication, relay, job_api):
+    def __init__(self, configuration, feed, authentication, quotas, relay, job_api):
         self._configuration = configuration
         self._feed = feed
         self._authentication = authentication
+        self._quotas = quotas
         self._relay = relay
         self._job_api = job_api
 
@@ -62,8 +65,7 @@
         if found.kind == route.Kind.BATCH:
             await self._job_api.submit(request, found, call, caller)
             return
-        is_keyed = current.workspaces is not None
-        await self._relay.serve(request, found, call, current.version, caller, is_keyed)
+        await self._serve_online(request, found, call, caller, current)
 
     async def _identify(self, request, call, is_public):
         found = await self._authentication.identify(call, is_public)
@@ -85,6 +87,49 @@
             )
         return found
 
+    async def _serve_online(self, request, found, call, caller, current):
+        is_limited = caller is not None and caller.rate_per_s > 0
+        if is_limited:
+            self._take_quota(call, caller, current)
+        may_have_run = True
+        try:
+            may_have_run = await self._relay.serve(
+                request,
+                found,
+                call,
+                current.version,
+                caller,
+                current.workspaces is not None,
+            )
+        finally:
+            if is_limited and not may_have_run:
+                self._quotas.give_back(caller.name, time.monotonic())
+
+    def _take_quota(self, call, caller, current):
+        limit = quota.Limit(caller.rate_per_s, caller.burst)
+        wait_s = self._quotas.take(caller.name, limit, time.monotonic())
+        if not wait_s:
+            return
+        decision.note_request(
+            "caller.over_quota",
+            call.request_id,
+            outcome="rate_limit",
+            workspace=caller.name,
+            rate_per_s=caller.rate_per_s,
+            burst=caller.burst,
+            wait_s=wait_s,
+            share=self._quotas.share,
+            configuration=current.version,
+        )
+        raise exception.RefusedError(
+            verdict.Refusal(
+                429,
+                "rate_limit",
+                "The workspace sends more than its limit. Come back later.",
+                retry_after=wait_s,
+            )
+        )
+
     async def _serve_job(self, request, call, caller, wanted, job_id):
         name = None if caller is None else caller.name
         job_id = workspace.scope_job_id(name, job_id)
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -143,3 +143,7 @@
             decision.note_belief("entry.garbled", entry=record.key, why=str(error))
             return
         self._neighbours.meet(record.key, domain, link_mbps)
+
+    def caught_up(self):
+        """Note that all entries are known that the store lists."""
+        self._neighbours.note_listed()
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -33,7 +33,7 @@
 COMMON = 10
 # Lines of something that is not over yet.
 UNDER_WAY = ("online.queued", "online.sent", "item.sent")
-EXPLAINED_CALLERS = ("caller.unidentified",)
+EXPLAINED_CALLERS = ("caller.unidentified", "caller.over_quota")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,6 +207,11 @@
             f"It was refused with 503 without having run: gateway {line.process} knows "
             f"{known}, and a key may have been taken away since."
         ),
+        "rate_limit": (
+            "It was refused with 429 without having run: workspace "
+            f"{data.get('workspace')} sends more than {data.get('rate_per_s')} "
+            f"requests a second and {data.get('burst')} at once."
+        ),
     }
     return reasons.get(data.get("outcome"), _explain_refused(line))
 
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -1,6 +1,7 @@
 """Counters and histograms of this entry, in the Prometheus text format.
 
-Units stand in the names; no label holds a request, a job, a caller or a target.
+Units stand in the names; no label holds a request, a job, a key or a target. Names of
+workspaces are labels of refusals only, and no more than a few of them.
 """
 
 import dataclasses
@@ -11,6 +12,9 @@
 __all__ = ["Metrics", "State"]
 
 # The objectives seen lie between 0.3 and 1 s, callers' patience below 6 s.
+# Workspaces that are counted by name; all others are counted as one.
+NAMED_WORKSPACES = 20
+OTHER_WORKSPACES = "(others)"
 PHASE_BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0]
 
 
@@ -30,6 +34,8 @@
         store_calls: Calls of the store by name.
         store_bytes: Bytes by name of the call and direction.
         dropped_lines: Lines of the log that were left out.
+        quota_share: Which part of each workspace's limit is refilled here.
+        quota_workspaces: Number of workspaces whose requests are counted now.
     """
 
     ages_s: dict
@@ -43,6 +49,8 @@
     store_calls: dict
     store_bytes: dict
     dropped_lines: int
+    quota_share: float
+    quota_workspaces: int
 
 
 class Metrics:
@@ -67,6 +75,19 @@
             "pimentowick_gateway_refusals_total",
             "Refused requests by code and verdict.",
         )
+        self._workspace_refusals = self._make_counter(
+            "pimentowick_gateway_workspace_refusals_total",
+            "Refused requests by workspace and code, the first workspaces by name.",
+        )
+        self._named = set()
+        self._quota_share = self._make_gauge(
+            "pimentowick_gateway_quota_share",
+            "Which part of each workspace's limit is refilled here.",
+        )
+        self._quota_workspaces = self._make_gauge(
+            "pimentowick_gateway_quota_workspaces",
+            "Workspaces whose requests are counted now.",
+        )
         self._items = self._make_counter(
             "pimentowick_gateway_items_total", "Runs of batch items by outcome."
         )
@@ -127,9 +148,20 @@
         """Count a further target for a request."""
         self._retries.inc({})
 
-    def count_refusal(self, refusal):
-        """Count a `pimentowick.verdict.Refusal` that was answered."""
+    def count_refusal(self, refusal, workspace=None):
+        """Count a refusal that was answered.
+
+        Args:
+            refusal: The `pimentowick.verdict.Refusal`.
+            workspace: Name of the caller's workspace, or None if it isn't known.
+        """
         self._refusals.inc({"code": refusal.code, "verdict": str(refusal.verdict)})
+        if workspace is None:
+            return
+        if len(self._named) < NAMED_WORKSPACES:
+            self._named.add(workspace)
+        name = workspace if workspace in self._named else OTHER_WORKSPACES
+        self._workspace_refusals.inc({"workspace": name, "code": refusal.code})
 
     def count_item(self, outcome):
         """Count the end of a run of an item."""
@@ -149,6 +181,8 @@
         self._targets.set({"state": "listed"}, state.targets)
         self._targets.set({"state": "ejected"}, state.ejected)
         self._jobs.set({}, state.open_jobs)
+        self._quota_share.set({}, state.quota_share)
+        self._quota_workspaces.set({}, state.quota_workspaces)
         self._busy.set({}, state.open_requests)
         for name, count in state.store_calls.items():
             self._bring_up(self._store_calls, {"call": name}, count)
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -88,6 +88,7 @@
         table: `pimentowick.gateway.target.TargetTable`.
         admission: `pimentowick.gateway.admission.Admission`.
         outliers: `pimentowick.gateway.policy.outlier_detection.OutlierDetection`.
+        quotas: `pimentowick.gateway.policy.quota.Quota`.
         on_news: Function called when a neighbour told a change.
 
     Attributes:
@@ -96,10 +97,11 @@
         get_renewal_age: Function that returns how many seconds ago the store renewed
             this entry's lease, or None.
         get_held_parts: Function that returns the parts of the batch work held here.
+        get_limit: Function from the name of a workspace to its `quota.Limit`, or None.
         peers_pending: Weight of those that wait at other entries, by service.
     """
 
-    def __init__(self, address, relay, table, admission, outliers, on_news):
+    def __init__(self, address, relay, table, admission, outliers, quotas, on_news):
         self.address = address
         self.peers = {}
         self._relay = relay
@@ -107,6 +109,8 @@
         self._table = table
         self._admission = admission
         self._outliers = outliers
+        self._quotas = quotas
+        self._is_listed = False
         self._on_news = on_news
         self._transport = None
         self._started_at = float("-inf")
@@ -118,6 +122,7 @@
         self.pending = {}
         self.get_renewal_age = lambda: None
         self.get_held_parts = lambda: ()
+        self.get_limit = lambda name: None
         self.peers_pending = collections.Counter()
 
     async def start(self):
@@ -141,6 +146,10 @@
         self._relay.add(address, failure_domain, link_mbps)
         self.add(address)
 
+    def note_listed(self):
+        """Note that all entries that the store knows were told."""
+        self._is_listed = True
+
     def add(self, address):
         """Take the address of another entry."""
         if address == self.address or address in self.peers:
@@ -230,8 +239,17 @@
             self._saved_at = time.monotonic()
             self._changed.clear()
             self._drop_silent()
+            self._count_heard()
             self._send(self._describe())
 
+    def _count_heard(self):
+        """Tell the limits how many entries count what they let through together."""
+        since = time.monotonic() - SILENT_S
+        heard = 1 + sum(peer.heard_at > since for peer in self.peers.values())
+        if not (self._is_listed and self.has_listened):
+            heard = 0
+        self._quotas.note_members(1 + len(self.peers), heard)
+
     def _describe(self):
         targets = self._table.by_id.values()
         loads = {t.id: (t.online, t.batch) for t in targets if t.online or t.batch}
@@ -247,6 +265,7 @@
             "parts": sorted(self.get_held_parts()),
             "failure_domain": self._outliers.failure_domain if failing else "",
             "failing": failing,
+            "taken": self._quotas.describe(time.monotonic()),
         }
 
     def _send(self, data):
@@ -367,6 +386,10 @@
             for key, (bad, good) in found.get("failing", {}).items()
         }
         parts = frozenset(map(int, found.get("parts", ())))
+        taken = {
+            key: (int(period), int(takes), int(before))
+            for key, (period, takes, before) in found.get("taken", {}).items()
+        }
         age_s = found.get("renewed_s_ago")
         now = time.monotonic()
         peer.renewed_at = None if age_s is None else now - float(age_s)
@@ -377,6 +400,7 @@
         self._replace(peer, loads, waiting, pending)
         domain = str(found.get("failure_domain", ""))
         self._outliers.replace(address, domain, failing)
+        self._quotas.note_report(address, taken, self.get_limit, now)
         return changed
 
     def error_received(self, exc):
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -5,7 +5,7 @@
 
 from pimentowick.fakes import platform_site, replica, wait
 from pimentowick.gateway import admission, neighbour, target
-from pimentowick.gateway.policy import news_relay, outlier_detection
+from pimentowick.gateway.policy import news_relay, outlier_detection, quota
 
 ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
 
@@ -20,6 +20,7 @@
         table,
         line,
         outlier_detection.OutlierDetection("a"),
+        quota.SharedCount(),
         lambda: news.append(1),
     )
     table.put(target.Registration("t", "s", "127.0.0.1", 1, "a", 8))
