Give waiting requests their turn by workspace

Requests that wait were ordered by the time that is left, which among those of one kind is their order of arrival: all wait as long as the queue that one workspace makes. The product's own queue is fair between workspaces, the gateway's was not.

A queue of the gateway's own: the tags of start-time fair queueing are taken out of scheduling/fairness.py, and both use them.

Within one rank, and among those that can still be in time, the turn of the workspace decides before the time that is left. The order is a decision of its own (policy/request_order.py).

--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -17,6 +17,7 @@
     record,
     route,
     target,
+    workspace,
 )
 from pimentowick.gateway.policy import (
     news_relay,
@@ -90,6 +91,22 @@
     return _measure(lambda: table.find(f"h{count - 1}", "/p/1"))
 
 
+def _measure_key(count):
+    keys = {workspace.Workspace(f"w{n}"): [f"{n:020}"] for n in range(count)}
+    found = workspace.Directory(keys)
+    return _measure(lambda: found.find("00000000000000000007"))
+
+
+def _measure_quota(count):
+    """Return the cost of a take while so many workspaces are busy."""
+    limit = quota.Limit(1e9, 1e9)
+    found = quota.SharedCount()
+    found.note_members(33, 33)
+    for number in range(count):
+        found.take(f"w{number}", limit, 0.0)
+    return _measure(lambda: found.take("w7", limit, 0.1))
+
+
 def _measure_events(count):
     data = b"".join(b"id: %d\ndata: some words\n\n" % n for n in range(count))
     return _measure(lambda: event.EventSplitter().feed(data), rounds=50)
@@ -141,6 +158,8 @@
         ("a datagram, by its sender's targets", "us", _measure_datagram),
         ("a choice of a target, by targets", "us", _measure_choice),
         ("a route, by routes", "us", _measure_route),
+        ("a key, by workspaces", "us", _measure_key),
+        ("a limit, by busy workspaces", "us", _measure_quota),
         ("a chunk of events, by events", "us", _measure_events),
         ("lines of the log, by lines", "us", _measure_lines),
         ("a job in memory, by items", "KB", _measure_job_memory),
--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -5,7 +5,13 @@
 import dataclasses
 import time
 
-from pimentowick.gateway.policy import batch_queue, load_shedding, target_choice
+from pimentowick.gateway.policy import (
+    batch_queue,
+    load_shedding,
+    request_order,
+    target_choice,
+)
+from pimentowick.scheduling import fairness
 
 __all__ = ["Admission", "Demand", "Place"]
 
@@ -24,6 +30,8 @@
         start_by: Monotonic time by which it has to start to be in time.
         give_up_at: Monotonic time at which waiting has no use any more.
         begun: Whether it had a place before, and lost its target.
+        workspace: Name of its caller's workspace, or "" without one.
+        turn: Start tag of its workspace, given when it begins to wait.
     """
 
     service: str
@@ -31,6 +39,8 @@
     start_by: float
     give_up_at: float
     begun: bool = False
+    workspace: str = ""
+    turn: float = 0.0
 
 
 class Place:
@@ -86,6 +96,7 @@
         self._on_change = on_change
         self._get_round_s = get_round_s
         self._waiting = {}
+        self._turns = {}
         self._next_share_at = {}
         self.peers_waiting = collections.Counter()
         self.hold_s = {}
@@ -124,6 +135,9 @@
     async def wait(self, demand, avoid=frozenset()):
         """Wait for a `Place`; return None once waiting has no use any more."""
         future = asyncio.get_running_loop().create_future()
+        turns = self._turns.setdefault(demand.service, fairness.Tags())
+        turn = turns.assign(demand.workspace, 1.0)
+        demand = dataclasses.replace(demand, turn=turn)
         entry = (demand, avoid, future)
         line = self._waiting.setdefault(demand.service, [])
         line.append(entry)
@@ -142,6 +156,8 @@
         finally:
             if entry in line:
                 line.remove(entry)
+            if not line:
+                turns.forget()
 
     def note_freed(self, place):
         """Take a place that was given back."""
@@ -181,9 +197,9 @@
         if not line:
             return
         now = time.monotonic()
-        line.sort(key=lambda entry: _rank(entry[0], now))
+        line.sort(key=lambda entry: request_order.rank(entry[0], now))
         for entry in list(line):
-            _, avoid, future = entry
+            demand, avoid, future = entry
             if future.done():
                 continue
             if limit is not None:
@@ -196,6 +212,7 @@
             if place is None:
                 return
             line.remove(entry)
+            self._turns[service].note_served(demand.turn)
             future.set_result(place)
 
     def _choose(self, service, avoid):
@@ -230,14 +247,5 @@
         return loop.time() + monotonic_at - time.monotonic()
 
 
-def _rank(demand, now):
-    """Return the key by which those that wait are ordered.
-
-    Those that can still be in time go before those that are late already.
-    """
-    late = demand.start_by < now
-    return demand.rank, not demand.begun, late, demand.start_by
-
-
 def _is_given(future):
     return future.done() and not future.cancelled()
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -135,6 +135,7 @@
             rank,
             received_at + objective_s - load_shedding.FIRST_EVENT_S,
             received_at + time_s * load_shedding.LONGEST_SHARE,
+            workspace="" if self._workspace is None else self._workspace.name,
         )
         while True:
             place = await self._take_place(demand)
--- a/pimentowick/scheduling/fairness.py
+++ b/pimentowick/scheduling/fairness.py
@@ -17,7 +17,50 @@
 import heapq
 import itertools
 
-__all__ = ["FairQueue"]
+__all__ = ["FairQueue", "Tags"]
+
+
+class Tags:
+    """Start tags of workspaces that share something.
+
+    Examples:
+        >>> tags = Tags()
+        >>> [tags.assign("flood", 10) for _ in range(3)], tags.assign("calm", 10)
+        ([0.0, 10.0, 20.0], 0.0)
+        >>> tags.note_served(20.0)
+        >>> tags.assign("calm", 10)
+        20.0
+    """
+
+    def __init__(self):
+        self._finish = {}
+        self._virtual = 0.0
+
+    @property
+    def virtual(self):
+        """The tag of whatever was served last."""
+        return self._virtual
+
+    def assign(self, workspace, cost, weight=1.0):
+        """Return the start tag of a request, the least of which goes first.
+
+        Args:
+            workspace: Name of the workspace that it belongs to.
+            cost: What it is expected to take.
+            weight: Share of the workspace.
+        """
+        start = max(self._virtual, self._finish.get(workspace, 0.0))
+        self._finish[workspace] = start + cost / weight
+        return start
+
+    def note_served(self, tag):
+        """Note that a request with a tag had its turn."""
+        self._virtual = max(self._virtual, tag)
+
+    def forget(self):
+        """Forget all: nobody waits, and tags of the past would punish who comes."""
+        self._finish.clear()
+        self._virtual = 0.0
 
 
 class FairQueue:
@@ -35,8 +78,7 @@
     def __init__(self):
         self._heap = []
         self._order = itertools.count()
-        self._finish = {}
-        self._virtual = 0.0
+        self._tags = Tags()
         self._workspaces = {}
         self._waiting = collections.Counter()
 
@@ -63,11 +105,9 @@
                 was sent back goes first, and its workspace pays only once.
         """
         if paid:
-            self._push(self._virtual, workspace, entry)
+            self._push(self._tags.virtual, workspace, entry)
             return
-        start = max(self._virtual, self._finish.get(workspace, 0.0))
-        self._finish[workspace] = start + cost / weight
-        self._push(start, workspace, entry)
+        self._push(self._tags.assign(workspace, cost, weight), workspace, entry)
 
     def _push(self, start, workspace, entry):
         heapq.heappush(self._heap, (start, next(self._order), entry))
@@ -92,7 +132,7 @@
         """
         entry = self.peek()
         start, _, _ = heapq.heappop(self._heap)
-        self._virtual = max(self._virtual, start)
+        self._tags.note_served(start)
         self.remove(entry)
         return entry
 
@@ -106,7 +146,5 @@
             self._forget()
 
     def _forget(self):
-        # Nobody is backlogged: tags of the past would punish the next one to come.
         self._heap.clear()
-        self._finish.clear()
-        self._virtual = 0.0
+        self._tags.forget()
