Let a neighbour prove the configuration where the store turns a gateway away

A gateway that alone hears nothing of the store has to refuse keyed requests after five seconds, though its neighbours are told of each key that is taken away.

The age told with the news that goes round: a datagram that was held up makes an old configuration look new. Refusing alone, or only leaving the balancer's rotation: both stay for when no neighbour answers.

After two seconds without the store a gateway asks one that it hears, over HTTP: the answer holds the version, the record if it is newer, and the seconds since the neighbour asked the store. What is known then is that old as of the question. Gateways that all lost the store don't keep each other young.

--- a/pimentowick/gateway/authentication.py
+++ b/pimentowick/gateway/authentication.py
@@ -42,11 +42,17 @@
         """Seconds since the store was asked for what is known now."""
         return self._feed.clock() - self._feed.proved_at
 
+    @property
+    def is_bounded(self):
+        """Whether holders of keys have to be refused by the age of what is known."""
+        current = self._configuration.current
+        is_keyed = current is not None and current.workspaces is not None
+        return is_keyed and self._bound_s is not None
+
     @property
     def should_leave_rotation(self):
         """Whether callers are better sent to other entries from now on."""
-        current = self._configuration.current
-        if current is None or current.workspaces is None:
+        if not self.is_bounded:
             return False
         return freshness.should_leave_rotation(
             self.age_s, self._bound_s, self._is_cut_off()
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -24,6 +24,7 @@
     metric,
     neighbour,
     ownership,
+    peer_configuration,
     pools,
     relay,
     retention,
@@ -174,6 +175,13 @@
             settings.revoke_s,
             lambda: self.ownership.is_cut_off,
         )
+        self._peer_configuration = peer_configuration.PeerConfiguration(
+            self.configuration,
+            self._feeds["configuration"],
+            self.neighbours.list_heard,
+            lambda: self.authentication.is_bounded,
+        )
+        self._peers = exchange.Server(address, self._peer_configuration.answer)
         self._dispatch = dispatch.Dispatch(
             self.configuration,
             self._feeds["configuration"],
@@ -220,7 +228,8 @@
         await self._supervisor.start()
         await self.store.start()
         await self.neighbours.start()
-        for server in (self._checks, self._callers, self._metrics_page):
+        await self._peer_configuration.start()
+        for server in self._list_servers():
             await server.start()
         for name, entry in self._feeds.items():
             self._supervisor.start_child(f"feed {name}", entry.run)
@@ -233,6 +242,7 @@
         self._supervisor.start_child("neighbours", self.neighbours.run)
         self._supervisor.start_child("news relay", self.neighbours.relay)
         self._supervisor.start_child("announce", self._announce)
+        self._supervisor.start_child("peer configuration", self._peer_configuration.run)
         self._supervisor.start_child("ownership", self.ownership.run)
         self._supervisor.start_child("runner", self.runner.run)
         self._supervisor.start_child("clean", self._clean)
@@ -242,6 +252,9 @@
             "gateway.started", host=self.settings.name, store=self.store.address
         )
 
+    def _list_servers(self):
+        return self._callers, self._checks, self._metrics_page, self._peers
+
     async def _follow_later(self, found):
         """Follow a feed once online requests can be served.
 
@@ -290,10 +303,11 @@
 
     async def close(self):
         """Close everything."""
-        for server in (self._callers, self._checks, self._metrics_page):
+        for server in self._list_servers():
             await server.close()
         await self._supervisor.close()
         await self.neighbours.close()
+        await self._peer_configuration.close()
         self.pools.close()
         await self.store.close()
         decision.note_belief("gateway.stopped")
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -15,10 +15,16 @@
 
 
 class ConfigurationFollower(feed.Follower):
-    """Keeps the newest configuration; an older one never takes its place."""
+    """Keeps the newest configuration; an older one never takes its place.
+
+    Attributes:
+        current: The `route.Configuration` in force, or None before the first.
+        record: The value of the record that holds it.
+    """
 
     def __init__(self):
         self.current = None
+        self.record = b""
 
     def get_limits(self):
         """Return the `route.Limits` of callers that are in force."""
@@ -31,16 +37,20 @@
 
     def apply(self, record):
         """Take the next record."""
-        if record.key != operator.CONFIGURATION_KEY or not record.value:
-            return
+        if record.key == operator.CONFIGURATION_KEY and record.value:
+            self.take(record.value)
+
+    def take(self, value):
+        """Take what a record of the configuration holds, if it is newer."""
         try:
-            found = operator.decode_configuration(record.value)
+            found = operator.decode_configuration(value)
         except exception.ValidationError as error:
             decision.note_belief("configuration.garbled", why=str(error))
             return
         if self.current is not None and found.version <= self.current.version:
             return
         self.current = found
+        self.record = value
         decision.note_belief(
             "configuration.applied", version=found.version, routes=len(found.routes)
         )
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -215,6 +215,11 @@
         renewals = [peer.renewed_at for peer in heard if peer.renewed_at is not None]
         return max(renewals, default=-math.inf)
 
+    def list_heard(self):
+        """Return the addresses of the entries that were heard just now."""
+        since = time.monotonic() - SILENT_S
+        return [peer.address for peer in self.peers.values() if peer.heard_at > since]
+
     @property
     def has_listened(self):
         """Whether all neighbours have been heard that send anything."""
@@ -244,8 +249,7 @@
 
     def _count_heard(self):
         """Tell the limits how many entries count what they let through together."""
-        since = time.monotonic() - SILENT_S
-        heard = 1 + sum(peer.heard_at > since for peer in self.peers.values())
+        heard = 1 + len(self.list_heard())
         if not (self._is_listed and self.has_listened):
             heard = 0
         self._quotas.note_members(1 + len(self.peers), heard)
