--- a/pimentowick/gateway/decision.py
+++ b/pimentowick/gateway/decision.py
@@ -15,7 +15,7 @@
 
 __all__ = ["configure", "count_dropped", "note_belief", "note_request"]
 
-# Well above the decisions of one entry seen so far; assumed, not measured.
+# Bounds what the log costs; a few lines are written for each request.
 LINES_PER_S = 400
 BURST_LINES = 800
 
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -20,11 +20,11 @@
 PASSED_HEADER_BYTES = 131_072
 PASSED_BODY_BYTES = 33_554_432
 BODY_TIMEOUT_S = 30
-# How often connections are looked at whose headers are under way: well below the
-# limits seen (3 s).
+# How often connections are looked at whose headers are under way: well below what the
+# configuration allows for them.
 SLOW_CHECK_S = 0.25
 # How long a connection that was just taken has to bring its request: a round trip to
-# callers (6 ms), and a turn of a busy loop.
+# callers, and a turn of a busy loop.
 READ_S = 0.25
 REASONS = {421: "Misdirected Request"}
 UNAUTHORIZED = 401
--- a/pimentowick/gateway/feed.py
+++ b/pimentowick/gateway/feed.py
@@ -20,7 +20,7 @@
 
 FIRST_DELAY_S = 0.1
 LAST_DELAY_S = 1.0
-# Reads of a megabyte until the end is reached; a partition holds some tens of them.
+# Reads of a megabyte until the end is reached, many more than a partition holds.
 MOST_READS = 100
 # Spreads the reads of entries that were started together.
 JITTER = 0.2
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -13,7 +13,7 @@
 FIRST_PAUSE_S = 0.5
 LAST_PAUSE_S = 4.0
 # A request without the head of its answer after this, and after twice its objective,
-# counts as failed; it goes on. At sound targets one of some 2,000 took longer.
+# counts as failed; it goes on.
 SILENT_S = 1.0
 # The target's own word that time was up says nothing about it.
 DEADLINE_STATUS = 504
--- a/pimentowick/gateway/hedging.py
+++ b/pimentowick/gateway/hedging.py
@@ -17,7 +17,7 @@
 
 __all__ = ["hedge"]
 
-# Well above the time that the store takes as a rule, some 5 ms and a busy turn.
+# Well above the time that the store takes as a rule.
 HEDGE_S = 0.12
 # Calls under way at once.
 MOST_CALLS = 3
--- a/pimentowick/gateway/neighbour.py
+++ b/pimentowick/gateway/neighbour.py
@@ -28,9 +28,9 @@
 
 # Coalesces the changes of one wave; an item is preempted this much later.
 FLUSH_S = 0.01
-# Datagrams that one entry gets in a second at most, measured at 60 us of processor
-# time each. Each of its peers sends its share, and saves up some while nothing
-# changes: a change is told late only where changes keep coming.
+# Datagrams that one entry gets in a second at most. Each of its peers sends its share,
+# and saves up some while nothing changes: a change is told late only where changes keep
+# coming.
 RECEIVED_PER_S = 400
 # From so many others on, news is relayed: told to each, it would come to each as
 # often as it can be taken, and be older than by way of two relays.
--- a/pimentowick/gateway/policy/batch_queue.py
+++ b/pimentowick/gateway/policy/batch_queue.py
@@ -17,8 +17,7 @@
     """Return how many items an entry starts now, its share of the room there is.
 
     All entries see the same free places at the same time. Each filling them alone,
-    most items would be preempted again before their first event (194 of 404 preemptions
-    on a measured day).
+    most items would be preempted again before their first event.
 
     Args:
         room: Free places for batch items.
--- a/pimentowick/gateway/policy/load_shedding.py
+++ b/pimentowick/gateway/policy/load_shedding.py
@@ -11,8 +11,7 @@
 
 __all__ = ["Line", "estimate_wait", "make_retry_after", "should_shed"]
 
-# Time from the start at a target to the first event on a target with free places
-# (69 ms at the median of a calm day; the rest is a margin).
+# Time from the start at a target with free places to the first event.
 FIRST_EVENT_S = 0.08
 # A caller that waits longer than this share of its time gets no use of a late answer.
 LONGEST_SHARE = 0.45
--- a/pimentowick/gateway/policy/reachability.py
+++ b/pimentowick/gateway/policy/reachability.py
@@ -18,7 +18,7 @@
 
 __all__ = ["Reachability"]
 
-# An answer that was on its way as the store went away; some 5 ms, and a busy turn.
+# An answer that was on its way as the store went away.
 SAME_TIME_S = 0.1
 # A store that answers at all answers within this time: 0.24 s at sixty times its usual
 # 4 ms.
--- a/pimentowick/gateway/policy/service_time.py
+++ b/pimentowick/gateway/policy/service_time.py
@@ -5,7 +5,7 @@
 # Weight of the newest run in the means.
 WEIGHT = 0.1
 # An item is broken off for online requests now and then and starts anew: it takes
-# somewhat longer than its events alone. Assumed, not measured.
+# somewhat longer than its events alone.
 INTERRUPTION_SHARE = 1.2
 
 
--- a/pimentowick/gateway/policy/target_choice.py
+++ b/pimentowick/gateway/policy/target_choice.py
@@ -29,8 +29,6 @@
 
 # Share of all places that batch items leave free: an online request that comes in
 # then starts without waiting for a preemption, and the item is not broken off.
-# None at all cost 1,953 preemptions in place of 526 on a day at full load, a place of
-# each target (a seventh) left batch work that time undone.
 HEADROOM_SHARE = 0.06
 
 
--- a/pimentowick/gateway/pools.py
+++ b/pimentowick/gateway/pools.py
@@ -4,7 +4,7 @@
 
 __all__ = ["Pools"]
 
-# For a service whose limit the configuration does not name; assumed.
+# For a service whose limit the configuration does not name.
 DEFAULT_CONNECTIONS = 100
 
 
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -29,7 +29,7 @@
 # Longer than it takes to record that an item is given up.
 REMOVED_EVERY_S = 2.0
 # News of neighbours comes some tens of times a second. Items are preempted at once;
-# what waits is put in order less often, which costs some 10 us an item.
+# what waits is put in order less often, since that costs more.
 LEAST_PAUSE_S = 0.005
 LOOK_PAUSE_S = 0.02
 RECORD_TIMEOUT_S = 20.0
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -25,7 +25,7 @@
 # after a second.
 CONNECT_TIMEOUT_S = 0.5
 # A target that lost power answers nothing: what was sent stays unacknowledged. Room
-# for a lost packet to be sent again twice; assumed, not measured.
+# for a lost packet to be sent again twice.
 UNACKNOWLEDGED_MS = 1_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -31,10 +31,9 @@
 LENGTH = struct.Struct(">I")
 HEAD = struct.Struct(">QQ")
 MAX_CALLS = 24
-# Bound of an answer that keeps arriving; a page has 1.4 MB at most.
+# Bound of an answer that keeps arriving.
 LONGEST_READ_S = 30.0
-# What an entry's link moves at least while others use it, too; the slowest seen has
-# 3.75 MB/s. Assumed, not measured.
+# What an entry's link moves at least while others use it, too.
 LEAST_BYTES_PER_S = 300_000
 # Statuses of calls that the store has taken up; 412 and 410 are answers to what was
 # asked, 404 to a topic that nobody has written yet.
