Bound looks at a store that refuses at once, and check a neighbour's age

Found on reading the diff: after a look that failed at once the next unknown key began another, so that a flood of wrong keys pressed a store that turns calls away with as many reads; now none follows within half a second. An age below zero or no number in a neighbour's answer would have made the configuration look new for good; such an answer changes nothing. Tests for both: on the code before, two of them fail, one look for five keys, and the answer with an age of -50 s.

--- a/pimentowick/gateway/authentication.py
+++ b/pimentowick/gateway/authentication.py
@@ -12,9 +12,11 @@
 # It bounds the looks at the store as well: all that come meanwhile share one.
 LOOK_AGE_S = 1.0
 LOOK_TIMEOUT_S = 0.8
+# After a look that failed there is none for so long, whatever keys come.
+LOOK_PAUSE_S = 0.5
 # Other entries may serve the caller now.
 ELSEWHERE_S = 0.02
-# Nobody may before the store is back, and most callers come back once.
+# No entry may before the store is back, and most callers come back once.
 AWAY_S = 1.5
 
 
@@ -36,6 +38,7 @@
         self._bound_s = bound_s
         self._is_cut_off = is_cut_off
         self._look = None
+        self._next_look_at = float("-inf")
 
     @property
     def age_s(self):
@@ -85,13 +88,9 @@
 
     async def _find_newer(self, call):
         """Look for a key in the newest configuration that the store holds."""
-        if self.age_s > LOOK_AGE_S:
-            if self._look is None:
-                self._look = asyncio.ensure_future(self._ask_store())
-                self._look.add_done_callback(self._end_look)
-            if not await asyncio.shield(self._look):
-                self._note(call, "key_unsure")
-                raise exception.RefusedError(self._refuse_unsure())
+        if self.age_s > LOOK_AGE_S and not await self._look_up():
+            self._note(call, "key_unsure")
+            raise exception.RefusedError(self._refuse_unsure())
         found = self._configuration.current.workspaces
         found = None if found is None else found.find(call.key)
         if found is None:
@@ -99,13 +98,22 @@
             raise exception.RefusedError(_refuse_key("No workspace has this key."))
         return found
 
+    async def _look_up(self):
+        """Read the configuration, once for all who ask; return whether it was read."""
+        if self._look is None:
+            if self._feed.clock() < self._next_look_at:
+                return False
+            self._look = asyncio.ensure_future(self._ask_store())
+            self._look.add_done_callback(self._end_look)
+        return await asyncio.shield(self._look)
+
     async def _ask_store(self):
-        """Read the configuration; return whether the store has answered."""
         try:
             async with asyncio.timeout(LOOK_TIMEOUT_S):
                 await self._feed.refresh()
         except (TimeoutError, exception.LogError) as error:
             decision.note_belief("configuration.not_read", why=str(error))
+            self._next_look_at = self._feed.clock() + LOOK_PAUSE_S
             return False
         return True
 
--- a/pimentowick/gateway/peer_configuration.py
+++ b/pimentowick/gateway/peer_configuration.py
@@ -12,8 +12,8 @@
 import asyncio
 import base64
 import binascii
+import math
 import random
-import urllib.parse
 
 import orjson
 from tornado import httputil
@@ -71,13 +71,13 @@
         """Take what another entry knows of the configuration."""
         asked_at = self._feed.clock()
         known = self._configuration.current
-        version = -1 if known is None else known.version
+        after = "" if known is None else known.version
         try:
             answer = await self._client.fetch(
-                "GET", address, f"{PATH}?after={version}", timeout_s=ASK_TIMEOUT_S
+                "GET", address, f"{PATH}?after={after}", timeout_s=ASK_TIMEOUT_S
             )
             found = answer.decode()
-            age_s = float(found["age_s"])
+            version, age_s = int(found["version"]), _check_age(found["age_s"])
             record = found["record"]
             value = None if record is None else base64.b64decode(record, validate=True)
         except (
@@ -93,7 +93,7 @@
         if value is not None:
             self._configuration.take(value)
         known = self._configuration.current
-        if known is not None and known.version >= int(found["version"]):
+        if known is not None and known.version >= version:
             self._feed.proved_at = max(self._feed.proved_at, asked_at - age_s)
             self._note_helped(True, neighbour=address, version=known.version)
 
@@ -103,9 +103,8 @@
         if request.path != PATH or known is None:
             await request.answer(404, httputil.HTTPHeaders())
             return
-        after = int(urllib.parse.unquote(request.query.get("after", "-1")))
         record = None
-        if known.version > after:
+        if request.query.get("after") != str(known.version):
             record = base64.b64encode(self._configuration.record).decode()
         data = {"version": known.version, "age_s": self._get_age(), "record": record}
         await request.answer_json(orjson.dumps(data))
@@ -118,3 +117,11 @@
             self._helped = helped
             name = "configuration.by_neighbour" if helped else "configuration.by_store"
             decision.note_belief(name, age_s=self._get_age(), **fields)
+
+
+def _check_age(value):
+    """Return an age in seconds; one below 0 would make what is known look new."""
+    age_s = float(value)
+    if not 0 <= age_s < math.inf:
+        raise ValueError(f"no age: {value}")
+    return age_s
--- a/pimentowick/gateway/tests/test_authentication.py
+++ b/pimentowick/gateway/tests/test_authentication.py
@@ -197,6 +197,28 @@
     run_with(check)
 
 
+def test_unknown_keys_do_not_press_a_store_that_refuses_at_once():
+    async def check(site, server):
+        gateway = site.gateways[0]
+        gateway._supervisor.stop_child("feed configuration")
+        feed = stop_reads(site, gateway)
+        feed.proved_at -= authentication.LOOK_AGE_S
+        asked = []
+        refresh = feed.refresh
+
+        async def count():
+            asked.append(1)
+            await refresh()
+
+        feed.refresh = count
+        for number in range(5):
+            answer = await send(site, f"wrong{number}", request_id=f"r{number}")
+            assert answer.status == 503
+        assert len(asked) == 1
+
+    run_with(check)
+
+
 def test_many_unknown_keys_share_one_look_at_the_store():
     async def check(site, server):
         gateway = site.gateways[0]
--- a/pimentowick/gateway/tests/test_peer_configuration.py
+++ b/pimentowick/gateway/tests/test_peer_configuration.py
@@ -113,6 +113,8 @@
         b'{"version": 1}',
         b'{"version": 1, "age_s": 0, "record": "!"}',
         b'{"version": 9, "age_s": 0, "record": null}',
+        b'{"version": 1, "age_s": -50, "record": null}',
+        b'{"version": 1, "age_s": "nan", "record": null}',
         b'{"version": 9, "age_s": 0, "record": "bm8="}',
     ],
 )
