Allow an entry some retries a second, however few requests it has

Cause. test_connections_to_agents_fall_silent_for_good[2], listed as red: all connections to agents fall silent, twice, and each time a dozen requests are lost. The retry budget of an entry is ten and a tenth of its requests; the first round uses it up, and with some twenty requests between nothing of it has come back, so that callers of the second round get 502 agent_silent.

A larger first budget: it moves the round in which it runs out. Retries that cost nothing after a silent connection: the target may be at work on the first send, and in an outage every request would be sent twice.

The budget gains ten a second besides its share, up to the same most, as Finagle's does: a bound that holds in an outage whatever the traffic is.

--- a/pimentowick/routing/retry.py
+++ b/pimentowick/routing/retry.py
@@ -1,5 +1,7 @@
 """When a request is tried again."""
 
+import time
+
 from pimentowick import verdict
 
 __all__ = ["RetryBudget", "is_retryable"]
@@ -9,13 +11,21 @@
 
 
 class RetryBudget:
-    """Allows retries as a share of recent requests.
+    """Allows retries as a share of recent requests, and a few a second besides.
 
     Retries of everybody would multiply the load in the very outage that causes
-    them; a budget bounds that to a share of the traffic.
+    them; a budget bounds that to a share of the traffic. A share alone leaves a process
+    with few requests nothing for a second loss soon after the first.
 
     Args:
         share: Retries allowed for each request.
+        first: Retries allowed at the start.
+        least_per_s: Retries allowed a second, however few requests there are.
+        clock: Function that returns the monotonic time, in seconds.
+
+    References:
+        M. Eriksen, "Your server as a function", PLOS 2013 (Finagle, whose retry budget
+        has a share and a least rate).
 
     Examples:
         >>> budget = RetryBudget(0.1, first=0.0)
@@ -25,9 +35,14 @@
         (True, False)
     """
 
-    def __init__(self, share, first=FIRST_TOKENS):
+    def __init__(
+        self, share, first=FIRST_TOKENS, least_per_s=0.0, clock=time.monotonic
+    ):
         self._share = share
         self._tokens = first
+        self._least_per_s = least_per_s
+        self._clock = clock
+        self._refilled_at = clock()
 
     def note_request(self):
         """Count a first attempt."""
@@ -35,9 +50,16 @@
 
     def has_token(self):
         """Return whether a retry is allowed."""
+        self._refill()
         # Ten tenths add up to a little less than one.
         return self._tokens >= 1.0 - 1e-9
 
+    def _refill(self):
+        now = self._clock()
+        gained = (now - self._refilled_at) * self._least_per_s
+        self._tokens = min(self._tokens + gained, MAX_TOKENS)
+        self._refilled_at = now
+
     def take(self):
         """Return whether a retry is allowed, and count it."""
         if not self.has_token():
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -15,6 +15,8 @@
 
 ONLINE = "online"
 RETRY_PAUSE_S = 0.02
+# An entry with few requests may lose those of a dozen connections at once.
+LEAST_RETRIES_PER_S = 10.0
 NO_TARGET_RETRY_AFTER_S = 1.0
 # Codes of refusals that blame the agent or its target, not the request or the load.
 LOST_CODES = frozenset(["agent_lost", "agent_silent", "target_lost", "internal"])
@@ -72,7 +74,9 @@
         self._settings = settings
         self._owner = owner
         self._metrics = metrics
-        self._budget = retry.RetryBudget(settings.retry_share)
+        self._budget = retry.RetryBudget(
+            settings.retry_share, least_per_s=LEAST_RETRIES_PER_S
+        )
 
     async def generate(self, request):
         """Yield `Tokens` and at last one `End` for a generation.
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -166,7 +166,10 @@
         3.0, gt=0, description="Longest silence of an agent's answer, in seconds."
     )
     retry_share: float = pydantic.Field(
-        0.1, ge=0, le=1, description="Retries allowed as a share of requests."
+        0.1,
+        ge=0,
+        le=1,
+        description="Retries allowed as a share of requests, ten a second besides.",
     )
     max_attempts: int = pydantic.Field(
         3, ge=1, description="Most tries of one online request."
