--- a/pimentowick/gateway/tests/test_quota.py
+++ b/pimentowick/gateway/tests/test_quota.py
@@ -2,7 +2,9 @@
 import heapq
 import random
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from pimentowick.gateway.policy import quota
 
@@ -194,3 +196,48 @@
     assert found.count_buckets() <= 2
     assert not found._heard
     assert set(found.describe(70.0)) == {"last"}
+
+
+PAUSES = strategies.lists(strategies.floats(0.0, 2.0), min_size=1, max_size=80)
+SAME_VERDICT = hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+
+
+@SAME_VERDICT
+@hypothesis.given(PAUSES)
+def test_entry_alone_never_passes_its_limit_in_any_window(pauses):
+    found = quota.SharedCount()
+    found.note_members(1, 1)
+    now = 0.0
+    passed = []
+    for pause in pauses:
+        now += pause
+        if not found.take("w", LIMIT, now):
+            passed.append(now)
+    for first, began in enumerate(passed):
+        count = bisect.bisect(passed, began + WINDOW_S) - first
+        assert count <= count_allowed(LIMIT)
+
+
+@SAME_VERDICT
+@hypothesis.given(PAUSES, strategies.integers(1, 3), strategies.randoms())
+def test_reports_that_come_twice_or_are_lost_count_each_take_once(pauses, times, draw):
+    here, there = quota.SharedCount(), quota.SharedCount()
+    wide = quota.Limit(1.0, 1000.0)
+    for each in (here, there):
+        each.note_members(2, 2)
+    now = told_at = 10.0
+    there.take("w", wide, now)
+    taken = 0
+    for pause in pauses:
+        now += pause / 4
+        taken += not here.take("w", wide, now)
+        # A report tells of the last second at least; none is lost for so long.
+        if draw.random() < 0.7 or now - told_at > 0.5:
+            told_at = now
+            for _ in range(times):
+                there.note_report("here", here.describe(now), lambda name: wide, now)
+    there.note_report("here", here.describe(now), lambda name: wide, now)
+    gained = now - 10.0
+    level = there._buckets["w"].level
+    assert level <= 1000.0
+    assert 999.0 - taken - 1e-6 <= level <= 999.0 - taken + gained + 1e-6
