--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -107,6 +107,32 @@
     return _measure(lambda: found.take("w7", limit, 0.1))
 
 
+def _measure_report(count):
+    """Return the cost of a report that names so many workspaces."""
+    limit = quota.Limit(1e9, 1e9)
+    found = quota.SharedCount()
+    found.note_members(33, 33)
+    numbers = iter(range(1, 1_000_000))
+
+    def take():
+        rows = dict.fromkeys((f"w{n}" for n in range(count)), (0, next(numbers), 0))
+        found.note_report("x:1", rows, lambda name: limit, 0.0)
+
+    return _measure(take)
+
+
+def _measure_quota_memory(count):
+    tracemalloc.start()
+    limit = quota.Limit(5.0, 5.0)
+    found = quota.SharedCount()
+    found.note_members(33, 33)
+    rows = {f"w{number}": (0, 1, 0) for number in range(count)}
+    found.note_report("x:1", rows, lambda name: limit, 0.0)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size / 1024
+
+
 def _measure_events(count):
     data = b"".join(b"id: %d\ndata: some words\n\n" % n for n in range(count))
     return _measure(lambda: event.EventSplitter().feed(data), rounds=50)
@@ -160,6 +186,8 @@
         ("a route, by routes", "us", _measure_route),
         ("a key, by workspaces", "us", _measure_key),
         ("a limit, by busy workspaces", "us", _measure_quota),
+        ("takes of another entry, by workspaces", "us", _measure_report),
+        ("limits in memory, by busy workspaces", "KB", _measure_quota_memory),
         ("a chunk of events, by events", "us", _measure_events),
         ("lines of the log, by lines", "us", _measure_lines),
         ("a job in memory, by items", "KB", _measure_job_memory),
