--- a/pimentowick/gateway/tests/test_quota.py
+++ b/pimentowick/gateway/tests/test_quota.py
@@ -241,3 +241,12 @@
     level = there._buckets["w"].level
     assert level <= 1000.0
     assert 999.0 - taken - 1e-6 <= level <= 999.0 - taken + gained + 1e-6
+
+
+def test_large_hot_workspace_stays_within_what_the_rule_allows_amid_a_cut():
+    # Entries that are cut off, each alone, go on by the whole limit until they notice.
+    limit = quota.Limit(rate_per_s=44.0, burst=44.0)
+    fleet = Fleet(quota.SharedCount, 33)
+    fleet.split(4.0, [index + 1 if index < 11 else 0 for index in range(33)])
+    fleet.play({"hot": 380.0}, 12.0, {"hot": limit})
+    assert fleet.count_most("hot") <= 1.1 * count_allowed(limit) + 20
