--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -4,12 +4,13 @@
 import dataclasses
 import time
 
-from pimentowick import exception
+from pimentowick import exception, fingerprint
 from pimentowick.gateway import decision_log, event_stream, upstream
 from pimentowick.platform import message
 
 __all__ = ["Run", "Sink", "save_final", "send"]
 
+METHOD = "POST"
 # Bounds the generated text that is lost when another entry takes over.
 CHECKPOINT_INTERVAL_S = 1.0
 # A failed checkpoint is covered by the next one.
@@ -48,6 +49,20 @@
     failures: int = 0
     target: object = None
     task: object = None
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self):
+        """Fingerprint of the item, whose body must be loaded."""
+        if not self._fingerprint:
+            self._fingerprint = fingerprint.compute_fingerprint(
+                self.job.workspace,
+                self.job.host,
+                METHOD,
+                self.item.path,
+                self.transcript.body,
+            )
+        return self._fingerprint
 
     @property
     def item(self):
@@ -129,7 +144,7 @@
         item_transcript.last_event,
     )
     request = upstream.Request(
-        run.item.id, "POST", run.item.path, headers, item_transcript.body
+        run.item.id, METHOD, run.item.path, headers, item_transcript.body
     )
     checkpoint_task = asyncio.create_task(_checkpoint_periodically(item_transcript))
     request_task = asyncio.ensure_future(pool.send(request, sink))
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -70,6 +70,10 @@
         self._retries = self._make_counter(
             "pimentowick_gateway_retries_total", "Further targets for one request."
         )
+        self._lost_runs = self._make_counter(
+            "pimentowick_gateway_lost_runs_total",
+            "Runs whose target broke off, by kind and whether an event had arrived.",
+        )
         self._refusals = self._make_counter(
             "pimentowick_gateway_refusals_total",
             "Refused requests by code and verdict.",
@@ -147,6 +151,16 @@
         """Count a retry of an online request."""
         self._retries.inc({})
 
+    def count_lost_run(self, kind, has_events):
+        """Count a run at a target that broke off.
+
+        Args:
+            kind: The `pimentowick.gateway.route.Kind`.
+            has_events: Whether an event of the run had arrived.
+        """
+        labels = {"kind": str(kind), "events": "some" if has_events else "none"}
+        self._lost_runs.inc(labels)
+
     def count_refusal(self, refusal, workspace=None):
         """Count a refused request.
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -3,9 +3,10 @@
 import asyncio
 import dataclasses
 import enum
+import functools
 import time
 
-from pimentowick import verdict
+from pimentowick import fingerprint, verdict
 from pimentowick.gateway import admission, decision_log, response, route, upstream
 from pimentowick.gateway.policy import load_shedding
 from pimentowick.platform import message
@@ -233,6 +234,7 @@
             resumed_at=resume_after,
         )
         sink = self._sink
+        events_before = sink.events
         loop = asyncio.get_running_loop()
         with self._health.watch_for_silence(
             target, self._route.objective_s, lambda: sink.status, loop.call_later
@@ -242,8 +244,34 @@
             self._sent = self._progress.runs > 0
         load = self._slot.online_at_start + self._slot.batch_at_start
         self._health.observe_outcome(target, outcome, load < target.slots / 2)
+        if outcome.end == upstream.End.INCOMPLETE:
+            self._record_lost_run(target, outcome, sink.events - events_before)
         return outcome
 
+    def _record_lost_run(self, target, outcome, events):
+        self._metrics.count_lost_run(self._route.kind, events > 0)
+        decision_log.log_request_event(
+            "online.lost",
+            self._call.request_id,
+            outcome=outcome.reason,
+            fingerprint=self._fingerprint,
+            workspace=None if self._workspace is None else self._workspace.name,
+            route=self._route.name,
+            target=target.id,
+            events=events,
+            ran_s=time.monotonic() - self._sent_at,
+        )
+
+    @functools.cached_property
+    def _fingerprint(self):
+        return fingerprint.compute_fingerprint(
+            None if self._workspace is None else self._workspace.name,
+            self._exchange.host,
+            self._exchange.method,
+            self._exchange.uri,
+            self._exchange.body,
+        )
+
     async def _handle_outcome(self, outcome):
         """Return the `_NextStep`; send the response if it is complete."""
         if outcome.end == upstream.End.NOT_RUN:
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -473,10 +473,24 @@
             took_s=time.monotonic() - started_at,
             due_in_s=run.due_at - time.time(),
         )
+        if outcome.end == upstream.End.INCOMPLETE:
+            self._record_lost_run(run, target, outcome, sink)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
         await self._handle_outcome(run, outcome, sink)
 
+    def _record_lost_run(self, run, target, outcome, sink):
+        self._metrics.count_lost_run(run.route.kind, sink.events > 0)
+        decision_log.log_request_event(
+            "item.lost",
+            run.item.id,
+            job=run.job.id,
+            outcome=outcome.reason,
+            fingerprint=run.fingerprint,
+            target=target.id,
+            events=sink.events,
+        )
+
     async def _handle_outcome(self, run, outcome, sink):
         if outcome.end == upstream.End.COMPLETE and outcome.status == 200:
             if sink.is_complete() and run.transcript.last_event is not None:
