--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -52,6 +52,10 @@
         peak_running: Largest number of requests that ran concurrently.
         holds_last_event: Whether streams wait for `release` before their last event.
         release: Event that a test sets to continue held responses.
+        crash_bodies: Bodies of the requests that crash the replica as they begin to
+            run.
+        crashes: Number of crashes.
+        on_crash: Function called after a crash with the previous identifier.
     """
 
     def __init__(self, replica_id="i-1", events=3, event_interval_s=0.0, slots=8):
@@ -68,6 +72,18 @@
         self.peak_running = 0
         self.holds_last_event = False
         self.release = asyncio.Event()
+        self.crash_bodies = set()
+        self.crashes = 0
+        self.on_crash = lambda previous_id: None
+        self._first_id = replica_id
+
+    def crash(self):
+        """Break off all requests and continue under a new identifier."""
+        self.crashes += 1
+        previous_id, self.id = self.id, f"{self._first_id}.{self.crashes}"
+        for connection in list(self.fault_injector.connections):
+            connection.close()
+        self.on_crash(previous_id)
 
     def list_routes(self):
         """Return the routes of the replica."""
@@ -117,6 +133,9 @@
     get = post
 
     async def _run(self, behaviour, request_id):
+        if self.request.body in self.server.crash_bodies:
+            self.server.crash()
+            return
         if behaviour.kind == "vanish":
             self.close_connection()
             return
