--- a/pimentowick/cli/tests/test_trace.py
+++ b/pimentowick/cli/tests/test_trace.py
@@ -143,6 +143,38 @@
     assert "job" not in output
 
 
+def test_trace_explains_a_quarantined_request(tmp_path):
+    # It ends with 503 although slots are free; its attempts share only a fingerprint.
+    fields = '"fingerprint":"f1","crashed":["t1","t2"],"trials":1,"retry_after_s":4.0'
+    paths = [
+        write_log(
+            tmp_path,
+            "front-1",
+            '{"time":10.0,"event":"online.lost","id":"r1","target":"t1",'
+            '"fingerprint":"f1"}',
+            '{"time":10.1,"event":"online.ended","id":"r1","outcome":"closed",'
+            '"status":502,"target":"t1","runs":1}',
+        ),
+        write_log(
+            tmp_path,
+            "front-2",
+            '{"time":11.0,"event":"quarantine.trial","id":"r2","fingerprint":"f1"}',
+            '{"time":11.1,"event":"online.lost","id":"r2","target":"t2",'
+            '"fingerprint":"f1"}',
+            '{"time":12.0,"event":"online.ended","id":"r3","outcome":"quarantined",'
+            f'"status":503,"took_s":0.001,{fields}}}',
+        ),
+    ]
+    code, output = run_command(["pimentowick", "trace", "r3", *paths])
+    assert code == 0
+    assert "without having run: targets t1, t2 crashed under this request" in output
+    assert "Trace fingerprint f1" in output
+    code, output = run_command(["pimentowick", "trace", "f1", *paths])
+    assert code == 0
+    assert "2 targets broke off 2 runs of this request, sent by 2 gateways" in output
+    assert "1 attempts were refused without having run" in output
+
+
 def test_unknown_id_and_missing_file_are_reported(tmp_path):
     path = write_log(tmp_path, "a", '{"time":1.0,"event":"gateway.started"}')
     code, output = run_command(["pimentowick", "trace", "nobody", path])
--- a/pimentowick/cli/trace.py
+++ b/pimentowick/cli/trace.py
@@ -13,14 +13,22 @@
     description = "Trace a request, item or job through the decision logs of gateways."
     examples = ("pimentowick trace 51f0 front-1.log front-2.log",)
     arguments = [
-        base.make_argument("id", "Id of a request, an item or a job."),
+        base.make_argument(
+            "id", "Id of a request, an item or a job, or a request's fingerprint."
+        ),
         base.make_argument("files", "Decision logs of gateways.", multiple=True),
     ]
 
     def _run_command(self):
         lines = read_decision_logs(self.argument("files"))[0]
-        id_lines, context_lines = history.find_related(lines, self.argument("id"))
-        cause = history.explain(id_lines, context_lines)
+        wanted_id = self.argument("id")
+        id_lines, context_lines = history.find_related(lines, wanted_id)
+        if id_lines and all(
+            line.data.get("fingerprint") == wanted_id for line in id_lines
+        ):
+            cause = history.explain_fingerprint(id_lines)
+        else:
+            cause = history.explain(id_lines, context_lines)
         rows = []
         if id_lines:
             shown_lines = sorted(
--- /dev/null
+++ b/pimentowick/gateway/crash_guard.py
@@ -0,0 +1,309 @@
+"""Enforces the quarantine of requests under which targets crash, with all entries.
+
+Notes:
+    Entries exchange recent crashes with their load reports. Quarantined requests are
+    also recorded in the store, so that they stay quarantined after a restart. An entry
+    starts a trial only after a conditional append that counts it, so that one trial
+    runs at a time over all entries. While the store is away, one of the entries that
+    hear each other runs the trials, chosen by rendezvous hashing.
+"""
+
+import asyncio
+import time
+
+import orjson
+
+from pimentowick import exception, rendezvous
+from pimentowick.gateway import decision_log
+from pimentowick.gateway.policy import quarantine
+from pimentowick.platform import store as platform_store
+
+__all__ = ["KEY_PREFIX", "CrashGuard"]
+
+KEY_PREFIX = "quarantine/"
+# Bounds the topic, which every entry reads at startup.
+MAX_RECORDS = 256
+MAX_RECORDS_PER_APPEND = 32
+# A failed condition is checked again after reading the records that caused it.
+MAX_APPEND_ATTEMPTS = 3
+# Online requests wait for the append that counts their trial.
+TRIAL_APPEND_TIMEOUT_S = 0.5
+RECORD_INTERVAL_S = 0.2
+CLEANUP_INTERVAL_S = 5.0
+
+
+class CrashGuard:
+    """Decides for each request whether it may run, and records crashes.
+
+    Args:
+        store: `pimentowick.platform.store.Store`.
+        address: ``IP:port`` of this entry.
+        list_live_peers: Function that returns the addresses of the other live entries.
+        metrics: `pimentowick.gateway.metric.Metrics`.
+
+    Attributes:
+        feed: The `pimentowick.gateway.feed.Feed` of the topic with the records.
+        policy: `pimentowick.gateway.policy.quarantine.Quarantine`.
+    """
+
+    def __init__(self, store, address, list_live_peers, metrics):
+        self.feed = None
+        self.policy = quarantine.Quarantine()
+        self._store = store
+        self._address = address
+        self._list_live_peers = list_live_peers
+        self._metrics = metrics
+        self._recorded = {}
+        self._pending = {}
+        self._wake = asyncio.Event()
+        self._changed = asyncio.Event()
+
+    def choose_step(self, fingerprint):
+        """Return the `quarantine.Step` for a request."""
+        return self.policy.choose_step(fingerprint, time.monotonic())
+
+    def get_delay(self, fingerprint):
+        """Return the seconds until the next trial of a request."""
+        return self.policy.get_delay(fingerprint, time.monotonic())
+
+    async def wait_for_trial(self, fingerprint):
+        """Wait until no trial of a request is in progress; return its next `Step`."""
+        while self.choose_step(fingerprint) == quarantine.Step.WAIT:
+            remaining_s = self.policy.get_trial_remaining(fingerprint, time.monotonic())
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        return self.choose_step(fingerprint)
+
+    async def start_trial(self, fingerprint, request_id):
+        """Count a trial of a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            request_id: Its identifier, for the log.
+
+        Returns:
+            Whether this entry may run the request now.
+        """
+        try:
+            async with asyncio.timeout(TRIAL_APPEND_TIMEOUT_S):
+                is_started = await self._append(
+                    lambda: self._build_trial_record(fingerprint)
+                )
+        except (TimeoutError, exception.LogError):
+            is_started = self._start_without_store(fingerprint)
+        if is_started:
+            self._metrics.count_quarantine("trial")
+            decision_log.log_request_event(
+                "quarantine.trial",
+                request_id,
+                fingerprint=fingerprint,
+                trials=self.policy.get_trials(fingerprint),
+                targets=self.policy.list_crashes(fingerprint),
+            )
+        return is_started
+
+    def record_crash(self, fingerprint, target):
+        """Record that a target broke off a run of a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            target: The `pimentowick.gateway.target.Target`.
+        """
+        now = time.monotonic()
+        if self.policy.record_crash(fingerprint, target.run_id, now):
+            self._on_opened(fingerprint)
+        if self.choose_step(fingerprint) != quarantine.Step.RUN:
+            if fingerprint not in self._recorded:
+                self._schedule_record(fingerprint)
+        self._notify_changed()
+
+    def record_survival(self, fingerprint):
+        """Record that a target ran a request without a crash."""
+        was_open = self.choose_step(fingerprint) != quarantine.Step.RUN
+        if not self.policy.record_survival(fingerprint, time.monotonic()):
+            return
+        if was_open:
+            self._metrics.count_quarantine("released")
+            decision_log.log_event("quarantine.released", fingerprint=fingerprint)
+        if fingerprint in self._recorded or fingerprint in self._pending:
+            self._schedule_record(fingerprint)
+        self._notify_changed()
+
+    def merge_report(self, report):
+        """Apply the `quarantine.Report` of another entry."""
+        if not (report.crashes or report.voided):
+            return
+        for fingerprint in self.policy.merge_report(report, time.monotonic()):
+            self._on_opened(fingerprint)
+        self._notify_changed()
+
+    def build_report(self):
+        """Return the `quarantine.Report` of this entry."""
+        return self.policy.build_report(time.monotonic())
+
+    def forget_records(self):
+        """Forget which requests have a record, before a snapshot is applied."""
+        self._recorded.clear()
+
+    def apply_record(self, key, value):
+        """Apply a record of the store.
+
+        Args:
+            key: Its key, which begins with `KEY_PREFIX`.
+            value: Its value; empty if the record was deleted.
+        """
+        fingerprint = key.removeprefix(KEY_PREFIX)
+        self._recorded.pop(fingerprint, None)
+        if not value:
+            return
+        try:
+            data = orjson.loads(value)
+            report = quarantine.Report(
+                {fingerprint: [str(name) for name in data["crashes"]]},
+                {fingerprint: [str(name) for name in data["voided"]]},
+            )
+            trials = int(data["trials"])
+        except (ValueError, TypeError, KeyError) as error:
+            decision_log.log_event("quarantine.garbled", key=key, why=str(error))
+            return
+        self._recorded[fingerprint] = None
+        self.merge_report(report)
+        self.policy.record_trials(
+            fingerprint, trials, time.monotonic(), report.crashes[fingerprint]
+        )
+
+    async def run(self):
+        """Write records and remove expired ones, until cancelled."""
+        cleaned_at = time.monotonic()
+        while True:
+            try:
+                async with asyncio.timeout(CLEANUP_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            now = time.monotonic()
+            if now - cleaned_at >= CLEANUP_INTERVAL_S:
+                cleaned_at = now
+                self._clean(now)
+            await self._write_pending()
+            await asyncio.sleep(RECORD_INTERVAL_S)
+            if self._pending:
+                self._wake.set()
+
+    async def _write_pending(self):
+        batch = list(self._pending)[:MAX_RECORDS_PER_APPEND]
+        for fingerprint in batch:
+            del self._pending[fingerprint]
+        try:
+            await self._append(lambda: self._build_records(batch))
+        except exception.LogError as error:
+            self._pending.update(dict.fromkeys(batch))
+            decision_log.log_event(
+                "quarantine.unrecorded", waiting=len(self._pending), why=str(error)
+            )
+
+    async def _append(self, build):
+        """Append the records that `build` returns; return whether there were any.
+
+        Raises:
+            LogError: The store did not answer, or other entries kept writing.
+        """
+        for _ in range(MAX_APPEND_ATTEMPTS):
+            records = build()
+            if not records:
+                return False
+            at = self.feed.end
+            if at is None:
+                raise exception.LogError("The records have not been read yet.")
+            try:
+                await self._store.append(
+                    self.feed.topic, self.feed.partition, records, at
+                )
+            except platform_store.OffsetConflictError:
+                await self.feed.refresh()
+                continue
+            self.feed.apply_records(records, at)
+            return True
+        raise exception.LogError("Other entries kept writing records.")
+
+    def _build_trial_record(self, fingerprint):
+        if self.choose_step(fingerprint) != quarantine.Step.TRIAL:
+            return []
+        trials = self.policy.get_trials(fingerprint) + 1
+        record = self._make_record(fingerprint, trials)
+        return [record, *self._list_excess([fingerprint])]
+
+    def _build_records(self, fingerprints):
+        records = []
+        for fingerprint in fingerprints:
+            if self.policy.is_known(fingerprint):
+                trials = self.policy.get_trials(fingerprint)
+                records.append(self._make_record(fingerprint, trials))
+            elif fingerprint in self._recorded:
+                records.append(_make_tombstone(fingerprint))
+        return records + self._list_excess(fingerprints)
+
+    def _make_record(self, fingerprint, trials):
+        report = self.policy.describe(fingerprint)
+        data = {
+            "crashes": report.crashes.get(fingerprint, []),
+            "voided": report.voided.get(fingerprint, []),
+            "trials": trials,
+        }
+        return platform_store.KeyedRecord(KEY_PREFIX + fingerprint, orjson.dumps(data))
+
+    def _list_excess(self, written):
+        """Return the tombstones of the oldest records beyond `MAX_RECORDS`."""
+        others = [name for name in self._recorded if name not in written]
+        excess = max(0, len(others) + len(written) - MAX_RECORDS)
+        return [_make_tombstone(name) for name in others[:excess]]
+
+    def _start_without_store(self, fingerprint):
+        """Count a trial while the store is away; return whether it may start."""
+        is_away = self.feed.end is None or self.feed.unreachable_since is not None
+        if not is_away or self.choose_step(fingerprint) != quarantine.Step.TRIAL:
+            return False
+        if not self._is_designated(fingerprint):
+            return False
+        trials = self.policy.get_trials(fingerprint) + 1
+        self.policy.record_trials(fingerprint, trials, time.monotonic())
+        self._schedule_record(fingerprint)
+        return True
+
+    def _is_designated(self, fingerprint):
+        """Return whether this entry is the one chosen among those that are heard."""
+        entries = [self._address, *self._list_live_peers()]
+        return self._address == max(
+            entries, key=lambda entry: rendezvous.compute_weight(fingerprint, entry)
+        )
+
+    def _clean(self, now):
+        self.policy.expire(now)
+        for fingerprint in self._recorded:
+            if not self.policy.is_known(fingerprint):
+                if self._is_designated(fingerprint):
+                    self._schedule_record(fingerprint)
+
+    def _schedule_record(self, fingerprint):
+        self._pending[fingerprint] = None
+        self._wake.set()
+
+    def _on_opened(self, fingerprint):
+        self._metrics.count_quarantine("opened")
+        decision_log.log_event(
+            "quarantine.opened",
+            fingerprint=fingerprint,
+            targets=self.policy.list_crashes(fingerprint),
+        )
+
+    def _notify_changed(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _make_tombstone(fingerprint):
+    return platform_store.KeyedRecord(KEY_PREFIX + fingerprint, b"")
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -12,6 +12,7 @@
 from pimentowick.gateway import (
     admission,
     authentication,
+    crash_guard,
     decision_log,
     dispatch,
     exchange,
@@ -73,6 +74,7 @@
         "busy",
         "configuration_old",
         "deadline_passed",
+        "quarantined",
         "rate_limit",
         "target_lost",
         "wrong_token",
@@ -120,6 +122,11 @@
             self._on_capacity_change,
         )
         self.load_reporter.get_limit = self._get_limit
+        self.crash_guard = crash_guard.CrashGuard(
+            self.store, address, self.load_reporter.list_live_peers, self.metrics
+        )
+        self.load_reporter.build_crash_report = self.crash_guard.build_report
+        self.load_reporter.merge_crash_report = self.crash_guard.merge_report
         target_health = health.Health(self.outliers)
         self.storage = job_storage.JobStorage(
             self.store, JOBS_TOPIC, OUTCOMES_TOPIC, JOBS_PAUSE_S, LONG_POLL_S, settings
@@ -137,6 +144,7 @@
             settings.parts,
             self.metrics,
             self.load_reporter.schedule_report,
+            self.crash_guard,
         )
         self.runner.load_reporter = self.load_reporter
         self.ownership = ownership.Ownership(
@@ -154,7 +162,11 @@
         )
         self.load_reporter.get_held_partitions = self._handover.list_held_partitions
         request_relay = relay.Relay(
-            self.admission, self.pools.get, target_health, self.metrics
+            self.admission,
+            self.pools.get,
+            target_health,
+            self.metrics,
+            self.crash_guard,
         )
         jobs = job_api.JobApi(self.storage, lambda: self.ownership.is_cut_off)
         self._caller_server = exchange.Server(
@@ -217,10 +229,11 @@
             self.store,
             ENTRIES_TOPIC,
             0,
-            follower.EntryFollower(self.load_reporter),
+            follower.EntryFollower(self.load_reporter, self.crash_guard),
             ENTRIES_PAUSE_S,
             LONG_POLL_S,
         )
+        self.crash_guard.feed = entries
         return {
             "configuration": configuration,
             "targets": targets,
@@ -251,6 +264,7 @@
         self._supervisor.start_child("peer configuration", self._peer_configuration.run)
         self._supervisor.start_child("ownership", self.ownership.run)
         self._supervisor.start_child("runner", self.runner.run)
+        self._supervisor.start_child("quarantine", self.crash_guard.run)
         self._supervisor.start_child("clean", self._clean_up)
         self._supervisor.start_child("outliers", self._eject_outliers)
         self._supervisor.start_child(
@@ -457,6 +471,7 @@
         }
         services = {listed.registration.service for listed in self.table.by_id.values()}
         queues = [self.admission.get_queue_state(service) for service in services]
+        suspects, quarantined = self.crash_guard.policy.count_suspects()
         return metric.State(
             ages_s={
                 **{
@@ -477,6 +492,8 @@
             dropped_lines=decision_log.count_dropped(),
             quota_share=self.quotas.share,
             quota_workspaces=self.quotas.count_buckets(),
+            suspects=suspects,
+            quarantined=quarantined,
         )
 
     async def _answer_metrics(self, request):
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -37,6 +37,7 @@
         failures: Number of consecutive runs without an event.
         target: The `pimentowick.gateway.target.Target` while running, else None.
         task: The `asyncio.Task` while running, else None.
+        is_held: Whether it waits because it is quarantined.
     """
 
     job: object
@@ -49,6 +50,7 @@
     failures: int = 0
     target: object = None
     task: object = None
+    is_held: bool = False
     _fingerprint: str = ""
 
     @property
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -5,7 +5,7 @@
 import orjson
 
 from pimentowick import exception
-from pimentowick.gateway import decision_log, feed, route
+from pimentowick.gateway import crash_guard, decision_log, feed, route
 from pimentowick.platform import operator
 
 __all__ = ["ConfigurationFollower", "EntryFollower", "TargetFollower"]
@@ -138,18 +138,30 @@
 
 
 class EntryFollower(feed.Follower):
-    """Passes addresses, failure domains and links of entries to `LoadReporter`."""
+    """Passes on what entries tell each other through the store.
 
-    def __init__(self, load_reporter):
+    Args:
+        load_reporter: The `pimentowick.gateway.load_report.LoadReporter`, which gets
+            the addresses, failure domains and links of entries.
+        crash_guard: The `pimentowick.gateway.crash_guard.CrashGuard`, which gets the
+            quarantined requests.
+    """
+
+    def __init__(self, load_reporter, crash_guard):
         self._load_reporter = load_reporter
+        self._crash_guard = crash_guard
 
     def reset(self, records):
         """Apply the newest record of each key."""
+        self._crash_guard.forget_records()
         for record in records:
             self.apply(record)
 
     def apply(self, record):
         """Apply the next record."""
+        if record.key.startswith(crash_guard.KEY_PREFIX):
+            self._crash_guard.apply_record(record.key, record.value)
+            return
         if not record.value:
             self._load_reporter.remove(record.key)
             return
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -17,6 +17,7 @@
 __all__ = [
     "Line",
     "explain",
+    "explain_fingerprint",
     "find_related",
     "find_restart",
     "read_lines",
@@ -105,7 +106,7 @@
 
     Args:
         lines: All `Line` objects, in order of time.
-        wanted_id: Identifier of a request, an item or a job.
+        wanted_id: Identifier of a request, an item or a job, or a fingerprint.
     """
     id_lines = [line for line in lines if _has_id(wanted_id, line)]
     if not id_lines:
@@ -134,7 +135,7 @@
 
 def _has_id(wanted_id, line):
     """Return whether a line has this id, with or without a workspace prefix."""
-    names = [str(line.data.get("id")), str(_get_job(line))]
+    names = [str(line.data.get(field)) for field in ("id", "job", "fingerprint")]
     return any(name == wanted_id or name.endswith(f":{wanted_id}") for name in names)
 
 
@@ -154,10 +155,6 @@
     return None
 
 
-def _get_job(line):
-    return line.data.get("job")
-
-
 def explain(id_lines, context_lines):
     """Return the result of a request, item or job and its cause, in a few sentences."""
     if not id_lines:
@@ -178,6 +175,31 @@
     return " ".join([summary, *_explain_context(last, context_lines)])
 
 
+def explain_fingerprint(id_lines):
+    """Return what became of all attempts of one request, in a few sentences.
+
+    Args:
+        id_lines: All `Line` objects with its fingerprint, in order of time.
+    """
+    lost = [line for line in id_lines if line.event in ("online.lost", "item.lost")]
+    targets = {line.data.get("target") for line in lost}
+    processes = {line.process for line in lost}
+    trials = sum(line.event == "quarantine.trial" for line in id_lines)
+    refused = sum(
+        line.event == "online.ended" and line.data.get("status") == 503
+        for line in id_lines
+    )
+    is_released = any(line.event == "quarantine.released" for line in id_lines)
+    end = "It completed afterwards and was released" if is_released else ""
+    if not is_released:
+        end = "It was not seen to complete afterwards"
+    return (
+        f"{len(targets)} targets broke off {len(lost)} runs of this request, sent by "
+        f"{len(processes)} gateways. {trials} runs were trials, and {refused} attempts "
+        f"were refused without having run. {end}."
+    )
+
+
 def _explain_unfinished(last, context_lines):
     """Explain a request or item whose log ends while it was in progress."""
     data = last.data
@@ -257,6 +279,14 @@
         return f"Its caller disconnected after {data['took_s']:.3f} s."
     if outcome == "answered":
         return _explain_answer(data)
+    if outcome == "quarantined" and data.get("status") == 503:
+        return (
+            f"It was refused after {data['took_s']:.3f} s without having run: targets "
+            f"{', '.join(data['crashed'])} crashed under this request, and "
+            f"{data['trials']} trials since did not complete it. The next trial may "
+            f"start {data['retry_after_s']:.1f} s later. Trace fingerprint "
+            f"{data['fingerprint']} for all of its attempts."
+        )
     if data.get("status") == 503:
         return (
             f"It was refused after {data['took_s']:.3f} s without having run: "
@@ -290,19 +320,21 @@
 def _explain_item(id_lines):
     counts = collections.Counter(line.event for line in id_lines)
     processes = {line.process for line in id_lines}
-    last = id_lines[-1].data
+    last_event, last = id_lines[-1].event, id_lines[-1].data
     ends = {
         "item.given_up": f"It was given up ({last.get('outcome')}).",
         "item.delayed": f"It was delayed by a storage error: {last.get('why')}",
     }
-    end = ends.get(id_lines[-1].event)
+    end = ends.get(last_event)
+    if last_event == "item.quarantined":
+        end = (
+            f"It waits: targets {', '.join(last['crashed'])} crashed under it, and "
+            f"{last['trials']} trials since did not complete it."
+        )
     if end is None and last.get("outcome") == "answered":
         end = f"Its last run completed, at target {last.get('target')}."
     if end is None:
-        end = (
-            "Its last run did not complete "
-            f"({last.get('outcome', id_lines[-1].event)})."
-        )
+        end = f"Its last run did not complete ({last.get('outcome', last_event)})."
     runs = counts["item.ran"] + counts["item.preempted"]
     return (
         f"{end} It ran {runs} times at {len(processes)} gateways and was preempted by "
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -22,7 +22,7 @@
 import orjson
 
 from pimentowick.gateway import decision_log
-from pimentowick.gateway.policy import report_relay
+from pimentowick.gateway.policy import quarantine, report_relay
 
 __all__ = ["LoadReporter", "Peer"]
 
@@ -99,6 +99,8 @@
         get_held_partitions: Function that returns the numbers of the job partitions
             that this entry holds.
         get_limit: Function from the name of a workspace to its `quota.Limit`, or None.
+        build_crash_report: Function that returns this entry's `quarantine.Report`.
+        merge_crash_report: Function called with that of another entry.
         peers_pending: Weight of the batch items queued at other entries, by service.
     """
 
@@ -126,6 +128,8 @@
         self.get_renewal_age = lambda: None
         self.get_held_partitions = lambda: ()
         self.get_limit = lambda name: None
+        self.build_crash_report = quarantine.Report
+        self.merge_crash_report = lambda report: None
         self.peers_pending = collections.Counter()
 
     async def start(self):
@@ -272,6 +276,7 @@
         waiting = {name: self._admission.count_waiting(name) for name in services}
         age_s = self.get_renewal_age()
         failing = self._outliers.build_report()
+        crashes = self.build_crash_report()
         return {
             "loads": loads,
             "waiting": waiting,
@@ -281,6 +286,8 @@
             "failure_domain": self._outliers.failure_domain if failing else "",
             "failing": failing,
             "taken": self._quotas.build_report(time.monotonic()),
+            "crashes": crashes.crashes,
+            "voided": crashes.voided,
         }
 
     def _send(self, data):
@@ -408,6 +415,9 @@
                 "taken", {}
             ).items()
         }
+        crashes = quarantine.Report(
+            _decode_targets(report, "crashes"), _decode_targets(report, "voided")
+        )
         age_s = report.get("renewed_s_ago")
         now = time.monotonic()
         peer.renewed_at = None if age_s is None else now - float(age_s)
@@ -419,6 +429,7 @@
         domain = str(report.get("failure_domain", ""))
         self._outliers.update_peer(address, domain, failing)
         self._quotas.merge_report(address, taken, self.get_limit, now)
+        self.merge_crash_report(crashes)
         return changed
 
     def error_received(self, exc):
@@ -479,3 +490,13 @@
         if target is not None:
             load = self._peer_loads.get(target_id, (0, 0))
             target.peers_online, target.peers_batch = load
+
+
+def _decode_targets(report, name):
+    """Return lists of targets by fingerprint.
+
+    Raises:
+        TypeError, AttributeError: The field is malformed.
+    """
+    rows = report.get(name, {})
+    return {key: [str(target) for target in targets] for key, targets in rows.items()}
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -35,6 +35,8 @@
         dropped_lines: Number of log lines dropped.
         quota_share: Share of each workspace's rate limit that this entry refills.
         quota_workspaces: Number of workspaces with an active token bucket.
+        suspects: Number of requests under which targets crashed lately.
+        quarantined: Number of those that run only as trials.
     """
 
     ages_s: dict
@@ -50,6 +52,8 @@
     dropped_lines: int
     quota_share: float
     quota_workspaces: int
+    suspects: int
+    quarantined: int
 
 
 class Metrics:
@@ -74,6 +78,14 @@
             "pimentowick_gateway_lost_runs_total",
             "Runs whose target broke off, by kind and whether an event had arrived.",
         )
+        self._quarantine_events = self._make_counter(
+            "pimentowick_gateway_quarantine_events_total",
+            "Changes of the quarantine by event: opened, trial, released.",
+        )
+        self._quarantine = self._make_gauge(
+            "pimentowick_gateway_quarantine",
+            "Requests under which targets crashed by state: suspect, quarantined.",
+        )
         self._refusals = self._make_counter(
             "pimentowick_gateway_refusals_total",
             "Refused requests by code and verdict.",
@@ -161,6 +173,10 @@
         labels = {"kind": str(kind), "events": "some" if has_events else "none"}
         self._lost_runs.inc(labels)
 
+    def count_quarantine(self, event):
+        """Count a change of the quarantine: opened, trial or released."""
+        self._quarantine_events.inc({"event": event})
+
     def count_refusal(self, refusal, workspace=None):
         """Count a refused request.
 
@@ -193,6 +209,8 @@
         self._waiting.set({}, state.waiting)
         self._targets.set({"state": "listed"}, state.targets)
         self._targets.set({"state": "ejected"}, state.ejected)
+        self._quarantine.set({"state": "suspect"}, state.suspects)
+        self._quarantine.set({"state": "quarantined"}, state.quarantined)
         self._open_jobs.set({}, state.open_jobs)
         self._quota_share.set({}, state.quota_share)
         self._quota_workspaces.set({}, state.quota_workspaces)
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -8,7 +8,7 @@
 
 from pimentowick import fingerprint, verdict
 from pimentowick.gateway import admission, decision_log, response, route, upstream
-from pimentowick.gateway.policy import load_shedding
+from pimentowick.gateway.policy import load_shedding, quarantine
 from pimentowick.platform import message
 
 __all__ = ["Relay"]
@@ -18,6 +18,8 @@
 RESPONSE_MARGIN_S = 0.02
 # Attempts that targets may reject without running them before the request fails.
 MAX_REFUSALS = 4
+# A trial that another entry starts is decided by then.
+MIN_QUARANTINE_RETRY_S = 0.5
 # No attempt starts with less time than this before the deadline.
 MIN_ATTEMPT_S = 0.03
 
@@ -56,9 +58,11 @@
         get_pool: Function that returns the `upstream.Pool` of a `target.Target`.
         health: `pimentowick.gateway.health.Health`.
         metrics: `pimentowick.gateway.metric.Metrics`.
+        crash_guard: `pimentowick.gateway.crash_guard.CrashGuard`.
     """
 
-    def __init__(self, admission, get_pool, health, metrics):
+    def __init__(self, admission, get_pool, health, metrics, crash_guard):
+        self._crash_guard = crash_guard
         self._admission = admission
         self._health = health
         self._get_pool = get_pool
@@ -112,6 +116,7 @@
         self, relay, exchange, matched_route, call, timeout_s, workspace, strips_key
     ):
         self._admission = relay._admission
+        self._crash_guard = relay._crash_guard
         self._get_pool = relay._get_pool
         self._health = relay._health
         self._metrics = relay._metrics
@@ -130,6 +135,7 @@
         self._status = 0
         self._sent = False
         self._sent_at = None
+        self._is_trial = False
 
     @property
     def may_have_run(self):
@@ -152,20 +158,52 @@
             workspace="" if self._workspace is None else self._workspace.name,
         )
         while True:
+            if await self._is_quarantined():
+                return await self._refuse("quarantined")
             slot = await self._acquire_slot(slot_request)
             if slot is None:
                 return await self._refuse("no_place")
             self._slot = slot
             try:
-                outcome = await self._send(slot.target)
+                outcome = None
+                if await self._may_start():
+                    outcome = await self._send(slot.target)
             finally:
                 slot.release()
+            if outcome is None:
+                if self._may_start_later():
+                    continue
+                return await self._refuse("quarantined")
             step = await self._handle_outcome(outcome)
             if step == _NextStep.DONE:
                 return outcome.reason
             if step == _NextStep.FAIL:
                 return await self._fail(outcome.reason)
 
+    def _may_start_later(self):
+        """Return whether the trial of another attempt has released it, or still may."""
+        step = self._crash_guard.choose_step(self._fingerprint)
+        return step in (quarantine.Step.RUN, quarantine.Step.WAIT)
+
+    async def _is_quarantined(self):
+        """Return whether the request must not run, after a trial in progress ended."""
+        if self._is_trial or self._crash_guard.policy.is_empty():
+            return False
+        step = await self._crash_guard.wait_for_trial(self._fingerprint)
+        return step == quarantine.Step.REFUSE
+
+    async def _may_start(self):
+        """Return whether the request may run now; start its trial if it needs one."""
+        if self._is_trial or self._crash_guard.policy.is_empty():
+            return True
+        step = self._crash_guard.choose_step(self._fingerprint)
+        if step == quarantine.Step.TRIAL:
+            self._is_trial = await self._crash_guard.start_trial(
+                self._fingerprint, self._call.request_id
+            )
+            return self._is_trial
+        return step == quarantine.Step.RUN
+
     async def _acquire_slot(self, slot_request):
         """Return an `admission.AcquiredSlot`, or None if the request is shed."""
         avoid = frozenset(self._progress.tried_targets)
@@ -239,16 +277,28 @@
         with self._health.watch_for_silence(
             target, self._route.objective_s, lambda: sink.status, loop.call_later
         ):
-            outcome = await self._get_pool(target).send(request, sink)
+            try:
+                outcome = await self._get_pool(target).send(request, sink)
+            except asyncio.CancelledError:
+                self._record_cancelled_run(sink.events - events_before)
+                raise
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
         load = self._slot.online_at_start + self._slot.batch_at_start
         self._health.observe_outcome(target, outcome, load < target.slots / 2)
         if outcome.end == upstream.End.INCOMPLETE:
             self._record_lost_run(target, outcome, sink.events - events_before)
+        elif outcome.is_survival:
+            self._crash_guard.record_survival(self._fingerprint)
         return outcome
 
+    def _record_cancelled_run(self, events):
+        if events and time.monotonic() - self._sent_at >= quarantine.SURVIVAL_S:
+            self._crash_guard.record_survival(self._fingerprint)
+
     def _record_lost_run(self, target, outcome, events):
+        if outcome.may_be_crash:
+            self._crash_guard.record_crash(self._fingerprint, target)
         self._metrics.count_lost_run(self._route.kind, events > 0)
         decision_log.log_request_event(
             "online.lost",
@@ -280,7 +330,9 @@
         self._progress.runs += 1
         self._status = outcome.status
         may_retry = (
-            self._route.can_retry and self._progress.runs < self._route.max_attempts
+            self._route.can_retry
+            and self._progress.runs < self._route.max_attempts
+            and not self._is_trial
         )
         if outcome.end == upstream.End.INCOMPLETE:
             return self._retry_or_fail(may_retry)
@@ -317,6 +369,10 @@
         """Answer that the request did not run; return the outcome for the log."""
         if self._progress.runs or self._exchange.started:
             return await self._fail(reason)
+        self._status = 503
+        if reason == "quarantined":
+            await self._exchange.refuse(self._make_quarantine_refusal())
+            return reason
         queue_state = self._admission.get_queue_state(self._service)
         refusal = verdict.Refusal(
             503,
@@ -324,10 +380,19 @@
             "All targets are busy. Come back after the time in Retry-After.",
             retry_after=load_shedding.compute_retry_after(queue_state),
         )
-        self._status = 503
         await self._exchange.refuse(refusal)
         return reason
 
+    def _make_quarantine_refusal(self):
+        delay_s = self._crash_guard.get_delay(self._fingerprint)
+        return verdict.Refusal(
+            503,
+            "quarantined",
+            "Targets crashed under this request, so that it runs again only after the "
+            "time in Retry-After.",
+            retry_after=max(delay_s, MIN_QUARANTINE_RETRY_S),
+        )
+
     async def _fail(self, reason):
         """End a request that no target completed; return the outcome for the log."""
         if self._exchange.started:
@@ -414,4 +479,16 @@
             free=queue_state.free_slots,
             places=queue_state.slots,
             waiting=queue_state.queued,
+            **self._describe_quarantine(outcome),
         )
+
+    def _describe_quarantine(self, outcome):
+        if not outcome.endswith("quarantined"):
+            return {}
+        policy = self._crash_guard.policy
+        return {
+            "fingerprint": self._fingerprint,
+            "crashed": policy.list_crashes(self._fingerprint),
+            "trials": policy.get_trials(self._fingerprint),
+            "retry_after_s": self._crash_guard.get_delay(self._fingerprint),
+        }
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -17,6 +17,7 @@
 from pimentowick.gateway.policy import (
     batch_queue,
     preemption,
+    quarantine,
     service_time,
     target_choice,
 )
@@ -39,6 +40,8 @@
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 2.0
 UNREACHABLE_BACKOFF_S = 0.1
+# Interval at which a quarantined item is checked again.
+QUARANTINE_CHECK_S = 0.5
 # Tolerates clock skew between hosts, so that no item is abandoned early.
 CLOCK_SKEW_MARGIN_S = 5.0
 
@@ -57,6 +60,7 @@
         partition_count: Number of job partitions.
         metrics: `pimentowick.gateway.metric.Metrics`.
         on_change: Function called when the load of this entry changes.
+        crash_guard: `pimentowick.gateway.crash_guard.CrashGuard`.
 
     Attributes:
         owned_partitions: Numbers of the partitions whose items this entry runs.
@@ -75,7 +79,9 @@
         partition_count,
         metrics,
         on_change,
+        crash_guard,
     ):
+        self._crash_guard = crash_guard
         self._name = name
         self._failure_domain = failure_domain
         self._storage = storage
@@ -338,6 +344,29 @@
         if ready and now >= self._next_start_at:
             self._start_share(ready, now)
 
+    def _hold_quarantined(self, run, now):
+        """Postpone an item that must not run now; return whether it is postponed."""
+        if self._crash_guard.policy.is_empty():
+            return False
+        step = self._crash_guard.choose_step(run.fingerprint)
+        if step in (quarantine.Step.RUN, quarantine.Step.TRIAL):
+            run.is_held = False
+            return False
+        # A run at another entry may release it at any time.
+        run.not_before = now + QUARANTINE_CHECK_S
+        if not run.is_held:
+            run.is_held = True
+            decision_log.log_request_event(
+                "item.quarantined",
+                run.item.id,
+                job=run.job.id,
+                fingerprint=run.fingerprint,
+                crashed=self._crash_guard.policy.list_crashes(run.fingerprint),
+                trials=self._crash_guard.policy.get_trials(run.fingerprint),
+                retry_after_s=self._crash_guard.get_delay(run.fingerprint),
+            )
+        return True
+
     def _publish_pending(self, ready, now):
         by_service = {}
         for run in ready:
@@ -363,7 +392,7 @@
                 free_slots, own_pending, others
             )
         for run in ready:
-            if not startable[run.service]:
+            if not startable[run.service] or self._hold_quarantined(run, now):
                 continue
             target = target_choice.choose_for_batch(
                 self._table.list_targets(run.service), now, self._failure_domain
@@ -456,8 +485,17 @@
         self.wake()
 
     async def _run_item(self, run, target):
+        if not await self._may_start(run):
+            run.not_before = time.monotonic() + QUARANTINE_CHECK_S
+            return
         started_at = time.monotonic()
-        outcome, sink = await execution.send(run, target, self._get_pool(target))
+        events_before = run.events_generated
+        try:
+            outcome, sink = await execution.send(run, target, self._get_pool(target))
+        except asyncio.CancelledError:
+            if run.events_generated > events_before:
+                self._record_cancelled_run(run, started_at)
+            raise
         self._health.observe_outcome(target, outcome)
         self._metrics.count_item(outcome.reason)
         decision_log.log_request_event(
@@ -475,11 +513,29 @@
         )
         if outcome.end == upstream.End.INCOMPLETE:
             self._record_lost_run(run, target, outcome, sink)
+        elif outcome.is_survival:
+            self._crash_guard.record_survival(run.fingerprint)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
         await self._handle_outcome(run, outcome, sink)
 
+    async def _may_start(self, run):
+        """Return whether an item may run now; start its trial if it needs one."""
+        if self._crash_guard.policy.is_empty():
+            return True
+        step = self._crash_guard.choose_step(run.fingerprint)
+        if step == quarantine.Step.TRIAL:
+            return await self._crash_guard.start_trial(run.fingerprint, run.item.id)
+        return step == quarantine.Step.RUN
+
+    def _record_cancelled_run(self, run, started_at):
+        """Record the survival of a preempted run that streamed events for a while."""
+        if time.monotonic() - started_at >= quarantine.SURVIVAL_S:
+            self._crash_guard.record_survival(run.fingerprint)
+
     def _record_lost_run(self, run, target, outcome, sink):
+        if outcome.may_be_crash:
+            self._crash_guard.record_crash(run.fingerprint, target)
         self._metrics.count_lost_run(run.route.kind, sink.events > 0)
         decision_log.log_request_event(
             "item.lost",
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -62,6 +62,13 @@
         """Identifier of this run of the target."""
         return self.registration.id
 
+    @property
+    def run_id(self):
+        """Identifier of this run, also of a target that starts under its old one."""
+        if not self.registration.started_ms:
+            return self.id
+        return f"{self.id}@{self.registration.started_ms}"
+
     @property
     def slots(self):
         """Number of requests that it runs concurrently."""
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -4,8 +4,9 @@
 import orjson
 import pytest
 
-from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway import runner
+from pimentowick.fakes import faults, platform_site, replica, wait
+from pimentowick.gateway import load_report, runner
+from pimentowick.gateway.policy import quarantine
 
 STREAM = platform_site.make_route("/draft/", "stream", max_attempts=1)
 RESUMABLE = platform_site.make_route("/chat/", "stream", resumable=True)
@@ -13,12 +14,19 @@
 BATCH = platform_site.make_route(
     "/lot/", "batch", run_target_ms=60_000, retention_s=60, max_attempts=3
 )
-ROUTES = [STREAM, RESUMABLE, IDEMPOTENT, BATCH]
+IDEMPOTENT_TWICE = platform_site.make_route("/get/", "idempotent", max_attempts=2)
+ROUTES = [STREAM, RESUMABLE, IDEMPOTENT, IDEMPOTENT_TWICE, BATCH]
 POISON = b"poison"
+POPULAR = b"popular"
 # A request that has crashed three replicas may reach three more.
 MAX_RUNS = 6
 
 
+@pytest.fixture(autouse=True)
+def without_second_trial(monkeypatch):
+    monkeypatch.setattr(quarantine, "TRIAL_DELAYS_S", (600.0,))
+
+
 def run_with(check, entries=2, replicas=5, **changes):
     async def run():
         servers = [replica.Replica(f"i-{number}") for number in range(replicas)]
@@ -113,3 +121,143 @@
 async def is_done(site, job_id):
     answer = await site.call("GET", f"/-/lots/{job_id}?after=0")
     return answer.status == 200 and bool(orjson.loads(answer.body)["results"])
+
+
+@pytest.mark.parametrize("path", ["/draft/1", "/chat/1", "/get/1"])
+def test_popular_request_is_served_after_it_was_lost_with_its_targets(path):
+    # Several targets crash while they run it, for another reason. Attempts of all its
+    # callers must be served as soon as they return, not after a delay.
+    async def check(site):
+        number = 0
+        while not count_open(site):
+            assert (await lose(site, path, number)).status == 502
+            await wait.wait_for(lambda: know_same_crashes(site), 15, 0.01)
+            number += 1
+        answers = await asyncio.gather(
+            *(send(site, path, 90 + number, POPULAR) for number in range(8))
+        )
+        assert [answer.status for answer in answers] == [200] * 8
+        await wait.wait_for(lambda: not count_open(site), 15, 0.01)
+
+    run_with(check)
+
+
+def know_same_crashes(site):
+    reports = [
+        [gateway.crash_guard.policy.describe(name).crashes for name in list_names(site)]
+        for gateway in site.gateways
+    ]
+    return all(report == reports[0] for report in reports)
+
+
+def list_names(site):
+    return [
+        name
+        for gateway in site.gateways
+        for name in gateway.crash_guard.policy.list_suspects()
+    ]
+
+
+async def lose(site, path, number, entry=None):
+    """Send the popular request while targets crash."""
+    for server in site.replicas:
+        server.crash_bodies.add(POPULAR)
+    answer = await send(site, path, number, POPULAR, entry)
+    for server in site.replicas:
+        server.crash_bodies.discard(POPULAR)
+    return answer
+
+
+def test_request_that_completed_lately_is_served_however_often_it_was_lost():
+    # A popular request is at many of the targets that another one crashes. Its crashes
+    # are seen at one entry and its completed run at another.
+    async def check(site):
+        assert (await send(site, "/draft/1", 0, POPULAR, entry=1)).status == 200
+        for number in range(1, 9):
+            assert (await lose(site, "/draft/1", number, entry=0)).status == 502
+            await wait.wait_for(lambda: not count_open(site), 15, 0.01)
+
+    run_with(check)
+
+
+def test_same_request_of_another_workspace_is_served():
+    # One caller's request must not shut out another caller's.
+    tenants = [{"name": name, "api_keys": [f"key-{name}"]} for name in "ab"]
+
+    async def check(site):
+        first, second = ({"Authorization": f"Token key-{name}"} for name in "ab")
+        for number in range(6):
+            answer = await send(site, "/draft/1", number, **first)
+        assert answer.status == 503
+        for server in site.replicas:
+            server.crash_bodies.clear()
+        assert (await send(site, "/draft/1", 7, **second)).status == 200
+        assert (await send(site, "/draft/1", 8, **first)).status == 503
+
+    run_with(check, tenants=tenants)
+
+
+def test_restarted_entry_keeps_a_request_quarantined():
+    # It knows nothing of before, and its caller returns at any entry.
+    async def check(site):
+        await quarantine_poison(site)
+        await wait.wait_for(lambda: list_records(site), 15, 0.01)
+        crashes = count_crashes(site)
+        for gateway in site.gateways:
+            await gateway.close()
+        site.gateways.clear()
+        await site.start_entry()
+        await wait.wait_for(lambda: count_open(site) == 1, 15, 0.01)
+        assert (await send(site, "/draft/1", 90)).status == 503
+        assert count_crashes(site) == crashes
+
+    run_with(check)
+
+
+async def quarantine_poison(site):
+    for number in range(6):
+        answer = await send(site, "/draft/1", number)
+    assert answer.status == 503
+
+
+def list_records(site):
+    partition = site.store.get_partition("keyed.entries", 0)
+    return [key for key in partition.newest if key.startswith("quarantine/")]
+
+
+def test_entry_that_hears_no_peers_learns_of_a_quarantine_from_the_store(monkeypatch):
+    # Its datagrams are lost while it still reaches the store and callers.
+    monkeypatch.setattr(load_report.LoadReporter, "datagram_received", lambda *_: None)
+
+    async def check(site):
+        for number in range(3):
+            await send(site, "/draft/1", number, entry=0)
+        await wait.wait_for(lambda: count_open(site) == 2, 15, 0.01)
+        crashes = count_crashes(site)
+        assert (await send(site, "/draft/1", 9, entry=1)).status == 503
+        assert count_crashes(site) == crashes
+
+    run_with(check)
+
+
+def test_request_stays_quarantined_while_the_store_is_away():
+    async def check(site):
+        site.store.fault_injector.inject(faults.Fault("down"))
+        feeds = [gateway.crash_guard.feed for gateway in site.gateways]
+        await wait.wait_for(
+            lambda: all(each.unreachable_since is not None for each in feeds), 15, 0.01
+        )
+        answers = [await send(site, "/draft/1", number) for number in range(12)]
+        assert count_crashes(site) <= MAX_RUNS
+        assert answers[-1].status == 503
+        site.store.fault_injector.inject(faults.Fault("clear"))
+        await wait.wait_for(lambda: list_records(site), 15, 0.01)
+
+    run_with(check)
+
+
+def count_open(site):
+    """Return the number of entries at which a request is quarantined."""
+    return sum(
+        gateway.crash_guard.policy.count_suspects()[1] > 0 for gateway in site.gateways
+    )
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -57,6 +57,10 @@
     """The response is missing or incomplete; the request may have run."""
 
 
+# Reasons of incomplete responses whose connection the target closed.
+CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """How a request to a target ended, and why.
@@ -73,6 +77,19 @@
     status: int = 0
     connected: bool = True
 
+    @property
+    def may_be_crash(self):
+        """Whether the target may have crashed during the request."""
+        return self.end == End.INCOMPLETE and self.reason in CLOSED_REASONS
+
+    @property
+    def is_survival(self):
+        """Whether the target ran the request without a crash.
+
+        A target may also answer with an error before it begins to run a request.
+        """
+        return self.end == End.COMPLETE and self.status < 500
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
