--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -15,10 +15,10 @@
 
 from pimentowick import exception, rendezvous
 from pimentowick.gateway import decision_log
-from pimentowick.gateway.policy import quarantine
 from pimentowick.platform import store as platform_store
+from pimentowick.routing import crash_guard, quarantine
 
-__all__ = ["KEY_PREFIX", "CrashGuard"]
+__all__ = ["KEY_PREFIX", "SharedCrashGuard"]
 
 KEY_PREFIX = "quarantine/"
 # Bounds the topic, which every entry reads at startup.
@@ -32,8 +32,8 @@
 CLEANUP_INTERVAL_S = 5.0
 
 
-class CrashGuard:
-    """Decides for each request whether it may run, and records crashes.
+class SharedCrashGuard(crash_guard.CrashGuard):
+    """A `CrashGuard` that shares the quarantine with all entries.
 
     Args:
         store: `pimentowick.platform.store.Store`.
@@ -43,12 +43,11 @@
 
     Attributes:
         feed: The `pimentowick.gateway.feed.Feed` of the topic with the records.
-        policy: `pimentowick.gateway.policy.quarantine.Quarantine`.
     """
 
     def __init__(self, store, address, list_live_peers, metrics):
+        super().__init__()
         self.feed = None
-        self.policy = quarantine.Quarantine()
         self._store = store
         self._address = address
         self._list_live_peers = list_live_peers
@@ -56,88 +55,70 @@
         self._recorded = {}
         self._pending = {}
         self._wake = asyncio.Event()
-        self._changed = asyncio.Event()
 
-    def choose_step(self, fingerprint):
-        """Return the `quarantine.Step` for a request."""
-        return self.policy.choose_step(fingerprint, time.monotonic())
-
-    def get_delay(self, fingerprint):
-        """Return the seconds until the next trial of a request."""
-        return self.policy.get_delay(fingerprint, time.monotonic())
-
-    async def wait_for_trial(self, fingerprint):
-        """Wait until no trial of a request is in progress; return its next `Step`."""
-        while self.choose_step(fingerprint) == quarantine.Step.WAIT:
-            remaining_s = self.policy.get_trial_remaining(fingerprint, time.monotonic())
-            try:
-                async with asyncio.timeout(remaining_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                pass
-        return self.choose_step(fingerprint)
-
-    async def start_trial(self, fingerprint, request_id):
-        """Count a trial of a request.
-
-        Args:
-            fingerprint: Fingerprint of the request.
-            request_id: Its identifier, for the log.
-
-        Returns:
-            Whether this entry may run the request now.
-        """
+    async def _count_trial(self, fingerprint):
+        """Count a trial in the store; return whether this entry may start it."""
         try:
             async with asyncio.timeout(TRIAL_APPEND_TIMEOUT_S):
-                is_started = await self._append(
-                    lambda: self._build_trial_record(fingerprint)
-                )
+                return await self._append(lambda: self._build_trial_record(fingerprint))
         except (TimeoutError, exception.LogError):
-            is_started = self._start_without_store(fingerprint)
-        if is_started:
-            self._metrics.count_quarantine("trial")
-            decision_log.log_request_event(
-                "quarantine.trial",
-                request_id,
-                fingerprint=fingerprint,
-                trials=self.policy.get_trials(fingerprint),
-                targets=self.policy.list_crashes(fingerprint),
-            )
-        return is_started
+            return await self._count_trial_without_store(fingerprint)
 
-    def record_crash(self, fingerprint, target):
-        """Record that a target broke off a run of a request.
+    async def _count_trial_without_store(self, fingerprint):
+        is_away = self.feed.end is None or self.feed.unreachable_since is not None
+        if not is_away or not self._is_designated(fingerprint):
+            return False
+        is_counted = await super()._count_trial(fingerprint)
+        if is_counted:
+            self._schedule_record(fingerprint)
+        return is_counted
 
-        Args:
-            fingerprint: Fingerprint of the request.
-            target: The `pimentowick.gateway.target.Target`.
-        """
-        now = time.monotonic()
-        if self.policy.record_crash(fingerprint, target.run_id, now):
-            self._on_opened(fingerprint)
+    def record_crash(self, fingerprint, target_run):
+        """Record that a target broke off a run; see `CrashGuard.record_crash`."""
+        super().record_crash(fingerprint, target_run)
         if self.choose_step(fingerprint) != quarantine.Step.RUN:
             if fingerprint not in self._recorded:
                 self._schedule_record(fingerprint)
-        self._notify_changed()
 
     def record_survival(self, fingerprint):
-        """Record that a target ran a request without a crash."""
-        was_open = self.choose_step(fingerprint) != quarantine.Step.RUN
-        if not self.policy.record_survival(fingerprint, time.monotonic()):
+        """Record a run without a crash; see `CrashGuard.record_survival`."""
+        super().record_survival(fingerprint)
+        if self.policy.list_crashes(fingerprint):
             return
-        if was_open:
-            self._metrics.count_quarantine("released")
-            decision_log.log_event("quarantine.released", fingerprint=fingerprint)
         if fingerprint in self._recorded or fingerprint in self._pending:
             self._schedule_record(fingerprint)
-        self._notify_changed()
+
+    def on_opened(self, fingerprint):
+        """Log and count it; see `CrashGuard.on_opened`."""
+        self._metrics.count_quarantine("opened")
+        decision_log.log_event(
+            "quarantine.opened",
+            fingerprint=fingerprint,
+            targets=self.policy.list_crashes(fingerprint),
+        )
+
+    def on_trial(self, fingerprint, request_id):
+        """Log and count it; see `CrashGuard.on_trial`."""
+        self._metrics.count_quarantine("trial")
+        decision_log.log_request_event(
+            "quarantine.trial",
+            request_id,
+            fingerprint=fingerprint,
+            trials=self.policy.get_trials(fingerprint),
+            targets=self.policy.list_crashes(fingerprint),
+        )
+
+    def on_released(self, fingerprint):
+        """Log and count it; see `CrashGuard.on_released`."""
+        self._metrics.count_quarantine("released")
+        decision_log.log_event("quarantine.released", fingerprint=fingerprint)
 
     def merge_report(self, report):
         """Apply the `quarantine.Report` of another entry."""
         if not (report.crashes or report.voided):
             return
         for fingerprint in self.policy.merge_report(report, time.monotonic()):
-            self._on_opened(fingerprint)
+            self.on_opened(fingerprint)
         self._notify_changed()
 
     def build_report(self):
@@ -262,18 +243,6 @@
         excess = max(0, len(others) + len(written) - MAX_RECORDS)
         return [_make_tombstone(name) for name in others[:excess]]
 
-    def _start_without_store(self, fingerprint):
-        """Count a trial while the store is away; return whether it may start."""
-        is_away = self.feed.end is None or self.feed.unreachable_since is not None
-        if not is_away or self.choose_step(fingerprint) != quarantine.Step.TRIAL:
-            return False
-        if not self._is_designated(fingerprint):
-            return False
-        trials = self.policy.get_trials(fingerprint) + 1
-        self.policy.record_trials(fingerprint, trials, time.monotonic())
-        self._schedule_record(fingerprint)
-        return True
-
     def _is_designated(self, fingerprint):
         """Return whether this entry is the one chosen among those that are heard."""
         entries = [self._address, *self._list_live_peers()]
@@ -292,18 +261,6 @@
         self._pending[fingerprint] = None
         self._wake.set()
 
-    def _on_opened(self, fingerprint):
-        self._metrics.count_quarantine("opened")
-        decision_log.log_event(
-            "quarantine.opened",
-            fingerprint=fingerprint,
-            targets=self.policy.list_crashes(fingerprint),
-        )
-
-    def _notify_changed(self):
-        self._changed.set()
-        self._changed = asyncio.Event()
-
 
 def _make_tombstone(fingerprint):
     return platform_store.KeyedRecord(KEY_PREFIX + fingerprint, b"")
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -122,7 +122,7 @@
             self._on_capacity_change,
         )
         self.load_reporter.get_limit = self._get_limit
-        self.crash_guard = crash_guard.CrashGuard(
+        self.crash_guard = crash_guard.SharedCrashGuard(
             self.store, address, self.load_reporter.list_live_peers, self.metrics
         )
         self.load_reporter.build_crash_report = self.crash_guard.build_report
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -143,8 +143,8 @@
     Args:
         load_reporter: The `pimentowick.gateway.load_report.LoadReporter`, which gets
             the addresses, failure domains and links of entries.
-        crash_guard: The `pimentowick.gateway.crash_guard.CrashGuard`, which gets the
-            quarantined requests.
+        crash_guard: The `pimentowick.gateway.crash_guard.SharedCrashGuard`, which gets
+            the quarantined requests.
     """
 
     def __init__(self, load_reporter, crash_guard):
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -22,7 +22,8 @@
 import orjson
 
 from pimentowick.gateway import decision_log
-from pimentowick.gateway.policy import quarantine, report_relay
+from pimentowick.gateway.policy import report_relay
+from pimentowick.routing import quarantine
 
 __all__ = ["LoadReporter", "Peer"]
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -8,8 +8,9 @@
 
 from pimentowick import fingerprint, verdict
 from pimentowick.gateway import admission, decision_log, response, route, upstream
-from pimentowick.gateway.policy import load_shedding, quarantine
+from pimentowick.gateway.policy import load_shedding
 from pimentowick.platform import message
+from pimentowick.routing import quarantine
 
 __all__ = ["Relay"]
 
@@ -58,7 +59,7 @@
         get_pool: Function that returns the `upstream.Pool` of a `target.Target`.
         health: `pimentowick.gateway.health.Health`.
         metrics: `pimentowick.gateway.metric.Metrics`.
-        crash_guard: `pimentowick.gateway.crash_guard.CrashGuard`.
+        crash_guard: `pimentowick.gateway.crash_guard.SharedCrashGuard`.
     """
 
     def __init__(self, admission, get_pool, health, metrics, crash_guard):
@@ -298,7 +299,7 @@
 
     def _record_lost_run(self, target, outcome, events):
         if outcome.may_be_crash:
-            self._crash_guard.record_crash(self._fingerprint, target)
+            self._crash_guard.record_crash(self._fingerprint, target.run_id)
         self._metrics.count_lost_run(self._route.kind, events > 0)
         decision_log.log_request_event(
             "online.lost",
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -17,10 +17,10 @@
 from pimentowick.gateway.policy import (
     batch_queue,
     preemption,
-    quarantine,
     service_time,
     target_choice,
 )
+from pimentowick.routing import quarantine
 
 __all__ = ["Runner"]
 
@@ -60,7 +60,7 @@
         partition_count: Number of job partitions.
         metrics: `pimentowick.gateway.metric.Metrics`.
         on_change: Function called when the load of this entry changes.
-        crash_guard: `pimentowick.gateway.crash_guard.CrashGuard`.
+        crash_guard: `pimentowick.gateway.crash_guard.SharedCrashGuard`.
 
     Attributes:
         owned_partitions: Numbers of the partitions whose items this entry runs.
@@ -535,7 +535,7 @@
 
     def _record_lost_run(self, run, target, outcome, sink):
         if outcome.may_be_crash:
-            self._crash_guard.record_crash(run.fingerprint, target)
+            self._crash_guard.record_crash(run.fingerprint, target.run_id)
         self._metrics.count_lost_run(run.route.kind, sink.events > 0)
         decision_log.log_request_event(
             "item.lost",
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 
 from pimentowick.fakes import faults, platform_site, replica, wait
 from pimentowick.gateway import load_report, runner
-from pimentowick.gateway.policy import quarantine
+from pimentowick.routing import quarantine
 
 STREAM = platform_site.make_route("/draft/", "stream", max_attempts=1)
 RESUMABLE = platform_site.make_route("/chat/", "stream", resumable=True)
--- /dev/null
+++ b/pimentowick/routing/crash_guard.py
@@ -0,0 +1,109 @@
+"""Enforces the quarantine of requests under which targets crash, within one process."""
+
+import asyncio
+import time
+
+from pimentowick.routing import quarantine
+
+__all__ = ["CrashGuard"]
+
+
+class CrashGuard:
+    """Decides for each request whether it may run, and records crashes.
+
+    Attributes:
+        policy: `pimentowick.routing.quarantine.Quarantine`.
+
+    Examples:
+        >>> guard = CrashGuard()
+        >>> guard.record_crash("f", "target 1")
+        >>> guard.record_crash("f", "target 2")
+        >>> guard.choose_step("f")
+        <Step.TRIAL: 'trial'>
+        >>> asyncio.run(guard.start_trial("f", "request 3"))
+        True
+        >>> guard.choose_step("f")
+        <Step.WAIT: 'wait'>
+        >>> guard.record_survival("f")
+        >>> guard.choose_step("f")
+        <Step.RUN: 'run'>
+    """
+
+    def __init__(self):
+        self.policy = quarantine.Quarantine()
+        self._changed = asyncio.Event()
+
+    def choose_step(self, fingerprint):
+        """Return the `quarantine.Step` for a request."""
+        return self.policy.choose_step(fingerprint, time.monotonic())
+
+    def get_delay(self, fingerprint):
+        """Return the seconds until the next trial of a request."""
+        return self.policy.get_delay(fingerprint, time.monotonic())
+
+    async def wait_for_trial(self, fingerprint):
+        """Wait until no trial of a request is in progress; return its next `Step`."""
+        while self.choose_step(fingerprint) == quarantine.Step.WAIT:
+            remaining_s = self.policy.get_trial_remaining(fingerprint, time.monotonic())
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        return self.choose_step(fingerprint)
+
+    async def start_trial(self, fingerprint, request_id):
+        """Count a trial of a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            request_id: Its identifier, for the log.
+
+        Returns:
+            Whether the request may run now.
+        """
+        if not await self._count_trial(fingerprint):
+            return False
+        self.on_trial(fingerprint, request_id)
+        return True
+
+    async def _count_trial(self, fingerprint):
+        """Count a trial; return whether it may start."""
+        if self.choose_step(fingerprint) != quarantine.Step.TRIAL:
+            return False
+        trials = self.policy.get_trials(fingerprint) + 1
+        self.policy.record_trials(fingerprint, trials, time.monotonic())
+        return True
+
+    def record_crash(self, fingerprint, target_run):
+        """Record that a target broke off a run of a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            target_run: Identifier of the run of the target.
+        """
+        if self.policy.record_crash(fingerprint, target_run, time.monotonic()):
+            self.on_opened(fingerprint)
+        self._notify_changed()
+
+    def record_survival(self, fingerprint):
+        """Record that a target ran a request without a crash."""
+        was_open = self.choose_step(fingerprint) != quarantine.Step.RUN
+        if not self.policy.record_survival(fingerprint, time.monotonic()):
+            return
+        if was_open:
+            self.on_released(fingerprint)
+        self._notify_changed()
+
+    def on_opened(self, fingerprint):
+        """Handle that a request became quarantined."""
+
+    def on_trial(self, fingerprint, request_id):
+        """Handle the start of a trial."""
+
+    def on_released(self, fingerprint):
+        """Handle that a quarantined request completed."""
+
+    def _notify_changed(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/pimentowick/gateway/tests/test_quarantine_policy.py
+++ b/pimentowick/routing/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import strategies
 
-from pimentowick.gateway.policy import quarantine
+from pimentowick.routing import quarantine
 
 ALLOWED_CRASHES = 3
 ALLOWED_RETRIES = 3
