--- a/pimentowick/entry/daemon.py
+++ b/pimentowick/entry/daemon.py
@@ -168,6 +168,7 @@
             self.settings,
             self.owner,
             self.metrics,
+            metered.MeteredCrashGuard(self.metrics),
         )
 
     def _make_application(self):
--- a/pimentowick/entry/metered.py
+++ b/pimentowick/entry/metered.py
@@ -1,11 +1,14 @@
-"""A log client that records metrics of its appends and reads."""
+"""Parts of an entry that log and count what they do."""
 
 import time
 
+from loguru import logger
+
 from pimentowick import exception
 from pimentowick.external import log as external_log
+from pimentowick.routing import crash_guard
 
-__all__ = ["MeteredLog"]
+__all__ = ["MeteredCrashGuard", "MeteredLog"]
 
 
 class MeteredLog(external_log.Log):
@@ -47,3 +50,39 @@
             raise
         self._metrics.count_read("done")
         return page
+
+
+class MeteredCrashGuard(crash_guard.CrashGuard):
+    """A `CrashGuard` that logs and counts changes of the quarantine.
+
+    Args:
+        metrics: The `pimentowick.metrics.EntryMetrics`.
+    """
+
+    def __init__(self, metrics):
+        super().__init__()
+        self._metrics = metrics
+
+    def on_opened(self, fingerprint):
+        """Log and count it; see the base class."""
+        self._metrics.count_quarantine("opened")
+        logger.warning(
+            "quarantine: Targets crashed under requests with fingerprint {}: {}.",
+            fingerprint,
+            ", ".join(self.policy.list_crashes(fingerprint)),
+        )
+
+    def on_trial(self, fingerprint, request_id):
+        """Log and count it; see the base class."""
+        self._metrics.count_quarantine("trial")
+        logger.warning(
+            "quarantine: Request {} is trial {} of fingerprint {}.",
+            request_id,
+            self.policy.get_trials(fingerprint),
+            fingerprint,
+        )
+
+    def on_released(self, fingerprint):
+        """Log and count it; see the base class."""
+        self._metrics.count_quarantine("released")
+        logger.info("quarantine: Fingerprint {} completed.", fingerprint)
--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -9,9 +9,11 @@
 from pimentowick.external import engine as external_engine
 from pimentowick.fakes import callers as fake_callers
 from pimentowick.fakes import embedded, engine, faults, relay
+from pimentowick.routing import quarantine
 
 run = fake_callers.run_with_callers
 GENERATE = "/generate"
+CRASH_WORD = "crash"
 
 
 def inject(target, kind, **fields):
@@ -106,6 +108,64 @@
     run(check)
 
 
+class CrashingEngine(engine.Engine):
+    """Breaks off all its requests when it is to run one with `CRASH_WORD`."""
+
+    crashes = 0
+
+    def submit(self, stream):
+        super().submit(stream)
+        if CRASH_WORD in stream.prompt:
+            self.crashes += 1
+            for connection in list(self.fault_injector.connections):
+                connection.close()
+
+
+async def add_crashing_engines(fleet, count):
+    engines = []
+    for index in range(count):
+        engines.append(CrashingEngine(models=[embedded.MODEL], base_step_ms=2))
+        name = f"lm-crashing-{index}"
+        await fleet.add_target(name, "engine", embedded.MODEL, engines[-1])
+    await fleet.wait_for(fleet.is_ready)
+    return engines
+
+
+def test_request_that_crashes_engines_is_not_sent_without_end(monkeypatch):
+    """Its caller sends it again with new ids to any entry."""
+    monkeypatch.setattr(quarantine, "TRIAL_DELAYS_S", (600.0,))
+
+    async def check(fleet, callers):
+        engines = await add_crashing_engines(fleet, 3)
+        for number in range(12):
+            outcome = await callers.chat(CRASH_WORD, entry=f"entry-{number % 2}")
+        # Three for each of the two entries.
+        assert sum(each.crashes for each in engines) <= 6
+        assert outcome.status == 503
+        assert outcome.verdict == "not_run"
+        assert (await callers.chat("another request")).complete
+
+    run(check, engines=0)
+
+
+def test_request_that_was_present_at_crashes_is_served():
+    """Engines crash under it for another reason; it must run as soon as it returns."""
+
+    async def check(fleet, callers):
+        engines = await add_crashing_engines(fleet, 3)
+        for each in engines:
+            inject(each, "cut", count=1, path=GENERATE)
+        await callers.chat("popular")
+        for each in engines:
+            inject(each, "clear")
+        guard = fleet.entries["entry-0"].router.guard
+        assert guard.policy.count_suspects() == (1, 1)
+        outcomes = await asyncio.gather(*(callers.chat("popular") for _ in range(6)))
+        assert all(outcome.complete for outcome in outcomes)
+
+    run(check, engines=0, entry_settings={"max_attempts": 2})
+
+
 def test_stream_that_cannot_resume_ends_with_an_error():
     """All engines disconnect in the middle of streams. Streams must end with an error
     event and without the end mark, which would make them look complete.
--- a/pimentowick/metrics.py
+++ b/pimentowick/metrics.py
@@ -111,6 +111,10 @@
         self._retries = self._add_counter(
             "pimentowick_entry_retries_total", "Further attempts of online requests."
         )
+        self._quarantine = self._add_counter(
+            "pimentowick_entry_quarantine_events_total",
+            "Changes of the quarantine by event: opened, trial, released.",
+        )
         self._items = self._add_counter(
             "pimentowick_entry_items_total", "Batch items that ended, by outcome."
         )
@@ -187,6 +191,10 @@
         """Count a retry by the code of the previous attempt's refusal."""
         self._retries.inc({"code": code})
 
+    def count_quarantine(self, event):
+        """Count a change of the quarantine: opened, trial or released."""
+        self._quarantine.inc({"event": event})
+
     def count_item(self, outcome):
         """Count a finished batch item by outcome."""
         self._items.inc({"outcome": outcome})
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -5,7 +5,10 @@
 
 from pimentowick.routing import quarantine
 
-__all__ = ["CrashGuard"]
+__all__ = ["CrashGuard", "CrashIdentifier"]
+
+# Runs that a target breaks off within this time are lost in the same crash.
+CRASH_DURATION_S = 0.5
 
 
 class CrashGuard:
@@ -107,3 +110,38 @@
     def _notify_changed(self):
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+class CrashIdentifier:
+    """Identifies the crashes of targets whose runs have no identifiers of their own.
+
+    Examples:
+        >>> identifier = CrashIdentifier()
+        >>> identifier.identify("a", now=1.0) == identifier.identify("a", now=1.1)
+        True
+        >>> identifier.identify("a", now=1.2) == identifier.identify("a", now=2.0)
+        False
+        >>> identifier.identify("a", now=2.0) == identifier.identify("b", now=2.0)
+        False
+    """
+
+    def __init__(self):
+        self._started_at = {}
+
+    def identify(self, target, now):
+        """Return an identifier of the crash in which a run is lost.
+
+        Args:
+            target: Name of the target.
+            now: Monotonic time at which the run is lost, in seconds.
+        """
+        started_at = self._started_at.get(target, float("-inf"))
+        if now - started_at > CRASH_DURATION_S:
+            self._started_at[target] = started_at = now
+        return f"{target}@{started_at:.3f}"
+
+    def retain(self, targets):
+        """Forget all other targets."""
+        self._started_at = {
+            name: at for name, at in self._started_at.items() if name in targets
+        }
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -3,13 +3,16 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import time
 
-from pimentowick import exception, verdict
+import orjson
+
+from pimentowick import exception, fingerprint, verdict
 from pimentowick.external import engine as external_engine
 from pimentowick.routing import attempt as routing_attempt
+from pimentowick.routing import crash_guard, quarantine, retry
 from pimentowick.routing import prefix as routing_prefix
-from pimentowick.routing import retry
 
 __all__ = ["Request", "Router", "make_generate_request"]
 
@@ -19,10 +22,11 @@
 MIN_RETRIES_PER_S = 10.0
 NO_TARGET_RETRY_AFTER_S = 1.0
 # Refusal codes that indicate a fault of the agent or its target.
-AGENT_FAULT_CODES = frozenset(["agent_lost", "agent_silent", "target_lost", "internal"])
+TARGET_LOST = "target_lost"
+AGENT_FAULT_CODES = frozenset(["agent_lost", "agent_silent", TARGET_LOST, "internal"])
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass
 class Request:
     """State of an online request while it is being routed.
 
@@ -39,6 +43,7 @@
         verdicts: Verdicts of the failed attempts.
         excluded: Names of the peers that refused the request or failed.
         attempts: Number of attempts started.
+        is_trial: Whether it is quarantined and runs as a trial.
     """
 
     id: str
@@ -53,6 +58,25 @@
     verdicts: list = dataclasses.field(default_factory=list)
     excluded: set = dataclasses.field(default_factory=set)
     attempts: int = 0
+    is_trial: bool = False
+
+    @functools.cached_property
+    def fingerprint(self):
+        """Fingerprint of the request, the same for each attempt of its caller."""
+        content = self.payload.get("call") or self.payload["generate"]
+        # How far a run got and how its answer is identified differ between attempts.
+        same = {
+            name: value
+            for name, value in content.items()
+            if name not in ("resume_tokens", "idempotency_key")
+        }
+        return fingerprint.compute_fingerprint(
+            self.workspace.name,
+            self.service,
+            self.kind,
+            "",
+            orjson.dumps(same, option=orjson.OPT_SORT_KEYS),
+        )
 
 
 class Router:
@@ -65,9 +89,12 @@
         settings: `pimentowick.settings.EntrySettings`.
         owner: Name of this process.
         metrics: `pimentowick.metrics.EntryMetrics`.
+        guard: `pimentowick.routing.crash_guard.CrashGuard`.
     """
 
-    def __init__(self, fleet, balancer, client, settings, owner, metrics):
+    def __init__(self, fleet, balancer, client, settings, owner, metrics, guard):
+        self.guard = guard
+        self._crashes = crash_guard.CrashIdentifier()
         self._fleet = fleet
         self._balancer = balancer
         self._client = client
@@ -119,6 +146,7 @@
         self._budget.record_request()
         while True:
             self._check_deadline(request)
+            await self._check_quarantine(request)
             peer = self._choose_peer(request)
             try:
                 async with contextlib.aclosing(
@@ -126,6 +154,7 @@
                 ) as answer:
                     async for frames in answer:
                         yield frames
+                self.guard.record_survival(request.fingerprint)
                 return
             except exception.RefusedError as error:
                 self._record_refusal(request, peer, error.refusal)
@@ -171,6 +200,31 @@
             combined = verdict.combine(request.verdicts)
             raise exception.RefusedError(verdict.make_deadline_refusal(combined))
 
+    async def _check_quarantine(self, request):
+        """Wait for a trial of a quarantined request, or start it.
+
+        Raises:
+            RefusedError: The request must not run now.
+        """
+        if request.is_trial or self.guard.policy.is_empty():
+            return
+        step = await self.guard.wait_for_trial(request.fingerprint)
+        if step == quarantine.Step.TRIAL:
+            request.is_trial = await self.guard.start_trial(
+                request.fingerprint, request.id
+            )
+        if step == quarantine.Step.RUN or request.is_trial:
+            return
+        delay_s = self.guard.get_delay(request.fingerprint)
+        refusal = verdict.Refusal(
+            503,
+            "quarantined",
+            "Targets crashed under this request, so that it runs again only after the "
+            "time in Retry-After.",
+            retry_after=max(delay_s, NO_TARGET_RETRY_AFTER_S),
+        )
+        raise exception.RefusedError(_merge_verdicts(request, refusal))
+
     def _choose_peer(self, request):
         pool = self._fleet.get_pool(request.service, request.kind)
         peer = self._balancer.choose(pool, request.prefix, request.excluded)
@@ -191,6 +245,10 @@
     def _record_refusal(self, request, peer, refusal):
         request.verdicts.append(refusal.verdict)
         request.excluded.add(peer.name)
+        if refusal.code == TARGET_LOST:
+            self._crashes.retain(self._fleet.peers)
+            crash = self._crashes.identify(peer.name, time.monotonic())
+            self.guard.record_crash(request.fingerprint, crash)
         if refusal.code in AGENT_FAULT_CODES:
             self._fleet.record_failure(peer)
         elif refusal.code == "draining":
@@ -199,6 +257,8 @@
     def _may_retry(self, request, refusal):
         if request.attempts >= self._settings.max_attempts:
             return False
+        if request.is_trial and refusal.verdict is not verdict.Verdict.NOT_RUN:
+            return False
         if time.monotonic() + RETRY_BACKOFF_S >= request.deadline:
             return False
         if not retry.is_retryable(refusal, request.idempotent):
