--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -27,7 +27,7 @@
 # A failed condition is checked again after reading the records that caused it.
 MAX_APPEND_ATTEMPTS = 3
 # Online requests wait for the append that counts their trial.
-TRIAL_APPEND_TIMEOUT_S = 0.5
+TRIAL_APPEND_TIMEOUT_S = 1.0
 RECORD_INTERVAL_S = 0.2
 CLEANUP_INTERVAL_S = 5.0
 
