--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -47,9 +47,9 @@
 RETENTION_S = 600.0
 # Exceeds the time for which a report or a record of a voided crash may be in transit.
 VOID_RETENTION_S = 60.0
-# Bounds on memory: one entry is about half a kilobyte.
-MAX_SUSPECTS = 1024
-MAX_CRASHES = 16
+# Bounds on memory, of all requests and of one.
+MAX_SUSPECTS = 512
+MAX_CRASHES = 8
 # Changes are reported repeatedly for this long, so that a lost report does no harm.
 REPORT_DURATION_S = 3.0
 # Exceeds the requests that one entry may lose with a target.
@@ -234,7 +234,7 @@
         """Return the `Report` of this entry's recent observations."""
         while self._observed:
             at = next(iter(self._observed.values()))[1]
-            if now - at <= REPORT_DURATION_S and len(self._observed) <= MAX_REPORTED:
+            if now - at <= REPORT_DURATION_S:
                 break
             self._observed.popitem(last=False)
         report = Report()
@@ -348,3 +348,5 @@
     def _observe(self, fingerprint, target, is_voided, now):
         self._observed.pop((fingerprint, target), None)
         self._observed[fingerprint, target] = (is_voided, now)
+        if len(self._observed) > MAX_REPORTED:
+            self._observed.popitem(last=False)
