--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -77,6 +77,10 @@
         self.on_crash = lambda previous_id: None
         self._first_id = replica_id
 
+    def crash_under_request(self):
+        """Crash because of a request in `crash_bodies`."""
+        self.crash()
+
     def crash(self):
         """Break off all requests and continue under a new identifier."""
         self.crashes += 1
@@ -134,7 +138,7 @@
 
     async def _run(self, behaviour, request_id):
         if self.request.body in self.server.crash_bodies:
-            self.server.crash()
+            self.server.crash_under_request()
             return
         if behaviour.kind == "vanish":
             self.close_connection()
--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -73,6 +73,11 @@
             self._schedule_record(fingerprint)
         return is_counted
 
+    def cancel_trial(self, fingerprint):
+        """Record a trial without a result; see `CrashGuard.cancel_trial`."""
+        super().cancel_trial(fingerprint)
+        self._schedule_record(fingerprint)
+
     def record_crash(self, fingerprint, target_run):
         """Record that a target broke off a run; see `CrashGuard.record_crash`."""
         super().record_crash(fingerprint, target_run)
@@ -146,14 +151,18 @@
                 {fingerprint: [str(name) for name in data["crashes"]]},
                 {fingerprint: [str(name) for name in data["voided"]]},
             )
-            trials = int(data["trials"])
+            trials, cancelled = int(data["trials"]), int(data["cancelled"])
         except (ValueError, TypeError, KeyError) as error:
             decision_log.log_event("quarantine.garbled", key=key, why=str(error))
             return
         self._recorded[fingerprint] = None
         self.merge_report(report)
         self.policy.record_trials(
-            fingerprint, trials, time.monotonic(), report.crashes[fingerprint]
+            fingerprint,
+            trials,
+            time.monotonic(),
+            cancelled,
+            report.crashes[fingerprint],
         )
 
     async def run(self):
@@ -234,6 +243,7 @@
             "crashes": report.crashes.get(fingerprint, []),
             "voided": report.voided.get(fingerprint, []),
             "trials": trials,
+            "cancelled": self.policy.get_cancelled(fingerprint),
         }
         return platform_store.KeyedRecord(KEY_PREFIX + fingerprint, orjson.dumps(data))
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -294,8 +294,12 @@
         return outcome
 
     def _record_cancelled_run(self, events):
-        if events and time.monotonic() - self._sent_at >= quarantine.SURVIVAL_S:
+        if not events:
+            return
+        if time.monotonic() - self._sent_at >= quarantine.SURVIVAL_S:
             self._crash_guard.record_survival(self._fingerprint)
+        elif self._is_trial:
+            self._crash_guard.cancel_trial(self._fingerprint)
 
     def _record_lost_run(self, target, outcome, events):
         if outcome.may_be_crash:
@@ -370,6 +374,8 @@
         """Answer that the request did not run; return the outcome for the log."""
         if self._progress.runs or self._exchange.started:
             return await self._fail(reason)
+        if self._is_trial:
+            self._crash_guard.cancel_trial(self._fingerprint)
         self._status = 503
         if reason == "quarantined":
             await self._exchange.refuse(self._make_quarantine_refusal())
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -346,9 +346,7 @@
 
     def _hold_quarantined(self, run, now):
         """Postpone an item that must not run now; return whether it is postponed."""
-        if self._crash_guard.policy.is_empty():
-            return False
-        step = self._crash_guard.choose_step(run.fingerprint)
+        step = self._choose_step(run)
         if step in (quarantine.Step.RUN, quarantine.Step.TRIAL):
             run.is_held = False
             return False
@@ -485,7 +483,13 @@
         self.wake()
 
     async def _run_item(self, run, target):
-        if not await self._may_start(run):
+        step = self._choose_step(run)
+        is_trial = step == quarantine.Step.TRIAL
+        if is_trial and not await self._crash_guard.start_trial(
+            run.fingerprint, run.item.id
+        ):
+            step = quarantine.Step.WAIT
+        if step in (quarantine.Step.WAIT, quarantine.Step.REFUSE):
             run.not_before = time.monotonic() + QUARANTINE_CHECK_S
             return
         started_at = time.monotonic()
@@ -494,7 +498,7 @@
             outcome, sink = await execution.send(run, target, self._get_pool(target))
         except asyncio.CancelledError:
             if run.events_generated > events_before:
-                self._record_cancelled_run(run, started_at)
+                self._record_cancelled_run(run, started_at, is_trial)
             raise
         self._health.observe_outcome(target, outcome)
         self._metrics.count_item(outcome.reason)
@@ -515,23 +519,23 @@
             self._record_lost_run(run, target, outcome, sink)
         elif outcome.is_survival:
             self._crash_guard.record_survival(run.fingerprint)
+        elif is_trial and outcome.end == upstream.End.NOT_RUN:
+            self._crash_guard.cancel_trial(run.fingerprint)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
         await self._handle_outcome(run, outcome, sink)
 
-    async def _may_start(self, run):
-        """Return whether an item may run now; start its trial if it needs one."""
+    def _choose_step(self, run):
         if self._crash_guard.policy.is_empty():
-            return True
-        step = self._crash_guard.choose_step(run.fingerprint)
-        if step == quarantine.Step.TRIAL:
-            return await self._crash_guard.start_trial(run.fingerprint, run.item.id)
-        return step == quarantine.Step.RUN
-
-    def _record_cancelled_run(self, run, started_at):
-        """Record the survival of a preempted run that streamed events for a while."""
+            return quarantine.Step.RUN
+        return self._crash_guard.choose_step(run.fingerprint)
+
+    def _record_cancelled_run(self, run, started_at, is_trial):
+        """Record what a run shows that streamed events and was preempted."""
         if time.monotonic() - started_at >= quarantine.SURVIVAL_S:
             self._crash_guard.record_survival(run.fingerprint)
+        elif is_trial:
+            self._crash_guard.cancel_trial(run.fingerprint)
 
     def _record_lost_run(self, run, target, outcome, sink):
         if outcome.may_be_crash:
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -142,6 +142,24 @@
     run_with(check)
 
 
+def test_trial_that_targets_refused_is_made_again_at_once():
+    # The targets left after a crash may be full, or gone without notice.
+    async def check(site):
+        number = 0
+        while count_open(site) < 2:
+            assert (await lose(site, "/draft/1", number)).status == 502
+            await wait.wait_for(lambda: know_same_crashes(site), 15, 0.01)
+            number += 1
+        for server in site.replicas:
+            server.planned_behaviours = [replica.Behaviour("refuse")] * 9
+        assert (await send(site, "/draft/1", 90, POPULAR, entry=0)).status == 503
+        for server in site.replicas:
+            server.planned_behaviours = []
+        assert (await send(site, "/draft/1", 91, POPULAR, entry=0)).status == 200
+
+    run_with(check)
+
+
 def know_same_crashes(site):
     reports = [
         [gateway.crash_guard.policy.describe(name).crashes for name in list_names(site)]
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -78,6 +78,11 @@
         self.policy.record_trials(fingerprint, trials, time.monotonic())
         return True
 
+    def cancel_trial(self, fingerprint):
+        """Record that a trial ended without a result, such as a refusal."""
+        self.policy.cancel_trial(fingerprint, time.monotonic())
+        self._notify_changed()
+
     def record_crash(self, fingerprint, target_run):
         """Record that a target broke off a run of a request.
 
--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -77,6 +77,7 @@
         crashes: Time of report by target; the newest last.
         voided: Time of voiding by target.
         trials: Number of trials since the breaker opened.
+        cancelled: Number of those that ended without a result.
         next_trial_at: Time from which the next trial may start.
         trial_ends_at: Time until which the result of a trial may arrive.
         updated_at: Time of the last change.
@@ -85,6 +86,7 @@
     crashes: dict = dataclasses.field(default_factory=dict)
     voided: dict = dataclasses.field(default_factory=dict)
     trials: int = 0
+    cancelled: int = 0
     next_trial_at: float = float("-inf")
     trial_ends_at: float = float("-inf")
     updated_at: float = 0.0
@@ -161,6 +163,11 @@
         suspect = self._suspects.get(fingerprint)
         return 0 if suspect is None else suspect.trials
 
+    def get_cancelled(self, fingerprint):
+        """Return the number of those trials that ended without a result."""
+        suspect = self._suspects.get(fingerprint)
+        return 0 if suspect is None else suspect.cancelled
+
     def choose_step(self, fingerprint, now):
         """Return the `Step` for a request."""
         suspect = self._suspects.get(fingerprint)
@@ -210,25 +217,45 @@
         suspect = self._suspects.get(fingerprint)
         return 0.0 if suspect is None else max(0.0, suspect.trial_ends_at - now)
 
-    def record_trials(self, fingerprint, trials, now, known_crashes=None):
-        """Record the number of trials of a request; a lower number is ignored.
+    def record_trials(self, fingerprint, trials, now, cancelled=0, known_crashes=None):
+        """Record the numbers of trials of a request; lower numbers are ignored.
 
         Args:
             fingerprint: Fingerprint of the request.
             trials: Number of trials since its breaker opened.
             now: Time at which the latest of them became known.
+            cancelled: Number of those that ended without a result.
             known_crashes: Targets whose crashes were known when it started; None for
                 all. Further crashes are its result.
         """
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.is_open or trials <= suspect.trials:
+        if suspect is None or not suspect.is_open:
             return
-        suspect.trials = trials
-        delay_s = TRIAL_DELAYS_S[min(trials, len(TRIAL_DELAYS_S)) - 1]
+        if trials <= suspect.trials and cancelled <= suspect.cancelled:
+            return
+        is_started = trials > suspect.trials
+        suspect.trials = max(trials, suspect.trials)
+        suspect.cancelled = max(cancelled, suspect.cancelled)
+        suspect.updated_at = now
+        suspect.next_trial_at = now
+        suspect.trial_ends_at = float("-inf")
+        failures = suspect.trials - suspect.cancelled
+        if not is_started or failures <= 0:
+            return
+        delay_s = TRIAL_DELAYS_S[min(failures, len(TRIAL_DELAYS_S)) - 1]
         suspect.next_trial_at = now + delay_s
         if known_crashes is None or suspect.crashes.keys() <= set(known_crashes):
             suspect.trial_ends_at = now + TRIAL_TIMEOUT_S
-        suspect.updated_at = now
+
+    def cancel_trial(self, fingerprint, now):
+        """Record that the latest trial ended without a result, such as a refusal.
+
+        The request may have another trial at once.
+        """
+        cancelled = self.get_cancelled(fingerprint) + 1
+        if cancelled <= self.get_trials(fingerprint):
+            trials = self.get_trials(fingerprint)
+            self.record_trials(fingerprint, trials, now, cancelled)
 
     def build_report(self, now):
         """Return the `Report` of this entry's recent observations."""
@@ -330,7 +357,7 @@
             del suspect.voided[next(iter(suspect.voided))]
         suspect.updated_at = now
         if not suspect.is_open:
-            suspect.trials = 0
+            suspect.trials = suspect.cancelled = 0
             suspect.next_trial_at = float("-inf")
             suspect.trial_ends_at = float("-inf")
 
--- a/pimentowick/routing/tests/test_quarantine.py
+++ b/pimentowick/routing/tests/test_quarantine.py
@@ -80,7 +80,7 @@
 
     def read_record(self, now, entry, fingerprint, trials, known):
         entry.merge_report(quarantine.Report({fingerprint: known}), now)
-        entry.record_trials(fingerprint, trials, now, known)
+        entry.record_trials(fingerprint, trials, now, known_crashes=known)
 
     def crash(self, now, entry, fingerprint, target):
         self.crashed_at.append(now)
@@ -191,3 +191,23 @@
     now = quarantine.COMPLETION_RETENTION_S + 1.0
     assert not policy.record_crash("f", "t1", now)
     assert policy.record_crash("f", "t2", now)
+
+
+def test_trial_without_a_result_does_not_delay_the_next_one():
+    # A target refused the trial, or it gave its slot to an online request.
+    policies = [quarantine.Quarantine() for _ in range(2)]
+    for policy in policies:
+        policy.record_crash("f", "t1", now=0.0)
+        policy.record_crash("f", "t2", now=0.0)
+        policy.record_trials("f", 1, now=0.0)
+    policies[0].cancel_trial("f", now=0.1)
+    policies[1].record_trials("f", 1, now=0.2, cancelled=1)
+    for policy in policies:
+        assert policy.choose_step("f", now=0.2) == quarantine.Step.TRIAL
+        policy.record_trials("f", 2, now=0.3, cancelled=1)
+        assert policy.choose_step("f", now=0.3) == quarantine.Step.WAIT
+        assert policy.get_delay("f", now=0.3) == quarantine.TRIAL_DELAYS_S[0]
+    policies[0].cancel_trial("f", now=0.4)
+    policies[0].cancel_trial("f", now=0.4)
+    policies[0].cancel_trial("f", now=0.4)
+    assert policies[0].get_cancelled("f") == 2
