--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -87,11 +87,10 @@
 
     def record_survival(self, fingerprint):
         """Record a run without a crash; see `CrashGuard.record_survival`."""
-        super().record_survival(fingerprint)
-        if self.policy.list_crashes(fingerprint):
-            return
-        if fingerprint in self._recorded or fingerprint in self._pending:
+        has_voided = super().record_survival(fingerprint)
+        if has_voided and fingerprint in self._recorded:
             self._schedule_record(fingerprint)
+        return has_voided
 
     def on_opened(self, fingerprint):
         """Log and count it; see `CrashGuard.on_opened`."""
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -160,6 +160,21 @@
     run_with(check)
 
 
+def test_completed_runs_of_a_released_request_write_no_records():
+    # A popular request completes many times a second.
+    async def check(site):
+        gateway = site.gateways[0]
+        while not count_open(site):
+            await lose(site, "/draft/1", 0, entry=0)
+        await wait.wait_for(lambda: list_records(site), 15, 0.01)
+        assert (await send(site, "/draft/1", 1, POPULAR, entry=0)).status == 200
+        await wait.wait_for(lambda: not gateway.crash_guard._pending, 15, 0.01)
+        assert (await send(site, "/draft/1", 2, POPULAR, entry=0)).status == 200
+        assert not gateway.crash_guard._pending
+
+    run_with(check)
+
+
 def know_same_crashes(site):
     reports = [
         [gateway.crash_guard.policy.describe(name).crashes for name in list_names(site)]
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -28,6 +28,7 @@
         >>> guard.choose_step("f")
         <Step.WAIT: 'wait'>
         >>> guard.record_survival("f")
+        True
         >>> guard.choose_step("f")
         <Step.RUN: 'run'>
     """
@@ -95,13 +96,18 @@
         self._notify_changed()
 
     def record_survival(self, fingerprint):
-        """Record that a target ran a request without a crash."""
+        """Record that a target ran a request without a crash.
+
+        Returns:
+            Whether crashes were voided.
+        """
         was_open = self.choose_step(fingerprint) != quarantine.Step.RUN
         if not self.policy.record_survival(fingerprint, time.monotonic()):
-            return
+            return False
         if was_open:
             self.on_released(fingerprint)
         self._notify_changed()
+        return True
 
     def on_opened(self, fingerprint):
         """Handle that a request became quarantined."""
