--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -52,6 +52,7 @@
         self._address = address
         self._list_live_peers = list_live_peers
         self._metrics = metrics
+        # Whether the record of each request names crashes.
         self._recorded = {}
         self._pending = {}
         self._wake = asyncio.Event()
@@ -123,8 +124,20 @@
             return
         for fingerprint in self.policy.merge_report(report, time.monotonic()):
             self.on_opened(fingerprint)
+        for fingerprint in report.voided:
+            self._close_record(fingerprint)
         self._notify_changed()
 
+    def _close_record(self, fingerprint):
+        """Update the record of a request that completed at another entry.
+
+        The record may have been written after that entry had read the records.
+        """
+        is_open = self._recorded.get(fingerprint, False)
+        if is_open and not self.policy.list_crashes(fingerprint):
+            if self._is_designated(fingerprint):
+                self._schedule_record(fingerprint)
+
     def build_report(self):
         """Return the `quarantine.Report` of this entry."""
         return self.policy.build_report(time.monotonic())
@@ -154,8 +167,9 @@
         except (ValueError, TypeError, KeyError) as error:
             decision_log.log_event("quarantine.garbled", key=key, why=str(error))
             return
-        self._recorded[fingerprint] = None
+        self._recorded[fingerprint] = bool(report.crashes[fingerprint])
         self.merge_report(report)
+        self._close_record(fingerprint)
         self.policy.record_trials(
             fingerprint,
             trials,
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -175,6 +175,30 @@
     run_with(check)
 
 
+def test_record_of_a_request_that_completed_at_another_entry_is_closed():
+    # A restarted entry would read that the request is quarantined.
+    async def check(site):
+        assert (await send(site, "/draft/1", 0, POPULAR, entry=1)).status == 200
+        guard = site.gateways[0].crash_guard
+        for number in (1, 2):
+            await lose(site, "/draft/1", number, entry=0)
+        await wait.wait_for(lambda: not count_open(site), 15, 0.01)
+        await wait.wait_for(lambda: not guard._pending, 15, 0.01)
+        partition = site.store.get_partition("keyed.entries", 0)
+        await wait.wait_for(
+            lambda: (
+                not any(
+                    orjson.loads(partition.newest[key][0])["crashes"]
+                    for key in list_records(site)
+                )
+            ),
+            15,
+            0.01,
+        )
+
+    run_with(check)
+
+
 def know_same_crashes(site):
     reports = [
         [gateway.crash_guard.policy.describe(name).crashes for name in list_names(site)]
