--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -163,7 +163,8 @@
                 return await self._refuse("quarantined")
             slot = await self._acquire_slot(slot_request)
             if slot is None:
-                return await self._refuse("no_place")
+                is_refused = self._choose_step() == quarantine.Step.REFUSE
+                return await self._refuse("quarantined" if is_refused else "no_place")
             self._slot = slot
             try:
                 outcome = None
@@ -183,21 +184,23 @@
 
     def _may_start_later(self):
         """Return whether the trial of another attempt has released it, or still may."""
-        step = self._crash_guard.choose_step(self._fingerprint)
-        return step in (quarantine.Step.RUN, quarantine.Step.WAIT)
+        return self._choose_step() in (quarantine.Step.RUN, quarantine.Step.WAIT)
+
+    def _choose_step(self):
+        if self._is_trial or self._crash_guard.policy.is_empty():
+            return quarantine.Step.RUN
+        return self._crash_guard.choose_step(self._fingerprint)
 
     async def _is_quarantined(self):
         """Return whether the request must not run, after a trial in progress ended."""
-        if self._is_trial or self._crash_guard.policy.is_empty():
+        if self._choose_step() == quarantine.Step.RUN:
             return False
         step = await self._crash_guard.wait_for_trial(self._fingerprint)
         return step == quarantine.Step.REFUSE
 
     async def _may_start(self):
         """Return whether the request may run now; start its trial if it needs one."""
-        if self._is_trial or self._crash_guard.policy.is_empty():
-            return True
-        step = self._crash_guard.choose_step(self._fingerprint)
+        step = self._choose_step()
         if step == quarantine.Step.TRIAL:
             self._is_trial = await self._crash_guard.start_trial(
                 self._fingerprint, self._call.request_id
@@ -221,6 +224,7 @@
             queue_state, self._route.objective_s, timeout_s
         ):
             return None
+        avoid = avoid if queue_state.slots > 0 else ()
         decision_log.log_request_event(
             "online.queued",
             self._call.request_id,
@@ -232,9 +236,13 @@
             waiting=queue_state.queued,
             expected_s=load_shedding.estimate_wait(queue_state),
         )
-        return await self._admission.wait_for_slot(
-            slot_request, avoid if queue_state.slots > 0 else ()
-        )
+        if self._is_trial:
+            return await self._admission.wait_for_slot(slot_request, avoid)
+        try:
+            async with self._crash_guard.interrupt_if_refused(self._fingerprint):
+                return await self._admission.wait_for_slot(slot_request, avoid)
+        except TimeoutError:
+            return None
 
     async def _send(self, target):
         remaining_s = self._deadline_at - time.monotonic()
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 import orjson
 import pytest
 
+from pimentowick import fingerprint
 from pimentowick.fakes import faults, platform_site, replica, wait
 from pimentowick.gateway import load_report, runner
 from pimentowick.routing import quarantine
@@ -199,6 +200,39 @@
     run_with(check)
 
 
+def test_queued_request_is_refused_as_soon_as_it_is_quarantined():
+    # No slot will be free for seconds, and it may not have one then.
+    async def check(site):
+        (server,) = site.replicas
+        server.holds_last_event = True
+        running = [
+            asyncio.create_task(send(site, "/draft/1", number, POPULAR, 0))
+            for number in range(server.slots)
+        ]
+        await wait.wait_for(lambda: server.running == server.slots, 15, 0.01)
+        gateway = site.gateways[0]
+        queued = asyncio.create_task(
+            site.call("POST", "/draft/1", POISON, X_Pimentowick_Request_Id="r90")
+        )
+        service = platform_site.SERVICE
+        await wait.wait_for(lambda: gateway.admission.count_waiting(service), 15, 0.01)
+        name = fingerprint.compute_fingerprint(
+            None, platform_site.HOST, "POST", "/draft/1", POISON
+        )
+        for target in ("t1", "t2"):
+            gateway.crash_guard.record_crash(name, target)
+        assert await gateway.crash_guard.start_trial(name, "r91")
+        gateway.crash_guard.record_crash(name, "t3")
+        answer = await queued
+        assert answer.status == 503
+        assert orjson.loads(answer.body)["error"]["code"] == "quarantined"
+        assert server.running == server.slots
+        server.release.set()
+        assert {answer.status for answer in await asyncio.gather(*running)} == {200}
+
+    run_with(check, entries=1, replicas=1)
+
+
 def know_same_crashes(site):
     reports = [
         [gateway.crash_guard.policy.describe(name).crashes for name in list_names(site)]
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -1,6 +1,7 @@
 """Enforces the quarantine of requests under which targets crash, within one process."""
 
 import asyncio
+import contextlib
 import time
 
 from pimentowick.routing import quarantine
@@ -36,6 +37,7 @@
     def __init__(self):
         self.policy = quarantine.Quarantine()
         self._changed = asyncio.Event()
+        self._interruptible = {}
 
     def choose_step(self, fingerprint):
         """Return the `quarantine.Step` for a request."""
@@ -56,6 +58,20 @@
                 pass
         return self.choose_step(fingerprint)
 
+    @contextlib.asynccontextmanager
+    async def interrupt_if_refused(self, fingerprint):
+        """Cancel the body of the context once a request must not run.
+
+        Raises:
+            TimeoutError: The body was cancelled.
+        """
+        async with asyncio.timeout(None) as timeout:
+            self._interruptible[timeout] = fingerprint
+            try:
+                yield
+            finally:
+                del self._interruptible[timeout]
+
     async def start_trial(self, fingerprint, request_id):
         """Count a trial of a request.
 
@@ -121,6 +137,9 @@
     def _notify_changed(self):
         self._changed.set()
         self._changed = asyncio.Event()
+        for timeout, fingerprint in self._interruptible.items():
+            if self.choose_step(fingerprint) == quarantine.Step.REFUSE:
+                timeout.reschedule(asyncio.get_running_loop().time())
 
 
 class CrashIdentifier:
