--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -137,6 +137,7 @@
         self._sent = False
         self._sent_at = None
         self._is_trial = False
+        self._has_reached_target = False
 
     @property
     def may_have_run(self):
@@ -339,6 +340,9 @@
         """Return the `_NextStep`; send the response if it is complete."""
         if outcome.end == upstream.End.NOT_RUN:
             self._progress.refusals += 1
+            if self._is_trial and outcome.connected:
+                self._has_reached_target = True
+                return _NextStep.FAIL
             return self._retry_or_fail(self._progress.refusals < MAX_REFUSALS)
         self._progress.runs += 1
         self._status = outcome.status
@@ -382,7 +386,7 @@
         """Answer that the request did not run; return the outcome for the log."""
         if self._progress.runs or self._exchange.started:
             return await self._fail(reason)
-        if self._is_trial:
+        if self._is_trial and not self._has_reached_target:
             self._crash_guard.cancel_trial(self._fingerprint)
         self._status = 503
         if reason == "quarantined":
