--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -6,6 +6,7 @@
 from pimentowick.fakes import platform_site, replica, wait
 from pimentowick.gateway import admission, load_report, target
 from pimentowick.gateway.policy import outlier_detection, quota, report_relay
+from pimentowick.routing import quarantine
 
 ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
 
@@ -71,6 +72,20 @@
     assert known_target.peers_online == 0
 
 
+def test_crashes_reported_by_a_neighbour_are_merged():
+    # Another entry lost runs of a request with their targets. Malformed rows must not
+    # prevent later reports from being applied.
+    load_reporter, known_target, _, _ = make_load_reporter()
+    merged = []
+    load_reporter.merge_crash_report = merged.append
+    for number, crashes in enumerate(({"f": ["t@1"]}, {"f": 3}, 3), 1):
+        data = {"from": "other:2", "number": number, "crashes": crashes, "loads": {}}
+        load_reporter.datagram_received(orjson.dumps(data), ("other", 2))
+    assert merged == [quarantine.Report({"f": ["t@1"]}, {})]
+    receive_report(load_reporter, 4, {"t": [1, 0]})
+    assert known_target.peers_online == 1
+
+
 def test_load_of_silent_neighbour_is_removed(monkeypatch):
     # If the load of a failed entry stayed counted, its slots would stay unused.
     load_reporter, known_target, _, changes = make_load_reporter()
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -25,6 +25,7 @@
 
 @pytest.fixture(autouse=True)
 def without_second_trial(monkeypatch):
+    """Keep the answers from depending on how long a test takes."""
     monkeypatch.setattr(quarantine, "TRIAL_DELAYS_S", (600.0,))
 
 
