--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -86,9 +86,9 @@
             if fingerprint not in self._recorded:
                 self._schedule_record(fingerprint)
 
-    def record_survival(self, fingerprint):
+    def record_survival(self, fingerprint, completed=True):
         """Record a run without a crash; see `CrashGuard.record_survival`."""
-        has_voided = super().record_survival(fingerprint)
+        has_voided = super().record_survival(fingerprint, completed)
         if has_voided and fingerprint in self._recorded:
             self._schedule_record(fingerprint)
         return has_voided
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -306,7 +306,7 @@
         if not events:
             return
         if time.monotonic() - self._sent_at >= quarantine.SURVIVAL_S:
-            self._crash_guard.record_survival(self._fingerprint)
+            self._crash_guard.record_survival(self._fingerprint, completed=False)
         elif self._is_trial:
             self._crash_guard.cancel_trial(self._fingerprint)
 
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -533,7 +533,7 @@
     def _record_cancelled_run(self, run, started_at, is_trial):
         """Record what a run shows that streamed events and was preempted."""
         if time.monotonic() - started_at >= quarantine.SURVIVAL_S:
-            self._crash_guard.record_survival(run.fingerprint)
+            self._crash_guard.record_survival(run.fingerprint, completed=False)
         elif is_trial:
             self._crash_guard.cancel_trial(run.fingerprint)
 
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -111,14 +111,19 @@
             self.on_opened(fingerprint)
         self._notify_changed()
 
-    def record_survival(self, fingerprint):
+    def record_survival(self, fingerprint, completed=True):
         """Record that a target ran a request without a crash.
 
+        Args:
+            fingerprint: Fingerprint of the request.
+            completed: Whether the run completed, and was not cancelled.
+
         Returns:
             Whether crashes were voided.
         """
         was_open = self.choose_step(fingerprint) != quarantine.Step.RUN
-        if not self.policy.record_survival(fingerprint, time.monotonic()):
+        now = time.monotonic()
+        if not self.policy.record_survival(fingerprint, now, completed):
             return False
         if was_open:
             self.on_released(fingerprint)
--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -200,16 +200,23 @@
         self._void_if_completed(fingerprint, now)
         return not was_open and self._is_open(fingerprint)
 
-    def record_survival(self, fingerprint, now):
+    def record_survival(self, fingerprint, now, completed=True):
         """Record that a target ran a request without a crash.
 
+        Args:
+            fingerprint: Fingerprint of the request.
+            now: Time of the end of the run.
+            completed: Whether the run completed. One that was cancelled voids the
+                crashes so far, but says nothing about later ones.
+
         Returns:
             Whether crashes were voided.
         """
-        self._completed.pop(fingerprint, None)
-        self._completed[fingerprint] = now
-        if len(self._completed) > MAX_COMPLETED:
-            self._completed.popitem(last=False)
+        if completed:
+            self._completed.pop(fingerprint, None)
+            self._completed[fingerprint] = now
+            if len(self._completed) > MAX_COMPLETED:
+                self._completed.popitem(last=False)
         return self._void_all(fingerprint, now)
 
     def get_trial_remaining(self, fingerprint, now):
--- a/pimentowick/routing/tests/test_quarantine.py
+++ b/pimentowick/routing/tests/test_quarantine.py
@@ -211,3 +211,15 @@
     policies[0].cancel_trial("f", now=0.4)
     policies[0].cancel_trial("f", now=0.4)
     assert policies[0].get_cancelled("f") == 2
+
+
+def test_cancelled_run_voids_only_the_crashes_so_far():
+    # A request that crashes its targets late in its run may be cancelled before.
+    policy = quarantine.Quarantine()
+    for name in ("t1", "t2"):
+        policy.record_crash("f", name, now=0.0)
+    assert policy.record_survival("f", now=1.0, completed=False)
+    assert policy.choose_step("f", now=1.0) == quarantine.Step.RUN
+    for name in ("t3", "t4"):
+        policy.record_crash("f", name, now=2.0)
+    assert policy.choose_step("f", now=2.0) == quarantine.Step.TRIAL
