--- a/pimentowick/cli/tests/test_trace.py
+++ b/pimentowick/cli/tests/test_trace.py
@@ -171,6 +171,7 @@
     assert "Trace fingerprint f1" in output
     code, output = run_command(["pimentowick", "trace", "f1", *paths])
     assert code == 0
+    assert "online.lost  id=r2 target=t2" in output
     assert "2 targets broke off 2 runs of this request, sent by 2 gateways" in output
     assert "1 attempts were refused without having run" in output
 
--- a/pimentowick/cli/trace.py
+++ b/pimentowick/cli/trace.py
@@ -23,9 +23,10 @@
         lines = read_decision_logs(self.argument("files"))[0]
         wanted_id = self.argument("id")
         id_lines, context_lines = history.find_related(lines, wanted_id)
-        if id_lines and all(
+        is_fingerprint = bool(id_lines) and all(
             line.data.get("fingerprint") == wanted_id for line in id_lines
-        ):
+        )
+        if is_fingerprint:
             cause = history.explain_fingerprint(id_lines)
         else:
             cause = history.explain(id_lines, context_lines)
@@ -34,7 +35,10 @@
             shown_lines = sorted(
                 [*id_lines, *context_lines], key=lambda line: line.time
             )
-            rows = [line.to_text(shown_lines[0].time) for line in shown_lines]
+            rows = [
+                line.to_text(shown_lines[0].time, shows_id=is_fingerprint)
+                for line in shown_lines
+            ]
         self.show({"cause": cause, "lines": rows}, "\n".join([*rows, cause]))
 
 
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -66,9 +66,14 @@
         """Name of the event."""
         return self.data["event"]
 
-    def to_text(self, start_time):
-        """Return the line as text, with its time relative to `start_time`."""
-        skipped = ("time", "event", "id")
+    def to_text(self, start_time, shows_id=False):
+        """Return the line as text.
+
+        Args:
+            start_time: Unix time that the time of the line is relative to.
+            shows_id: Whether to include the identifier of the request or item.
+        """
+        skipped = ("time", "event") if shows_id else ("time", "event", "id")
         fields = [f"{k}={v}" for k, v in self.data.items() if k not in skipped]
         return f"{self.time - start_time:9.3f} s  {self.process}  {self.event}  " + (
             " ".join(fields)
