--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -33,6 +33,8 @@
         lost_target: Whether it held a slot before and its target failed.
         workspace: Name of its caller's workspace, or "" without one.
         start_tag: Start tag of its workspace, assigned when it is queued.
+        crashed_targets: Runs of targets that crashed under it if it is quarantined and
+            runs as a trial, else None.
     """
 
     service: str
@@ -42,6 +44,7 @@
     lost_target: bool = False
     workspace: str = ""
     start_tag: float = 0.0
+    crashed_targets: frozenset | None = None
 
 
 class AcquiredSlot:
@@ -136,7 +139,7 @@
         waiting += max(0, self.peers_waiting[slot_request.service])
         if waiting and not slot_request.lost_target:
             return None
-        return self._acquire(slot_request.service, avoid)
+        return self._acquire(slot_request, avoid)
 
     async def wait_for_slot(self, slot_request, avoid=frozenset()):
         """Queue a request; return its `AcquiredSlot`, or None at its wait deadline.
@@ -219,8 +222,8 @@
                 limit -= 1
                 if limit < 0:
                     return
-            slot = self._acquire(service, avoid)
-            if slot is None and avoid:
+            slot = self._acquire(slot_request, avoid)
+            if slot is None and (avoid or slot_request.crashed_targets):
                 continue
             if slot is None:
                 return
@@ -228,15 +231,21 @@
             self._start_tags[service].record_served(slot_request.start_tag)
             future.set_result(slot)
 
-    def _acquire(self, service, avoid):
-        targets = self._table.list_targets(service)
-        target = target_choice.choose_for_online(
-            targets,
-            time.monotonic(),
-            self._failure_domain,
-            avoid,
-            self._estimate_unseen_requests(service, targets),
-        )
+    def _acquire(self, slot_request, avoid):
+        targets = self._table.list_targets(slot_request.service)
+        now = time.monotonic()
+        if slot_request.crashed_targets is not None:
+            target = target_choice.choose_for_trial(
+                targets, now, slot_request.crashed_targets
+            )
+        else:
+            target = target_choice.choose_for_online(
+                targets,
+                now,
+                self._failure_domain,
+                avoid,
+                self._estimate_unseen_requests(slot_request.service, targets),
+            )
         if target is None:
             return None
         slot = AcquiredSlot(self, target)
--- a/pimentowick/gateway/policy/target_choice.py
+++ b/pimentowick/gateway/policy/target_choice.py
@@ -28,6 +28,7 @@
 __all__ = [
     "choose_for_batch",
     "choose_for_online",
+    "choose_for_trial",
     "count_batch_capacity",
     "count_online_capacity",
 ]
@@ -95,6 +96,32 @@
     return min(drawn, key=lambda target: _rank(target, failure_domain))
 
 
+def choose_for_trial(targets, now, crashed):
+    """Return the target at which a crash does the least harm, or None if all are full.
+
+    Trials are rare, so that they need not be spread. Batch items resume elsewhere, and
+    most online requests are lost.
+
+    Args:
+        targets: Targets of the service.
+        now: Monotonic time, in seconds.
+        crashed: Runs of targets that crashed under the request. They may still be
+            listed, and another run may have their address.
+    """
+    usable = [
+        target
+        for target in targets
+        if target.is_usable(now)
+        and target.run_id not in crashed
+        and target.total_online < target.slots
+    ]
+    return min(
+        usable,
+        key=lambda target: (target.total_online, target.total_batch),
+        default=None,
+    )
+
+
 def _draw(targets, weigh, failure_domain):
     """Return one target of all and one of the failure domain, drawn by weight."""
     near = [t for t in targets if t.registration.failure_domain == failure_domain]
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -192,6 +192,12 @@
             return quarantine.Step.RUN
         return self._crash_guard.choose_step(self._fingerprint)
 
+    def _list_crashed_targets(self):
+        """Return the targets that crashed under a trial; None if this is not one."""
+        if not self._is_trial and self._choose_step() != quarantine.Step.TRIAL:
+            return None
+        return frozenset(self._crash_guard.policy.list_crashes(self._fingerprint))
+
     async def _is_quarantined(self):
         """Return whether the request must not run, after a trial in progress ended."""
         if self._choose_step() == quarantine.Step.RUN:
@@ -212,7 +218,11 @@
     async def _acquire_slot(self, slot_request):
         """Return an `admission.AcquiredSlot`, or None if the request is shed."""
         avoid = frozenset(self._progress.tried_targets)
-        slot_request = dataclasses.replace(slot_request, lost_target=bool(avoid))
+        slot_request = dataclasses.replace(
+            slot_request,
+            lost_target=bool(avoid),
+            crashed_targets=self._list_crashed_targets(),
+        )
         slot = self._admission.try_acquire(slot_request, avoid)
         if slot is None and avoid:
             slot = self._admission.try_acquire(slot_request)
@@ -340,7 +350,7 @@
         """Return the `_NextStep`; send the response if it is complete."""
         if outcome.end == upstream.End.NOT_RUN:
             self._progress.refusals += 1
-            if self._is_trial and outcome.connected:
+            if self._is_trial and outcome.is_refusal:
                 self._has_reached_target = True
                 return _NextStep.FAIL
             return self._retry_or_fail(self._progress.refusals < MAX_REFUSALS)
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -519,7 +519,9 @@
             self._record_lost_run(run, target, outcome, sink)
         elif outcome.is_survival:
             self._crash_guard.record_survival(run.fingerprint)
-        elif is_trial and not outcome.connected:
+        elif (
+            is_trial and outcome.end == upstream.End.NOT_RUN and not outcome.is_refusal
+        ):
             self._crash_guard.cancel_trial(run.fingerprint)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
--- a/pimentowick/gateway/tests/test_admission.py
+++ b/pimentowick/gateway/tests/test_admission.py
@@ -51,6 +51,25 @@
     asyncio.run(run())
 
 
+def test_trial_whose_target_may_not_run_it_does_not_block_others():
+    # The only free target crashed under the request at the head of the queue.
+    async def run():
+        controller, _ = make_admission()
+        held = controller.try_acquire(make_slot_request(1.0))
+        trial = dataclasses.replace(
+            make_slot_request(0.5), crashed_targets=frozenset({"t"})
+        )
+        first = asyncio.create_task(controller.wait_for_slot(trial))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(controller.wait_for_slot(make_slot_request(1.0)))
+        await asyncio.sleep(0)
+        held.release()
+        assert await second is not None
+        first.cancel()
+
+    asyncio.run(run())
+
+
 def test_request_that_avoids_the_only_free_target_does_not_block_others():
     # The first queued request was rejected by the target whose slot is free now.
     async def run():
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -140,6 +140,50 @@
     run_with(check)
 
 
+def test_trial_runs_where_a_crash_takes_the_fewest_along():
+    # All requests at its target are lost if it crashes once more.
+    async def check(site):
+        await lose_until_quarantined(site, "/draft/1")
+        await wait.wait_for(lambda: know_loads(site), 15, 0.01)
+        for server in site.replicas:
+            server.holds_last_event = True
+        running = [
+            asyncio.create_task(send(site, "/draft/2", 50 + number, b"other"))
+            for number in range(len(site.replicas) + 1)
+        ]
+        await wait.wait_for(
+            lambda: sum(each.running for each in site.replicas) == len(running),
+            15,
+            0.01,
+        )
+        await wait.wait_for(lambda: know_loads(site), 15, 0.01)
+        least = min(each.running for each in site.replicas)
+        idlest = [each for each in site.replicas if each.running == least]
+        trial = asyncio.create_task(send(site, "/draft/1", 90, POPULAR))
+        await wait.wait_for(lambda: list_running(site, "r90"), 15, 0.01)
+        assert list_running(site, "r90")[0] in idlest
+        for server in site.replicas:
+            server.release.set()
+        answers = await asyncio.gather(trial, *running)
+        assert {answer.status for answer in answers} == {200}
+
+    run_with(check)
+
+
+def know_loads(site):
+    """Return whether all entries know all targets, and what runs at each."""
+    loads = {server.id: server.running for server in site.replicas}
+    return all(
+        {name: known.total_online for name, known in gateway.table.by_id.items()}
+        == loads
+        for gateway in site.gateways
+    )
+
+
+def list_running(site, request_id):
+    return [server for server in site.replicas if request_id in server.runs]
+
+
 def test_trial_that_reached_no_target_is_made_again_at_once():
     # After a crash many connections meet targets that are gone.
     async def check(site):
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -57,6 +57,7 @@
     """The response is missing or incomplete; the request may have run."""
 
 
+REFUSED = "target_refused"
 # Reasons of incomplete responses whose connection the target closed.
 CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
 
@@ -82,6 +83,11 @@
         """Whether the target may have crashed during the request."""
         return self.end == End.INCOMPLETE and self.reason in CLOSED_REASONS
 
+    @property
+    def is_refusal(self):
+        """Whether the expected target received the request and rejected it."""
+        return self.end == End.NOT_RUN and self.reason == REFUSED
+
     @property
     def is_survival(self):
         """Whether the target ran the request without a crash.
@@ -233,7 +239,7 @@
         if answer.is_misdirected:
             return Outcome(End.NOT_RUN, "misdirected", reader.status)
         if answer.not_executed:
-            return Outcome(End.NOT_RUN, "target_refused", reader.status)
+            return Outcome(End.NOT_RUN, REFUSED, reader.status)
         if not reader.is_finished:
             return Outcome(End.INCOMPLETE, "cut_short", reader.status)
         if not reader.is_framed and self.stream.error is not None:
