Decode token counts, told slowdown and host limits; agree on the parts for hard load

Cause: the load that targets tell was decoded with exactly three figures and read by nobody; requests' token counts and most limits of the host's settings were not decoded.

Change: `ResponseHeaders.load` is a `target.ReportedLoad` with three or four figures; `RequestHeaders.cost` holds token counts and the prefix; `NodeSettings` the processor, memory, descriptors and whether callers may press. `SlotRequest` carries the cost and the objective.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -3,11 +3,13 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import time
 
 from pimentowick.gateway.policy import (
     batch_queue,
     load_shedding,
+    request_cost,
     request_order,
     target_choice,
 )
@@ -35,6 +37,10 @@
         start_tag: Start tag of its workspace, assigned when it is queued.
         crashed_targets: Runs of targets that crashed under it if it is quarantined and
             runs as a trial, else None.
+        cost: What it takes of a target, a `request_cost.Cost`.
+        objective_at: Monotonic time by which its caller expects the first event, or the
+            whole response of a route without events.
+        is_return: Whether its caller was turned away before.
     """
 
     service: str
@@ -45,6 +51,9 @@
     workspace: str = ""
     start_tag: float = 0.0
     crashed_targets: frozenset | None = None
+    cost: request_cost.Cost = dataclasses.field(default_factory=request_cost.Cost)
+    objective_at: float = math.inf
+    is_return: bool = False
 
 
 class AcquiredSlot:
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -158,6 +158,10 @@
             received_at + objective_s - load_shedding.FIRST_EVENT_LATENCY_S,
             received_at + timeout_s * load_shedding.MAX_WAIT_SHARE,
             workspace="" if self._workspace is None else self._workspace.name,
+            cost=dataclasses.replace(
+                self._call.cost, body_bytes=len(self._exchange.body)
+            ),
+            objective_at=received_at + objective_s,
         )
         while True:
             if await self._is_quarantined():
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ["Registration", "Target", "TargetTable"]
+__all__ = ["Registration", "ReportedLoad", "Target", "TargetTable"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +31,24 @@
     started_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """The load that a target reports with a response.
+
+    Attributes:
+        running: Number of requests running there.
+        waiting: Number of requests waiting there.
+        slots: Number of requests that it runs concurrently.
+        slowdown: Factor on the usual time of work on its host at that moment, or None
+            if the target does not share its host.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+
+
 class Target:
     """A target with its load and health.
 
@@ -44,6 +62,8 @@
         paused_until: Monotonic time until which it gets no new work.
         failures: Number of consecutive failed connections.
         ejected: Whether outlier detection has ejected it.
+        relative_speed: Estimated speed of this run, in shares of the usual speed of
+            its service.
     """
 
     def __init__(self, registration):
@@ -56,6 +76,15 @@
         self.paused_until = 0.0
         self.failures = 0
         self.ejected = False
+        self.relative_speed = 1.0
+
+    def get_slowdown(self, now):
+        """Return the factor on the usual time of work on its host at a time."""
+        return 1.0
+
+    def get_effective_speed(self, now):
+        """Return the speed at which it works now, in shares of the usual speed."""
+        return self.relative_speed / self.get_slowdown(now)
 
     @property
     def id(self):
@@ -110,6 +139,7 @@
     def __init__(self, on_removed=lambda target: None, on_added=lambda target_id: None):
         self.by_id = {}
         self._by_service = {}
+        self._services_on_shared_hosts = set()
         self._on_removed = on_removed
         self._on_added = on_added
 
@@ -138,6 +168,18 @@
         self._by_service[target.registration.service].pop(target_id)
         self._on_removed(target)
 
+    def record_shared_hosts(self, service):
+        """Record that a target of a service has reported the slowdown of its host."""
+        self._services_on_shared_hosts.add(service)
+
+    def has_shared_hosts(self, service):
+        """Return whether targets of a service report the slowdown of their hosts.
+
+        Decisions that use the speed of targets, or that expect them to be uneven, are
+        made only for such services.
+        """
+        return service in self._services_on_shared_hosts
+
     def list_by_service(self):
         """Return a list of targets for each service."""
         return [list(targets.values()) for targets in self._by_service.values()]
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -11,7 +11,8 @@
 from tornado import httputil
 
 from pimentowick import exception
-from pimentowick.gateway import job
+from pimentowick.gateway import job, target
+from pimentowick.gateway.policy import request_cost
 
 __all__ = [
     "JobOperation",
@@ -34,6 +35,9 @@
 NOT_EXECUTED = "X-Pimentowick-Not-Executed"
 SERVER_STAMP = "X-Pimentowick-Server-Stamp"
 SERVER_LOAD = "X-Pimentowick-Server-Load"
+TOKEN_USAGE = "X-Pimentowick-Token-Usage"
+LENGTH_HINT = "X-Pimentowick-Length-Hint"
+PROMPT_PREFIX = "X-Pimentowick-Prompt-Prefix"
 MAX_WAIT = "X-Pimentowick-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
@@ -89,6 +93,7 @@
         last_event: Id of the event after which a stream resumes, or "".
         key: API key of the caller's workspace; None if the request has no Authorization
             header, "" if the header is malformed.
+        cost: What the request takes of a target, as far as its headers tell.
     """
 
     request_id: str
@@ -96,6 +101,7 @@
     wait_s: float
     last_event: str
     key: str | None = dataclasses.field(default=None, repr=False)
+    cost: request_cost.Cost = dataclasses.field(default_factory=request_cost.Cost)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +113,7 @@
         is_signed: Whether the target's stamp is present.
         not_executed: Whether the target states that the request did not run.
         is_misdirected: Whether the address now belongs to another target.
-        load: Running requests, waiting requests and slots, or None.
+        load: The `target.ReportedLoad`, or None.
         has_encoding: Whether the body has a content encoding that was not requested.
         closes_connection: Whether the target closes the connection after the response.
         idle_s: Keep-alive timeout of the target in seconds, or None.
@@ -117,7 +123,7 @@
     is_signed: bool
     not_executed: bool
     is_misdirected: bool
-    load: tuple | None
+    load: target.ReportedLoad | None
     has_encoding: bool
     closes_connection: bool
     idle_s: float | None
@@ -140,9 +146,44 @@
         wait_s=0.0 if wait is None else wait / 1000,
         last_event=headers.get(LAST_EVENT_ID, ""),
         key=_decode_key(headers),
+        cost=_decode_cost(headers),
     )
 
 
+def _decode_cost(headers):
+    """Decode the token counts of a request; malformed headers count as absent.
+
+    Examples:
+        >>> headers = {TOKEN_USAGE: "450,200", PROMPT_PREFIX: "5c1e:200,91bd:250"}
+        >>> cost = _decode_cost(headers)
+        >>> cost.prompt_tokens, cost.output_tokens, cost.prefix
+        (450, 200, (('5c1e', 200), ('91bd', 250)))
+        >>> _decode_cost({TOKEN_USAGE: "x"}).prompt_tokens
+        0
+    """
+    try:
+        prompt_tokens, max_output_tokens = (
+            max(0, int(part)) for part in headers.get(TOKEN_USAGE, "0,0").split(",")
+        )
+    except ValueError:
+        prompt_tokens = max_output_tokens = 0
+    try:
+        output_tokens = min(int(headers[LENGTH_HINT]), max_output_tokens)
+    except (KeyError, ValueError):
+        output_tokens = max_output_tokens
+    return request_cost.Cost(
+        prompt_tokens, max(0, output_tokens), max_output_tokens, _decode_prefix(headers)
+    )
+
+
+def _decode_prefix(headers):
+    try:
+        parts = [part.split(":") for part in headers[PROMPT_PREFIX].split(",")]
+        return tuple((name.strip(), int(tokens)) for name, tokens in parts)
+    except (KeyError, ValueError):
+        return ()
+
+
 def _decode_key(headers):
     values = headers.get_list(AUTHORIZATION)
     if not values:
@@ -247,11 +288,25 @@
 
 
 def _decode_load(text):
+    """Decode the load that a target reports; None if it is absent or malformed.
+
+    The fourth figure is the time that work takes on the target's host, in percent of
+    the usual time. Only targets that share their host report it.
+
+    Examples:
+        >>> _decode_load("3,0,8")
+        ReportedLoad(running=3, waiting=0, slots=8, slowdown=None)
+        >>> _decode_load("3,0,8,250").slowdown, _decode_load("3,0,8,x")
+        (2.5, None)
+    """
     try:
-        running, waiting, slots = (int(part) for part in text.split(","))
+        figures = [int(part) for part in text.split(",")]
     except (AttributeError, ValueError):
         return None
-    return running, waiting, slots
+    if len(figures) not in (3, 4) or min(figures) < 0:
+        return None
+    slowdown = figures[3] / 100 if len(figures) == 4 and figures[3] else None
+    return target.ReportedLoad(*figures[:3], slowdown)
 
 
 def remove_hop_headers(headers):
--- a/pimentowick/platform/node.py
+++ b/pimentowick/platform/node.py
@@ -41,6 +41,14 @@
         key_revocation_s: Seconds within which every host must reject a revoked key,
             even a host that cannot reach the store; None if there is no bound.
         link_mbps: Bandwidth of the host's network link in megabits per second.
+        processor_cores: Processor time that the process may use per second, in cores;
+            None if it is not limited.
+        memory_mb: Memory that the process may use, in megabytes; None if it is not
+            limited.
+        max_descriptors: Number of file descriptors that the process may open; None if
+            it is not limited.
+        expects_pressure: Whether callers may press beyond the usual: open connections,
+            or send headers, without end.
     """
 
     name: str
@@ -59,6 +67,10 @@
     parts: int
     link_mbps: float = 1000.0
     key_revocation_s: float | None = None
+    processor_cores: float | None = None
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
+    expects_pressure: bool = False
 
 
 class _Fields(pydantic.BaseModel):
@@ -81,6 +93,12 @@
     link_mbps: float = pydantic.Field(1000.0, alias="limits.link_mbps")
     strict_revoke: bool = pydantic.Field(False, alias="bounds.strict_revoke")
     revoke_ms: float = pydantic.Field(5000.0, alias="bounds.revoke_ms")
+    cpu_share: float | None = pydantic.Field(None, gt=0, alias="limits.cpu_share")
+    cores: float = pydantic.Field(1.0, gt=0, alias="limits.cores")
+    memory_mb: float | None = pydantic.Field(None, gt=0, alias="limits.memory_mb")
+    max_fds: int | None = pydantic.Field(None, gt=0, alias="limits.max_fds")
+    # The parts of the platform's contract that are in force.
+    contracts: str = ""
 
 
 def _describe_errors(path, line_numbers, error):
@@ -140,4 +158,10 @@
         parts=fields.parts,
         link_mbps=fields.link_mbps,
         key_revocation_s=fields.revoke_ms / 1000 if fields.strict_revoke else None,
+        processor_cores=(
+            None if fields.cpu_share is None else fields.cpu_share * fields.cores
+        ),
+        memory_mb=fields.memory_mb,
+        max_descriptors=fields.max_fds,
+        expects_pressure="pressure" in fields.contracts.split(","),
     )
