Estimate how fast each target works, and exchange what entries see of it

Cause: targets of one service differ in speed by 2.4 times and more, and hosts shared with others slow down for tenths of a second. The load that targets tell was read by nobody, and an entry of 36 sees a response of a target every few seconds only.

Change: `policy/target_speed.py` estimates the pace of each run of a target and its speed against the median of its service; `performance.py` records responses and told slowdowns and adds them to the load reports. Only services whose targets report a slowdown are estimated. Nothing decides by the speeds yet.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -131,7 +131,11 @@
         self.storage = job_storage.JobStorage(
             self.store, JOBS_TOPIC, OUTCOMES_TOPIC, JOBS_PAUSE_S, LONG_POLL_S, settings
         )
-        self.pools = pools.Pools(self.configuration, self.load_reporter.peers)
+        self.pools = pools.Pools(
+            self.configuration,
+            self.load_reporter.peers,
+            self.load_reporter.performance.record_load,
+        )
         self._targets = follower.TargetFollower(self.table, self._on_capacity_change)
         self.runner = runner.Runner(
             address,
@@ -167,6 +171,7 @@
             target_health,
             self.metrics,
             self.crash_guard,
+            self.load_reporter.performance,
         )
         jobs = job_api.JobApi(self.storage, lambda: self.ownership.is_cut_off)
         self._caller_server = exchange.Server(
@@ -402,6 +407,7 @@
         while True:
             await asyncio.sleep(OUTLIER_CHECK_INTERVAL_S)
             changed = False
+            self.load_reporter.performance.update_speeds(time.monotonic())
             for targets in self.table.list_by_service():
                 ids = [listed.id for listed in targets]
                 outliers = self.outliers.find_outliers(ids)
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -5,7 +5,7 @@
 import time
 
 from pimentowick import exception, fingerprint
-from pimentowick.gateway import decision_log, event_stream, upstream
+from pimentowick.gateway import decision_log, event_stream, performance, upstream
 from pimentowick.platform import message
 
 __all__ = ["Run", "Sink", "save_final", "send"]
@@ -95,6 +95,7 @@
         self._splitter = event_stream.EventSplitter()
         self.status = 0
         self.events = 0
+        self.event_times = performance.EventTimes()
         self.is_in_order = True
         self.last_received_at = time.monotonic()
 
@@ -118,6 +119,7 @@
             return
         self.is_in_order = self._transcript.add(received_event)
         self.events += self.is_in_order
+        self.event_times.record(int(self.is_in_order), self.last_received_at)
 
     def is_complete(self):
         """Return whether the stream ended after a whole event, with none missing."""
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -21,7 +21,7 @@
 
 import orjson
 
-from pimentowick.gateway import decision_log
+from pimentowick.gateway import decision_log, performance
 from pimentowick.gateway.policy import report_relay
 from pimentowick.routing import quarantine
 
@@ -102,6 +102,7 @@
         get_limit: Function from the name of a workspace to its `quota.Limit`, or None.
         build_crash_report: Function that returns this entry's `quarantine.Report`.
         merge_crash_report: Function called with that of another entry.
+        performance: `pimentowick.gateway.performance.PerformanceMonitor`.
         peers_pending: Weight of the batch items queued at other entries, by service.
     """
 
@@ -131,6 +132,7 @@
         self.get_limit = lambda name: None
         self.build_crash_report = quarantine.Report
         self.merge_crash_report = lambda report: None
+        self.performance = performance.PerformanceMonitor(table)
         self.peers_pending = collections.Counter()
 
     async def start(self):
@@ -289,6 +291,7 @@
             "taken": self._quotas.build_report(time.monotonic()),
             "crashes": crashes.crashes,
             "voided": crashes.voided,
+            "speeds": self.performance.build_report(time.monotonic()),
         }
 
     def _send(self, data):
@@ -431,6 +434,7 @@
         self._outliers.update_peer(address, domain, failing)
         self._quotas.merge_report(address, taken, self.get_limit, now)
         self.merge_crash_report(crashes)
+        self.performance.merge_report(address, report.get("speeds", {}), now)
         return changed
 
     def error_received(self, exc):
@@ -448,6 +452,7 @@
                 self._outliers.update_peer(peer.address, "", {})
                 # A restart after its clock was set back begins with a lower number.
                 peer.sequence_number = 0
+                self.performance.remove_peer(peer.address)
             if now - peer.last_heard_at > PEER_EXPIRY_S:
                 self.peers.pop(peer.address)
                 self._relay.remove(peer.address)
--- a/pimentowick/gateway/pools.py
+++ b/pimentowick/gateway/pools.py
@@ -14,9 +14,12 @@
     Args:
         configuration: `pimentowick.gateway.follower.ConfigurationFollower`.
         peers: Collection of the other entries, updated by its owner.
+        record_load: Function called with a target and the `target.ReportedLoad` that
+            came with one of its responses, or None.
     """
 
-    def __init__(self, configuration, peers):
+    def __init__(self, configuration, peers, record_load=lambda target, load: None):
+        self._record_load = record_load
         self._configuration = configuration
         self._peers = peers
         self._pools = {}
@@ -30,6 +33,7 @@
                 registration.ip,
                 registration.port,
                 lambda: self.compute_idle_limit(target),
+                lambda load: self._record_load(target, load),
             )
             self._pools[target] = pool
         return pool
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -60,10 +60,12 @@
         health: `pimentowick.gateway.health.Health`.
         metrics: `pimentowick.gateway.metric.Metrics`.
         crash_guard: `pimentowick.gateway.crash_guard.SharedCrashGuard`.
+        performance: `pimentowick.gateway.performance.PerformanceMonitor`.
     """
 
-    def __init__(self, admission, get_pool, health, metrics, crash_guard):
+    def __init__(self, admission, get_pool, health, metrics, crash_guard, performance):
         self._crash_guard = crash_guard
+        self._performance = performance
         self._admission = admission
         self._health = health
         self._get_pool = get_pool
@@ -118,6 +120,7 @@
     ):
         self._admission = relay._admission
         self._crash_guard = relay._crash_guard
+        self._performance = relay._performance
         self._get_pool = relay._get_pool
         self._health = relay._health
         self._metrics = relay._metrics
@@ -308,6 +311,7 @@
                 raise
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
+        self._record_performance(target, outcome)
         load = self._slot.online_at_start + self._slot.batch_at_start
         self._health.observe_outcome(target, outcome, load < target.slots / 2)
         if outcome.end == upstream.End.INCOMPLETE:
@@ -316,6 +320,15 @@
             self._crash_guard.record_survival(self._fingerprint)
         return outcome
 
+    def _record_performance(self, target, outcome):
+        now = time.monotonic()
+        if outcome.end != upstream.End.COMPLETE or outcome.status != 200:
+            return
+        duration_s = now - self._sent_at
+        if self._route.kind == route.Kind.STREAM:
+            duration_s = self._sink.event_times.compute_interval_s()
+        self._performance.record_duration(target, self._route.name, duration_s, now)
+
     def _record_cancelled_run(self, events):
         if not events:
             return
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -2,7 +2,7 @@
 
 import time
 
-from pimentowick.gateway import event_stream, upstream
+from pimentowick.gateway import event_stream, performance, upstream
 from pimentowick.platform import message
 
 __all__ = ["CallerSink"]
@@ -28,6 +28,7 @@
         events: Number of events forwarded.
         first_event_at: Monotonic time at which the first event was forwarded, or None.
         longest_gap_s: Longest time between two forwarded events in seconds, or None.
+        event_times: The `performance.EventTimes` of the current target.
     """
 
     def __init__(self, exchange, is_stream):
@@ -48,6 +49,7 @@
         self.forwards_events = False
         self.out_of_order = False
         self._splitter = event_stream.EventSplitter()
+        self.event_times = performance.EventTimes()
 
     async def on_headers(self, status, headers, answer):
         """Store status and headers; see `upstream.Sink`."""
@@ -74,6 +76,7 @@
             return
         data = b"".join(received.raw for received in in_order)
         self._update_gap()
+        self.event_times.record(len(in_order), self._last_forwarded_at)
         if not self._exchange.started:
             self.first_event_at = time.monotonic()
             headers = message.remove_hop_headers(self.headers)
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -502,6 +502,12 @@
             raise
         self._health.observe_outcome(target, outcome)
         self._metrics.count_item(outcome.reason)
+        self.load_reporter.performance.record_duration(
+            target,
+            run.route.name,
+            sink.event_times.compute_interval_s(),
+            time.monotonic(),
+        )
         decision_log.log_request_event(
             "item.ran",
             run.item.id,
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from pimentowick.gateway.policy import target_speed
+
 __all__ = ["Registration", "ReportedLoad", "Target", "TargetTable"]
 
 
@@ -62,8 +64,15 @@
         paused_until: Monotonic time until which it gets no new work.
         failures: Number of consecutive failed connections.
         ejected: Whether outlier detection has ejected it.
+        pace: The `target_speed.PaceEstimate` of this run.
         relative_speed: Estimated speed of this run, in shares of the usual speed of
             its service.
+        slowdown: Factor on the usual time of work on its host, as reported last.
+        former_slowdown: The factor reported before that one.
+        slowdown_at: Monotonic time of that report.
+        has_own_slowdown: Whether that report came to this entry.
+        reported_load: The `ReportedLoad` of the last response to this entry, or None.
+        reported_at: Monotonic time of that response.
     """
 
     def __init__(self, registration):
@@ -76,11 +85,39 @@
         self.paused_until = 0.0
         self.failures = 0
         self.ejected = False
+        self.pace = target_speed.PaceEstimate()
         self.relative_speed = 1.0
+        self.slowdown = 1.0
+        self.former_slowdown = 1.0
+        self.slowdown_at = float("-inf")
+        self.has_own_slowdown = False
+        self.reported_load = None
+        self.reported_at = float("-inf")
+
+    def record_load(self, load, now):
+        """Record the `ReportedLoad` of a response to this entry."""
+        self.reported_load = load
+        self.reported_at = now
+        if load.slowdown is not None:
+            self.record_slowdown(load.slowdown, now)
+
+    def record_slowdown(self, slowdown, reported_at, is_own=True):
+        """Record the slowdown of its host unless a newer one is known.
+
+        Args:
+            slowdown: Factor on the usual time of work.
+            reported_at: Monotonic time at which the target reported it.
+            is_own: Whether the report came to this entry.
+        """
+        if reported_at < self.slowdown_at:
+            return
+        self.former_slowdown, self.slowdown = self.slowdown, slowdown
+        self.slowdown_at = reported_at
+        self.has_own_slowdown = is_own
 
     def get_slowdown(self, now):
-        """Return the factor on the usual time of work on its host at a time."""
-        return 1.0
+        """Return the expected factor on the usual time of work on its host."""
+        return target_speed.decay_slowdown(self.slowdown, now - self.slowdown_at)
 
     def get_effective_speed(self, now):
         """Return the speed at which it works now, in shares of the usual speed."""
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -139,6 +139,11 @@
 class _Reader(httputil.HTTPMessageDelegate):
     """Passes a response to a sink if it belongs to the request.
 
+    Args:
+        request_id: Identifier of the request.
+        sink: The `Sink`.
+        on_load: Function called with the load that came with the response, or None.
+
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
         answer: The decoded `message.ResponseHeaders`, None before the headers arrive.
@@ -147,9 +152,10 @@
         is_framed: Whether the end of the body is known without closing the connection.
     """
 
-    def __init__(self, request_id, sink):
+    def __init__(self, request_id, sink, on_load):
         self._request_id = request_id
         self._sink = sink
+        self._on_load = on_load
         self.status = 0
         self.answer = None
         self.is_stray = False
@@ -171,6 +177,8 @@
         self.is_stray = (
             self.answer.request_id != self._request_id and not is_unidentified
         )
+        if not self.is_stray:
+            self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
             await self._sink.on_headers(start_line.code, headers, self.answer)
 
@@ -188,8 +196,9 @@
 class _Connection:
     """One connection to a target."""
 
-    def __init__(self, stream):
+    def __init__(self, stream, on_load):
         self.stream = stream
+        self._on_load = on_load
         self.idle_until = 0.0
         self.request_count = 0
 
@@ -204,13 +213,13 @@
         self.request_count += 1
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
-        reader = _Reader(request.request_id, sink)
+        reader = _Reader(request.request_id, sink, self._on_load)
         await http.read_response(reader)
         for _ in range(MAX_STRAY_RESPONSES):
             if not (reader.is_finished and reader.is_stray and reader.is_framed):
                 break
             # A late response to an earlier request, by its request identifier.
-            reader = _Reader(request.request_id, sink)
+            reader = _Reader(request.request_id, sink, self._on_load)
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
             http.finish()
             await http.read_response(reader)
@@ -270,14 +279,23 @@
         ip: IP address of the target.
         port: TCP port.
         get_max_idle: Function that returns how many idle connections to keep.
+        on_load: Function called with the `target.ReportedLoad` that came with each
+            response, or None.
 
     Attributes:
         opened: Number of connections opened so far.
     """
 
-    def __init__(self, ip, port, get_max_idle=lambda: MAX_IDLE_CONNECTIONS):
+    def __init__(
+        self,
+        ip,
+        port,
+        get_max_idle=lambda: MAX_IDLE_CONNECTIONS,
+        on_load=lambda load: None,
+    ):
         self._address = (ip, port)
         self._get_max_idle = get_max_idle
+        self._on_load = on_load
         self._idle = []
         self.opened = 0
 
@@ -336,7 +354,7 @@
             with contextlib.suppress(OSError):
                 stream.close()
             raise
-        return _Connection(stream)
+        return _Connection(stream, self._on_load)
 
 
 def _set_options(sock):
