Hand released slots over to the entry's own queue instead of racing for free ones

Cause: at each release an entry took all slots that seemed free for its queue, as did 27 others with the same stale view.

Change: `policy/slot_handover.py`; for services on shared hosts `Admission` gives a released slot to the next request that may use it, at the same target, and new requests queue where slots seem too few for all that are sent within the propagation delay. Other services are served as before.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -11,6 +11,7 @@
     load_shedding,
     request_cost,
     request_order,
+    slot_handover,
     target_choice,
 )
 from pimentowick.scheduling import fairness
@@ -146,10 +147,21 @@
         """
         waiting = self.count_waiting(slot_request.service)
         waiting += max(0, self.peers_waiting[slot_request.service])
-        if waiting and not slot_request.lost_target:
+        if slot_request.lost_target:
+            return self._acquire(slot_request, avoid)
+        if waiting or self._should_queue(slot_request.service):
             return None
         return self._acquire(slot_request, avoid)
 
+    def _should_queue(self, service):
+        """Return whether too many entries may race for the slots that seem free."""
+        if not self._table.has_shared_hosts(service):
+            return False
+        targets = self._table.list_targets(service)
+        free = target_choice.count_online_capacity(targets, time.monotonic())
+        expected_sends = self._estimate_unseen_requests(service, targets)
+        return slot_handover.should_queue(free, expected_sends)
+
     async def wait_for_slot(self, slot_request, avoid=frozenset()):
         """Queue a request; return its `AcquiredSlot`, or None at its wait deadline.
 
@@ -190,9 +202,35 @@
         held_s = time.monotonic() - slot.acquired_at
         mean_s = self.mean_hold_s.get(service, INITIAL_HOLD_S)
         self.mean_hold_s[service] = mean_s + HOLD_WEIGHT * (held_s - mean_s)
-        self.grant_slots(service)
+        if self._table.has_shared_hosts(service):
+            self._hand_over(slot.target)
+        else:
+            self.grant_slots(service)
         self._on_change()
 
+    def _hand_over(self, released):
+        """Give the slot just released at a target to the next request that may run."""
+        queue = self._queues.get(released.registration.service, ())
+        now = time.monotonic()
+        if not queue or not slot_handover.can_hand_over(released, now):
+            return
+        queue.sort(key=lambda waiter: request_order.compute_sort_key(waiter[0], now))
+        for waiter in queue:
+            slot_request, avoid, future = waiter
+            # A trial runs where a crash does the least harm.
+            is_trial = slot_request.crashed_targets is not None
+            if future.done() or released.id in avoid or is_trial:
+                continue
+            self._grant(waiter, AcquiredSlot(self, released))
+            return
+
+    def _grant(self, waiter, slot):
+        slot_request, _, future = waiter
+        service = slot_request.service
+        self._queues[service].remove(waiter)
+        self._start_tags[service].record_served(slot_request.start_tag)
+        future.set_result(slot)
+
     def grant_share(self, service):
         """Grant this entry's share of the free slots to its queued requests.
 
@@ -236,9 +274,7 @@
                 continue
             if slot is None:
                 return
-            queue.remove(waiter)
-            self._start_tags[service].record_served(slot_request.start_tag)
-            future.set_result(slot)
+            self._grant(waiter, slot)
 
     def _acquire(self, slot_request, avoid):
         targets = self._table.list_targets(slot_request.service)
