Choose targets of uneven speed by the expected delay

Callers saw: at the start of a wave, nearly no wait at the gateway but a p90 of 200 ms and more from sending to the first event (replay log of the untouched code, 1.6 times the load): 2,119 of 5,135 streams came to a target with 8 or more online requests.

Cause: a target was chosen by unused slots. Slow targets hold their slots two to five times longer, and several entries with the same news chose the same last slot.

Ruled out: speed-weighted slots alone and Prequal's hot and cold targets (both replayed; as many requests queue at targets), more draws (two or three draws by least delay flock again), twice the arrivals that Little's law gives (better at 28 entries, worse than the old choice at 300, where newcomers queue behind it).

For services on shared hosts alone.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -8,6 +8,7 @@
 
 from pimentowick.gateway.policy import (
     batch_queue,
+    delay_choice,
     load_shedding,
     request_cost,
     request_order,
@@ -64,21 +65,24 @@
         acquired_at: Monotonic time at which it was acquired.
         online_at_start: Online requests known at the target then, without this one.
         batch_at_start: Batch items known at the target then.
+        selection: The `delay_choice.Selection`, or None for a target that was chosen by
+            its slots alone.
     """
 
-    def __init__(self, admission, target):
+    def __init__(self, admission, target, selection=None):
         self.target = target
+        self.selection = selection
         self.online_at_start = target.total_online
         self.batch_at_start = target.total_batch
         self.acquired_at = time.monotonic()
         self._admission = admission
-        target.online += 1
+        target.acquire_online()
 
     def release(self):
         """Return the slot to the target; further calls do nothing."""
         if self._admission is not None:
             admission, self._admission = self._admission, None
-            self.target.online -= 1
+            self.target.release_online(time.monotonic())
             admission.on_slot_released(self)
 
 
@@ -107,6 +111,7 @@
     ):
         self._table = table
         self._failure_domain = failure_domain
+        self._choice = delay_choice.LeastDelayChoice()
         self._on_change = on_change
         self._get_propagation_delay_s = get_propagation_delay_s
         self._queues = {}
@@ -241,26 +246,44 @@
             future.set_result(slot)
 
     def _acquire(self, slot_request, avoid):
-        targets = self._table.list_targets(slot_request.service)
+        service = slot_request.service
         now = time.monotonic()
+        selection = None
         if slot_request.crashed_targets is not None:
             target = target_choice.choose_for_trial(
-                targets, now, slot_request.crashed_targets
+                self._table.list_targets(service), now, slot_request.crashed_targets
             )
+        elif self._table.has_shared_hosts(service):
+            selection = self._choice.choose(
+                self._table.get_targets(service),
+                self._describe_situation(slot_request, avoid, now),
+            )
+            target = None if selection is None else selection.target
         else:
+            targets = self._table.list_targets(service)
             target = target_choice.choose_for_online(
                 targets,
                 now,
                 self._failure_domain,
                 avoid,
-                self._estimate_unseen_requests(slot_request.service, targets),
+                self._estimate_unseen_requests(service, targets),
             )
         if target is None:
             return None
-        slot = AcquiredSlot(self, target)
+        slot = AcquiredSlot(self, target, selection)
         self._on_change()
         return slot
 
+    def _describe_situation(self, slot_request, avoid, now):
+        return delay_choice.Situation(
+            now,
+            self._failure_domain,
+            frozenset(avoid),
+            self.mean_hold_s.get(slot_request.service, INITIAL_HOLD_S),
+            self._get_propagation_delay_s(),
+            is_stream=slot_request.cost.prompt_tokens > 0,
+        )
+
     def _estimate_unseen_requests(self, service, targets):
         """Return how many requests all entries send within the propagation delay.
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -297,6 +297,7 @@
             waited_s=self._sent_at - self._exchange.received_at,
             left_s=remaining_s,
             resumed_at=resume_after,
+            **_describe_selection(self._slot.selection),
         )
         sink = self._sink
         events_before = sink.events
@@ -538,3 +539,15 @@
             "trials": policy.get_trials(self._fingerprint),
             "retry_after_s": self._crash_guard.get_delay(self._fingerprint),
         }
+
+
+def _describe_selection(selection):
+    """Return what decided for a target that was chosen by expected delay."""
+    if selection is None:
+        return {}
+    return {
+        "speed": selection.speed,
+        "expected_s": selection.delay_s,
+        "expected_sends": selection.expected_sends,
+        "considered": selection.considered,
+    }
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -93,6 +93,29 @@
         self.has_own_slowdown = False
         self.reported_load = None
         self.reported_at = float("-inf")
+        self._released_at = []
+
+    def acquire_online(self):
+        """Count an online request of this entry."""
+        self.online += 1
+        if self._released_at:
+            self._released_at.pop()
+
+    def release_online(self, now):
+        """Remove an online request of this entry from the count."""
+        self.online -= 1
+        self._released_at.append(now)
+        del self._released_at[: -self.slots]
+
+    def count_private_slots(self, since):
+        """Return how many slots this entry has released since a monotonic time.
+
+        Other entries do not know yet that these are free.
+        """
+        released = self._released_at
+        while released and released[0] < since:
+            released.pop(0)
+        return len(released)
 
     def record_load(self, load, now):
         """Record the `ReportedLoad` of a response to this entry."""
@@ -176,6 +199,7 @@
     def __init__(self, on_removed=lambda target: None, on_added=lambda target_id: None):
         self.by_id = {}
         self._by_service = {}
+        self._tuples = {}
         self._services_on_shared_hosts = set()
         self._on_removed = on_removed
         self._on_added = on_added
@@ -194,6 +218,7 @@
         target = Target(registration)
         self.by_id[registration.id] = target
         self._by_service.setdefault(registration.service, {})[target.id] = target
+        self._tuples.pop(registration.service, None)
         self._on_added(target.id)
 
     def remove(self, target_id):
@@ -203,6 +228,7 @@
             return
         target.is_removed = True
         self._by_service[target.registration.service].pop(target_id)
+        self._tuples.pop(target.registration.service, None)
         self._on_removed(target)
 
     def record_shared_hosts(self, service):
@@ -225,6 +251,14 @@
         """Return the targets of a service."""
         return list(self._by_service.get(service, {}).values())
 
+    def get_targets(self, service):
+        """Return the targets of a service as a tuple that is kept between changes."""
+        targets = self._tuples.get(service)
+        if targets is None:
+            targets = tuple(self._by_service.get(service, {}).values())
+            self._tuples[service] = targets
+        return targets
+
 
 def _is_same(old, new):
     """Return whether two registrations belong to the same run of a target."""
