Merge the choice of targets by expected delay; drop the separate hold on new requests

Joined with the slot handover: the choice itself sends no more requests than there are slots, so that `slot_handover.should_queue` is gone, and its test replays both together.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -9,6 +9,7 @@
 from pimentowick.gateway import overload_control
 from pimentowick.gateway.policy import (
     batch_queue,
+    delay_choice,
     load_shedding,
     overload,
     request_cost,
@@ -67,21 +68,24 @@
         acquired_at: Monotonic time at which it was acquired.
         online_at_start: Online requests known at the target then, without this one.
         batch_at_start: Batch items known at the target then.
+        selection: The `delay_choice.Selection`, or None for a target that was chosen by
+            its slots alone.
     """
 
-    def __init__(self, admission, target):
+    def __init__(self, admission, target, selection=None):
         self.target = target
+        self.selection = selection
         self.online_at_start = target.total_online
         self.batch_at_start = target.total_batch
         self.acquired_at = time.monotonic()
         self._admission = admission
-        target.online += 1
+        target.acquire_online()
 
     def release(self):
         """Return the slot to the target; further calls do nothing."""
         if self._admission is not None:
             admission, self._admission = self._admission, None
-            self.target.online -= 1
+            self.target.release_online(time.monotonic())
             admission.on_slot_released(self)
 
 
@@ -111,6 +115,7 @@
     ):
         self._table = table
         self._failure_domain = failure_domain
+        self._choice = delay_choice.LeastDelayChoice()
         self._on_change = on_change
         self._get_propagation_delay_s = get_propagation_delay_s
         self._queues = {}
@@ -233,19 +238,10 @@
         waiting += max(0, self.peers_waiting[slot_request.service])
         if slot_request.lost_target:
             return self._acquire(slot_request, avoid)
-        if waiting or self._should_queue(slot_request.service):
+        if waiting:
             return None
         return self._acquire(slot_request, avoid)
 
-    def _should_queue(self, service):
-        """Return whether too many entries may race for the slots that seem free."""
-        if not self._table.has_shared_hosts(service):
-            return False
-        targets = self._table.list_targets(service)
-        free = target_choice.count_online_capacity(targets, time.monotonic())
-        expected_sends = self._estimate_unseen_requests(service, targets)
-        return slot_handover.should_queue(free, expected_sends)
-
     async def wait_for_slot(self, slot_request, avoid=frozenset()):
         """Queue a request; return its `AcquiredSlot`, or None at its wait deadline.
 
@@ -425,26 +421,44 @@
             left[position][2].set_result(None)
 
     def _acquire(self, slot_request, avoid):
-        targets = self._table.list_targets(slot_request.service)
+        service = slot_request.service
         now = time.monotonic()
+        selection = None
         if slot_request.crashed_targets is not None:
             target = target_choice.choose_for_trial(
-                targets, now, slot_request.crashed_targets
+                self._table.list_targets(service), now, slot_request.crashed_targets
             )
+        elif self._table.has_shared_hosts(service):
+            selection = self._choice.choose(
+                self._table.get_targets(service),
+                self._describe_situation(slot_request, avoid, now),
+            )
+            target = None if selection is None else selection.target
         else:
+            targets = self._table.list_targets(service)
             target = target_choice.choose_for_online(
                 targets,
                 now,
                 self._failure_domain,
                 avoid,
-                self._estimate_unseen_requests(slot_request.service, targets),
+                self._estimate_unseen_requests(service, targets),
             )
         if target is None:
             return None
-        slot = AcquiredSlot(self, target)
+        slot = AcquiredSlot(self, target, selection)
         self._on_change()
         return slot
 
+    def _describe_situation(self, slot_request, avoid, now):
+        return delay_choice.Situation(
+            now,
+            self._failure_domain,
+            frozenset(avoid),
+            self.mean_hold_s.get(slot_request.service, INITIAL_HOLD_S),
+            self._get_propagation_delay_s(),
+            is_stream=slot_request.cost.prompt_tokens > 0,
+        )
+
     def _estimate_unseen_requests(self, service, targets):
         """Return how many requests all entries send within the propagation delay.
 
--- a/pimentowick/gateway/tests/test_slot_handover.py
+++ b/pimentowick/gateway/tests/test_slot_handover.py
@@ -9,7 +9,12 @@
 import pytest
 
 from pimentowick.gateway import admission, target
-from pimentowick.gateway.policy import batch_queue, slot_handover, target_choice
+from pimentowick.gateway.policy import (
+    batch_queue,
+    delay_choice,
+    slot_handover,
+    target_choice,
+)
 
 ENTRIES = 28
 TARGETS = 20
@@ -28,14 +33,18 @@
     Args:
         seed: Seed of the random numbers.
         scale: Factor on the mean rate.
-        hands_over: Whether released slots are handed over; else each entry takes the
-            slots that seem free, as for services without shared hosts.
+        hands_over: Whether released slots are handed over and targets are chosen by
+            delay; else each entry takes the slots that seem free, as for services
+            without shared hosts.
     """
 
     def __init__(self, seed, scale, hands_over):
         self.rng = random.Random(seed)
         self.scale = scale
         self.hands_over = hands_over
+        self.choice = delay_choice.SlotChoice()
+        if hands_over:
+            self.choice = delay_choice.LeastDelayChoice()
         self.now = 0.0
         self.ends = []
         self.own = [[0] * TARGETS for _ in range(ENTRIES)]
@@ -75,7 +84,6 @@
             view.online = self.own[entry][number]
             view.peers_online = totals[number] - own[entry][number]
         self.free = target_choice.count_online_capacity(self.views, 0.0)
-        self.unseen = sum(totals) / HOLD_S * LAG_S
 
     def end_requests(self):
         while self.ends and self.ends[0][0] <= self.now:
@@ -95,11 +103,8 @@
     def on_arrival(self, entry):
         self.update_views(entry)
         is_any_queued = self.queues[entry] or any(self.history[0][2])
-        should_queue = self.hands_over and slot_handover.should_queue(
-            self.free, self.unseen, self.rng.random
-        )
         self.queues[entry].append(self.now)
-        if is_any_queued or should_queue:
+        if is_any_queued:
             self.grant_share(entry)
         else:
             self.grant(entry, 1)
@@ -118,13 +123,17 @@
 
     def grant(self, entry, limit):
         for _ in range(limit):
-            chosen = target_choice.choose_for_online(
-                self.views, 0.0, f"d{entry % 3}", (), self.unseen, self.rng.random
+            situation = delay_choice.Situation(
+                0.0,
+                f"d{entry % 3}",
+                mean_hold_s=HOLD_S,
+                propagation_delay_s=LAG_S,
             )
-            if chosen is None:
+            selection = self.choice.choose(self.views, situation, self.rng)
+            if selection is None:
                 return
-            chosen.online += 1
-            self.send(entry, self.views.index(chosen), self.pop(entry))
+            selection.target.online += 1
+            self.send(entry, self.views.index(selection.target), self.pop(entry))
 
     def pop(self, entry):
         """Return the next request: the oldest in time, else the oldest."""
