Bound the retries of the system, and take a returning caller for one once

Cause: nothing bounded how often requests of a workspace go to further targets while many targets fail; and a caller that was turned away stayed known, so that another one with the same content would count as returning (a test with two entries showed that repeated reports brought the row back after the return).

Change: `policy/retry_budget.py`, a budget by workspace and service for services on shared hosts, which responses that have begun do not need; rows of returning callers are taken once. Tests with real entries: a retry reaches another entry, a caller leaves while queued, the configuration changes while requests are queued, an entry with a queue falls silent.

--- a/pimentowick/gateway/overload_control.py
+++ b/pimentowick/gateway/overload_control.py
@@ -15,6 +15,7 @@
     latency_quantile,
     load_shedding,
     overload,
+    retry_budget,
     retry_delay,
     returning_callers,
 )
@@ -51,10 +52,12 @@
 
     Attributes:
         returning: The `returning_callers.ReturningCallers`.
+        retry_budget: The `retry_budget.RetryBudget`.
     """
 
     def __init__(self):
         self.returning = returning_callers.ReturningCallers()
+        self.retry_budget = retry_budget.RetryBudget()
         self._states = collections.defaultdict(overload.OverloadState)
         self._hold_s = {}
         self._latencies = {}
--- a/pimentowick/gateway/policy/returning_callers.py
+++ b/pimentowick/gateway/policy/returning_callers.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import dataclasses
 
 __all__ = ["ReturningCallers"]
 
@@ -23,6 +24,23 @@
 REPORT_S = 0.25
 MAX_REPORTED = 100
 AGE_DIGITS = 2
+# Error of a reported age, by rounding and the time that a report is under way.
+AGE_ERROR_S = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class _Row:
+    """A caller that was turned away.
+
+    Attributes:
+        first_at: Monotonic time of its first attempt.
+        ends_at: Monotonic time after which a retry is of no use.
+        is_taken: Whether it has returned.
+    """
+
+    first_at: float
+    ends_at: float
+    is_taken: bool = False
 
 
 class ReturningCallers:
@@ -32,9 +50,9 @@
         >>> here, there = ReturningCallers(), ReturningCallers()
         >>> here.record("0123456789abcdef", 9.8, 10.0, 15.0)
         >>> there.merge(here.build_report(10.1), 20.1)
-        >>> round(there.find("0123456789abcdef", 20.5), 2)
+        >>> round(there.take("0123456789abcdef", 20.5), 2)
         19.8
-        >>> there.find("0123456789abcdef", 25.2) is None
+        >>> there.take("0123456789abcdef", 20.6) is None
         True
     """
 
@@ -59,15 +77,21 @@
         self._new.append((now, key, first_at, ends_at))
 
     def _put(self, key, first_at, ends_at):
-        self._rows[key] = (first_at, ends_at)
+        self._rows[key] = _Row(first_at, ends_at)
         self._rows.move_to_end(key)
         while len(self._rows) > MAX_CALLERS:
             self._rows.popitem(last=False)
 
-    def find(self, fingerprint, now):
-        """Return the time of the first attempt of a caller, or None if it is new."""
-        first_at, ends_at = self._rows.get(fingerprint[:HASH_DIGITS], (0.0, -1.0))
-        return first_at if now <= ends_at else None
+    def take(self, fingerprint, now):
+        """Return the time of the first attempt of a caller, or None if it is new.
+
+        It is returned once: another caller may send the same content.
+        """
+        row = self._rows.get(fingerprint[:HASH_DIGITS])
+        if row is None or row.is_taken or now > row.ends_at:
+            return None
+        row.is_taken = True
+        return row.first_at
 
     def count_recent(self, now):
         """Return how many callers were turned away here within the last second."""
@@ -93,4 +117,8 @@
             for key, (age_s, left_s) in report.items()
         }
         for key, (age_s, left_s) in rows.items():
-            self._put(key, now - age_s, now + left_s)
+            known = self._rows.get(key)
+            first_at = now - age_s
+            # Reports are repeated, also after the caller has returned.
+            if known is None or abs(known.first_at - first_at) > AGE_ERROR_S:
+                self._put(key, first_at, now + left_s)
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -144,6 +144,8 @@
         self._has_queued = False
         self._is_shed = False
         self._refusal_inputs = {}
+        # Monotonic time of the first attempt of a caller that was turned away.
+        self._first_at = None
 
     @property
     def may_have_run(self):
@@ -207,17 +209,20 @@
             self._service, self._route.kind, objective_s
         )
         received_at = self._exchange.received_at
-        first_at = None
         if control.returning:
-            first_at = control.returning.find(self._fingerprint, received_at)
-        objective_at = objective_s + min(received_at, first_at or received_at)
+            self._first_at = control.returning.take(self._fingerprint, received_at)
+        first_at = received_at if self._first_at is None else self._first_at
+        objective_at = objective_s + min(received_at, first_at)
+        control.retry_budget.record_request(
+            slot_request.workspace, self._service, received_at
+        )
         hold_s = self._admission.get_mean_hold_s(self._service)
         return dataclasses.replace(
             slot_request,
             start_deadline=objective_at - latency_s,
             wait_deadline=max(slot_request.wait_deadline, self._deadline_at - hold_s),
             objective_at=objective_at,
-            is_return=first_at is not None,
+            is_return=self._first_at is not None,
         )
 
     def _may_start_later(self):
@@ -477,11 +482,27 @@
 
     def _retry_or_fail(self, may_retry):
         remaining_s = self._deadline_at - time.monotonic()
-        if may_retry and remaining_s > MIN_ATTEMPT_S:
+        if may_retry and remaining_s > MIN_ATTEMPT_S and self._is_within_budget():
             self._metrics.count_retry()
             return _NextStep.RETRY
         return _NextStep.FAIL
 
+    def _is_within_budget(self):
+        """Return whether another target may be tried; count it if so.
+
+        A response that has begun continues in any case.
+        """
+        if self._exchange.started or not self._admission.has_shared_hosts(
+            self._service
+        ):
+            return True
+        name = "" if self._workspace is None else self._workspace.name
+        budget = self._admission.overload.retry_budget
+        is_within = budget.try_take(name, self._service, time.monotonic())
+        if not is_within:
+            self._refusal_inputs = {"retry_budget": "spent"}
+        return is_within
+
     async def _refuse(self, reason):
         """Answer that the request did not run; return the outcome for the log."""
         if self._progress.runs or self._exchange.started:
@@ -509,17 +530,15 @@
         now = time.monotonic()
         control = self._admission.overload
         received_at = self._exchange.received_at
-        is_known = control.returning.find(self._fingerprint, now) is not None
-        if not is_known:
-            control.returning.record(
-                self._fingerprint, received_at, now, self._deadline_at
-            )
+        is_known = self._first_at is not None
+        first_at = self._first_at if is_known else received_at
+        control.returning.record(self._fingerprint, first_at, now, self._deadline_at)
         expected_s, retry_after_s = self._admission.predict_retry(
             self._service, self._deadline_at, now
         )
         reason = "expected_wait" if self._is_shed else reason
         self._metrics.count_turned_away(reason, is_known)
-        self._refusal_inputs = {
+        self._refusal_inputs |= {
             "turned_away": reason,
             "returned": is_known,
             "expected_s": expected_s,
