Report a refused caller at once, and spread Retry-After over all entries' refusals

The spread of Retry-After counted this entry's refusals against the room of all.

Change: a refusal schedules a report; refusals of other entries are counted.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -212,6 +212,18 @@
         room = self.get_room(slot_request.service)
         return self.overload.predict(room, slot_request, time.monotonic())
 
+    def record_turned_away(self, fingerprint, first_at, now, ends_at):
+        """Record a caller that is turned away, and report it to other entries.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            first_at: Monotonic time of its first attempt.
+            now: Monotonic time, in seconds.
+            ends_at: Monotonic time at which the caller gives up.
+        """
+        self.overload.returning.record(fingerprint, first_at, now, ends_at)
+        self._on_change()
+
     def build_overload_report(self):
         """Return the part of the load report that concerns overloads."""
         counts = {service: self.count_late(service) for service in self._queues}
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -297,7 +297,7 @@
             f"It was refused after {data['took_s']:.3f} s without having run: "
             f"{data['waiting']} requests were queued for {data['places']} slots of "
             f"{data['service']}, {data['free']} of them free; targets had rejected it "
-            f"{data['refusals']} times."
+            f"{data['refusals']} times.{_explain_turning_away(data)}"
         )
     if outcome in ("timeout", "timeout_midway"):
         return (
@@ -310,6 +310,24 @@
     )
 
 
+def _explain_turning_away(data):
+    """Return why a request was refused in an overload, or "" if it was not."""
+    if "turned_away" not in data:
+        return ""
+    retry_after_s = data["retry_after_s"]
+    returned = "again " if data["returned"] else ""
+    if retry_after_s is None:
+        advice = "too late for a retry"
+    else:
+        advice = f"so that it should come back after {retry_after_s:.2f} s"
+    expected_s = data["expected_s"]
+    expected = "not known" if expected_s is None else f"{expected_s:.2f} s away"
+    return (
+        f" Its caller was turned away {returned}({data['turned_away']}): room was "
+        f"{expected}, with {data['left_s']:.2f} s left to its caller, {advice}."
+    )
+
+
 def _explain_answer(data):
     waited = data.get("waited_s") or 0.0
     first = data.get("first_s")
--- a/pimentowick/gateway/policy/returning_callers.py
+++ b/pimentowick/gateway/policy/returning_callers.py
@@ -24,6 +24,8 @@
 REPORT_S = 0.25
 MAX_REPORTED = 100
 AGE_DIGITS = 2
+# Callers turned away within this time, in seconds, come back together.
+RECENT_S = 1.0
 # Error of a reported age, by rounding and the time that a report is under way.
 AGE_ERROR_S = 0.2
 
@@ -59,6 +61,7 @@
     def __init__(self):
         self._rows = collections.OrderedDict()
         self._new = collections.deque(maxlen=MAX_REPORTED)
+        self._turned_away_at = collections.deque(maxlen=MAX_CALLERS)
 
     def __len__(self):
         return len(self._rows)
@@ -73,10 +76,11 @@
             ends_at: Monotonic time after which a retry is of no use.
         """
         key = fingerprint[:HASH_DIGITS]
-        self._put(key, first_at, ends_at)
+        self._put(key, first_at, ends_at, now)
         self._new.append((now, key, first_at, ends_at))
 
-    def _put(self, key, first_at, ends_at):
+    def _put(self, key, first_at, ends_at, now):
+        self._turned_away_at.append(now)
         self._rows[key] = _Row(first_at, ends_at)
         self._rows.move_to_end(key)
         while len(self._rows) > MAX_CALLERS:
@@ -94,8 +98,11 @@
         return row.first_at
 
     def count_recent(self, now):
-        """Return how many callers were turned away here within the last second."""
-        return sum(1 for row in self._new if now - row[0] <= 1.0)
+        """Return how many callers all entries turned away lately, as far as known."""
+        times = self._turned_away_at
+        while times and now - times[0] > RECENT_S:
+            times.popleft()
+        return len(times)
 
     def build_report(self, now):
         """Return the age of the first attempt and the time left, by hash."""
@@ -121,4 +128,4 @@
             first_at = now - age_s
             # Reports are repeated, also after the caller has returned.
             if known is None or abs(known.first_at - first_at) > AGE_ERROR_S:
-                self._put(key, first_at, now + left_s)
+                self._put(key, first_at, now + left_s, now)
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -528,11 +528,12 @@
             queue_state = self._admission.get_queue_state(self._service)
             return load_shedding.compute_retry_after(queue_state)
         now = time.monotonic()
-        control = self._admission.overload
         received_at = self._exchange.received_at
         is_known = self._first_at is not None
         first_at = self._first_at if is_known else received_at
-        control.returning.record(self._fingerprint, first_at, now, self._deadline_at)
+        self._admission.record_turned_away(
+            self._fingerprint, first_at, now, self._deadline_at
+        )
         expected_s, retry_after_s = self._admission.predict_retry(
             self._service, self._deadline_at, now
         )
--- a/pimentowick/gateway/tests/overload_replay.py
+++ b/pimentowick/gateway/tests/overload_replay.py
@@ -248,7 +248,7 @@
             )
             delay_s = retry_delay.compute_retry_after(
                 expected_s,
-                entry.returning.count_recent(self.now) * len(self.entries),
+                entry.returning.count_recent(self.now),
                 overload.compute_room_per_s(room),
                 left_s - entry.hold_s,
                 self.rng.random,
--- a/pimentowick/gateway/tests/test_overload.py
+++ b/pimentowick/gateway/tests/test_overload.py
@@ -155,6 +155,17 @@
     assert retry_delay.compute_retry_after(math.inf, 1, 200.0, 4.0, draw) is None
 
 
+def test_callers_turned_away_elsewhere_come_back_in_the_same_room():
+    # Guards against delays of each entry alone, which all fall into the same moment.
+    here, there = (returning_callers.ReturningCallers() for _ in range(2))
+    for number in range(50):
+        there.record(f"{number:012x}", 9.9, 10.0, 15.0)
+    here.merge(there.build_report(10.1), 10.1)
+    here.merge(there.build_report(10.2), 10.2)
+    assert here.count_recent(10.5) == 50
+    assert here.count_recent(11.5) == 0
+
+
 def test_memory_of_callers_is_bounded():
     # Guards against memory that grows with each refusal.
     callers = returning_callers.ReturningCallers()
--- a/pimentowick/gateway/tests/test_overload_site.py
+++ b/pimentowick/gateway/tests/test_overload_site.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
+from pimentowick.gateway import history
 from pimentowick.gateway.policy import retry_budget
 
 ROUTE = platform_site.make_route("/chat/", "stream", resumable=True)
@@ -158,3 +159,35 @@
             assert failures < runs <= failures + allowed + 5
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("expected_s", "retry_after_s", "said"),
+    [
+        (0.5, 0.75, "room was 0.50 s away, with 3.00 s left to its caller, so that it"),
+        (None, None, "room was not known, with 3.00 s left to its caller, too late"),
+    ],
+)
+def test_trace_says_why_a_caller_was_turned_away(expected_s, retry_after_s, said):
+    # Guards against a refusal that an operator cannot explain.
+    data = {
+        "event": "online.ended",
+        "time": 1.0,
+        "id": "r1",
+        "outcome": "no_place",
+        "status": 503,
+        "took_s": 0.01,
+        "waiting": 4,
+        "places": 8,
+        "service": "s",
+        "free": 0,
+        "refusals": 0,
+        "turned_away": "expected_wait",
+        "returned": True,
+        "expected_s": expected_s,
+        "retry_after_s": retry_after_s,
+        "left_s": 3.0,
+    }
+    text = history.explain([history.Line("front", data)], [])
+    assert "turned away again (expected_wait)" in text
+    assert said in text
