Share slots between workspaces over all entries, and serve one queue

Cause: start tags order the queue of one entry, so that a workspace whose callers reach many entries has few requests at each and pays nothing; a slot that is released goes to the queue of its own entry, whatever waits elsewhere, and free slots are divided by the lengths of queues.

A released slot is left to requests elsewhere of a higher rank, or within their share while those here are beyond it, as often as they need it. All of it only for services whose targets share their hosts.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -6,6 +6,7 @@
 import math
 import time
 
+from pimentowick.gateway import queue_sharing
 from pimentowick.gateway.policy import (
     batch_queue,
     load_shedding,
@@ -64,6 +65,7 @@
         acquired_at: Monotonic time at which it was acquired.
         online_at_start: Online requests known at the target then, without this one.
         batch_at_start: Batch items known at the target then.
+        workspace: Workspace to which the slot is counted, or None if it is not counted.
     """
 
     def __init__(self, admission, target):
@@ -72,6 +74,7 @@
         self.batch_at_start = target.total_batch
         self.acquired_at = time.monotonic()
         self._admission = admission
+        self.workspace = None
         target.online += 1
 
     def release(self):
@@ -96,6 +99,7 @@
     Attributes:
         peers_waiting: Requests queued at other entries, by service.
         mean_hold_s: Moving average of the time a slot is held, by service, in seconds.
+        sharing: `pimentowick.gateway.queue_sharing.QueueSharing`.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         self._next_grant_at = {}
         self.peers_waiting = collections.Counter()
         self.mean_hold_s = {}
+        self.sharing = queue_sharing.QueueSharing(table)
 
     def count_waiting(self, service):
         """Return the number of requests queued at this entry."""
@@ -144,11 +149,28 @@
             slot_request: The `SlotRequest`.
             avoid: Identifiers of the targets that must not be chosen.
         """
-        waiting = self.count_waiting(slot_request.service)
-        waiting += max(0, self.peers_waiting[slot_request.service])
-        if waiting and not slot_request.lost_target:
+        if not slot_request.lost_target and self.count_ahead(slot_request):
             return None
-        return self._acquire(slot_request, avoid)
+        slot = self._acquire(slot_request, avoid)
+        if slot is not None:
+            self._record_start(slot, slot_request)
+        return slot
+
+    def count_ahead(self, slot_request):
+        """Return how many queued requests come before a new one, at all entries."""
+        service = slot_request.service
+        if not self.sharing.is_shared(service):
+            return self.count_waiting(service) + max(0, self.peers_waiting[service])
+        return self.sharing.count_ahead(slot_request, self._count_slots(service))
+
+    def _record_start(self, slot, slot_request):
+        """Count a slot that a request got to its workspace."""
+        service = slot_request.service
+        if self.sharing.is_shared(service):
+            slot.workspace = slot_request.workspace
+            self.sharing.record_start(slot_request)
+        elif service in self._start_tags:
+            self._start_tags[service].record_served(slot_request.start_tag)
 
     async def wait_for_slot(self, slot_request, avoid=frozenset()):
         """Queue a request; return its `AcquiredSlot`, or None at its wait deadline.
@@ -159,11 +181,15 @@
         """
         future = asyncio.get_running_loop().create_future()
         tags = self._start_tags.setdefault(slot_request.service, fairness.StartTags())
-        start_tag = tags.assign(slot_request.workspace, 1.0)
-        slot_request = dataclasses.replace(slot_request, start_tag=start_tag)
-        waiter = (slot_request, avoid, future)
+        is_shared = self.sharing.is_shared(slot_request.service)
+        if is_shared:
+            slots = self._count_slots(slot_request.service)
+            slot_request = self.sharing.add_queued(slot_request, slots)
+        else:
+            start_tag = tags.assign(slot_request.workspace, 1.0)
+            slot_request = dataclasses.replace(slot_request, start_tag=start_tag)
         queue = self._queues.setdefault(slot_request.service, [])
-        queue.append(waiter)
+        queue.append((slot_request, avoid, future))
         self._on_change()
         self.grant_share(slot_request.service)
         try:
@@ -179,10 +205,11 @@
                 future.result().release()
             raise
         finally:
-            if waiter in queue:
-                queue.remove(waiter)
+            queue[:] = [waiter for waiter in queue if waiter[2] is not future]
             if not queue:
                 tags.reset()
+            if is_shared:
+                self.sharing.remove_queued(slot_request, len(queue))
 
     def on_slot_released(self, slot):
         """Update the mean hold time and grant free slots to queued requests."""
@@ -190,9 +217,49 @@
         held_s = time.monotonic() - slot.acquired_at
         mean_s = self.mean_hold_s.get(service, INITIAL_HOLD_S)
         self.mean_hold_s[service] = mean_s + HOLD_WEIGHT * (held_s - mean_s)
-        self.grant_slots(service)
+        if slot.workspace is not None:
+            self.sharing.record_end(service, slot.workspace)
+        if self.sharing.is_shared(service):
+            self._grant_released(service)
+        else:
+            self.grant_slots(service)
         self._on_change()
 
+    def _grant_released(self, service):
+        """Grant a slot released here, unless requests elsewhere come first."""
+        self._update_order(service)
+        if not self.count_waiting(service):
+            return
+        further_free = max(0, self.get_queue_state(service).free_slots - 1)
+        releases = self._estimate_unseen_requests(
+            service, self._table.list_targets(service)
+        )
+        if self.sharing.should_leave_slot(service, further_free, releases):
+            self.grant_share(service)
+        else:
+            self.grant_slots(service, 1)
+
+    def _update_order(self, service):
+        """Update the start tags and ranks of the queued requests."""
+        queue = self._queues.get(service)
+        if not queue or not self.sharing.is_update_due(service):
+            return
+        mean_s = self.mean_hold_s.get(service, INITIAL_HOLD_S)
+        slots = self._count_slots(service)
+        updated = self.sharing.update(
+            service, [waiter[0] for waiter in queue], slots, slots / mean_s
+        )
+        queue[:] = [
+            (slot_request, *waiter[1:])
+            for slot_request, waiter in zip(updated, queue, strict=True)
+        ]
+
+    def _count_slots(self, service):
+        """Return the number of slots of all usable targets."""
+        now = time.monotonic()
+        targets = self._table.list_targets(service)
+        return sum(target.slots for target in targets if target.is_usable(now))
+
     def grant_share(self, service):
         """Grant this entry's share of the free slots to its queued requests.
 
@@ -208,7 +275,11 @@
             return
         others = max(0, self.peers_waiting[service])
         free = self.get_queue_state(service).free_slots
-        limit = batch_queue.compute_entry_share(free, own, others)
+        if self.sharing.is_shared(service):
+            self._update_order(service)
+            limit = self.sharing.compute_limit(service, free)
+        else:
+            limit = batch_queue.compute_entry_share(free, own, others)
         if free:
             delay_s = self._get_propagation_delay_s()
             self._next_grant_at[service] = now + delay_s
@@ -237,7 +308,7 @@
             if slot is None:
                 return
             queue.remove(waiter)
-            self._start_tags[service].record_served(slot_request.start_tag)
+            self._record_start(slot, slot_request)
             future.set_result(slot)
 
     def _acquire(self, slot_request, avoid):
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -173,6 +173,7 @@
         if peer is not None:
             self._update_load(peer, {}, {}, {})
             self._outliers.update_peer(address, "", {})
+            self._admission.sharing.remove_peer(address)
 
     def schedule_report(self):
         """Send a report soon, because the load of this entry has changed."""
@@ -292,6 +293,7 @@
             "crashes": crashes.crashes,
             "voided": crashes.voided,
             "speeds": self.performance.build_report(time.monotonic()),
+            "shares": self._admission.sharing.build_report(time.monotonic()),
         }
 
     def _send(self, data):
@@ -435,6 +437,7 @@
         self._quotas.merge_report(address, taken, self.get_limit, now)
         self.merge_crash_report(crashes)
         self.performance.merge_report(address, report.get("speeds", {}), now)
+        self._admission.sharing.merge_report(address, report.get("shares", {}), now)
         return changed
 
     def error_received(self, exc):
@@ -453,6 +456,7 @@
                 # A restart after its clock was set back begins with a lower number.
                 peer.sequence_number = 0
                 self.performance.remove_peer(peer.address)
+                self._admission.sharing.remove_peer(peer.address)
             if now - peer.last_heard_at > PEER_EXPIRY_S:
                 self.peers.pop(peer.address)
                 self._relay.remove(peer.address)
