Merge fair shares over all entries, and join them with the overload's order

Change: `overload.select_eligible` lets late requests of workspaces within their share come between those in time within and beyond it, and these are not dropped; late ones within their share come first among the late.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -6,7 +6,7 @@
 import math
 import time
 
-from pimentowick.gateway import overload_control
+from pimentowick.gateway import overload_control, queue_sharing
 from pimentowick.gateway.policy import (
     batch_queue,
     delay_choice,
@@ -70,6 +70,7 @@
         batch_at_start: Batch items known at the target then.
         selection: The `delay_choice.Selection`, or None for a target that was chosen by
             its slots alone.
+        workspace: Workspace to which the slot is counted, or None if it is not counted.
     """
 
     def __init__(self, admission, target, selection=None):
@@ -78,6 +79,7 @@
         self.online_at_start = target.total_online
         self.batch_at_start = target.total_batch
         self.acquired_at = time.monotonic()
+        self.workspace = None
         self._admission = admission
         target.acquire_online()
 
@@ -104,6 +106,7 @@
         overload: `overload_control.OverloadControl`.
         peers_waiting: Requests queued at other entries, by service, without late ones.
         mean_hold_s: Moving average of the time a slot is held, by service, in seconds.
+        sharing: `pimentowick.gateway.queue_sharing.QueueSharing`.
     """
 
     def __init__(
@@ -125,6 +128,7 @@
         self.overload = overload_control.OverloadControl()
         self.peers_waiting = collections.Counter()
         self.mean_hold_s = {}
+        self.sharing = queue_sharing.QueueSharing(table)
 
     def count_queued(self, service):
         """Return the number of requests queued at this entry."""
@@ -246,13 +250,28 @@
             slot_request: The `SlotRequest`.
             avoid: Identifiers of the targets that must not be chosen.
         """
-        waiting = self.count_waiting(slot_request.service)
-        waiting += max(0, self.peers_waiting[slot_request.service])
-        if slot_request.lost_target:
-            return self._acquire(slot_request, avoid)
-        if waiting:
+        if not slot_request.lost_target and self.count_ahead(slot_request):
             return None
-        return self._acquire(slot_request, avoid)
+        slot = self._acquire(slot_request, avoid)
+        if slot is not None:
+            self._record_start(slot, slot_request)
+        return slot
+
+    def count_ahead(self, slot_request):
+        """Return how many queued requests come before a new one, at all entries."""
+        service = slot_request.service
+        if not self.sharing.is_shared(service):
+            return self.count_waiting(service) + max(0, self.peers_waiting[service])
+        return self.sharing.count_ahead(slot_request, self._count_slots(service))
+
+    def _record_start(self, slot, slot_request):
+        """Count a slot that a request got to its workspace."""
+        service = slot_request.service
+        if self.sharing.is_shared(service):
+            slot.workspace = slot_request.workspace
+            self.sharing.record_start(slot_request)
+        elif service in self._start_tags:
+            self._start_tags[service].record_served(slot_request.start_tag)
 
     async def wait_for_slot(self, slot_request, avoid=frozenset()):
         """Queue a request; return its `AcquiredSlot`, or None at its wait deadline.
@@ -263,11 +282,15 @@
         """
         future = asyncio.get_running_loop().create_future()
         tags = self._start_tags.setdefault(slot_request.service, fairness.StartTags())
-        start_tag = tags.assign(slot_request.workspace, 1.0)
-        slot_request = dataclasses.replace(slot_request, start_tag=start_tag)
-        waiter = (slot_request, avoid, future)
+        is_shared = self.sharing.is_shared(slot_request.service)
+        if is_shared:
+            slots = self._count_slots(slot_request.service)
+            slot_request = self.sharing.add_queued(slot_request, slots)
+        else:
+            start_tag = tags.assign(slot_request.workspace, 1.0)
+            slot_request = dataclasses.replace(slot_request, start_tag=start_tag)
         queue = self._queues.setdefault(slot_request.service, [])
-        queue.append(waiter)
+        queue.append((slot_request, avoid, future))
         self._on_change()
         self.grant_share(slot_request.service)
         self._schedule_late_grant(slot_request.service)
@@ -284,10 +307,11 @@
                 future.result().release()
             raise
         finally:
-            if waiter in queue:
-                queue.remove(waiter)
+            queue[:] = [waiter for waiter in queue if waiter[2] is not future]
             if not queue:
                 tags.reset()
+            if is_shared:
+                self.sharing.remove_queued(slot_request, len(queue))
 
     def on_slot_released(self, slot):
         """Update the mean hold time and grant free slots to queued requests."""
@@ -297,44 +321,78 @@
         self.mean_hold_s[service] = mean_s + HOLD_WEIGHT * (held_s - mean_s)
         speed = slot.target.get_effective_speed(time.monotonic())
         self.overload.record_hold(service, held_s * speed)
+        if slot.workspace is not None:
+            self.sharing.record_end(service, slot.workspace)
         if self._table.has_shared_hosts(service):
-            self._hand_over(slot.target)
+            self._grant_released(slot.target)
         else:
             self.grant_slots(service)
         self._on_change()
 
-    def _hand_over(self, released):
-        """Give the slot just released at a target to the next request in time."""
+    def _grant_released(self, released):
+        """Grant the slot just released at a target, unless others come first."""
         service = released.registration.service
         now = time.monotonic()
-        if not self._queues.get(service):
-            return
-        if not slot_handover.can_hand_over(released, now):
+        self._update_order(service)
+        if not self.count_waiting(service):
             return
-        for waiter, start_tag in self._order_in_time(service, now):
+        further_free = max(0, self.get_queue_state(service).free_slots - 1)
+        releases = self._estimate_unseen_requests(
+            service, self._table.list_targets(service)
+        )
+        if self.sharing.should_leave_slot(service, further_free, releases):
+            self.grant_share(service)
+        elif slot_handover.can_hand_over(released, now):
+            self._hand_over(released, now)
+
+    def _hand_over(self, released, now):
+        """Give the slot just released at a target to the next request in time."""
+        for waiter in self._order_in_time(released.registration.service, now):
             slot_request, avoid, future = waiter
             # A trial runs where a crash does the least harm.
             is_trial = slot_request.crashed_targets is not None
             if future.done() or released.id in avoid or is_trial:
                 continue
-            self._grant(waiter, start_tag, AcquiredSlot(self, released))
+            self._grant(waiter, AcquiredSlot(self, released))
             return
 
     def _order_in_time(self, service, now):
-        """Return the queued requests that can be in time, in order, with their tags."""
+        """Return the queued requests that can be in time, in order."""
         is_overloaded = self.overload.update(self.get_room(service), service, now)
         queue = self._queues[service]
-        waiters = [w for w in queue if not overload.is_late(w[0], now)]
-        order = overload.order_in_time([w[0] for w in waiters], is_overloaded)
-        return [(waiters[position], tag) for position, tag in order]
+        eligible = overload.select_eligible([w[0] for w in queue], now)
+        order = overload.order_in_time(
+            [request for _, request in eligible], is_overloaded
+        )
+        return [queue[eligible[position][0]] for position, _ in order]
 
-    def _grant(self, waiter, start_tag, slot):
+    def _grant(self, waiter, slot):
         slot_request, _, future = waiter
-        service = slot_request.service
-        self._queues[service].remove(waiter)
-        self._start_tags[service].record_served(start_tag)
+        self._queues[slot_request.service].remove(waiter)
+        self._record_start(slot, slot_request)
         future.set_result(slot)
 
+    def _update_order(self, service):
+        """Update the start tags and ranks of the queued requests."""
+        queue = self._queues.get(service)
+        if not queue or not self.sharing.is_update_due(service):
+            return
+        mean_s = self.mean_hold_s.get(service, INITIAL_HOLD_S)
+        slots = self._count_slots(service)
+        updated = self.sharing.update(
+            service, [waiter[0] for waiter in queue], slots, slots / mean_s
+        )
+        queue[:] = [
+            (slot_request, *waiter[1:])
+            for slot_request, waiter in zip(updated, queue, strict=True)
+        ]
+
+    def _count_slots(self, service):
+        """Return the number of slots of all usable targets."""
+        now = time.monotonic()
+        targets = self._table.list_targets(service)
+        return sum(target.slots for target in targets if target.is_usable(now))
+
     def grant_share(self, service):
         """Grant this entry's share of the free slots to its queued requests.
 
@@ -350,7 +408,11 @@
             return
         others = max(0, self.peers_waiting[service])
         free = self.get_queue_state(service).free_slots
-        limit = batch_queue.compute_entry_share(free, own, others)
+        if self.sharing.is_shared(service):
+            self._update_order(service)
+            limit = self.sharing.compute_limit(service, free)
+        else:
+            limit = batch_queue.compute_entry_share(free, own, others)
         if free:
             delay_s = self._get_propagation_delay_s()
             self._next_grant_at[service] = now + delay_s
@@ -371,14 +433,13 @@
             queue.sort(
                 key=lambda waiter: request_order.compute_sort_key(waiter[0], now)
             )
-            ordered = [(waiter, waiter[0].start_tag) for waiter in queue]
-            self._grant_in_order(service, ordered, limit)
+            self._grant_in_order(list(queue), limit)
             return
         self._schedule_late_grant(service)
-        self._grant_in_order(service, self._order_in_time(service, now), limit)
+        self._grant_in_order(self._order_in_time(service, now), limit)
 
-    def _grant_in_order(self, service, ordered, limit):
-        for waiter, start_tag in ordered:
+    def _grant_in_order(self, ordered, limit):
+        for waiter in ordered:
             slot_request, avoid, future = waiter
             if future.done():
                 continue
@@ -391,7 +452,7 @@
                 continue
             if slot is None:
                 return
-            self._grant(waiter, start_tag, slot)
+            self._grant(waiter, slot)
 
     def _schedule_late_grant(self, service):
         if service in self._late_timers or not self._table.has_shared_hosts(service):
@@ -420,14 +481,15 @@
             len(late),
             self.overload.count_peers_late(service),
         )
-        # Their workspaces are not charged: nobody else waits for these slots.
-        tags = self._start_tags[service].virtual_time
-        self._grant_in_order(service, [(waiter, tags) for waiter in ordered], limit)
+        self._grant_in_order(ordered, limit)
         self._drop_unservable(room, service, ordered, now)
 
     def _drop_unservable(self, room, service, ordered, now):
         """End the wait of late requests that are not served any more."""
-        left = [waiter for waiter in ordered if not waiter[2].done()]
+        queue = self._queues[service]
+        eligible = overload.select_eligible([w[0] for w in queue], now)
+        competing = {queue[position][2] for position, _ in eligible}
+        left = [w for w in ordered if not w[2].done() and w[2] not in competing]
         requests = [waiter[0] for waiter in left]
         for position in self.overload.list_unservable(room, service, requests, now):
             left[position][2].set_result(None)
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -174,6 +174,7 @@
             self._update_load(peer, {}, {}, {})
             self._outliers.update_peer(address, "", {})
             self._admission.overload.remove_peer(address)
+            self._admission.sharing.remove_peer(address)
 
     def schedule_report(self):
         """Send a report soon, because the load of this entry has changed."""
@@ -295,6 +296,7 @@
             "voided": crashes.voided,
             "speeds": self.performance.build_report(time.monotonic()),
             "overload": self._admission.build_overload_report(),
+            "shares": self._admission.sharing.build_report(time.monotonic()),
         }
 
     def _send(self, data):
@@ -439,6 +441,7 @@
         self.merge_crash_report(crashes)
         self.performance.merge_report(address, report.get("speeds", {}), now)
         self._admission.overload.merge_report(address, report.get("overload", {}), now)
+        self._admission.sharing.merge_report(address, report.get("shares", {}), now)
         return changed
 
     def error_received(self, exc):
@@ -458,6 +461,7 @@
                 peer.sequence_number = 0
                 self.performance.remove_peer(peer.address)
                 self._admission.overload.remove_peer(peer.address)
+                self._admission.sharing.remove_peer(peer.address)
             if now - peer.last_heard_at > PEER_EXPIRY_S:
                 self.peers.pop(peer.address)
                 self._relay.remove(peer.address)
--- a/pimentowick/gateway/policy/overload.py
+++ b/pimentowick/gateway/policy/overload.py
@@ -35,8 +35,11 @@
     "is_late",
     "order_in_time",
     "order_late",
+    "select_eligible",
 ]
 
+# Start tag up to which a workspace is within its share.
+FULL_SHARE_TAG = 1.0
 # Refusals begin when the expected wait reaches the time left, and end at this share.
 RESUME_SHARE = 0.75
 # Share of the slots that are taken between overloads, until it is observed.
@@ -119,6 +122,32 @@
     return not slot_request.lost_target and slot_request.start_deadline < now
 
 
+def select_eligible(requests, now):
+    """Return the requests that compete for slots that become free.
+
+    These are the requests in time, and late ones of workspaces within their share while
+    requests of workspaces beyond theirs wait: a workspace must not lose its requests
+    because another one sends too many. Such late requests come between the two.
+
+    Args:
+        requests: The `pimentowick.gateway.admission.SlotRequest` objects.
+        now: Monotonic time, in seconds.
+
+    Returns:
+        Pairs of the position in `requests` and the request, a late one with the start
+        tag by which it is ordered.
+    """
+    eligible = [(at, r) for at, r in enumerate(requests) if not is_late(r, now)]
+    if all(request.start_tag <= FULL_SHARE_TAG for _, request in eligible):
+        return eligible
+    tag = math.nextafter(FULL_SHARE_TAG, math.inf)
+    for position, request in enumerate(requests):
+        is_within_share = request.workspace and request.start_tag <= FULL_SHARE_TAG
+        if is_within_share and is_late(request, now):
+            eligible.append((position, dataclasses.replace(request, start_tag=tag)))
+    return eligible
+
+
 def order_in_time(requests, is_newest_first):
     """Return the order of requests that can start in time, and their start tags.
 
@@ -166,12 +195,19 @@
 def order_late(requests):
     """Return the positions of late requests in the order in which to start them.
 
-    Callers that were turned away before go first, then those that give up soonest.
+    Callers that were turned away before go first, then those of workspaces within
+    their share, then those that give up soonest.
     """
 
     def make_sort_key(position):
         request = requests[position]
-        return request.rank, not request.is_return, request.wait_deadline
+        is_beyond_share = request.start_tag > FULL_SHARE_TAG
+        return (
+            request.rank,
+            not request.is_return,
+            is_beyond_share,
+            request.wait_deadline,
+        )
 
     return sorted(range(len(requests)), key=make_sort_key)
 
