Watch the limits of the host, and hold callers' bytes within its memory

Bodies were held whole while they waited, without a sum, and a caller that reads slowly was held without a budget: a process on a small host would be killed. Bodies are accounted by kind and by caller address; beyond the capacity a new one is refused as not run before it is read. Closed connections are taken from the set of idle ones, which tornado's server did not do: it never passes on_close to its delegate.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -20,6 +20,7 @@
     follower,
     handover,
     health,
+    held_bytes,
     job_api,
     job_storage,
     load_report,
@@ -28,9 +29,11 @@
     peer_configuration,
     pools,
     relay,
+    resource_use,
     retention,
     runner,
     target,
+    traffic,
 )
 from pimentowick.gateway.policy import outlier_detection, quota, report_relay
 from pimentowick.platform import message, node, operator, store
@@ -74,6 +77,7 @@
         "busy",
         "configuration_old",
         "deadline_passed",
+        "no_memory",
         "quarantined",
         "rate_limit",
         "target_lost",
@@ -96,6 +100,7 @@
         self._draining = False
         self.store = store.Store(settings.store_address, STORE_TIMEOUT_S)
         self.metrics = metric.Metrics()
+        self._traffic = traffic.Traffic()
         self.configuration = follower.ConfigurationFollower()
         self.table = target.TargetTable(
             lambda removed: self.pools.remove_pool(removed),
@@ -135,6 +140,7 @@
             self.configuration,
             self.load_reporter.peers,
             self.load_reporter.performance.record_load,
+            self._traffic,
         )
         self._targets = follower.TargetFollower(self.table, self._on_capacity_change)
         self.runner = runner.Runner(
@@ -179,7 +185,17 @@
             lambda request: self._dispatcher.serve(request),
             self.configuration.get_limits,
             self._on_refused,
+            lambda request: held_bytes.find_rank(self.configuration.current, request),
         )
+        self._caller_server.traffic = self._traffic
+        self.resources = resource_use.ResourceMonitor(
+            settings,
+            self._caller_server.held.budget,
+            lambda: len(self._caller_server.connections) + self.pools.count_open(),
+            self._traffic,
+        )
+        if settings.expects_pressure and settings.max_descriptors is not None:
+            self._caller_server.connections.set_limit(self.resources.max_sockets)
         self._readiness_server = exchange.Server(
             settings.ready_address, self._answer_readiness
         )
@@ -275,6 +291,13 @@
         self._supervisor.start_child(
             "slow callers", self._caller_server.close_slow_connections
         )
+        if self.resources.is_limited:
+            self._supervisor.start_child("resources", self.resources.run)
+            self._supervisor.start_child(
+                "slow readers",
+                self._caller_server.held.end_stalled_readers,
+                lambda: self.configuration.get_limits().idle_timeout_s,
+            )
         decision_log.log_event(
             "gateway.started", host=self.settings.name, store=self.store.address
         )
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -9,8 +9,16 @@
 from loguru import logger
 from tornado import httputil, iostream, netutil
 
-from pimentowick import exception, verdict, web
-from pimentowick.gateway import decision_log, route
+from pimentowick import exception, verdict
+from pimentowick.gateway import (
+    caller_connections,
+    decision_log,
+    held_bytes,
+    request_reader,
+    route,
+    traffic,
+)
+from pimentowick.gateway.policy import memory_budget
 from pimentowick.platform import message
 
 __all__ = ["Exchange", "Server"]
@@ -29,6 +37,8 @@
 # Reason phrases that tornado lacks.
 REASON_PHRASES = {421: "Misdirected Request"}
 UNAUTHORIZED = 401
+# Larger bodies are written apart from the headers, so that they are not copied.
+LARGE_BODY_BYTES = 65_536
 
 
 class Exchange:
@@ -47,9 +57,11 @@
         received_at: Monotonic time at which the headers were read.
         started: Whether the headers of the response are sent.
         finished: Whether the response is complete or aborted.
+        is_read: Whether the request has been read to its end.
+        account: The `memory_budget.Account` of what is held for it.
     """
 
-    def __init__(self, connection, start_line, headers, is_closing):
+    def __init__(self, connection, start_line, headers, server):
         self.method = start_line.method
         self.uri = start_line.path
         self.path, _, query = start_line.path.partition("?")
@@ -62,18 +74,36 @@
         self.received_at = time.monotonic()
         self.started = False
         self.finished = False
+        self.is_read = False
+        self.account = server.held.open(connection.context.address[0])
         self._connection = connection
-        self._is_closing = is_closing
+        self._server = server
+        self._held = server.held
 
     @property
     def host(self):
         """Value of the Host header, or ""."""
         return self.headers.get("Host", "")
 
+    @property
+    def request_id(self):
+        """Identifier of the request, or ""."""
+        return self.headers.get(message.REQUEST_ID, "")
+
+    def count_unread(self):
+        """Return how many bytes were written that the kernel has not taken yet."""
+        stream = self._connection.stream
+        # Tornado has no public way to tell how much is buffered.
+        return 0 if stream is None or stream.closed() else len(stream._write_buffer)
+
+    def count_sent(self):
+        """Return how many bytes of its connection the kernel has taken."""
+        return self._connection.stream._total_write_done_index
+
     async def start(self, status, headers, chunk=None):
         """Send status and headers of the response, and optionally part of its body."""
         self.started = True
-        if self._is_closing():
+        if self._server.is_closing():
             headers["Connection"] = "close"
         reason = REASON_PHRASES.get(status) or httputil.responses.get(status, "Unknown")
         line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
@@ -81,17 +111,64 @@
             # Nagle's algorithm would delay each small event until the previous one is
             # acknowledged.
             self._connection.stream.set_nodelay(True)
-        await self._connection.write_headers(line, headers, chunk)
+        self._server.traffic.sent += len(chunk or b"")
+        is_limited = self._held.budget.is_limited
+        if is_limited and chunk is not None and len(chunk) > LARGE_BODY_BYTES:
+            self._connection.write_headers(line, headers)
+            await self._pass_on(self._connection.write(chunk))
+            return
+        await self._pass_on(self._connection.write_headers(line, headers, chunk))
 
     async def write(self, chunk):
         """Send part of the response body."""
-        await self._connection.write(chunk)
+        self._server.traffic.sent += len(chunk)
+        await self._pass_on(self._connection.write(chunk))
+
+    async def _pass_on(self, written):
+        """Wait until the kernel has taken what was written, if it must not be held.
+
+        Args:
+            written: Future of the write.
+        """
+        if not self._held.budget.is_limited or not self.count_unread():
+            await written
+        elif self._held.update_unread(self):
+            await self._flush()
+
+    async def _flush(self):
+        # The future of an earlier write is not resolved once another one follows.
+        await self._connection.stream.write(b"")
+
+    async def wait_until_read(self):
+        """Wait until the kernel has taken the whole response, if memory is limited.
+
+        Raises:
+            StreamClosedError: The connection was closed before.
+        """
+        if self._held.budget.is_limited and self.count_unread():
+            self._held.update_unread(self)
+            await self._flush()
+
+    async def wait_for_room(self):
+        """Wait until more of the response may be held."""
+        await self._held.wait_for_room(self.account)
 
     def finish(self):
         """Complete the response."""
         self.finished = True
         self._connection.set_close_callback(None)
-        self._connection.finish()
+        if self.is_read:
+            self._connection.finish()
+
+    def end_request(self):
+        """Complete a response that was sent before the request was read."""
+        self.is_read = True
+        if self.finished:
+            self._connection.finish()
+
+    def disconnect(self):
+        """Close the connection as if the caller had closed it."""
+        self._connection.stream.close()
 
     def abort(self):
         """Close the connection, so that the caller sees a truncated response."""
@@ -123,67 +200,6 @@
         await self.answer(refusal.status, headers, orjson.dumps(refusal.to_dict()))
 
 
-class _RequestReader(httputil.HTTPMessageDelegate):
-    """Reads one request and starts the task that answers it."""
-
-    def __init__(self, server, server_connection, connection):
-        self._server = server
-        self._server_connection = server_connection
-        self._connection = connection
-        self._exchange = None
-        self._chunks = []
-        self._received = 0
-        self._limits = server.get_limits()
-        self._limit_refusal = None
-
-    def headers_received(self, start_line, headers):
-        self._server.on_request_started(self._server_connection)
-        self._exchange = Exchange(
-            self._connection, start_line, headers, self._server.is_closing
-        )
-        if _count_bytes(start_line, headers) > self._limits.header_bytes:
-            self._limit_refusal = verdict.Refusal(
-                431, "headers_too_large", "The headers are too long. Shorten them."
-            )
-        length = headers.get("Content-Length", "")
-        if length.isdecimal():
-            self._check_body(int(length))
-
-    def _check_body(self, size):
-        if size > self._limits.body_bytes and self._limit_refusal is None:
-            self._chunks.clear()
-            self._limit_refusal = verdict.Refusal(
-                413, "too_large", "The body is larger than this entry takes. Split it."
-            )
-
-    def data_received(self, chunk):
-        self._received += len(chunk)
-        self._check_body(self._received)
-        if self._limit_refusal is None:
-            self._chunks.append(chunk)
-
-    def finish(self):
-        self._exchange.body = b"".join(self._chunks)
-        self._exchange.limit_refusal = self._limit_refusal
-        self._chunks.clear()
-        if self._connection.stream is None or self._connection.stream.closed():
-            # The connection was closed while the last bytes were being processed. The
-            # caller takes the request for unread, so it must not run.
-            return
-        task = asyncio.create_task(self._server.serve(self._exchange))
-        # Cancels the request when the caller disconnects.
-        self._connection.set_close_callback(task.cancel)
-
-    def on_connection_close(self):
-        self._chunks.clear()
-
-
-def _count_bytes(start_line, headers):
-    """Return the size of the request line and headers on the wire."""
-    line = len(start_line.method) + len(start_line.path) + len(start_line.version) + 4
-    return line + sum(len(name) + len(text) + 4 for name, text in headers.get_all())
-
-
 class Server(httputil.HTTPServerConnectionDelegate):
     """An HTTP server for one address.
 
@@ -192,9 +208,13 @@
         handle: Coroutine function that answers an `Exchange`.
         get_limits: Function that returns the `route.Limits` in force.
         on_refused: Function called with each `Exchange` that was refused.
+        find_rank: Function that returns the `memory_budget.Rank` of an `Exchange`.
 
     Attributes:
         active_requests: Number of requests being answered.
+        connections: The `caller_connections.CallerConnections`.
+        held: The `held_bytes.HeldBytes` of its callers.
+        traffic: The `traffic.Traffic` that it counts.
     """
 
     def __init__(
@@ -203,8 +223,15 @@
         handle,
         get_limits=route.Limits,
         on_refused=lambda exchange: None,
+        find_rank=lambda exchange: memory_budget.Rank.ORDINARY,
     ):
         self.get_limits = get_limits
+        self.connections = caller_connections.CallerConnections(
+            lambda: self.get_limits().idle_timeout_s
+        )
+        self.held = held_bytes.HeldBytes()
+        self.traffic = traffic.Traffic()
+        self._find_rank = find_rank
         self._on_refused = on_refused
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
@@ -221,7 +248,7 @@
     async def start(self):
         """Bind the address and accept connections."""
         sockets = netutil.bind_sockets(self._port, self._ip, backlog=1024)
-        self._server = web.DrainingServer(
+        self._server = caller_connections.AcceptingServer(
             self,
             max_header_size=MAX_READ_HEADER_BYTES,
             max_body_size=MAX_READ_BODY_BYTES,
@@ -275,20 +302,33 @@
             await self._server.close_all_connections()
             self._server = None
 
+    def make_exchange(self, connection, start_line, headers):
+        """Return the `Exchange` for a request whose headers have arrived."""
+        return Exchange(connection, start_line, headers, self)
+
+    def refuse_body(self, exchange, size):
+        """Return the refusal if more of a body must not be held, or None."""
+        if self.held.budget.is_limited:
+            return self.held.refuse_body(exchange, size, self._find_rank(exchange))
+        return None
+
     def start_request(self, server_conn, request_conn):
         """Return a reader; see `tornado.httputil.HTTPServerConnectionDelegate`."""
         self._idle.add(server_conn)
+        self.connections.mark_idle(server_conn)
         # Shared by all connections; tornado reads it before each request.
         self._server.conn_params.header_timeout = self.get_limits().idle_timeout_s
-        return _RequestReader(self, server_conn, request_conn)
+        return request_reader.RequestReader(self, server_conn, request_conn)
 
     def on_request_started(self, server_conn):
         """Mark a connection as busy once the headers of a request are complete."""
         self._idle.discard(server_conn)
+        self.connections.mark_busy(server_conn)
 
     def on_close(self, server_conn):
         """Remove a closed connection from the idle ones."""
         self._idle.discard(server_conn)
+        self.connections.remove(server_conn)
 
     async def serve(self, exchange):
         """Answer one request; refuse it or abort the response on an error."""
@@ -297,6 +337,7 @@
             if exchange.limit_refusal is not None:
                 raise exception.RefusedError(exchange.limit_refusal)
             await self._handle(exchange)
+            await exchange.wait_until_read()
         except iostream.StreamClosedError:
             pass
         except exception.RefusedError as error:
@@ -318,6 +359,14 @@
                 self._on_refused(exchange)
             if not exchange.finished:
                 exchange.abort()
+            self.held.close(exchange)
+
+    async def refuse_early(self, exchange, refusal):
+        """Refuse a request before its body is read; the rest of it is discarded."""
+        with contextlib.suppress(iostream.StreamClosedError):
+            await exchange.refuse(refusal)
+        self._on_refused(exchange)
+        self.held.close(exchange)
 
     async def _refuse_or_abort(self, exchange, refusal):
         if exchange.started:
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -3,6 +3,7 @@
 import time
 
 from pimentowick.gateway import event_stream, performance, upstream
+from pimentowick.gateway.policy import memory_budget
 from pimentowick.platform import message
 
 __all__ = ["CallerSink"]
@@ -45,12 +46,16 @@
         """Discard the state of the last target before the next attempt."""
         self.status = 0
         self.headers = None
-        self.buffered = []
+        self._clear_buffer()
         self.forwards_events = False
         self.out_of_order = False
         self._splitter = event_stream.EventSplitter()
         self.event_times = performance.EventTimes()
 
+    def _clear_buffer(self):
+        self.buffered = []
+        self._exchange.account.set(memory_budget.Kind.RESPONSE, 0)
+
     async def on_headers(self, status, headers, answer):
         """Store status and headers; see `upstream.Sink`."""
         self.status = status
@@ -67,6 +72,8 @@
         if self.forwards_events:
             await self._forward_events(chunk)
             return
+        await self._exchange.wait_for_room()
+        self._exchange.account.add(memory_budget.Kind.RESPONSE, len(chunk))
         self.buffered.append(chunk)
 
     async def _forward_events(self, chunk):
@@ -120,5 +127,6 @@
         """Send the buffered response to the caller."""
         headers = message.remove_hop_headers(self.headers)
         body = b"".join(self.buffered)
+        self._clear_buffer()
         headers.pop("Content-Length", None)
         await self._exchange.answer(self.status, headers, body)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -17,6 +17,7 @@
 
 from tornado import http1connection, httputil, iostream
 
+from pimentowick.gateway import traffic
 from pimentowick.platform import message
 
 __all__ = ["End", "Outcome", "Pool", "Request", "Sink"]
@@ -143,6 +144,7 @@
         request_id: Identifier of the request.
         sink: The `Sink`.
         on_load: Function called with the load that came with the response, or None.
+        counted: The `traffic.Traffic` that counts the body.
 
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
@@ -152,10 +154,11 @@
         is_framed: Whether the end of the body is known without closing the connection.
     """
 
-    def __init__(self, request_id, sink, on_load):
+    def __init__(self, request_id, sink, on_load, counted):
         self._request_id = request_id
         self._sink = sink
         self._on_load = on_load
+        self._traffic = counted
         self.status = 0
         self.answer = None
         self.is_stray = False
@@ -183,6 +186,7 @@
             await self._sink.on_headers(start_line.code, headers, self.answer)
 
     async def data_received(self, chunk):
+        self._traffic.received += len(chunk)
         if not self.is_stray and not self.answer.not_executed:
             await self._sink.on_chunk(chunk)
 
@@ -196,9 +200,10 @@
 class _Connection:
     """One connection to a target."""
 
-    def __init__(self, stream, on_load):
+    def __init__(self, stream, on_load, counted):
         self.stream = stream
         self._on_load = on_load
+        self._traffic = counted
         self.idle_until = 0.0
         self.request_count = 0
 
@@ -211,15 +216,16 @@
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine(request.method, request.uri, "HTTP/1.1")
         self.request_count += 1
+        self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
-        reader = _Reader(request.request_id, sink, self._on_load)
+        reader = _Reader(request.request_id, sink, self._on_load, self._traffic)
         await http.read_response(reader)
         for _ in range(MAX_STRAY_RESPONSES):
             if not (reader.is_finished and reader.is_stray and reader.is_framed):
                 break
             # A late response to an earlier request, by its request identifier.
-            reader = _Reader(request.request_id, sink, self._on_load)
+            reader = _Reader(request.request_id, sink, self._on_load, self._traffic)
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
             http.finish()
             await http.read_response(reader)
@@ -281,6 +287,7 @@
         get_max_idle: Function that returns how many idle connections to keep.
         on_load: Function called with the `target.ReportedLoad` that came with each
             response, or None.
+        counted: The `traffic.Traffic` that counts the bodies.
 
     Attributes:
         opened: Number of connections opened so far.
@@ -292,18 +299,33 @@
         port,
         get_max_idle=lambda: MAX_IDLE_CONNECTIONS,
         on_load=lambda load: None,
+        counted=None,
     ):
         self._address = (ip, port)
         self._get_max_idle = get_max_idle
         self._on_load = on_load
+        self._traffic = counted or traffic.Traffic()
         self._idle = []
+        self._busy = 0
         self.opened = 0
 
+    @property
+    def open(self):
+        """Number of open connections."""
+        return self._busy + len(self._idle)
+
     async def send(self, request, sink):
         """Send a request and return its `Outcome`.
 
         Cancellation closes the connection, whereupon the target cancels the request.
         """
+        self._busy += 1
+        try:
+            return await self._send(request, sink)
+        finally:
+            self._busy -= 1
+
+    async def _send(self, request, sink):
         connection = self._take_idle()
         if connection is None:
             try:
@@ -354,7 +376,7 @@
             with contextlib.suppress(OSError):
                 stream.close()
             raise
-        return _Connection(stream, self._on_load)
+        return _Connection(stream, self._on_load, self._traffic)
 
 
 def _set_options(sock):
