Hold responses for slow readers within a share of the memory

Each write waited until the kernel had taken it, so that a caller that reads slowly held the slot of its target and paused the target's response at once. Where memory is limited, what a caller hasn't read is now held up to its part of half of the capacity; beyond it the response pauses as before.

Ruled out: a limit from an equal share alone.

--- a/pimentowick/gateway/held_bytes.py
+++ b/pimentowick/gateway/held_bytes.py
@@ -137,7 +137,7 @@
         if exchange not in self._unread:
             now, sent = time.monotonic(), exchange.count_sent()
             self._unread[exchange] = _Progress(now, sent, sent, now)
-        if unread <= self.budget.compute_unread_limit():
+        if not self.budget.must_pause(exchange.account):
             return False
         self._log_pause("reader.paused", exchange.account)
         return True
--- a/pimentowick/gateway/policy/memory_budget.py
+++ b/pimentowick/gateway/policy/memory_budget.py
@@ -33,6 +33,8 @@
 # Share of the capacity for responses that callers have not read yet. Beyond its part
 # of this share a response is paused.
 UNREAD_SHARE = 0.5
+# Share of the capacity above which only small bodies are accepted.
+FULL_SHARE = 0.9
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 # Weight of the latest request in the mean time for which bodies are held.
@@ -61,7 +63,7 @@
 
 
 # Share of the capacity up to which a new body is accepted.
-ACCEPTED_SHARES = {Rank.BATCH: 0.6, Rank.ORDINARY: 0.8, Rank.URGENT: 0.9}
+ACCEPTED_SHARES = {Rank.BATCH: 0.6, Rank.ORDINARY: 0.8, Rank.URGENT: FULL_SHARE}
 
 
 def compute_capacity(limit_bytes, resident_bytes, received_bytes, idle_bytes):
@@ -171,8 +173,8 @@
 
     @property
     def is_full(self):
-        """Whether the capacity is used up."""
-        return self.capacity is not None and self.held >= self.capacity
+        """Whether there is room for small bodies only."""
+        return self.capacity is not None and self.held >= FULL_SHARE * self.capacity
 
     def get_held_by(self, caller):
         """Return how many bytes are held for a caller."""
@@ -230,11 +232,14 @@
             return True
         return next(iter(self._buffering), account) is account
 
-    def compute_unread_limit(self):
-        """Return beyond how many unread bytes a response is paused."""
-        if not self.is_limited or self.is_full:
-            return 0
-        return UNREAD_SHARE * self.capacity / max(1, len(self._unread))
+    def must_pause(self, account):
+        """Return whether a response must wait until its caller has read."""
+        if self.capacity is None:
+            return False
+        limit = UNREAD_SHARE * self.capacity
+        if self.is_full or self.by_kind[Kind.UNREAD] > limit:
+            return True
+        return account.by_kind[Kind.UNREAD] > limit / len(self._unread)
 
     def compute_retry_after(self):
         """Return the time until a body may be accepted again, in seconds."""
--- a/pimentowick/gateway/tests/test_memory_budget.py
+++ b/pimentowick/gateway/tests/test_memory_budget.py
@@ -145,3 +145,21 @@
     assert not budget.may_buffer(second)
     first.close(1.0)
     assert budget.may_buffer(second)
+
+
+@pytest.mark.parametrize("readers", [1, 50, 500])
+def test_unread_bytes_stay_within_their_share(readers):
+    # Guards against slow readers that each get a share, and together too much.
+    budget = memory_budget.MemoryBudget()
+    budget.capacity = 40 * MEGABYTE
+    accounts = [memory_budget.Account(budget, n, 0.0) for n in range(readers)]
+    chunk = 4096
+    writing = dict.fromkeys(accounts)
+    while writing:
+        for account in list(writing):
+            account.add(memory_budget.Kind.UNREAD, chunk)
+            if budget.must_pause(account):
+                del writing[account]
+    share = memory_budget.UNREAD_SHARE * budget.capacity
+    assert 0.9 * share < budget.held <= share + readers * chunk
+    assert budget.may_accept_body("another", 2000, ORDINARY)
