--- a/pimentowick/gateway/caller_connections.py
+++ b/pimentowick/gateway/caller_connections.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import contextlib
-import errno
 import time
 
 from tornado import ioloop
 
 from pimentowick import web
-from pimentowick.gateway import decision_log
+from pimentowick.gateway import decision_log, descriptors
 from pimentowick.gateway.policy import connection_limit
 
 __all__ = ["AcceptingServer", "CallerConnections"]
@@ -20,7 +19,6 @@
 # Pause after the process ran out of descriptors. The listener stays readable, so that
 # without a pause the event loop would do nothing else.
 EXHAUSTED_PAUSE_S = 0.1
-EXHAUSTED_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
 class AcceptingServer(web.DrainingServer):
@@ -83,7 +81,7 @@
             except ConnectionAbortedError:
                 continue
             except OSError as error:
-                if error.errno not in EXHAUSTED_ERRORS:
+                if not descriptors.is_exhausted(error):
                     raise
                 self._pause(error)
                 return
--- /dev/null
+++ b/pimentowick/gateway/connection_pool.py
@@ -0,0 +1,153 @@
+"""Pool of connections to one target."""
+
+import time
+
+from tornado import iostream
+
+from pimentowick.gateway import decision_log, descriptors, traffic, upstream
+from pimentowick.gateway.policy import connection_share
+
+__all__ = ["Pool"]
+
+
+class Pool:
+    """Pool of connections to one target.
+
+    Args:
+        ip: IP address of the target.
+        port: TCP port.
+        get_share: Function that returns this entry's share of the connections.
+        get_policy: Function that returns the `connection_share.IdlePolicy`.
+        on_load: Function called with the `target.ReportedLoad` that came with each
+            response, or None.
+        counted: The `traffic.Traffic` that counts the bodies.
+        release_descriptor: Function that closes an idle connection of another pool if
+            there is one, and returns whether it did.
+
+    Attributes:
+        opened: Number of connections opened so far.
+    """
+
+    def __init__(
+        self,
+        ip,
+        port,
+        get_share=lambda: connection_share.MAX_IDLE_CONNECTIONS,
+        get_policy=connection_share.EvenShare,
+        on_load=lambda load: None,
+        counted=None,
+        release_descriptor=lambda: False,
+    ):
+        self._address = (ip, port)
+        self._get_share = get_share
+        self._get_policy = get_policy
+        self._release_descriptor = release_descriptor
+        self._peak = connection_share.PeakUse()
+        self._on_load = on_load
+        self._traffic = counted or traffic.Traffic()
+        self._idle = []
+        self._busy = 0
+        self.opened = 0
+
+    @property
+    def open(self):
+        """Number of open connections."""
+        return self._busy + len(self._idle)
+
+    @property
+    def idle(self):
+        """Number of idle connections."""
+        return len(self._idle)
+
+    async def send(self, request, sink):
+        """Send a request and return its `Outcome`.
+
+        Cancellation closes the connection, whereupon the target cancels the request.
+        """
+        self._busy += 1
+        self._peak.record(self._busy, time.monotonic())
+        try:
+            return await self._send(request, sink)
+        finally:
+            self._busy -= 1
+
+    async def _send(self, request, sink):
+        connection = self._take_idle()
+        if connection is None:
+            try:
+                connection = await self._connect()
+            except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+                reason = f"connect_{type(error).__name__}"
+                if descriptors.is_exhausted(error):
+                    reason = upstream.NO_DESCRIPTOR
+                return upstream.Outcome(upstream.End.NOT_RUN, reason, connected=False)
+        reusable = False
+        try:
+            outcome, reusable = await connection.exchange(
+                request, sink, self._get_policy()
+            )
+        except iostream.StreamClosedError:
+            outcome = upstream.Outcome(upstream.End.INCOMPLETE, "closed")
+        finally:
+            if reusable and len(self._idle) < self._compute_max_idle():
+                self._idle.append(connection)
+            else:
+                connection.close()
+        return outcome
+
+    def _compute_max_idle(self):
+        peak_use = self._peak.get(time.monotonic())
+        return self._get_policy().compute_max_idle(self._get_share(), peak_use)
+
+    def close_expired(self):
+        """Close the connections that have been idle for too long."""
+        now = time.monotonic()
+        kept = [each for each in self._idle if now < each.idle_until]
+        for connection in self._idle:
+            if now >= connection.idle_until:
+                connection.close()
+        self._idle = kept
+
+    def close_oldest(self):
+        """Close the connection that was idle for longest; return whether it existed."""
+        if not self._idle:
+            return False
+        self._idle.pop(0).close()
+        return True
+
+    def close(self):
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def _take_idle(self):
+        now = time.monotonic()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable(now):
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self):
+        """Open a connection, in place of an idle one if descriptors are exhausted."""
+        try:
+            return await self._open()
+        except OSError as error:
+            if not descriptors.is_exhausted(error):
+                raise
+            released = self._release_descriptor()
+            decision_log.log_event(
+                "descriptors.exhausted", why=str(error), released=released
+            )
+            if not released:
+                raise
+        return await self._open()
+
+    async def _open(self):
+        connection = await upstream.open_connection(
+            self._address, self._on_load, self._traffic
+        )
+        self.opened += 1
+        return connection
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -141,6 +141,7 @@
             self.load_reporter.peers,
             self.load_reporter.performance.record_load,
             self._traffic,
+            self.table.has_shared_hosts,
         )
         self._targets = follower.TargetFollower(self.table, self._on_capacity_change)
         self.runner = runner.Runner(
@@ -291,6 +292,7 @@
         self._supervisor.start_child(
             "slow callers", self._caller_server.close_slow_connections
         )
+        self._supervisor.start_child("idle connections", self.pools.close_expired)
         if self.resources.is_limited:
             self._supervisor.start_child("resources", self.resources.run)
             self._supervisor.start_child(
@@ -523,6 +525,27 @@
             quota_workspaces=self.quotas.count_buckets(),
             suspects=suspects,
             quarantined=quarantined,
+            host=self._collect_host_state(),
+        )
+
+    def _collect_host_state(self):
+        """Return the current `metric.HostState`."""
+        connections, held = self._caller_server.connections, self._caller_server.held
+        return metric.HostState(
+            uses=self.resources.uses,
+            levels=self.resources.levels,
+            loop_delay_s=self.resources.loop_delay_s,
+            held_bytes=held.budget.by_kind,
+            capacity_bytes=held.budget.capacity,
+            caller_connections=len(connections),
+            target_connections=self.pools.count_open(),
+            opened=self.pools.count_opened(),
+            events={
+                "response_paused": held.paused_responses,
+                "reader_ended": held.ended_readers,
+                "connection_rejected": connections.rejected,
+                "connection_closed": connections.closed_idle,
+            },
         )
 
     async def _answer_metrics(self, request):
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -58,6 +58,8 @@
             outcome: The `upstream.Outcome`.
             seemed_free: Whether most of its slots seemed to be free.
         """
+        if outcome.reason == upstream.NO_DESCRIPTOR:
+            return
         now = time.monotonic()
         if outcome.reason == "misdirected":
             # Another target now has this address; the registry will list it.
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -9,7 +9,7 @@
 import aioprometheus
 from aioprometheus import renderer
 
-__all__ = ["Metrics", "State"]
+__all__ = ["HostState", "Metrics", "State"]
 
 MAX_NAMED_WORKSPACES = 20
 # Label that all further workspaces share.
@@ -17,6 +17,33 @@
 PHASE_BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostState:
+    """Use of the entry's own host at the time of a scrape.
+
+    Attributes:
+        uses: The `resource_level.Use` by `resource_level.Resource`.
+        levels: The `resource_level.Level` by `resource_level.Resource`.
+        loop_delay_s: Delay of the event loop, in seconds.
+        held_bytes: Bytes held for callers by `memory_budget.Kind`.
+        capacity_bytes: Bytes that may be held, or None without a limit.
+        caller_connections: Number of open connections of callers.
+        target_connections: Number of open connections to targets.
+        opened: Number of connections to targets opened so far.
+        events: Number of times that a limit took effect so far, by what was done.
+    """
+
+    uses: dict
+    levels: dict
+    loop_delay_s: float
+    held_bytes: dict
+    capacity_bytes: float | None
+    caller_connections: int
+    target_connections: int
+    opened: int
+    events: dict
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """State of an entry at the time of a scrape.
@@ -37,6 +64,7 @@
         quota_workspaces: Number of workspaces with an active token bucket.
         suspects: Number of requests under which targets crashed lately.
         quarantined: Number of those that run only as trials.
+        host: The `HostState`.
     """
 
     ages_s: dict
@@ -54,6 +82,7 @@
     quota_workspaces: int
     suspects: int
     quarantined: int
+    host: HostState
 
 
 class Metrics:
@@ -136,8 +165,38 @@
         self._open_requests = self._make_gauge(
             "pimentowick_gateway_open_requests", "Requests that are not answered yet."
         )
+        self._make_host_metrics()
         self._reported = {}
 
+    def _make_host_metrics(self):
+        self._use = self._make_gauge(
+            "pimentowick_gateway_resource_use",
+            "Use of the host by resource, as a share of its limit.",
+        )
+        self._level = self._make_gauge(
+            "pimentowick_gateway_resource_level",
+            "Level by resource: 0 normal, 1 high, 2 critical.",
+        )
+        self._loop_delay = self._make_gauge(
+            "pimentowick_gateway_loop_delay_seconds", "Delay of the event loop."
+        )
+        self._held_bytes = self._make_gauge(
+            "pimentowick_gateway_held_bytes",
+            "Bytes held for callers: request, response, unread; and the capacity.",
+        )
+        self._connections = self._make_gauge(
+            "pimentowick_gateway_connections", "Open connections by peer."
+        )
+        self._opened = self._make_counter(
+            "pimentowick_gateway_target_connections_total",
+            "Connections to targets opened.",
+        )
+        self._limit_events = self._make_counter(
+            "pimentowick_gateway_limit_events_total",
+            "Effects of limits: response paused, reader ended, connection rejected "
+            "or closed.",
+        )
+
     def _make_counter(self, name, text):
         return aioprometheus.Counter(name, text, registry=self.registry)
 
@@ -221,6 +280,24 @@
             labels = {"call": name, "direction": direction}
             self._advance(self._store_bytes, labels, count)
         self._advance(self._dropped_lines, {}, state.dropped_lines)
+        self._set_host_state(state.host)
+
+    def _set_host_state(self, host):
+        for resource, use in host.uses.items():
+            if use.limit is not None:
+                self._use.set({"resource": str(resource)}, use.share)
+        for resource, level in host.levels.items():
+            self._level.set({"resource": str(resource)}, int(level))
+        self._loop_delay.set({}, host.loop_delay_s)
+        for kind, size in host.held_bytes.items():
+            self._held_bytes.set({"kind": str(kind)}, size)
+        if host.capacity_bytes is not None:
+            self._held_bytes.set({"kind": "capacity"}, host.capacity_bytes)
+        self._connections.set({"peer": "callers"}, host.caller_connections)
+        self._connections.set({"peer": "targets"}, host.target_connections)
+        self._advance(self._opened, {}, host.opened)
+        for event, count in host.events.items():
+            self._advance(self._limit_events, {"event": event}, count)
 
     def _advance(self, counter, labels, total):
         """Advance a counter to a total that is counted elsewhere."""
--- a/pimentowick/gateway/resource_use.py
+++ b/pimentowick/gateway/resource_use.py
@@ -82,6 +82,11 @@
         )
         return any(limit is not None for limit in limits)
 
+    @property
+    def levels(self):
+        """The `resource_level.Level` by resource."""
+        return {resource: each.level for resource, each in self._levels.items()}
+
     def get_level(self, resource):
         """Return the `resource_level.Level` of a resource."""
         return self._levels[resource].level
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -1,4 +1,4 @@
-"""HTTP connections to targets, and connection pools.
+"""HTTP connections to targets.
 
 Notes:
     The module uses tornado's `HTTP1Connection` instead of its curl client. A target may
@@ -17,10 +17,16 @@
 
 from tornado import http1connection, httputil, iostream
 
-from pimentowick.gateway import traffic
 from pimentowick.platform import message
 
-__all__ = ["End", "Outcome", "Pool", "Request", "Sink"]
+__all__ = [
+    "Connection",
+    "End",
+    "Outcome",
+    "Request",
+    "Sink",
+    "open_connection",
+]
 
 # Well above a round trip; a lost SYN is retransmitted only after a second.
 CONNECT_TIMEOUT_S = 0.5
@@ -29,11 +35,6 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Share of the target's own idle timeout after which a connection is not reused, so that
-# a request does not race with the close.
-IDLE_TIMEOUT_SHARE = 0.6
-MAX_IDLE_S = 4.0
-MAX_IDLE_CONNECTIONS = 16
 MAX_BUFFER_BYTES = 8_388_608
 CHUNK_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
@@ -59,6 +60,8 @@
 
 
 REFUSED = "target_refused"
+# No descriptor could be had for a connection; the target is not to blame.
+NO_DESCRIPTOR = "no_descriptor"
 # Reasons of incomplete responses whose connection the target closed.
 CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
 
@@ -197,25 +200,37 @@
         pass
 
 
-class _Connection:
-    """One connection to a target."""
+class Connection:
+    """One connection to a target.
+
+    Args:
+        stream: The open stream.
+        on_load: Function called with the load that comes with each response.
+        counted: The `traffic.Traffic` that counts the bodies.
+
+    Attributes:
+        idle_until: Monotonic time until which it may be reused.
+    """
 
     def __init__(self, stream, on_load, counted):
         self.stream = stream
         self._on_load = on_load
         self._traffic = counted
         self.idle_until = 0.0
-        self.request_count = 0
 
-    async def exchange(self, request, sink):
+    async def exchange(self, request, sink, policy):
         """Send a request and pass its response to `sink`.
 
+        Args:
+            request: The `Request`.
+            sink: The `Sink`.
+            policy: The `connection_share.IdlePolicy` for the connection.
+
         Returns:
             The `Outcome`, and whether the connection can be reused.
         """
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine(request.method, request.uri, "HTTP/1.1")
-        self.request_count += 1
         self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
@@ -240,9 +255,8 @@
             and not self.stream.closed()
         )
         if reusable:
-            idle_s = reader.answer.idle_s
-            idle_s = MAX_IDLE_S if idle_s is None else idle_s * IDLE_TIMEOUT_SHARE
-            self.idle_until = time.monotonic() + min(idle_s, MAX_IDLE_S)
+            idle_s = policy.compute_idle_time(reader.answer.idle_s)
+            self.idle_until = time.monotonic() + idle_s
         return outcome, reusable
 
     def _classify(self, reader):
@@ -278,105 +292,27 @@
         self.stream.close()
 
 
-class Pool:
-    """Pool of connections to one target.
-
-    Args:
-        ip: IP address of the target.
-        port: TCP port.
-        get_max_idle: Function that returns how many idle connections to keep.
-        on_load: Function called with the `target.ReportedLoad` that came with each
-            response, or None.
-        counted: The `traffic.Traffic` that counts the bodies.
+async def open_connection(address, on_load, counted):
+    """Return a new `Connection` to the target at an address.
 
-    Attributes:
-        opened: Number of connections opened so far.
+    Raises:
+        OSError: It could not be opened.
+        TimeoutError: The target did not accept it in time.
+        StreamClosedError: The target refused it.
     """
-
-    def __init__(
-        self,
-        ip,
-        port,
-        get_max_idle=lambda: MAX_IDLE_CONNECTIONS,
-        on_load=lambda load: None,
-        counted=None,
-    ):
-        self._address = (ip, port)
-        self._get_max_idle = get_max_idle
-        self._on_load = on_load
-        self._traffic = counted or traffic.Traffic()
-        self._idle = []
-        self._busy = 0
-        self.opened = 0
-
-    @property
-    def open(self):
-        """Number of open connections."""
-        return self._busy + len(self._idle)
-
-    async def send(self, request, sink):
-        """Send a request and return its `Outcome`.
-
-        Cancellation closes the connection, whereupon the target cancels the request.
-        """
-        self._busy += 1
-        try:
-            return await self._send(request, sink)
-        finally:
-            self._busy -= 1
-
-    async def _send(self, request, sink):
-        connection = self._take_idle()
-        if connection is None:
-            try:
-                connection = await self._open()
-            except (OSError, TimeoutError, iostream.StreamClosedError) as error:
-                reason = f"connect_{type(error).__name__}"
-                return Outcome(End.NOT_RUN, reason, connected=False)
-        reusable = False
-        try:
-            outcome, reusable = await connection.exchange(request, sink)
-        except iostream.StreamClosedError:
-            outcome = Outcome(End.INCOMPLETE, "closed")
-        finally:
-            if reusable and len(self._idle) < min(
-                MAX_IDLE_CONNECTIONS, self._get_max_idle()
-            ):
-                self._idle.append(connection)
-            else:
-                connection.close()
-        return outcome
-
-    def close(self):
-        """Close the idle connections."""
-        for connection in self._idle:
-            connection.close()
-        self._idle.clear()
-
-    def _take_idle(self):
-        now = time.monotonic()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable(now):
-                return connection
-            connection.close()
-        return None
-
-    async def _open(self):
-        self.opened += 1
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        _set_options(sock)
-        stream = _Stream(
-            sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES
-        )
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await stream.connect(self._address)
-        except BaseException:
-            with contextlib.suppress(OSError):
-                stream.close()
-            raise
-        return _Connection(stream, self._on_load, self._traffic)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    _set_options(sock)
+    stream = _Stream(
+        sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES
+    )
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await stream.connect(address)
+    except BaseException:
+        with contextlib.suppress(OSError):
+            stream.close()
+        raise
+    return Connection(stream, on_load, counted)
 
 
 def _set_options(sock):
