--- a/pimentowick/cli/tests/test_trace.py
+++ b/pimentowick/cli/tests/test_trace.py
@@ -143,6 +143,21 @@
     assert "job" not in output
 
 
+def test_trace_explains_a_refusal_for_want_of_memory(tmp_path):
+    # Guards against a refused body whose cause no operator can find.
+    path = write_log(
+        tmp_path,
+        "front-1",
+        '{"time":10.2,"event":"caller.no_memory","id":"r","outcome":"no_memory",'
+        '"caller":"10.0.0.7","body_bytes":4000000,"held_bytes":40000000,'
+        '"held_for_caller":8000000,"capacity_bytes":47000000,"retry_after_s":0.5}',
+    )
+    code, output = run_command(["pimentowick", "trace", "r", path])
+    assert code == 0
+    assert "gateway front-1 had no memory for its body" in output
+    assert "40000000 of 47000000 bytes held, 8000000 of them for this caller" in output
+
+
 def test_trace_explains_a_quarantined_request(tmp_path):
     # It ends with 503 although slots are free; its attempts share only a fingerprint.
     fields = '"fingerprint":"f1","crashed":["t1","t2"],"trials":1,"retry_after_s":4.0'
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -41,7 +41,7 @@
 TOP_COUNT = 10
 # A log that ends with one of these was cut off.
 IN_PROGRESS_EVENTS = ("online.queued", "online.sent", "item.sent")
-CALLER_EVENTS = ("caller.unidentified", "caller.over_quota")
+CALLER_EVENTS = ("caller.unidentified", "caller.over_quota", "caller.no_memory")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,6 +253,12 @@
             f"{data.get('rate_per_s')} requests per second and its burst limit of "
             f"{data.get('burst')} requests."
         ),
+        "no_memory": (
+            f"It was refused with 503 without having run: gateway {line.process} had "
+            f"no memory for its body, with {data.get('held_bytes')} of "
+            f"{data.get('capacity_bytes')} bytes held, {data.get('held_for_caller')} "
+            "of them for this caller."
+        ),
     }
     return reasons.get(data.get("outcome"), _explain_refused(line))
 
--- a/pimentowick/gateway/loss.py
+++ b/pimentowick/gateway/loss.py
@@ -19,6 +19,10 @@
 ]
 
 
+# Events of requests that were refused before their route was known.
+REFUSED_EVENTS = frozenset({"caller.refused", "caller.no_memory"})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MissCount:
     """Number of missed deadlines for one cause.
@@ -45,7 +49,7 @@
     last = id_lines[-1]
     data = last.data
     kind = data.get("kind", "unknown")
-    if last.event == "caller.refused":
+    if last.event in REFUSED_EVENTS:
         return "unknown", f"refused: {data.get('outcome')}"
     if last.event in ("online.queued", "online.sent"):
         return kind, "its gateway terminated"
@@ -142,10 +146,8 @@
 def _explain(id_lines):
     if id_lines[-1].event.startswith("item."):
         return "item", explain_item(id_lines)
-    if (
-        id_lines[-1].event.startswith("online.")
-        or id_lines[-1].event == "caller.refused"
-    ):
+    last = id_lines[-1].event
+    if last.startswith("online.") or last in REFUSED_EVENTS:
         return explain_online(id_lines)
     return None
 
