Release the body of an answered request, spread returns, apply changed limits

The body stayed in memory until the caller had read the response, although nobody needs it any more. Callers whose bodies are refused together were told the same time, so that they returned together; bodies refused before now take their turn first. SIGHUP applies changed limits, and limits that were removed.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -293,17 +293,22 @@
             "slow callers", self._caller_server.close_slow_connections
         )
         self._supervisor.start_child("idle connections", self.pools.close_expired)
-        if self.resources.is_limited:
-            self._supervisor.start_child("resources", self.resources.run)
-            self._supervisor.start_child(
-                "slow readers",
-                self._caller_server.held.end_stalled_readers,
-                lambda: self.configuration.get_limits().idle_timeout_s,
-            )
+        self._watch_resources()
         decision_log.log_event(
             "gateway.started", host=self.settings.name, store=self.store.address
         )
 
+    def _watch_resources(self):
+        """Observe the host's resources if the settings limit any."""
+        if not self.resources.is_limited:
+            return
+        self._supervisor.start_child("resources", self.resources.run)
+        self._supervisor.start_child(
+            "slow readers",
+            self._caller_server.held.end_stalled_readers,
+            lambda: self.configuration.get_limits().idle_timeout_s,
+        )
+
     def _list_servers(self):
         return (
             self._caller_server,
@@ -390,6 +395,9 @@
         changed = settings != self.settings
         self.settings = settings
         self.store.address = settings.store_address
+        if changed:
+            self.resources.settings = settings
+            self._watch_resources()
         decision_log.log_event("settings.read", changed=changed)
 
     @property
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -139,6 +139,11 @@
         # The future of an earlier write is not resolved once another one follows.
         await self._connection.stream.write(b"")
 
+    def release_body(self):
+        """Discard the body of the request, which is answered."""
+        self.body = b""
+        self.account.release_body(time.monotonic())
+
     async def wait_until_read(self):
         """Wait until the kernel has taken the whole response, if memory is limited.
 
@@ -337,6 +342,7 @@
             if exchange.limit_refusal is not None:
                 raise exception.RefusedError(exchange.limit_refusal)
             await self._handle(exchange)
+            exchange.release_body()
             await exchange.wait_until_read()
         except iostream.StreamClosedError:
             pass
--- a/pimentowick/gateway/held_bytes.py
+++ b/pimentowick/gateway/held_bytes.py
@@ -87,7 +87,7 @@
         budget, account = self.budget, exchange.account
         if budget.may_accept_body(account.caller, size, rank):
             return None
-        retry_after_s = budget.compute_retry_after()
+        retry_after_s = budget.refuse_body(size, time.monotonic())
         decision_log.log_request_event(
             "caller.no_memory",
             exchange.request_id,
--- a/pimentowick/gateway/policy/memory_budget.py
+++ b/pimentowick/gateway/policy/memory_budget.py
@@ -17,6 +17,7 @@
 """
 
 import enum
+import math
 
 __all__ = ["Account", "Kind", "MemoryBudget", "Rank", "compute_capacity"]
 
@@ -36,7 +37,7 @@
 # Share of the capacity above which only small bodies are accepted.
 FULL_SHARE = 0.9
 MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 2.0
+MAX_RETRY_AFTER_S = 4.0
 # Weight of the latest request in the mean time for which bodies are held.
 HOLD_WEIGHT = 0.1
 
@@ -131,11 +132,16 @@
         if size != self.by_kind[kind]:
             self.add(kind, size - self.by_kind[kind])
 
-    def close(self, now):
-        """Release everything that is held."""
+    def release_body(self, now):
+        """Release the body of the request."""
         if self.by_kind[Kind.REQUEST]:
             self._budget.record_hold(now - self.opened_at)
-        self.receive_body(self.expected)
+            self.receive_body(self.expected)
+            self.set(Kind.REQUEST, 0)
+
+    def close(self, now):
+        """Release everything that is held."""
+        self.release_body(now)
         for kind in Kind:
             self.set(kind, 0)
 
@@ -160,6 +166,8 @@
         self._buffering = {}
         self._unread = {}
         self._hold_s = MIN_RETRY_AFTER_S
+        self._refused_bytes = 0.0
+        self._refused_at = 0.0
 
     @property
     def held(self):
@@ -241,9 +249,19 @@
             return True
         return account.by_kind[Kind.UNREAD] > limit / len(self._unread)
 
-    def compute_retry_after(self):
-        """Return the time until a body may be accepted again, in seconds."""
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, self._hold_s))
+    def refuse_body(self, size, now):
+        """Return the time until a refused body may be accepted, in seconds.
+
+        Bodies that were refused before it and are expected to return take their turn
+        first, so that callers refused together do not return together.
+        """
+        hold_s = max(MIN_RETRY_AFTER_S, self._hold_s)
+        elapsed_s = max(0.0, now - self._refused_at)
+        self._refused_bytes *= math.exp(-elapsed_s / hold_s)
+        wait_s = hold_s * (1 + self._refused_bytes / max(1.0, self.capacity))
+        self._refused_bytes += size
+        self._refused_at = now
+        return min(MAX_RETRY_AFTER_S, wait_s)
 
 
 def _update_member(members, account, size):
--- a/pimentowick/gateway/resource_use.py
+++ b/pimentowick/gateway/resource_use.py
@@ -51,12 +51,13 @@
         counted: The `traffic.Traffic` of the entry.
 
     Attributes:
+        settings: The `pimentowick.platform.node.NodeSettings` in force.
         uses: The last `resource_level.Use` by `resource_level.Resource`.
         loop_delay_s: Longest delay of the event loop since the last observation.
     """
 
     def __init__(self, settings, budget, count_sockets, counted):
-        self._settings = settings
+        self.settings = settings
         self._budget = budget
         self._count_sockets = count_sockets
         self._traffic = counted
@@ -74,7 +75,7 @@
     @property
     def is_limited(self):
         """Whether the settings limit any resource."""
-        settings = self._settings
+        settings = self.settings
         limits = (
             settings.processor_cores,
             settings.memory_mb,
@@ -113,7 +114,7 @@
         self._trim(now)
 
     def _measure(self, now):
-        settings, resource = self._settings, resource_level.Resource
+        settings, resource = self.settings, resource_level.Resource
         last = self._counters
         elapsed_s = max(now - last.observed_at, 0.001)
         current = self._counters = self._read_counters(now)
@@ -147,15 +148,16 @@
     @property
     def max_sockets(self):
         """Number of sockets that may be open, or None without a limit."""
-        limit = self._settings.max_descriptors
+        limit = self.settings.max_descriptors
         return None if limit is None else max(1, limit - RESERVED_DESCRIPTORS)
 
     def _update_capacity(self, resident_bytes):
-        if self._settings.memory_mb is None:
-            return
         budget = self._budget
+        if self.settings.memory_mb is None:
+            budget.capacity = None
+            return
         budget.capacity = memory_budget.compute_capacity(
-            self._settings.memory_mb * MEGABYTE,
+            self.settings.memory_mb * MEGABYTE,
             resident_bytes,
             budget.held - budget.expected,
             self._idle_bytes,
--- a/pimentowick/gateway/tests/test_memory_budget.py
+++ b/pimentowick/gateway/tests/test_memory_budget.py
@@ -163,3 +163,15 @@
     share = memory_budget.UNREAD_SHARE * budget.capacity
     assert 0.9 * share < budget.held <= share + readers * chunk
     assert budget.may_accept_body("another", 2000, ORDINARY)
+
+
+def test_callers_refused_together_return_one_after_the_other():
+    # Guards against a wave of refused bodies that returns as a wave.
+    budget = memory_budget.MemoryBudget()
+    budget.capacity = 40 * MEGABYTE
+    for _ in range(100):
+        budget.record_hold(1.0)
+    delays = [budget.refuse_body(BODY_BYTES, 10.0) for _ in range(12)]
+    assert delays == sorted(set(delays))
+    assert delays[-1] > 2 * delays[0]
+    assert budget.refuse_body(BODY_BYTES, 20.0) < 1.1 * delays[0]
--- a/pimentowick/gateway/tests/test_resource_level.py
+++ b/pimentowick/gateway/tests/test_resource_level.py
@@ -90,3 +90,15 @@
     assert not budget.is_limited
     limited, _, _, _ = make_monitor(memory_mb=160.0)
     assert limited.is_limited
+
+
+def test_changed_limits_take_effect():
+    # Guards against limits that hold until the next start.
+    monitor, budget, _, _ = make_monitor(memory_mb=1000.0)
+    monitor.settings = platform_site.make_settings("127.0.0.1:1", memory_mb=2000.0)
+    before = budget.capacity
+    monitor.observe(monitor._counters.observed_at + 1.0)
+    assert budget.capacity > before
+    monitor.settings = platform_site.make_settings("127.0.0.1:1")
+    monitor.observe(monitor._counters.observed_at + 1.0)
+    assert budget.capacity is None
