End the listener without descriptors, and bound the lines that a limit logs

Shutdown raised OSError if no descriptor could be had for a connection in the accept queue, so that nothing was drained (the new test fails so on the code before).

--- a/pimentowick/gateway/caller_connections.py
+++ b/pimentowick/gateway/caller_connections.py
@@ -19,6 +19,8 @@
 # Pause after the process ran out of descriptors. The listener stays readable, so that
 # without a pause the event loop would do nothing else.
 EXHAUSTED_PAUSE_S = 0.1
+# A flood of connections would otherwise take all lines of the log.
+MIN_LOG_INTERVAL_S = 1.0
 
 
 class AcceptingServer(web.DrainingServer):
@@ -121,6 +123,7 @@
         self.closed_idle = 0
         self._get_idle_timeout = get_idle_timeout
         self._states = {}
+        self._logged_at = float("-inf")
 
     def __len__(self):
         return len(self._states)
@@ -159,6 +162,11 @@
             state.key.stream.close()
 
     def _log_limit(self, address, decision):
+        """Log a decision with the totals so far, once a second at most."""
+        now = time.monotonic()
+        if now - self._logged_at < MIN_LOG_INTERVAL_S:
+            return
+        self._logged_at = now
         closed = decision.closed
         decision_log.log_event(
             "caller.connection_limit",
@@ -168,6 +176,8 @@
             of_caller=decision.of_caller,
             limit=self.limit.max_connections,
             closed_caller=None if closed is None else closed.address,
+            rejected=self.rejected,
+            closed=self.closed_idle,
         )
 
     def mark_idle(self, server_conn):
--- a/pimentowick/gateway/held_bytes.py
+++ b/pimentowick/gateway/held_bytes.py
@@ -57,7 +57,7 @@
     Attributes:
         budget: The `memory_budget.MemoryBudget`. It has no limit until one is set.
         ended_readers: Number of callers disconnected because they did not read.
-        paused_responses: Number of times that a response was paused.
+        paused_responses: Number of responses that were paused.
     """
 
     def __init__(self):
@@ -67,9 +67,10 @@
         self.paused_responses = 0
         self._waiting = []
         self._unread = {}
+        self._paused = set()
 
     def open(self, caller):
-        """Return an `memory_budget.Account` for a new request.
+        """Return a `memory_budget.Account` for a new request.
 
         Args:
             caller: Address of the caller.
@@ -145,9 +146,14 @@
     def close(self, exchange):
         """Release what is held for a request that has ended."""
         self._unread.pop(exchange, None)
+        self._paused.discard(exchange.account)
         exchange.account.close(time.monotonic())
 
     def _log_pause(self, event, account):
+        """Log the first pause of a response; each of its writes may pause it."""
+        if account in self._paused:
+            return
+        self._paused.add(account)
         self.paused_responses += 1
         decision_log.log_event(
             event,
--- a/pimentowick/gateway/tests/test_connection_limit.py
+++ b/pimentowick/gateway/tests/test_connection_limit.py
@@ -1,6 +1,8 @@
 import asyncio
 import errno
+import itertools
 import random
+import socket
 
 import pytest
 from tornado import httputil
@@ -176,6 +178,37 @@
     run_with(check)
 
 
+def test_listener_closes_although_descriptors_are_exhausted():
+    # Guards against a shutdown that ends with an error in place of the responses.
+    async def check(server):
+        (descriptor,) = server._server._sockets
+        listener = server._server._sockets[descriptor]
+        server._server._sockets[descriptor] = ExhaustedListener(listener, failures=1)
+        await server.stop_listening()
+        assert server._server._stopped
+
+    run_with(check)
+
+
+@pytest.mark.parametrize("at_once", [16, 128])
+def test_flood_of_connections_leaves_turns_to_other_work(at_once):
+    # Guards against readiness checks that wait until a flood has been accepted.
+    async def check(server):
+        server.connections.accepted_at_once = at_once
+        address = ("127.0.0.1", server._port)
+        callers = [socket.create_connection(address) for _ in range(200)]
+        counts = [0]
+        while counts[-1] < len(callers):
+            await asyncio.sleep(0)
+            counts.append(len(server.connections))
+        steps = [after - before for before, after in itertools.pairwise(counts)]
+        assert max(steps) <= at_once
+        for sock in callers:
+            sock.close()
+
+    run_with(check)
+
+
 @pytest.mark.parametrize("has_idle", [False, True])
 def test_target_is_not_blamed_if_no_descriptor_can_be_had(monkeypatch, has_idle):
     # Guards against targets that are paused because this entry has no descriptor.
--- a/pimentowick/gateway/tests/test_slow_readers.py
+++ b/pimentowick/gateway/tests/test_slow_readers.py
@@ -164,6 +164,8 @@
             data = await callers.read(callers.connect(), until=b"0\r\n\r\n")
             assert data.count(CHUNK) == 101
         assert callers.server.active_requests == 50
+        # Each of them is counted and logged once, however often it pauses.
+        assert callers.server.held.paused_responses <= 60
         share = memory_budget.UNREAD_SHARE * CAPACITY
         assert callers.peak_held < 2 * share
 
--- a/pimentowick/web.py
+++ b/pimentowick/web.py
@@ -1,7 +1,6 @@
 """HTTP server and base request handlers shared by the daemons."""
 
 import asyncio
-import contextlib
 import time
 
 import orjson
@@ -191,10 +190,15 @@
     """Accept the queued connections after reducing the listen backlog to 0."""
     accepted = []
     listener.listen(0)
-    with contextlib.suppress(BlockingIOError):
+    try:
         while True:
             accepted.append(listener.accept())
-    return accepted
+    except BlockingIOError:
+        return accepted
+    except OSError as error:
+        # The other clients see a reset, as without an accept queue.
+        logger.warning("web: Queued connections were not accepted: {}.", error)
+        return accepted
 
 
 class _TrackingServer(DrainingServer):
