--- a/pimentowick/gateway/caller_connections.py
+++ b/pimentowick/gateway/caller_connections.py
@@ -129,7 +129,16 @@
         return len(self._states)
 
     def set_limit(self, max_sockets):
-        """Limit the connections, given how many sockets the process may open."""
+        """Limit the connections.
+
+        Args:
+            max_sockets: Number of sockets that the process may open, or None if
+                callers' connections are not limited.
+        """
+        if max_sockets is None:
+            self.accepted_at_once = MAX_ACCEPTED_AT_ONCE
+            self.limit.max_connections = None
+            return
         self.accepted_at_once = MAX_ACCEPTED_UNDER_PRESSURE
         self.limit.max_connections = connection_limit.compute_limit(max_sockets)
 
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -195,8 +195,6 @@
             lambda: len(self._caller_server.connections) + self.pools.count_open(),
             self._traffic,
         )
-        if settings.expects_pressure and settings.max_descriptors is not None:
-            self._caller_server.connections.set_limit(self.resources.max_sockets)
         self._readiness_server = exchange.Server(
             settings.ready_address, self._answer_readiness
         )
@@ -300,6 +298,10 @@
 
     def _watch_resources(self):
         """Observe the host's resources if the settings limit any."""
+        has_pressure = self.settings.expects_pressure
+        self._caller_server.connections.set_limit(
+            self.resources.max_sockets if has_pressure else None
+        )
         if not self.resources.is_limited:
             return
         self._supervisor.start_child("resources", self.resources.run)
--- a/pimentowick/gateway/tests/test_connection_limit.py
+++ b/pimentowick/gateway/tests/test_connection_limit.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import errno
 import itertools
 import random
@@ -10,6 +11,7 @@
 from pimentowick.fakes import platform_site, replica, wait
 from pimentowick.gateway import connection_pool, exchange, upstream
 from pimentowick.gateway.policy import connection_limit
+from pimentowick.platform import node
 
 IDLE_TIMEOUT_S = 15.0
 POLL_S = 0.01
@@ -257,7 +259,7 @@
     asyncio.run(run())
 
 
-def test_limit_on_connections_needs_pressure_and_a_limit_of_the_host():
+def test_limit_on_connections_needs_pressure_and_a_limit_of_the_host(monkeypatch):
     # Guards against a change for deployments that expect no pressure.
     async def run():
         async with platform_site.open_site(max_descriptors=1675) as site:
@@ -267,5 +269,10 @@
         async with platform_site.open_site(**changes) as site:
             connections = site.gateways[0]._caller_server.connections
             assert connections.limit.max_connections == 1032
+            gateway = site.gateways[0]
+            settings = dataclasses.replace(gateway.settings, expects_pressure=False)
+            monkeypatch.setattr(node, "read_settings", lambda path: settings)
+            gateway.reload()
+            assert connections.limit.max_connections is None
 
     asyncio.run(run())
