--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -20,6 +20,7 @@
     follower,
     handover,
     health,
+    held_bytes,
     job_api,
     job_storage,
     load_report,
@@ -28,9 +29,11 @@
     peer_configuration,
     pools,
     relay,
+    resource_use,
     retention,
     runner,
     target,
+    traffic,
 )
 from pimentowick.gateway.policy import outlier_detection, quota, report_relay
 from pimentowick.platform import message, node, operator, store
@@ -74,6 +77,7 @@
         "busy",
         "configuration_old",
         "deadline_passed",
+        "no_memory",
         "quarantined",
         "rate_limit",
         "target_lost",
@@ -96,6 +100,7 @@
         self._draining = False
         self.store = store.Store(settings.store_address, STORE_TIMEOUT_S)
         self.metrics = metric.Metrics()
+        self._traffic = traffic.Traffic()
         self.configuration = follower.ConfigurationFollower()
         self.table = target.TargetTable(
             lambda removed: self.pools.remove_pool(removed),
@@ -135,6 +140,8 @@
             self.configuration,
             self.load_reporter.peers,
             self.load_reporter.performance.record_load,
+            self._traffic,
+            self.table.has_shared_hosts,
         )
         self._targets = follower.TargetFollower(self.table, self._on_capacity_change)
         self.runner = runner.Runner(
@@ -179,6 +186,14 @@
             lambda request: self._dispatcher.serve(request),
             self.configuration.get_limits,
             self._on_refused,
+            lambda request: held_bytes.find_rank(self.configuration.current, request),
+        )
+        self._caller_server.traffic = self._traffic
+        self.resources = resource_use.ResourceMonitor(
+            settings,
+            self._caller_server.held.budget,
+            lambda: len(self._caller_server.connections) + self.pools.count_open(),
+            self._traffic,
         )
         self._readiness_server = exchange.Server(
             settings.ready_address, self._answer_readiness
@@ -275,10 +290,27 @@
         self._supervisor.start_child(
             "slow callers", self._caller_server.close_slow_connections
         )
+        self._supervisor.start_child("idle connections", self.pools.close_expired)
+        self._watch_resources()
         decision_log.log_event(
             "gateway.started", host=self.settings.name, store=self.store.address
         )
 
+    def _watch_resources(self):
+        """Observe the host's resources if the settings limit any."""
+        has_pressure = self.settings.expects_pressure
+        self._caller_server.connections.set_limit(
+            self.resources.max_sockets if has_pressure else None
+        )
+        if not self.resources.is_limited:
+            return
+        self._supervisor.start_child("resources", self.resources.run)
+        self._supervisor.start_child(
+            "slow readers",
+            self._caller_server.held.end_stalled_readers,
+            lambda: self.configuration.get_limits().idle_timeout_s,
+        )
+
     def _list_servers(self):
         return (
             self._caller_server,
@@ -365,6 +397,9 @@
         changed = settings != self.settings
         self.settings = settings
         self.store.address = settings.store_address
+        if changed:
+            self.resources.settings = settings
+            self._watch_resources()
         decision_log.log_event("settings.read", changed=changed)
 
     @property
@@ -500,6 +535,27 @@
             quota_workspaces=self.quotas.count_buckets(),
             suspects=suspects,
             quarantined=quarantined,
+            host=self._collect_host_state(),
+        )
+
+    def _collect_host_state(self):
+        """Return the current `metric.HostState`."""
+        connections, held = self._caller_server.connections, self._caller_server.held
+        return metric.HostState(
+            uses=self.resources.uses,
+            levels=self.resources.levels,
+            loop_delay_s=self.resources.loop_delay_s,
+            held_bytes=held.budget.by_kind,
+            capacity_bytes=held.budget.capacity,
+            caller_connections=len(connections),
+            target_connections=self.pools.count_open(),
+            opened=self.pools.count_opened(),
+            events={
+                "response_paused": held.paused_responses,
+                "reader_ended": held.ended_readers,
+                "connection_rejected": connections.rejected,
+                "connection_closed": connections.closed_idle,
+            },
         )
 
     async def _answer_metrics(self, request):
