--- a/pimentowick/gateway/policy/overload.py
+++ b/pimentowick/gateway/policy/overload.py
@@ -45,6 +45,8 @@
 DURATION_WEIGHT = 0.3
 # Late requests get at least this share of the room in estimates of their wait.
 MIN_LATE_SHARE = 0.1
+# Standard deviations of the unseen arrivals for which slots are kept free.
+RESERVE_DEVIATIONS = 3.0
 # Requests hold a slot unevenly long; most end within this multiple of the mean.
 HOLD_MARGIN = 1.5
 # An overload that is expected and does not begin is no longer expected after this
@@ -241,13 +243,14 @@
     def count_late_starts(self, room, now):
         """Return how many late requests all entries together may start now.
 
-        Requests that arrive unseen are a Poisson number, whose standard deviation is
-        kept free beside their mean. Before an overload that is expected, no slot is
-        given to a late request that would still hold it then.
+        Requests that arrive unseen are a Poisson number. Slots for their mean and some
+        standard deviations are kept free, so that they hardly ever find too few. Before
+        an overload that is expected, no slot is given to a late request, which might
+        still hold it then.
         """
         if self.expects_overload(room.hold_s, now):
             return 0
-        reserve = room.unseen + math.sqrt(room.unseen)
+        reserve = room.unseen + RESERVE_DEVIATIONS * math.sqrt(room.unseen)
         free_slots = math.floor(room.free_slots - room.in_time - reserve)
         return max(0, min(room.late, free_slots))
 
--- a/pimentowick/gateway/tests/test_overload.py
+++ b/pimentowick/gateway/tests/test_overload.py
@@ -87,7 +87,8 @@
     # Guards against late requests that make others late.
     state = overload.OverloadState()
     room = make_room(free_slots=40, in_time=10, late=50, unseen=9.0)
-    assert state.count_late_starts(room, 0.0) == 40 - 10 - 9 - 3
+    kept_free = 9 + overload.RESERVE_DEVIATIONS * 3
+    assert state.count_late_starts(room, 0.0) == 40 - 10 - kept_free
     assert not state.count_late_starts(dataclasses.replace(room, free_slots=15), 0.0)
     assert not state.count_late_starts(dataclasses.replace(room, late=0), 0.0)
 
