Observe overloads also while nothing is queued

Cause: the room of a service was looked at only while requests were queued. An overload then ended with a later wave only, so that its duration counted the time between two waves, and the share of taken slots between overloads was sampled in overloads.

Evidence: found by reading. The test of two waves fails on the commit before (duration 0.0 s in place of 2 s: the first overload had not ended); the other new test needs the new method. The replay observed at each report and did not show it.

Change: every 0.1 s, beside the check for outliers; an end is seen before the next wave counts.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -171,6 +171,14 @@
             has_targets=bool(listed),
         )
 
+    def observe_services(self):
+        """Observe the room of services on shared hosts; call at regular intervals."""
+        now = time.monotonic()
+        for targets in self._table.list_by_service():
+            service = targets[0].registration.service if targets else ""
+            if self._table.has_shared_hosts(service):
+                self.overload.observe(self.get_room(service), service, now)
+
     def has_shared_hosts(self, service):
         """Return whether targets of a service report the slowdown of their hosts."""
         return self._table.has_shared_hosts(service)
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -408,6 +408,7 @@
             await asyncio.sleep(OUTLIER_CHECK_INTERVAL_S)
             changed = False
             self.load_reporter.performance.update_speeds(time.monotonic())
+            self.admission.observe_services()
             for targets in self.table.list_by_service():
                 ids = [listed.id for listed in targets]
                 outliers = self.outliers.find_outliers(ids)
--- a/pimentowick/gateway/overload_control.py
+++ b/pimentowick/gateway/overload_control.py
@@ -122,6 +122,11 @@
             )
         return state.is_overloaded
 
+    def observe(self, room, service, now):
+        """Observe the room of a service; called at regular intervals."""
+        self.update(room, service, now)
+        self._states[service].observe_load(room)
+
     def count_late_starts(self, room, service, now):
         """Return how many late requests all entries together may start now."""
         return self._states[service].count_late_starts(room, now)
--- a/pimentowick/gateway/policy/overload.py
+++ b/pimentowick/gateway/policy/overload.py
@@ -206,23 +206,23 @@
             slack_s: Time for which a new request may wait, in seconds.
             now: Monotonic time, in seconds.
         """
+        was_overloaded = self.is_overloaded
+        if was_overloaded and now - self._busy_at >= room.hold_s:
+            self._end()
         is_busy = room.in_time > room.free_slots
         if is_busy:
             self._busy_at = now
-        if not self.is_overloaded:
-            self._observe_load(room)
-            if is_busy and estimate_wait_s(room, room.in_time) > slack_s:
-                self._begin(now)
-                return True
-            return False
-        if now - self._busy_at < room.hold_s:
-            return False
+        wait_s = estimate_wait_s(room, room.in_time)
+        if is_busy and not self.is_overloaded and wait_s > slack_s:
+            self._begin(now)
+        return self.is_overloaded != was_overloaded
+
+    def _end(self):
         self.is_overloaded = False
         self._ended_at = self._busy_at
         self.usual_duration_s = _update_mean(
             self.usual_duration_s, self._ended_at - self._started_at
         )
-        return True
 
     def _begin(self, now):
         self.is_overloaded = True
@@ -254,8 +254,9 @@
         free_slots = math.floor(room.free_slots - room.in_time - reserve)
         return max(0, min(room.late, free_slots))
 
-    def _observe_load(self, room):
-        if room.slots:
+    def observe_load(self, room):
+        """Observe the share of the slots that is taken; call at regular intervals."""
+        if room.slots and not self.is_overloaded:
             load = 1 - min(room.free_slots, room.slots) / room.slots
             self.usual_load += LOAD_WEIGHT * (load - self.usual_load)
 
--- a/pimentowick/gateway/tests/overload_replay.py
+++ b/pimentowick/gateway/tests/overload_replay.py
@@ -279,6 +279,7 @@
         if self.way.quantile is not None:
             slack_s = OBJECTIVE_S - entry.latency.estimate(self.way.quantile)
             entry.state.update(room, slack_s, self.now)
+            entry.state.observe_load(room)
         own, own_late = self.count(entry)
         limit = batch_queue.compute_entry_share(
             room.free_slots, own, room.in_time - own, self.rng.random
--- a/pimentowick/gateway/tests/test_overload.py
+++ b/pimentowick/gateway/tests/test_overload.py
@@ -83,6 +83,12 @@
     assert [position for position, _ in order] == [3, 1, 2, 0]
 
 
+def observe_wave(state, start, duration_s=2.0, step_s=0.1):
+    """Let requests wait for longer than they may for some time."""
+    for step in range(round(duration_s / step_s) + 1):
+        state.update(make_room(in_time=60), 0.2, start + step * step_s)
+
+
 def test_late_requests_leave_room_for_those_queued_and_those_on_the_way():
     # Guards against late requests that make others late.
     state = overload.OverloadState()
@@ -98,8 +104,7 @@
     state = overload.OverloadState()
     calm = make_room(free_slots=90, in_time=0, late=50)
     for start in (0.0, 6.0, 12.0):
-        state.update(make_room(in_time=60), 0.2, start)
-        state.update(make_room(in_time=60), 0.2, start + 2.0)
+        observe_wave(state, start)
         state.update(calm, 0.2, start + 3.0)
         assert not state.is_overloaded
     assert state.count_late_starts(calm, 15.2) > 0
@@ -119,6 +124,32 @@
     assert state.update(make_room(free_slots=50, in_time=0), 0.2, 5.0)
 
 
+def test_overload_ends_although_nothing_is_queued():
+    # Guards against one overload from the first wave to the last, since nobody looks
+    # at the room of a service without a queue.
+    async def run():
+        controller, _, _ = make_admission(slots=2)
+        control = controller.overload
+        for _ in range(200):
+            control.record_hold(SERVICE, 0.01)
+        began_at = time.monotonic() - 1.0
+        control.update(make_room(in_time=60), SERVICE, began_at)
+        assert control.update(make_room(in_time=60), SERVICE, began_at + 0.1)
+        controller.observe_services()
+        assert not control.update(controller.get_room(SERVICE), SERVICE, began_at + 1.0)
+
+    asyncio.run(run())
+
+
+def test_next_wave_is_an_overload_of_its_own():
+    # Guards against a duration that counts the time between two waves.
+    state = overload.OverloadState()
+    for start in (0.0, 6.0, 12.0):
+        observe_wave(state, start)
+    assert state.usual_duration_s == pytest.approx(2.0)
+    assert state.usual_calm_s == pytest.approx(4.0)
+
+
 def test_refusals_do_not_flap_with_each_report():
     # Guards against callers of one moment that are refused and let in by turns.
     state = overload.OverloadState()
