--- a/pimentowick/gateway/policy/overload.py
+++ b/pimentowick/gateway/policy/overload.py
@@ -48,6 +48,8 @@
 DURATION_WEIGHT = 0.3
 # Late requests get at least this share of the room in estimates of their wait.
 MIN_LATE_SHARE = 0.1
+# Standard deviations of the unseen arrivals for which slots are kept free.
+RESERVE_DEVIATIONS = 3.0
 # Requests hold a slot unevenly long; most end within this multiple of the mean.
 HOLD_MARGIN = 1.5
 # An overload that is expected and does not begin is no longer expected after this
@@ -240,23 +242,23 @@
             slack_s: Time for which a new request may wait, in seconds.
             now: Monotonic time, in seconds.
         """
+        was_overloaded = self.is_overloaded
+        if was_overloaded and now - self._busy_at >= room.hold_s:
+            self._end()
         is_busy = room.in_time > room.free_slots
         if is_busy:
             self._busy_at = now
-        if not self.is_overloaded:
-            self._observe_load(room)
-            if is_busy and estimate_wait_s(room, room.in_time) > slack_s:
-                self._begin(now)
-                return True
-            return False
-        if now - self._busy_at < room.hold_s:
-            return False
+        wait_s = estimate_wait_s(room, room.in_time)
+        if is_busy and not self.is_overloaded and wait_s > slack_s:
+            self._begin(now)
+        return self.is_overloaded != was_overloaded
+
+    def _end(self):
         self.is_overloaded = False
         self._ended_at = self._busy_at
         self.usual_duration_s = _update_mean(
             self.usual_duration_s, self._ended_at - self._started_at
         )
-        return True
 
     def _begin(self, now):
         self.is_overloaded = True
@@ -277,18 +279,20 @@
     def count_late_starts(self, room, now):
         """Return how many late requests all entries together may start now.
 
-        Requests that arrive unseen are a Poisson number, whose standard deviation is
-        kept free beside their mean. Before an overload that is expected, no slot is
-        given to a late request that would still hold it then.
+        Requests that arrive unseen are a Poisson number. Slots for their mean and some
+        standard deviations are kept free, so that they hardly ever find too few. Before
+        an overload that is expected, no slot is given to a late request, which might
+        still hold it then.
         """
         if self.expects_overload(room.hold_s, now):
             return 0
-        reserve = room.unseen + math.sqrt(room.unseen)
+        reserve = room.unseen + RESERVE_DEVIATIONS * math.sqrt(room.unseen)
         free_slots = math.floor(room.free_slots - room.in_time - reserve)
         return max(0, min(room.late, free_slots))
 
-    def _observe_load(self, room):
-        if room.slots:
+    def observe_load(self, room):
+        """Observe the share of the slots that is taken; call at regular intervals."""
+        if room.slots and not self.is_overloaded:
             load = 1 - min(room.free_slots, room.slots) / room.slots
             self.usual_load += LOAD_WEIGHT * (load - self.usual_load)
 
