Leave targets alone that work far too slowly

Callers saw: a target that turns several times slower keeps its slots for seconds, and each entry sends it requests until its own responses end. Outlier detection counts failures alone.

They rest for 2 s, twice as long each time, at most a fifth of the targets at once, ejected ones included. After its return a target needs new responses to rest again, and gets requests in proportion to its speed. The pace of a stream is also taken once its objective has passed, since a slow response ends seconds later. What a target says of itself plays no part. For services on shared hosts alone.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -172,6 +172,7 @@
             self.metrics,
             self.crash_guard,
             self.load_reporter.performance,
+            self.load_reporter.slow_targets,
         )
         jobs = job_api.JobApi(self.storage, lambda: self.ownership.is_cut_off)
         self._caller_server = exchange.Server(
@@ -419,6 +420,7 @@
                     failures = outliers.get(listed.id, 0.0)
                     decision_log.log_event(event, target=listed.id, bad=failures)
                     changed = True
+            changed |= self.load_reporter.slow_targets.update(time.monotonic())
             if changed:
                 self._on_capacity_change()
 
@@ -491,6 +493,7 @@
             waiting=sum(map(self.admission.count_waiting, services)),
             targets=len(self.table.by_id),
             ejected=sum(listed.ejected for listed in self.table.by_id.values()),
+            slow=sum(listed.is_slow for listed in self.table.by_id.values()),
             open_jobs=len(self.storage.job_table.open_jobs),
             open_requests=self._caller_server.active_requests,
             store_calls=self.store.calls,
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -21,7 +21,7 @@
 
 import orjson
 
-from pimentowick.gateway import decision_log, performance
+from pimentowick.gateway import decision_log, performance, slow_target_monitor
 from pimentowick.gateway.policy import report_relay
 from pimentowick.routing import quarantine
 
@@ -103,6 +103,7 @@
         build_crash_report: Function that returns this entry's `quarantine.Report`.
         merge_crash_report: Function called with that of another entry.
         performance: `pimentowick.gateway.performance.PerformanceMonitor`.
+        slow_targets: `pimentowick.gateway.slow_target_monitor.SlowTargetMonitor`.
         peers_pending: Weight of the batch items queued at other entries, by service.
     """
 
@@ -133,6 +134,9 @@
         self.build_crash_report = quarantine.Report
         self.merge_crash_report = lambda report: None
         self.performance = performance.PerformanceMonitor(table)
+        self.slow_targets = slow_target_monitor.SlowTargetMonitor(
+            table, self.performance, outliers.failure_domain
+        )
         self.peers_pending = collections.Counter()
 
     async def start(self):
@@ -173,6 +177,7 @@
         if peer is not None:
             self._update_load(peer, {}, {}, {})
             self._outliers.update_peer(address, "", {})
+            self.slow_targets.merge_report(address, {})
 
     def schedule_report(self):
         """Send a report soon, because the load of this entry has changed."""
@@ -292,6 +297,7 @@
             "crashes": crashes.crashes,
             "voided": crashes.voided,
             "speeds": self.performance.build_report(time.monotonic()),
+            "overdue": self.slow_targets.build_report(time.monotonic()),
         }
 
     def _send(self, data):
@@ -435,6 +441,7 @@
         self._quotas.merge_report(address, taken, self.get_limit, now)
         self.merge_crash_report(crashes)
         self.performance.merge_report(address, report.get("speeds", {}), now)
+        self.slow_targets.merge_report(address, report.get("overdue", {}))
         return changed
 
     def error_received(self, exc):
@@ -453,6 +460,7 @@
                 # A restart after its clock was set back begins with a lower number.
                 peer.sequence_number = 0
                 self.performance.remove_peer(peer.address)
+                self.slow_targets.merge_report(peer.address, {})
             if now - peer.last_heard_at > PEER_EXPIRY_S:
                 self.peers.pop(peer.address)
                 self._relay.remove(peer.address)
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -28,6 +28,7 @@
         waiting: Online requests queued at this entry.
         targets: Number of listed targets.
         ejected: Number of targets ejected by outlier detection.
+        slow: Number of targets that get no new work because they are too slow.
         open_jobs: Number of jobs with unfinished items.
         open_requests: Number of callers' requests being answered.
         store_calls: Number of calls to the store by name.
@@ -45,6 +46,7 @@
     waiting: int
     targets: int
     ejected: int
+    slow: int
     open_jobs: int
     open_requests: int
     store_calls: dict
@@ -128,7 +130,7 @@
             "pimentowick_gateway_waiting_requests", "Online requests that wait here."
         )
         self._targets = self._make_gauge(
-            "pimentowick_gateway_targets", "Targets by state: listed, ejected."
+            "pimentowick_gateway_targets", "Targets by state: listed, ejected, slow."
         )
         self._open_jobs = self._make_gauge(
             "pimentowick_gateway_open_jobs", "Jobs with items that may still run."
@@ -209,6 +211,7 @@
         self._waiting.set({}, state.waiting)
         self._targets.set({"state": "listed"}, state.targets)
         self._targets.set({"state": "ejected"}, state.ejected)
+        self._targets.set({"state": "slow"}, state.slow)
         self._quarantine.set({"state": "suspect"}, state.suspects)
         self._quarantine.set({"state": "quarantined"}, state.quarantined)
         self._open_jobs.set({}, state.open_jobs)
--- a/pimentowick/gateway/policy/outlier_detection.py
+++ b/pimentowick/gateway/policy/outlier_detection.py
@@ -105,16 +105,26 @@
             now: Monotonic time, in seconds.
         """
         now = time.monotonic() if now is None else now
-        ranked = []
+        counts = self.count_failures(targets, now)
+        ranked = sorted(((n, key) for key, n in counts.items()), reverse=True)
+        limit = int(MAX_EJECTED_SHARE * len(targets)) or int(len(targets) > 1)
+        return {target_id: failures for failures, target_id in ranked[:limit]}
+
+    def count_failures(self, targets, now):
+        """Return the number of failures of each target above the thresholds.
+
+        Args:
+            targets: Identifiers of all targets of the service.
+            now: Monotonic time, in seconds.
+        """
+        counts = {}
         for target_id in self._list_suspects(now).intersection(targets):
             failures = max(
                 self._count_failures(target_id, now, near) for near in (True, False)
             )
             if failures:
-                ranked.append((failures, target_id))
-        ranked.sort(reverse=True)
-        limit = int(MAX_EJECTED_SHARE * len(targets)) or int(len(targets) > 1)
-        return {target_id: failures for failures, target_id in ranked[:limit]}
+                counts[target_id] = failures
+        return counts
 
     def _list_suspects(self, now):
         found = {key for _, report in self._peers.values() for key in report}
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -1,6 +1,7 @@
 """Relay of online requests to targets, with retries at other targets."""
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 import functools
@@ -61,9 +62,20 @@
         metrics: `pimentowick.gateway.metric.Metrics`.
         crash_guard: `pimentowick.gateway.crash_guard.SharedCrashGuard`.
         performance: `pimentowick.gateway.performance.PerformanceMonitor`.
+        slow_targets: `pimentowick.gateway.slow_target_monitor.SlowTargetMonitor`.
     """
 
-    def __init__(self, admission, get_pool, health, metrics, crash_guard, performance):
+    def __init__(
+        self,
+        admission,
+        get_pool,
+        health,
+        metrics,
+        crash_guard,
+        performance,
+        slow_targets,
+    ):
+        self._slow_targets = slow_targets
         self._crash_guard = crash_guard
         self._performance = performance
         self._admission = admission
@@ -121,6 +133,7 @@
         self._admission = relay._admission
         self._crash_guard = relay._crash_guard
         self._performance = relay._performance
+        self._slow_targets = relay._slow_targets
         self._get_pool = relay._get_pool
         self._health = relay._health
         self._metrics = relay._metrics
@@ -302,8 +315,11 @@
         sink = self._sink
         events_before = sink.events
         loop = asyncio.get_running_loop()
-        with self._health.watch_for_silence(
-            target, self._route.objective_s, lambda: sink.status, loop.call_later
+        with (
+            self._health.watch_for_silence(
+                target, self._route.objective_s, lambda: sink.status, loop.call_later
+            ),
+            self._watch_for_slow_target(sink, loop.call_later),
         ):
             try:
                 outcome = await self._get_pool(target).send(request, sink)
@@ -321,6 +337,17 @@
             self._crash_guard.record_survival(self._fingerprint)
         return outcome
 
+    def _watch_for_slow_target(self, sink, call_later):
+        if self._route.kind != route.Kind.STREAM:
+            return contextlib.nullcontext()
+        return self._slow_targets.watch(
+            self._slot,
+            self._route.name,
+            self._route.objective_s,
+            lambda: sink.event_times,
+            call_later,
+        )
+
     def _record_performance(self, target, outcome):
         now = time.monotonic()
         if outcome.end != upstream.End.COMPLETE or outcome.status != 200:
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -64,6 +64,8 @@
         paused_until: Monotonic time until which it gets no new work.
         failures: Number of consecutive failed connections.
         ejected: Whether outlier detection has ejected it.
+        is_slow: Whether it gets no new work for a while because it works far too
+            slowly.
         pace: The `target_speed.PaceEstimate` of this run.
         relative_speed: Estimated speed of this run, in shares of the usual speed of
             its service.
@@ -85,6 +87,7 @@
         self.paused_until = 0.0
         self.failures = 0
         self.ejected = False
+        self.is_slow = False
         self.pace = target_speed.PaceEstimate()
         self.relative_speed = 1.0
         self.slowdown = 1.0
@@ -178,6 +181,7 @@
         return (
             not self.is_removed
             and not self.ejected
+            and not self.is_slow
             and not self.registration.is_draining
             and now >= self.paused_until
         )
