Place items where they finish by their due time; preempt what loses least

Change: on shared hosts an item goes, among the targets at which it can still finish by its due time, where most slots are unused, and to any other if none of these has room. Preempted is first what has the fewest events here, last what is due soon and would miss it. `bench_routing` measures one choice by delay.

--- a/benchmarks/bench_routing.py
+++ b/benchmarks/bench_routing.py
@@ -13,6 +13,8 @@
 import time
 
 from pimentowick.external import hosts
+from pimentowick.gateway import target as gateway_target
+from pimentowick.gateway.policy import delay_choice
 from pimentowick.membership import fleet, pool
 from pimentowick.membership import peer as membership_peer
 from pimentowick.placement import plan
@@ -241,6 +243,28 @@
     return (time.perf_counter() - started_at) / CHOICES * 1e6
 
 
+def measure_delay_choice(count):
+    """Return microseconds of one choice by expected delay among `count` targets."""
+    rng = random.Random(5)
+    targets = []
+    for index in range(count):
+        registration = gateway_target.Registration(
+            f"t{index}", "lm", "127.0.0.1", 1, DOMAINS[index % len(DOMAINS)], 8
+        )
+        listed = gateway_target.Target(registration)
+        listed.peers_online = rng.randrange(9)
+        listed.relative_speed = rng.choice((0.4, 1.0, 2.0))
+        listed.record_slowdown(rng.choice((1.0, 2.5)), 0.0)
+        targets.append(listed)
+    targets = tuple(targets)
+    choice = delay_choice.LeastDelayChoice()
+    situation = delay_choice.Situation(0.05, DOMAINS[0])
+    started_at = time.process_time()
+    for _ in range(CHOICES):
+        choice.choose(targets, situation, rng)
+    return (time.process_time() - started_at) / CHOICES * 1e6
+
+
 def measure_policies(prompts):
     """Return name, cache hit ratio and p95 of max/mean requests in flight by policy."""
     makers = {
@@ -341,6 +365,11 @@
     passed &= costs[1900] < MAX_CHOICE_US
     passed &= costs[1900] < MAX_CHOICE_GROWTH * costs[100]
 
+    delay_costs = {count: measure_delay_choice(count) for count in (20, 320, 1900)}
+    for count, cost in delay_costs.items():
+        print(f"one choice by delay among {count:5} targets: {cost:7.1f} us")
+    passed &= delay_costs[1900] < MAX_CHOICE_GROWTH * delay_costs[20]
+
     rows = measure_policies(make_prompts(REQUESTS, 1))
     print(f"\n{'policy':14} {'hits':>6} {'max/mean in flight, p95':>24}")
     for name, hits, imbalance in rows:
--- a/pimentowick/gateway/policy/delay_choice.py
+++ b/pimentowick/gateway/policy/delay_choice.py
@@ -19,6 +19,10 @@
     A slot that this entry released within the propagation delay is known to no other
     entry, so that nobody else sends a request there.
 
+    Batch items go where most slots are unused among the targets at which they can still
+    finish by their due time. If fast targets were preferred for all items, those of
+    online requests would have to be preempted more often.
+
     Only a bounded number of targets, from a random place of the table, is considered,
     so that the cost of a choice does not grow with their number.
 
@@ -41,6 +45,7 @@
     "Selection",
     "Situation",
     "SlotChoice",
+    "choose_for_item",
     "estimate_delay",
 ]
 
@@ -221,6 +226,28 @@
     )
 
 
+def choose_for_item(targets, now, failure_domain, remaining_s, due_in_s):
+    """Return the target for a batch item, or None if none has an unused slot.
+
+    Args:
+        targets: Sequence of the targets of the service.
+        now: Monotonic time, in seconds.
+        failure_domain: Failure domain of this entry.
+        remaining_s: Expected run time at a target of the usual speed.
+        due_in_s: Time until the item is due, in seconds.
+    """
+    timely = [
+        target
+        for target in targets
+        if remaining_s <= due_in_s * _estimate_speed(target, now)
+    ]
+    for group in (timely, targets):
+        chosen = target_choice.choose_for_batch(group, now, failure_domain)
+        if chosen is not None:
+            return chosen
+    return None
+
+
 def estimate_delay(candidate, situation, expected_arrivals):
     """Return the seconds until the first event, or the response, at a target.
 
@@ -280,11 +307,11 @@
         if not target.is_usable(now):
             continue
         peers_running += target.peers_online
-        room = target.slots - target.total_online
+        room = target.registration.slots - target.online - target.peers_online
         if room <= 0 or target.id in situation.avoid:
             continue
         speed = _estimate_speed(target, now)
-        unused = room - target.total_batch
+        unused = room - target.batch - target.peers_batch
         private = min(room, target.count_private_slots(since))
         candidates.append(Candidate(target, speed, room, unused, private))
     # By Little's law, the arrival rate is that of the running requests that end.
--- a/pimentowick/gateway/policy/preemption.py
+++ b/pimentowick/gateway/policy/preemption.py
@@ -9,7 +9,10 @@
 
 from pimentowick import rendezvous
 
-__all__ = ["count_preemptions"]
+__all__ = ["count_preemptions", "order_by_loss"]
+
+# An item with less than this multiple of its remaining time left is preempted last.
+DUE_SOON_FACTOR = 2.0
 
 
 def count_preemptions(target, own, peers):
@@ -38,3 +41,23 @@
             return share
         excess -= share
     return 0
+
+
+def order_by_loss(items, now):
+    """Return the items at a target, those first that lose least by a preemption.
+
+    An item reads its prompt and its events again when it resumes. One that is due soon
+    might not finish in time; one that is late already has nothing more to lose.
+
+    Args:
+        items: Objects with `due_at` (Unix time, in seconds), `remaining_s` (estimated
+            remaining run time, in seconds) and `events_generated`.
+        now: Unix time, in seconds.
+    """
+
+    def make_sort_key(item):
+        left_s = item.due_at - now
+        is_due_soon = item.remaining_s < left_s < DUE_SOON_FACTOR * item.remaining_s
+        return is_due_soon, item.events_generated
+
+    return sorted(items, key=make_sort_key)
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -16,6 +16,7 @@
 )
 from pimentowick.gateway.policy import (
     batch_queue,
+    delay_choice,
     preemption,
     service_time,
     target_choice,
@@ -183,8 +184,7 @@
             target = runs[0].target
             peers = self.load_reporter.get_peer_batch_counts(target.id)
             count = preemption.count_preemptions(target, self._name, peers)
-            runs.sort(key=lambda run: run.events_generated)
-            for run in runs[:count]:
+            for run in self._order_preemptions(runs)[:count]:
                 self._metrics.count_item("preempted")
                 decision_log.log_request_event(
                     "item.preempted",
@@ -198,6 +198,11 @@
                 )
                 self._cancel(run)
 
+    def _order_preemptions(self, runs):
+        if self._table.has_shared_hosts(runs[0].service):
+            return preemption.order_by_loss(runs, time.time())
+        return sorted(runs, key=lambda run: run.events_generated)
+
     def _reconcile_runs(self):
         """Reconcile the runs with the job table and the owned partitions."""
         seen = set()
@@ -392,9 +397,7 @@
         for run in ready:
             if not startable[run.service] or self._hold_quarantined(run, now):
                 continue
-            target = target_choice.choose_for_batch(
-                self._table.list_targets(run.service), now, self._failure_domain
-            )
+            target = self._choose_target(run, now)
             if target is None:
                 startable[run.service] = 0
                 continue
@@ -403,6 +406,19 @@
             self._next_start_at = now + self.load_reporter.propagation_delay_s
             self._start(run, target)
 
+    def _choose_target(self, run, now):
+        if self._table.has_shared_hosts(run.service):
+            return delay_choice.choose_for_item(
+                self._table.get_targets(run.service),
+                now,
+                self._failure_domain,
+                run.remaining_s,
+                run.due_at - time.time(),
+            )
+        return target_choice.choose_for_batch(
+            self._table.list_targets(run.service), now, self._failure_domain
+        )
+
     def _start(self, run, target):
         decision_log.log_request_event(
             "item.sent",
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -116,6 +116,8 @@
         Other entries do not know yet that these are free.
         """
         released = self._released_at
+        if not released:
+            return 0
         while released and released[0] < since:
             released.pop(0)
         return len(released)
