Send a retry on at once, and bound the requests expected of others

Read, not seen: a request that lost its target was held back like a newcomer where few slots are free, and then sent to any target, the failed one included. And an entry whose own requests fail at once takes the moment for which they held their slots for the usual hold time, so that it expects far more requests of others than there are, and sends none.

Change: a retry isn't held back; the hold time counts as no shorter than the propagation delay, so that no more requests are expected than run now. Both tests fail without it.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -275,12 +275,16 @@
         return slot
 
     def _describe_situation(self, slot_request, avoid, now):
+        delay_s = self._get_propagation_delay_s()
+        hold_s = self.mean_hold_s.get(slot_request.service, INITIAL_HOLD_S)
         return delay_choice.Situation(
             now,
             self._failure_domain,
             frozenset(avoid),
-            self.mean_hold_s.get(slot_request.service, INITIAL_HOLD_S),
-            self._get_propagation_delay_s(),
+            # Failed requests hold slots for a moment only. Taken for the usual time,
+            # it would mean far more requests of other entries than there are.
+            max(hold_s, delay_s),
+            delay_s,
             is_stream=slot_request.cost.prompt_tokens > 0,
         )
 
--- a/pimentowick/gateway/policy/delay_choice.py
+++ b/pimentowick/gateway/policy/delay_choice.py
@@ -14,7 +14,7 @@
     and takes the one with the least expected delay, so that entries with the same news
     do not all choose the same target. If fewer slots are free than requests are
     expected, only as many requests are sent as there are slots, and the others wait in
-    the queues of the entries.
+    the queues of the entries. A request that lost its target does not.
 
     A slot that this entry released within the propagation delay is known to no other
     entry, so that nobody else sends a request there.
@@ -195,7 +195,8 @@
     def _choose_from(self, sample, situation, rng):
         private = [each for each in sample.candidates if each.private]
         shared_room = sum(each.room - each.private for each in sample.candidates)
-        if shared_room < rng.random() * sample.expected_sends:
+        is_retry = bool(situation.avoid)
+        if not is_retry and shared_room < rng.random() * sample.expected_sends:
             drawn = private
         else:
             domain = situation.failure_domain
--- a/pimentowick/gateway/tests/test_delay_choice.py
+++ b/pimentowick/gateway/tests/test_delay_choice.py
@@ -159,6 +159,37 @@
     assert 0 < sent < 100
 
 
+def test_request_that_lost_its_target_is_sent_to_another_one_at_once():
+    # Guards against a retry at the target that failed, because no other is chosen.
+    targets = make_targets(20)
+    for listed in targets:
+        listed.peers_online = 7
+    rng = random.Random(1)
+    choice = delay_choice.LeastDelayChoice()
+    situation = make_situation(propagation_delay_s=0.3)
+    sent = [choice.choose(targets, situation, rng) for _ in range(100)]
+    assert None in sent
+    retry = dataclasses.replace(situation, avoid=frozenset({"t0"}))
+    sent = [choice.choose(targets, retry, rng) for _ in range(100)]
+    assert all(selection.target.id != "t0" for selection in sent)
+
+
+def test_short_holds_of_failed_requests_do_not_keep_requests_waiting():
+    # Guards against an entry whose own requests fail at once and which then takes the
+    # requests of others for too many to send any.
+    async def run():
+        controller, table = make_admission(is_shared=True)
+        controller.mean_hold_s[SERVICE] = 1e-9
+        for listed in table.by_id.values():
+            listed.peers_online = 2
+        # As many requests of others as run now may end and begin in the meantime.
+        slots = [controller.try_acquire(make_slot_request()) for _ in range(12)]
+        assert None not in slots
+
+    random.seed(1)
+    asyncio.run(run())
+
+
 def test_wait_grows_with_expected_arrivals_and_shrinks_with_speed():
     # Guards against a sign or a unit that is wrong in the estimate.
     (listed,) = make_targets(1)
