Count only responses after its return against a slow target

Read, not seen: requests that a slow target still had when it was left alone end during its rest. They counted as new responses, so that it rested anew, and twice as long, for what it got before. The weight of its estimate is now taken at its return.

--- a/pimentowick/gateway/policy/slow_target.py
+++ b/pimentowick/gateway/policy/slow_target.py
@@ -69,14 +69,14 @@
     Attributes:
         until: Monotonic time until which it gets no new work.
         count: Number of times that it was found slow in close succession.
-        weight: Weight of its estimate when it was found slow.
-        found_at: Monotonic time of that.
+        returned_at: Monotonic time of its return, or None before.
+        weight: Weight of its estimate then.
     """
 
     until: float
     count: int
-    weight: float
-    found_at: float
+    returned_at: float | None = None
+    weight: float = 0.0
 
 
 class SlowTargets:
@@ -94,6 +94,7 @@
             ejected: Number of targets that get no new work for other reasons.
         """
         self._remove_old(observations, now)
+        self._record_returns(observations, now)
         resting = {key for key, each in self._records.items() if now < each.until}
         limit = int(MAX_SHARE * len(observations)) or int(len(observations) > 1)
         free = limit - ejected - len(resting)
@@ -101,7 +102,7 @@
             if free <= 0:
                 break
             if key not in resting:
-                self._rest(key, observations[key], now)
+                self._rest(key, now)
                 resting.add(key)
                 free -= 1
         return frozenset(resting)
@@ -124,18 +125,24 @@
 
     def _has_new_evidence(self, key, observations, now):
         record = self._records.get(key)
-        if record is None or observations[key].overdue:
-            return True
-        age_s = now - record.found_at
         observed = observations[key]
+        if record is None or record.returned_at is None or observed.overdue:
+            return True
+        age_s = now - record.returned_at
         expected = record.weight * 0.5 ** (age_s / observed.half_life_s)
         return observed.weight >= expected + MIN_NEW_WEIGHT
 
-    def _rest(self, key, observed, now):
+    def _rest(self, key, now):
         record = self._records.get(key)
         count = 1 if record is None else record.count + 1
         rest_s = min(MAX_TIME_S, BASE_TIME_S * 2 ** (count - 1))
-        self._records[key] = _Record(now + rest_s, count, observed.weight, now)
+        self._records[key] = _Record(now + rest_s, count)
+
+    def _record_returns(self, observations, now):
+        for key, record in self._records.items():
+            if record.returned_at is None and now >= record.until:
+                record.returned_at = now
+                record.weight = observations[key].weight
 
     def _remove_old(self, observations, now):
         for key, record in list(self._records.items()):
