--- a/pimentowick/gateway/policy/slow_target.py
+++ b/pimentowick/gateway/policy/slow_target.py
@@ -8,8 +8,8 @@
     The choice of a target gives slow targets fewer requests, in proportion to their
     speed (see `pimentowick.gateway.policy.delay_choice`). This is enough for targets
     that are slow by nature or for a moment. A target is left alone if it is slower than
-    the spread of its service explains, or if first events are overdue there at several
-    entries. If many are, the service is overloaded and none is left alone.
+    the spread of its service explains, or if several first events are overdue there. If
+    they are at many targets, the service is overloaded and none is left alone for it.
 
     A target is left alone for a fixed time, longer each time it is found slow again,
     and then gets requests in proportion to its speed. Only responses after its return
