--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -501,6 +501,7 @@
             quota_workspaces=self.quotas.count_buckets(),
             suspects=suspects,
             quarantined=quarantined,
+            workspaces=self.admission.sharing.collect_workspaces(),
         )
 
     async def _answer_metrics(self, request):
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -37,6 +37,8 @@
         quota_workspaces: Number of workspaces with an active token bucket.
         suspects: Number of requests under which targets crashed lately.
         quarantined: Number of those that run only as trials.
+        workspaces: A `pimentowick.gateway.queue_sharing.WorkspaceState` for each busy
+            workspace of the services that share one queue, the busiest first.
     """
 
     ages_s: dict
@@ -54,6 +56,7 @@
     quota_workspaces: int
     suspects: int
     quarantined: int
+    workspaces: list
 
 
 class Metrics:
@@ -95,6 +98,19 @@
             "Refused requests by workspace and code, the first workspaces by name.",
         )
         self._named_workspaces = set()
+        self._workspace_waiting = self._make_gauge(
+            "pimentowick_gateway_workspace_waiting_requests",
+            "Online requests that wait here by workspace, the busiest by name.",
+        )
+        self._workspace_served = self._make_counter(
+            "pimentowick_gateway_workspace_served_total",
+            "Online requests that got a slot here by workspace, the busiest by name.",
+        )
+        self._workspace_room = self._make_gauge(
+            "pimentowick_gateway_workspace_room_share",
+            "Part of the slots held at all entries by workspace, the busiest by name.",
+        )
+        self._shown_workspaces = set()
         self._quota_share = self._make_gauge(
             "pimentowick_gateway_quota_share",
             "Which part of each workspace's limit is refilled here.",
@@ -221,6 +237,24 @@
             labels = {"call": name, "direction": direction}
             self._advance(self._store_bytes, labels, count)
         self._advance(self._dropped_lines, {}, state.dropped_lines)
+        self._set_workspaces(state.workspaces)
+
+    def _set_workspaces(self, states):
+        """Set the gauges of the busiest workspaces by name, and of the rest as one."""
+        rows = {name: (0, 0, 0.0) for name in self._shown_workspaces}
+        for state in states:
+            is_known = state.name in self._shown_workspaces
+            if not is_known and len(self._shown_workspaces) < MAX_NAMED_WORKSPACES:
+                self._shown_workspaces.add(state.name)
+                is_known = True
+            name = state.name if is_known else OTHER_WORKSPACES
+            row = (state.waiting, state.served, state.room_share)
+            known = rows.get(name, (0, 0, 0.0))
+            rows[name] = tuple(map(sum, zip(known, row, strict=True)))
+        for name, (waiting, served, room_share) in rows.items():
+            self._workspace_waiting.set({"workspace": name}, waiting)
+            self._workspace_served.add({"workspace": name}, served)
+            self._workspace_room.set({"workspace": name}, room_share)
 
     def _advance(self, counter, labels, total):
         """Advance a counter to a total that is counted elsewhere."""
--- a/pimentowick/gateway/policy/fair_share.py
+++ b/pimentowick/gateway/policy/fair_share.py
@@ -54,6 +54,8 @@
 WORK_HALF_LIFE_S = 2.0
 MIN_TOLD_WORK = 0.1
 MAX_SCALE = 1024.0
+# Work of this age is forgotten; larger powers of two would overflow.
+MAX_HALF_LIVES = 64.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -220,8 +222,8 @@
         """Decay the granted work to a time; clocks that go back are ignored."""
         if self._scaled_at is None:
             self._scaled_at = now
-        elapsed_s = max(0.0, now - self._scaled_at)
-        self._scale = 2.0 ** (elapsed_s / WORK_HALF_LIFE_S)
+        half_lives = max(0.0, now - self._scaled_at) / WORK_HALF_LIFE_S
+        self._scale = 2.0 ** min(MAX_HALF_LIVES, half_lives)
         if self._scale > MAX_SCALE:
             self._rescale(now)
 
--- a/pimentowick/gateway/queue_sharing.py
+++ b/pimentowick/gateway/queue_sharing.py
@@ -34,7 +34,8 @@
     Attributes:
         name: Its name.
         waiting: Number of its requests queued at this entry.
-        served: Number of its requests that got a slot at this entry.
+        served: Number of its requests that got a slot at this entry since the last
+            call of `QueueSharing.collect_workspaces`.
         held: Slots that it holds at all entries, as far as they are known.
         room_share: Part of the slots held by all workspaces.
     """
@@ -258,9 +259,11 @@
         """Remove an entry with all that it told."""
         self.merge_report(address, {}, time.monotonic())
 
-    def list_workspaces(self):
+    def collect_workspaces(self):
         """Return a `WorkspaceState` for each busy workspace, the busiest first."""
         waiting, held = collections.Counter(), collections.Counter()
+        served, self._served = self._served, collections.Counter()
+        held.update(dict.fromkeys(served, 0.0))
         for queue in self._services.values():
             for name in queue.shares.list_workspaces():
                 held[name] += queue.shares.get_usage(name).held
@@ -271,7 +274,7 @@
             WorkspaceState(
                 name,
                 waiting[name],
-                self._served[name],
+                served[name],
                 held[name],
                 held[name] / total,
             )
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -46,6 +46,22 @@
     assert len(changes) == 2
 
 
+def test_shares_of_a_peer_are_told_and_removed_with_it():
+    # Guards against the work of a peer that counts after the peer is gone.
+    load_reporter, _, queue, _ = make_load_reporter()
+    rows = {"work": {"w": [3, 1]}, "queue": [[[0, 0], 0, 0, 1]]}
+    data = {"from": "other:2", "number": 1, "shares": {"s": rows}}
+    load_reporter.datagram_received(orjson.dumps(data), ("other", 2))
+    (state,) = queue.sharing.collect_workspaces()
+    assert (state.name, state.held) == ("w", 3.0)
+    report = queue.sharing.build_report(0.0)
+    assert report == {}
+    garbled = data | {"number": 2, "shares": {"s": {"work": {"w": ["x", 1]}}}}
+    load_reporter.datagram_received(orjson.dumps(garbled), ("other", 2))
+    load_reporter.remove("other:2")
+    assert queue.sharing.collect_workspaces() == []
+
+
 def test_load_reported_before_a_target_is_listed_is_applied():
     # Other entries use a new target before this one lists it, and their reports stay
     # unchanged for seconds while batch items run there.
