--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -158,6 +158,7 @@
             self.crash_guard,
         )
         self.runner.load_reporter = self.load_reporter
+        self.runner.batch_capacity.estimate_sends = self.admission.estimate_sends
         self.ownership = ownership.Ownership(
             self.store,
             # The owner's name is the same after a restart, so that the entry gets its
@@ -540,6 +541,7 @@
             suspects=suspects,
             quarantined=quarantined,
             host=self._collect_host_state(),
+            workspaces=self.admission.sharing.collect_workspaces(),
         )
 
     def _collect_host_state(self):
