--- a/pimentowick/gateway/tests/virtual_fleet.py
+++ b/pimentowick/gateway/tests/virtual_fleet.py
@@ -143,6 +143,8 @@
         slots=8,
         sheds=True,
     ):
+        # The choice of a target draws from the module's generator.
+        random.seed(seed)
         self.rng = random.Random(seed)
         self.arrivals = random.Random(seed + 1000)
         self.is_shared = make_shares is not None
