--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -173,6 +173,7 @@
         if peer is not None:
             self._update_load(peer, {}, {}, {})
             self._outliers.update_peer(address, "", {})
+            self._quotas.remove_peer(address)
 
     def schedule_report(self):
         """Send a report soon, because the load of this entry has changed."""
--- a/pimentowick/gateway/tests/test_neighbour.py
+++ b/pimentowick/gateway/tests/test_neighbour.py
@@ -102,6 +102,15 @@
     assert not load_reporter.peers
 
 
+def test_removed_neighbour_is_not_counted_as_silent():
+    # Limits of workspaces would be divided as in a partition.
+    load_reporter, *_ = make_load_reporter()
+    receive_report(load_reporter, 1, {"t": [1, 0]})
+    assert set(load_reporter._quotas._peers_heard_at) == {"other:2"}
+    load_reporter.remove("other:2")
+    assert not load_reporter._quotas._peers_heard_at
+
+
 @pytest.mark.parametrize("jobs", [1, 6])
 def test_batch_items_yield_to_the_requests_of_another_entry(jobs):
     # All slots of a target run batch items, of one entry or of two, and online requests
--- a/pimentowick/gateway/tests/test_quota.py
+++ b/pimentowick/gateway/tests/test_quota.py
@@ -256,3 +256,87 @@
     fleet.partition(4.0, [index + 1 if index < 11 else 0 for index in range(33)])
     fleet.run({"hot": 380.0}, 12.0, {"hot": limit})
     assert fleet.count_max_in_window("hot") <= 1.1 * count_allowed(limit) + 20
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_large_hot_workspace_is_limited_as_a_cut_begins_at_any_moment(seed):
+    # Whether isolated entries have tokens or a debt when the partition begins depends
+    # on the moment. Reports are lost as well.
+    limit = quota.Limit(rate_per_s=44.0, burst=44.0)
+    fleet = Fleet(quota.SharedQuota, 33, loss=0.05, seed=seed)
+    fleet.partition(4.0, [index + 1 if index < 11 else 0 for index in range(33)])
+    fleet.run({"hot": 380.0}, 12.0, {"hot": limit})
+    assert fleet.count_max_in_window("hot") <= 1.1 * count_allowed(limit) + 20
+
+
+def make_quota_in_touch(members=4):
+    """Return a quota that has heard all other entries since time 0, and its time."""
+    limiter = quota.SharedQuota()
+    limiter.update_member_counts(members, members)
+    now = 0.0
+    for step in range(1, 21):
+        now = step * 0.2
+        report_of_peers(limiter, members, now)
+    return limiter, now
+
+
+def report_of_peers(limiter, members, now, rows=()):
+    for number in range(1, members):
+        limiter.merge_report(f"e{number}", dict(rows), lambda name: LIMIT, now)
+
+
+def count_admitted(limiter, now):
+    """Take tokens until a request is refused."""
+    for admitted in range(100):
+        if limiter.take("w", LIMIT, now):
+            return admitted
+    raise AssertionError("no limit")
+
+
+def test_isolated_entry_refills_only_its_share_before_it_detects_the_partition():
+    # Each isolated entry would admit the whole limit until the timeout of its peers.
+    limiter, now = make_quota_in_touch(members=5)
+    count_admitted(limiter, now)
+    gained = 0.6 * LIMIT.rate_per_s / 5
+    admitted = sum(count_admitted(limiter, now + step * 0.05) for step in range(1, 13))
+    # One request may be admitted before the reports that refill it arrive.
+    assert admitted <= gained + quota.MAX_ADVANCE
+
+
+def test_entry_that_hears_a_lost_report_later_refills_in_full():
+    # Otherwise each lost report would refuse requests within the limit.
+    limiter, now = make_quota_in_touch()
+    count_admitted(limiter, now)
+    report_of_peers(limiter, 4, now + 0.8)
+    assert count_admitted(limiter, now + 0.8) >= 0.8 * LIMIT.rate_per_s
+
+
+def test_idle_workspace_does_not_get_the_whole_burst_at_an_isolated_entry():
+    # A workspace that begins to send amid a partition has a full bucket everywhere.
+    limiter, now = make_quota_in_touch(members=5)
+    assert count_admitted(limiter, now + quota.SILENCE_S + 0.1) == 1
+
+
+def test_removed_entry_does_not_reduce_the_burst():
+    # An entry that stops as planned is no sign of a partition.
+    limiter, now = make_quota_in_touch(members=2)
+    limiter.remove_peer("e1")
+    limiter.update_member_counts(1, 1)
+    assert count_admitted(limiter, now + quota.SILENCE_S + 0.1) == LIMIT.burst
+
+
+def test_debt_of_a_hot_workspace_is_divided_among_partitioned_entries():
+    # An isolated entry that paid off the debt of all would refuse for many seconds.
+    limiter, now = make_quota_in_touch(members=5)
+    count_admitted(limiter, now)
+    limiter.merge_report("e1", {"w": (int(now), 10, 0)}, lambda name: LIMIT, now)
+    limiter.update_member_counts(5, 1)
+    # A fifth of ten tokens and one request, at a fifth of the rate.
+    assert limiter.take("w", LIMIT, now) == pytest.approx((10 / 5 + 1) / 1.0)
+
+
+def test_silence_of_many_entries_is_forgotten():
+    # Entries come and go; what is known of them must not accumulate.
+    limiter, now = make_quota_in_touch(members=300)
+    limiter.take("w", LIMIT, now + 60.0)
+    assert not limiter._peers_heard_at
