Make the jobs of an entry unreadable before it starts, in the test of refused jobs

What was seen: test_job_is_refused_while_not_all_jobs_are_read got 202 in place of 503 in one of four runs of the suite.

Cause: the test, not the feed. An entry is ready before it begins to read its jobs. The test took the store away from the feed once the entry was ready; a first read under way by then held the real store, ended, and set the end that the test had cleared.

Ruled out: a fault of `gateway/feed.py`. Nothing outside of tests clears `Feed.end` or replaces the store of a feed.

Change: an entry is started whose feed of jobs has had the unreadable store from the start (`Site.start_entry` takes a function that prepares the entry), and the test checks as well that the feed has no end after the refusal. All former checks stay.

--- a/pimentowick/fakes/platform_site.py
+++ b/pimentowick/fakes/platform_site.py
@@ -130,10 +130,17 @@
         for _ in range(self._entries):
             await self.start_entry()
 
-    async def start_entry(self, settings=None):
-        """Start another entry, by default with new addresses, and wait until ready."""
+    async def start_entry(self, settings=None, prepare=None):
+        """Start another entry, by default with new addresses, and wait until ready.
+
+        Args:
+            settings: Its `node.NodeSettings`.
+            prepare: Function called with the entry before it starts.
+        """
         settings = settings or make_settings(self.store.address, **self._changes)
         gateway = daemon.Gateway(settings, metrics_port=find_free_port())
+        if prepare is not None:
+            prepare(gateway)
         await gateway.start()
         self.gateways.append(gateway)
         await wait.wait_for(lambda: self._is_ready(gateway), WAIT_S, POLL_S)
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -318,19 +318,22 @@
 
 def test_job_is_refused_while_not_all_jobs_are_read():
     # An entry is ready for online requests before all jobs are loaded; the quota cannot
-    # be checked yet.
+    # be checked yet. The jobs are unreadable from the start, so that no read is under
+    # way.
     async def check(site):
-        gateway = site.gateways[0]
+        def make_jobs_unreadable(gateway):
+            gateway.storage.accepted.feed.store = UnreadableStore()
+
+        gateway = await site.start_entry(prepare=make_jobs_unreadable)
         followed = gateway.storage.accepted.feed
-        reachable, followed.store = followed.store, UnreadableStore()
-        followed.end = None
         assert gateway.is_ready
-        answer = await submit(site, make_body(1))
+        answer = await submit(site, make_body(1), entry=1)
         assert answer.status == 503
         assert orjson.loads(answer.body)["error"]["verdict"] == "not_run"
-        followed.store = reachable
+        assert followed.end is None
+        followed.store = gateway.store
         await wait.wait_for(lambda: followed.end is not None, 20, 0.01)
-        assert (await submit(site, make_body(1))).status == 202
+        assert (await submit(site, make_body(1), entry=1)).status == 202
 
     run_with([replica.Replica()], check)
 
