--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -180,6 +180,7 @@
             self._admission.overload.remove_peer(address)
             self._admission.sharing.remove_peer(address)
             self.slow_targets.merge_report(address, {})
+            self._quotas.remove_peer(address)
 
     def schedule_report(self):
         """Send a report soon, because the load of this entry has changed."""
