--- a/pimentowick/gateway/tests/virtual_fleet.py
+++ b/pimentowick/gateway/tests/virtual_fleet.py
@@ -131,6 +131,8 @@
     Attributes:
         results: Lists of outcomes by workspace: the wait for the first event in
             seconds, or None if the request is not served.
+        starts: The time and the workspace of each request that got a slot.
+        known_at_start: Online requests that its entry knew of at the target then.
     """
 
     def __init__(
@@ -143,6 +145,7 @@
         slots=8,
         sheds=True,
     ):
+        random.seed(seed)
         self.rng = random.Random(seed)
         self.arrivals = random.Random(seed + 1000)
         self.is_shared = make_shares is not None
@@ -159,6 +162,7 @@
         self.released = asyncio.Condition()
         self.results = collections.defaultdict(list)
         self.starts = []
+        self.known_at_start = []
         self.entries = [Entry(self, number) for number in range(count)]
 
     async def play(self, rates, duration_s, get_factor=lambda at: 1.0, choose=None):
@@ -192,6 +196,7 @@
         waited_s = None
         slot = await self.acquire(entry, request)
         if slot is not None:
+            self.known_at_start.append(slot.online_at_start)
             self.starts.append((asyncio.get_running_loop().time(), workspace))
             await self.hold(slot)
             waited_s = slot.first_event_at - now
