Tell the entry that an item was stopped because its lease expired

What was seen: test_completion.py::test_two_owners_at_once, rarely and beside load: the job was not completed at the second owner 20 s after the claim, after the agents had stopped its items as its lease expired.

Cause: an agent that stops the items of an expired lease closed their connections. The entry took each for a failure of the target: it ejected the agents and put the items among those that run alone on an idle engine, and all other items of the job waited for these.

Ruled out: nothing else was traced; why leases expire beside load was not (one event loop runs all processes of the test).

Items of cancelled jobs and closed connections are handled as before.

The new test failed on the former code.

--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -225,8 +225,16 @@
                 holder,
                 len(items),
             )
+        # Without a reason, the entry would take the items for the cause of a failure.
+        refusal = verdict.Refusal(
+            409,
+            "lease_lapsed",
+            "The lease has lapsed while the item ran.",
+            verdict.Verdict.MAY_HAVE_RUN,
+            retry_after=0.1,
+        )
         for request_handler in items:
-            request_handler.cancel()
+            request_handler.cancel(refusal)
 
     async def _send_keepalives(self):
         while True:
--- a/pimentowick/agent/handler.py
+++ b/pimentowick/agent/handler.py
@@ -43,6 +43,7 @@
         super().initialize(agent)
         self.work = None
         self._task = None
+        self._stop_refusal = None
         self._no_line_sent = False
         self._flushing = False
 
@@ -62,14 +63,22 @@
         try:
             await self._task
         except asyncio.CancelledError:
-            # The request was cancelled, so the response is left without a last line
-            # and the entry treats it as truncated.
-            self.request.connection.close()
+            self._end_cancelled()
         except iostream.StreamClosedError:
             return
         finally:
             self.agent.running.discard(self)
 
+    def _end_cancelled(self):
+        if self._stop_refusal is None:
+            # The response is left without a last line, and the entry treats it as
+            # truncated.
+            self.request.connection.close()
+            return
+        self._record_refusal(self._stop_refusal)
+        self.write(self.work.make_refusal(self._stop_refusal))
+        self.finish()
+
     async def _run(self, work):
         try:
             lines = work.run(self.agent.target, self.agent.admission)
@@ -105,9 +114,15 @@
             self.flush()
         self._no_line_sent = True
 
-    def cancel(self):
-        """Cancel the request."""
+    def cancel(self, refusal=None):
+        """Cancel the request.
+
+        Args:
+            refusal: `pimentowick.verdict.Refusal` that tells the entry why; None to
+                close the connection.
+        """
         if self._task is not None:
+            self._stop_refusal = refusal
             self._task.cancel()
 
     def on_connection_close(self):
--- a/pimentowick/batch/item.py
+++ b/pimentowick/batch/item.py
@@ -12,6 +12,8 @@
 ITEM_DEADLINE_S = 3600.0
 # Statuses caused by the item itself; every target would answer the same.
 NON_RETRYABLE_STATUSES = frozenset([400, 404, 413, 422])
+# Reasons for which a working agent stops an item that has begun.
+STOP_CODES = frozenset(["lease_lapsed"])
 
 
 class Outcome(enum.Enum):
@@ -20,7 +22,7 @@
     DONE = "done"
     """The item has a final result, either success or failure."""
     NOT_RUN = "not_run"
-    """The target did not run the item; it can be retried elsewhere."""
+    """The target did not run the item, or stopped it; it can be retried elsewhere."""
     TARGET_FAILED = "lost"
     """The target or the connection failed while the item was running."""
 
@@ -122,7 +124,7 @@
 def _classify_refusal(body, refusal):
     if refusal.status in NON_RETRYABLE_STATUSES:
         return Result(Outcome.DONE, "failed", make_failure(body, refusal), refusal)
-    if refusal.verdict is verdict.Verdict.NOT_RUN:
+    if refusal.verdict is verdict.Verdict.NOT_RUN or refusal.code in STOP_CODES:
         return Result(Outcome.NOT_RUN, refusal=refusal)
     return Result(Outcome.TARGET_FAILED, refusal=refusal)
 
--- a/pimentowick/entry/tests/test_completion.py
+++ b/pimentowick/entry/tests/test_completion.py
@@ -12,6 +12,7 @@
 
 SMALL_RECORDS = {"platform": {"log_record_bytes": 4096}}
 RETENTION_S = 5.0
+LM_AGENTS = ("agent-lm-0", "agent-lm-1")
 SHORT_RETENTION = {
     "entry_settings": {"platform": {"log_retention_s": RETENTION_S}},
     "log_settings": {"retention_s": RETENTION_S},
@@ -146,6 +147,41 @@
     durability.run(check, engine_settings={"base_step_ms": 10})
 
 
+def test_items_stopped_as_a_lease_expires_are_not_run_alone():
+    """The lease of a job's owner expires and the agents stop its items. If these were
+    taken for the cause of a failure, they would run one by one before all others.
+    """
+
+    async def check(fleet):
+        answer = await fleet.submit(embedded.make_job_lines(200, 8), "k")
+        job_id = answer.decode()["id"]
+        name = await fleet.wait_for(lambda: durability.find_owner(fleet, job_id))
+        owner = fleet.entries[name]
+        starts = []
+        start = owner.dispatcher._start
+
+        def record_start(active_job, item, peer, solo):
+            starts.append(solo)
+            start(active_job, item, peer, solo)
+
+        owner.dispatcher._start = record_start
+        agents = [a for a in fleet.agents.values() if a.settings.name in LM_AGENTS]
+        await fleet.wait_for(lambda: all(len(a.running) > 1 for a in agents))
+        for agent in agents:
+            stopped = list(agent.running)
+            agent.leases._leases[owner.owner].expires_at = 0.0
+            for holder in agent.leases.pop_expired():
+                agent._cancel_batch_items(holder)
+            await fleet.wait_for(
+                lambda agent=agent, stopped=stopped: agent.running.isdisjoint(stopped)
+            )
+        await durability.check_results(fleet, job_id, 200, 8)
+        assert not any(starts)
+        assert owner.fleet.ejections == 0
+
+    durability.run(check, engine_settings={"base_step_ms": 20})
+
+
 def test_record_of_a_stale_owner_lands_after_the_next_claim():
     """Delayed results of a superseded owner are appended after the claim of the next
     owner, but before its results. They must be fenced.
