--- a/pimentowick/gateway/policy/batch_headroom.py
+++ b/pimentowick/gateway/policy/batch_headroom.py
@@ -35,7 +35,7 @@
 COVERED_SHARE = 0.75
 MIN_SIMILAR = 10
 # Items with less slack do not wait for the end of a wave of some seconds.
-URGENT_SLACK_S = 3.0
+URGENT_SLACK_S = 6.0
 # Deviations of a Poisson variable within which two loads count as similar, and beyond
 # which a change is not random.
 SIMILAR_DEVIATIONS = 1.5
