--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -71,6 +71,8 @@
 CLEANUP_INTERVAL_S = 5.0
 # Shorter than the interval at which entries exchange their outcome counts.
 OUTLIER_CHECK_INTERVAL_S = 0.1
+# Entries tell each other the pace of new responses every half second.
+SPEED_CHECK_INTERVAL_S = 0.3
 # Refusals that are logged with their inputs where they are decided.
 LOGGED_CODES = frozenset(
     {
@@ -441,10 +443,15 @@
 
     async def _eject_outliers(self):
         """Eject and readmit targets by their failure counts, until cancelled."""
+        speeds_due_at = time.monotonic()
         while True:
             await asyncio.sleep(OUTLIER_CHECK_INTERVAL_S)
             changed = False
-            self.load_reporter.performance.update_speeds(time.monotonic())
+            now = time.monotonic()
+            if now >= speeds_due_at:
+                speeds_due_at = now + SPEED_CHECK_INTERVAL_S
+                self.load_reporter.performance.update_speeds(now)
+                changed = self.load_reporter.slow_targets.update(now)
             self.admission.observe_services()
             for targets in self.table.list_by_service():
                 ids = [listed.id for listed in targets]
@@ -457,7 +464,6 @@
                     failures = outliers.get(listed.id, 0.0)
                     decision_log.log_event(event, target=listed.id, bad=failures)
                     changed = True
-            changed |= self.load_reporter.slow_targets.update(time.monotonic())
             if changed:
                 self._on_capacity_change()
 
