Let the soak and a test of a whole entry run the decisions for shared hosts

Cause: no fake replica reported a load, so that neither the soak nor a test over real connections turned on what depends on it; three policies were named by no test of their own.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -56,6 +56,8 @@
             run.
         crashes: Number of crashes.
         on_crash: Function called after a crash with the previous identifier.
+        slowdown: Slowdown of a shared host that responses report, in percent of the
+            usual time; None for a host of its own.
     """
 
     def __init__(self, replica_id="i-1", events=3, event_interval_s=0.0, slots=8):
@@ -75,6 +77,7 @@
         self.crash_bodies = set()
         self.crashes = 0
         self.on_crash = lambda previous_id: None
+        self.slowdown = None
         self._first_id = replica_id
 
     def crash_under_request(self):
@@ -150,6 +153,9 @@
         self.set_header(HEADER_PREFIX + "Request-Id", request_id)
         if behaviour.kind != "unsigned":
             self.set_header(HEADER_PREFIX + "Server-Stamp", self.server.id)
+        if self.server.slowdown is not None:
+            load = (self.server.running, 0, self.server.slots, self.server.slowdown)
+            self.set_header(HEADER_PREFIX + "Server-Load", ",".join(map(str, load)))
         if behaviour.kind in ("fail", "impossible"):
             self.set_status(500 if behaviour.kind == "fail" else 422)
             return
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -132,7 +132,7 @@
     Args:
         run: The `Run`.
         target: The `pimentowick.gateway.target.Target`.
-        pool: The `upstream.Pool` of the target.
+        pool: The `connection_pool.Pool` of the target.
 
     Returns:
         The `upstream.Outcome` and the `Sink`.
--- a/pimentowick/gateway/policy/request_cost.py
+++ b/pimentowick/gateway/policy/request_cost.py
@@ -1,4 +1,9 @@
-"""What a request takes of a target: tokens and body bytes."""
+"""What a request takes of a target: tokens and body bytes.
+
+Notes:
+    Load pattern: requests of one service differ by many times in the time for which
+    they hold a slot, so that counting them says little about the work.
+"""
 
 import dataclasses
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -58,7 +58,7 @@
 
     Args:
         admission: `pimentowick.gateway.admission.Admission`.
-        get_pool: Function that returns the `upstream.Pool` of a `target.Target`.
+        get_pool: Function that returns the `connection_pool.Pool` of a `target.Target`.
         health: `pimentowick.gateway.health.Health`.
         metrics: `pimentowick.gateway.metric.Metrics`.
         crash_guard: `pimentowick.gateway.crash_guard.SharedCrashGuard`.
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -55,7 +55,7 @@
         failure_domain: Failure domain of this entry.
         storage: `pimentowick.gateway.job_storage.JobStorage`.
         table: `pimentowick.gateway.target.TargetTable`.
-        get_pool: Function from a target to its `upstream.Pool`.
+        get_pool: Function from a target to its `connection_pool.Pool`.
         health: `pimentowick.gateway.health.Health`.
         get_configuration: Function that returns the current configuration, or None.
         partition_count: Number of job partitions.
--- a/pimentowick/gateway/tests/test_target_speed.py
+++ b/pimentowick/gateway/tests/test_target_speed.py
@@ -1,11 +1,14 @@
 """Tests of the estimates of target speeds and of their exchange between entries."""
 
+import asyncio
 import math
 import random
 
 import pytest
 
+from pimentowick.fakes import platform_site, replica
 from pimentowick.gateway import performance, target
+from pimentowick.gateway.policy import target_speed
 
 SERVICE = "s"
 ROUTE = "r"
@@ -172,3 +175,39 @@
     monitor.update_speeds(1.0)
     assert not monitor.build_report(1.0)
     assert table.by_id["t0"].get_effective_speed(1.0) == 1.0
+
+
+def test_estimate_survives_a_clock_that_goes_back():
+    # Guards against weights that grow, or are lost, as a suspended host wakes.
+    estimate = target_speed.PaceEstimate()
+    estimate.record(1.0, 3, now=100.0)
+    estimate.decay(50.0)
+    assert estimate.weight == 3.0
+    assert target_speed.decay_slowdown(2.5, -60.0) == 2.5
+
+
+@pytest.mark.parametrize("slowdown", [None, 250])
+def test_load_that_a_response_reports_is_recorded(slowdown):
+    # Guards against a header that is decoded and read by nobody, and against a change
+    # for targets that report no slowdown.
+    server = replica.Replica()
+    server.slowdown = slowdown
+    route = platform_site.make_route("/chat/", "stream")
+
+    async def run():
+        async with platform_site.open_site([server], [route]) as site:
+            answer = await site.call(
+                "POST",
+                "/chat/1",
+                b"hello",
+                X_Pimentowick_Request_Id="r1",
+                X_Pimentowick_Deadline_Ms="4000",
+            )
+            assert answer.status == 200
+            (gateway,) = site.gateways
+            listed = gateway.table.by_id[server.id]
+            is_shared = gateway.table.has_shared_hosts(platform_site.SERVICE)
+            assert is_shared == (slowdown is not None)
+            assert listed.slowdown == (2.5 if slowdown else 1.0)
+
+    asyncio.run(run())
--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -101,10 +101,12 @@
         directory: Directory of settings and log files.
         gateways: Number of gateways.
         replicas: Number of replicas.
+        slowdown: Slowdown that replicas report, in percent; None if they report none.
     """
 
-    def __init__(self, directory, gateways=3, replicas=3):
+    def __init__(self, directory, gateways=3, replicas=3, slowdown=None):
         self._directory = directory
+        self._slowdown = slowdown
         self._gateway_count = gateways
         self.store = platform_store.PlatformStore()
         self.replicas = [
@@ -119,6 +121,8 @@
         await self.client.start()
         await self.store.start()
         for each in self.replicas:
+            # Turns on the decisions for services on shared hosts.
+            each.slowdown = self._slowdown
             await each.start()
             self.store.put("keyed.servers", each.id, each.make_registration("lm"))
         routes = [
--- a/pimentowick/soak/run.py
+++ b/pimentowick/soak/run.py
@@ -23,6 +23,8 @@
 CALLER_COUNT = 6
 REQUEST_INTERVAL_S = 0.05
 EVENTS_PER_RESPONSE = 12
+# Work on the hosts of replicas takes the usual time.
+USUAL_PERCENT = 100
 EXPECTED_BODY = "".join(
     f"id: {n}\ndata: word {n}\n\n" for n in range(1, EVENTS_PER_RESPONSE + 1)
 ).encode()
@@ -51,7 +53,10 @@
 class _Soak:
     def __init__(self, seed, directory):
         self.rng = random.Random(seed)
-        self.fleet = fleet.Fleet(directory)
+        # Odd seeds run the decisions for services on shared hosts.
+        self.fleet = fleet.Fleet(
+            directory, slowdown=USUAL_PERCENT if seed % 2 else None
+        )
         self.findings = Findings(seed)
         self.refused = set()
         self.at_most_once = set()
