Refuse a queued stream before its caller leaves without a first event

Callers abandon a stream without a first event after two seconds, or four times its objective, and late requests of services on shared hosts waited up to their deadline less a hold time.

Ruled out: hosts that stand still (front-hal-a-2 answered others; the waits are those of late requests). Change: such a stream leaves the queue at its caller's patience less the usual time to the first event, with its refusal and when to come back. The new test failed before (3.5 s where 3.0 are allowed) and passes.

--- a/pimentowick/gateway/policy/overload.py
+++ b/pimentowick/gateway/policy/overload.py
@@ -30,6 +30,7 @@
     "OverloadState",
     "Prospect",
     "Room",
+    "compute_patience_s",
     "compute_room_per_s",
     "estimate_wait_s",
     "is_late",
@@ -38,6 +39,10 @@
     "select_eligible",
 ]
 
+# Callers abandon a stream without a first event after this time, or after this multiple
+# of its objective if that is longer.
+MIN_PATIENCE_S = 2.0
+PATIENCE_FACTOR = 4.0
 # Start tag up to which a workspace is within its share.
 FULL_SHARE_TAG = 1.0
 # Refusals begin when the expected wait reaches the time left, and end at this share.
@@ -115,6 +120,18 @@
     return excess / compute_room_per_s(room)
 
 
+def compute_patience_s(objective_s):
+    """Return how long a caller of a stream waits for the first event, in seconds.
+
+    Callers abandon a stream then, also if their deadline is much later.
+
+    Examples:
+        >>> compute_patience_s(0.3), compute_patience_s(1.0)
+        (2.0, 4.0)
+    """
+    return max(MIN_PATIENCE_S, PATIENCE_FACTOR * objective_s)
+
+
 def is_late(slot_request, now):
     """Return whether a request cannot start in time any more.
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -231,10 +231,15 @@
             slot_request.workspace, self._service, received_at
         )
         hold_s = self._admission.get_mean_hold_s(self._service)
+        wait_deadline = max(slot_request.wait_deadline, self._deadline_at - hold_s)
+        if self._route.kind == route.Kind.STREAM:
+            patience_s = overload.compute_patience_s(objective_s)
+            leaves_at = received_at + patience_s - latency_s
+            wait_deadline = min(wait_deadline, leaves_at)
         return dataclasses.replace(
             slot_request,
             start_deadline=objective_at - latency_s,
-            wait_deadline=max(slot_request.wait_deadline, self._deadline_at - hold_s),
+            wait_deadline=wait_deadline,
             objective_at=objective_at,
             is_return=self._first_at is not None,
         )
--- a/pimentowick/gateway/tests/test_overload_site.py
+++ b/pimentowick/gateway/tests/test_overload_site.py
@@ -7,7 +7,7 @@
 
 from pimentowick.fakes import platform_site, replica, wait
 from pimentowick.gateway import history
-from pimentowick.gateway.policy import retry_budget
+from pimentowick.gateway.policy import overload, retry_budget
 
 ROUTE = platform_site.make_route("/chat/", "stream", resumable=True)
 SERVICE = platform_site.SERVICE
@@ -191,3 +191,24 @@
     text = history.explain([history.Line("front", data)], [])
     assert "turned away again (expected_wait)" in text
     assert said in text
+
+
+def test_queued_stream_is_refused_before_its_caller_leaves():
+    # Guards against callers that wait without an answer, and leave, long before their
+    # deadline.
+    waits_s = []
+
+    async def run():
+        async with open_full_site() as (site, _, _):
+            (gateway,) = site.gateways
+
+            async def give_up(slot_request, avoid=frozenset()):
+                waits_s.append(slot_request.wait_deadline - slot_request.objective_at)
+
+            gateway.admission.wait_for_slot = give_up
+            answer = await send(site, "late", deadline_ms=20_000)
+            assert answer.status == 503
+
+    asyncio.run(run())
+    objective_s = ROUTE["slo_ms"] / 1000
+    assert 0 < waits_s[0] <= overload.compute_patience_s(objective_s) - objective_s
