Log the software version of targets and which streams callers take up

Callers got events of two software versions in one stream. The logs could not tell a stream that an entry goes on with from one that its caller takes up elsewhere, nor from a stale registration: versions were not decoded, and the caller's last event and first attempt were not logged. Registrations now hold the version, None where it is missing or malformed; nothing is decided by it yet. Ruled out: a field in the metrics, as a version is no bounded label.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -41,6 +41,7 @@
         events: Number of events of a stream; 0 responds without a stream.
         event_interval_s: Pause before each event, in seconds.
         slots: Number of slots that the replica registers.
+        version: Version of its software that it registers; None registers none.
 
     Attributes:
         planned_behaviours: `Behaviour` of each of the next requests; later ones are
@@ -60,12 +61,15 @@
             usual time; None for a host of its own.
     """
 
-    def __init__(self, replica_id="i-1", events=3, event_interval_s=0.0, slots=8):
+    def __init__(
+        self, replica_id="i-1", events=3, event_interval_s=0.0, slots=8, version="v1"
+    ):
         super().__init__()
         self.id = replica_id
         self.events = events
         self.event_interval_s = event_interval_s
         self.slots = slots
+        self.version = version
         self.planned_behaviours = []
         self.runs = collections.Counter()
         self.headers = []
@@ -98,7 +102,9 @@
 
     def make_registration(self, service, **changes):
         """Return the record with which the replica registers itself."""
+        version = {} if self.version is None else {"version": self.version}
         return {
+            **version,
             "service": service,
             "address": self.address,
             "zone": "here",
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -108,6 +108,7 @@
                 "target.listed",
                 target=record.key,
                 service=registration.service,
+                version=registration.software_version,
                 leaving=registration.is_draining,
                 slots=registration.slots,
             )
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -23,6 +23,8 @@
 MAX_REFUSALS = 4
 # A trial that another entry starts is decided by then.
 MIN_QUARANTINE_RETRY_S = 0.5
+# Callers choose the identifiers of their attempts.
+MAX_LOGGED_CHARS = 64
 # No attempt starts with less time than this before the deadline.
 MIN_ATTEMPT_S = 0.03
 
@@ -388,12 +390,15 @@
             kind=self._route.kind,
             attempt=self._progress.attempts + 1,
             target=target.id,
+            version=target.registration.software_version,
             online=self._slot.online_at_start,
             batch=self._slot.batch_at_start,
             slots=target.slots,
             waited_s=self._sent_at - self._exchange.received_at,
             left_s=remaining_s,
             resumed_at=resume_after,
+            resumed_by_caller=self._call.last_event or None,
+            first_attempt=self._call.first_attempt[:MAX_LOGGED_CHARS] or None,
             **_describe_selection(self._slot.selection),
         )
         sink = self._sink
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -425,6 +425,7 @@
             run.item.id,
             job=run.job.id,
             target=target.id,
+            version=target.registration.software_version,
             online=target.total_online,
             batch=target.total_batch,
             slots=target.slots,
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -21,6 +21,7 @@
         is_draining: Whether it gets no new work because it is about to stop.
         started_ms: Unix time of its start, in milliseconds. The identifier alone does
             not distinguish two runs.
+        software_version: Version of its software, or None if unknown.
     """
 
     id: str
@@ -31,6 +32,7 @@
     slots: int
     is_draining: bool = False
     started_ms: int = 0
+    software_version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -40,6 +40,7 @@
 PROMPT_PREFIX = "X-Pimentowick-Prompt-Prefix"
 MAX_WAIT = "X-Pimentowick-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 AUTHORIZATION = "Authorization"
 SCHEME = "Token"
 # A workspace is called a tenant on the wire.
@@ -91,6 +92,8 @@
         deadline_s: Seconds until the client gives up, or None.
         wait_s: Seconds for which a long poll may be held.
         last_event: Id of the event after which a stream resumes, or "".
+        first_attempt: Identifier of the attempt that brought the first event of the
+            stream that resumes, or "".
         key: API key of the caller's workspace; None if the request has no Authorization
             header, "" if the header is malformed.
         cost: What the request takes of a target, as far as its headers tell.
@@ -100,6 +103,7 @@
     deadline_s: float | None
     wait_s: float
     last_event: str
+    first_attempt: str = ""
     key: str | None = dataclasses.field(default=None, repr=False)
     cost: request_cost.Cost = dataclasses.field(default_factory=request_cost.Cost)
 
@@ -145,6 +149,7 @@
         deadline_s=None if deadline is None else deadline / 1000,
         wait_s=0.0 if wait is None else wait / 1000,
         last_event=headers.get(LAST_EVENT_ID, ""),
+        first_attempt=headers.get(RESUMES, ""),
         key=_decode_key(headers),
         cost=_decode_cost(headers),
     )
--- a/pimentowick/platform/operator.py
+++ b/pimentowick/platform/operator.py
@@ -23,6 +23,8 @@
 CONFIGURATION_TOPIC = store.make_topic_name("op")
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = store.make_topic_name("servers")
+# Bounds what entries remember of each stream.
+MAX_VERSION_CHARS = 64
 KINDS = {
     "idempotent": route.Kind.IDEMPOTENT,
     "non_idempotent": route.Kind.ONCE,
@@ -92,6 +94,8 @@
     slots: int = 1
     state: str = "ready"
     born: int = 0
+    # Version of its software. Other writers may leave it out or use another type.
+    version: object = None
 
 
 def decode_configuration(value):
@@ -186,4 +190,18 @@
         slots=data.slots,
         is_draining=data.state == "draining",
         started_ms=data.born,
+        software_version=_read_version(data.version),
     )
+
+
+def _read_version(value):
+    """Return a software version, or None if it is missing or malformed.
+
+    Examples:
+        >>> _read_version("v1.2")
+        'v1.2'
+        >>> _read_version(2), _read_version(""), _read_version("v" * 100)
+        (None, None, None)
+    """
+    is_valid = isinstance(value, str) and 0 < len(value) <= MAX_VERSION_CHARS
+    return value if is_valid else None
