Add failing tests of streams that go on at another software version

An entry goes on with a stream at any target, a caller that takes a stream up at another entry is served by any target, a stream of unknown origin too, and an item's text is continued at any version.

--- /dev/null
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -0,0 +1,275 @@
+"""Streams that go on while replicas of several software versions serve."""
+
+import asyncio
+import contextlib
+
+import orjson
+import pytest
+
+from pimentowick import client as http_client
+from pimentowick.fakes import platform_site, replica, wait
+
+STREAM = platform_site.make_route("/chat/", "stream", resumable=True)
+ROUTES = [STREAM]
+EVENTS = 4
+STREAMS = 6
+WAIT_S = 10.0
+POLL_S = 0.01
+FIRST_EVENTS = b"data: word 2\n\n"
+
+
+class Attempt:
+    """A request whose response is read up to some bytes, and then given up."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, site, request_id, entry=0):
+        address = site.gateways[entry].settings.callers_address
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = [
+            "POST /chat/1 HTTP/1.1",
+            f"Host: {platform_site.HOST}",
+            f"X-Pimentowick-Request-Id: {request_id}",
+            "X-Pimentowick-Deadline-Ms: 8000",
+            "Content-Length: 0",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        return cls(reader, writer)
+
+    async def read_until(self, expected):
+        async with asyncio.timeout(WAIT_S):
+            return await self._reader.readuntil(expected)
+
+    def close(self):
+        self._writer.close()
+
+
+async def send(site, request_id, entry=0, **headers):
+    return await site.call(
+        "POST",
+        "/chat/1",
+        b"",
+        entry,
+        X_Pimentowick_Request_Id=request_id,
+        X_Pimentowick_Deadline_Ms="4000",
+        **headers,
+    )
+
+
+async def take_up(site, first_attempt, request_id, entry=1, last_event="2"):
+    """Take a stream up as its caller does after a broken connection."""
+    return await send(
+        site, request_id, entry, Last_Event_Id=last_event, Resumes=first_attempt
+    )
+
+
+def make_replicas(*versions, **options):
+    return [
+        replica.Replica(f"i-{n}", events=EVENTS, version=version, **options)
+        for n, version in enumerate(versions, 1)
+    ]
+
+
+def list_resumed(servers):
+    """Return the versions of the replicas at which streams went on, by run."""
+    return [
+        server.version
+        for server in servers
+        for headers in server.headers
+        if "Last-Event-Id" in headers
+    ]
+
+
+def count_runs(servers):
+    return sum(sum(server.runs.values()) for server in servers)
+
+
+async def begin_streams(site, servers):
+    """Begin streams at the first entry at replicas that hold their last event."""
+    attempts = [await Attempt.open(site, f"a{n}") for n in range(STREAMS)]
+    for attempt in attempts:
+        await attempt.read_until(FIRST_EVENTS)
+    for server in servers:
+        server.holds_last_event = False
+    return attempts
+
+
+def test_entry_continues_a_stream_only_at_the_version_that_began_it():
+    # A target crashes midway, and most of the others run another version.
+    servers = make_replicas("v1", "v1", "v2", "v2", "v2")
+    for server in servers[:2]:
+        server.planned_behaviours = [replica.Behaviour(cut_after=2)]
+
+    async def check():
+        async with platform_site.open_site(servers, ROUTES) as site:
+            answers = [await send(site, f"r{n}") for n in range(12)]
+            assert {answer.status for answer in answers} == {200}
+            assert list_resumed(servers) == ["v1"] * 2
+
+    asyncio.run(check())
+
+
+def test_entry_ends_a_stream_whose_version_is_gone():
+    # The only target of its version crashes; events of another one don't fit.
+    servers = make_replicas("v1", "v2")
+    for server in servers:
+        server.planned_behaviours = [replica.Behaviour(cut_after=2)]
+
+    async def check():
+        async with platform_site.open_site(servers, ROUTES) as site:
+            for number in range(2):
+                with pytest.raises(http_client.TransportError):
+                    await send(site, f"r{number}")
+            assert list_resumed(servers) == []
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("loss", ["stopped", "left"])
+def test_stream_taken_up_at_another_entry_goes_on_at_its_version(loss):
+    # The entry that began the streams is lost, or their connections are.
+    servers = make_replicas("v1", "v2", "v3")
+    for server in servers:
+        server.holds_last_event = True
+
+    async def check():
+        async with platform_site.open_site(servers, ROUTES, entries=3) as site:
+            attempts = await begin_streams(site, servers)
+            began_at = {
+                headers["X-Pimentowick-Request-Id"]: server.version
+                for server in servers
+                for headers in server.headers
+            }
+            if loss == "stopped":
+                await site.gateways.pop(0).close()
+            for attempt in attempts:
+                attempt.close()
+            answers = await asyncio.gather(
+                *(take_up(site, f"a{n}", f"b{n}", n % 2) for n in range(STREAMS))
+            )
+            assert [answer.status for answer in answers] == [200] * STREAMS
+            for server in servers:
+                for headers in server.headers:
+                    if "Resumes" in headers:
+                        assert began_at[headers["Resumes"]] == server.version
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"Resumes": "unknown"},
+        {},
+        {"Resumes": ""},
+        {"Resumes": "x" * 4000},
+        {"Resumes": 'a0", "b'},
+    ],
+)
+def test_stream_of_unknown_origin_does_not_go_on(headers):
+    # The first attempt is missing, malformed or known to no entry.
+    servers = make_replicas("v1", "v2")
+
+    async def check():
+        async with platform_site.open_site(servers, ROUTES, entries=2) as site:
+            answer = await send(site, "b0", Last_Event_Id="2", **headers)
+            assert answer.status == 503
+            assert count_runs(servers) == 0
+            assert (await send(site, "c0")).status == 200
+
+    asyncio.run(check())
+
+
+def test_stream_whose_version_is_gone_is_refused_at_once():
+    # The caller can begin anew while its deadline is still far away.
+    servers = make_replicas("v1", "v2")
+
+    async def check():
+        async with platform_site.open_site(servers, ROUTES, entries=2) as site:
+            servers[0].holds_last_event = servers[1].holds_last_event = True
+            attempt = await Attempt.open(site, "a0")
+            await attempt.read_until(FIRST_EVENTS)
+            [first] = [server for server in servers if server.runs]
+            [other] = [server for server in servers if server is not first]
+            site.store.put("keyed.servers", first.id, b"")
+            await wait.wait_for(
+                lambda: all(first.id not in g.table.by_id for g in site.gateways),
+                WAIT_S,
+                POLL_S,
+            )
+            answer = await take_up(site, "a0", "b0")
+            assert answer.status == 503
+            assert answer.decode()["error"]["code"] == "stream_version_gone"
+            assert not other.runs
+            with contextlib.suppress(OSError):
+                attempt.close()
+
+    asyncio.run(check())
+
+
+async def run_item(servers, interrupt):
+    """Run a job of one item, interrupt it after two events, and return its text."""
+    batch = platform_site.make_route(
+        "/lot/", "batch", run_target_ms=20_000, retention_s=60, max_attempts=3
+    )
+    row = {"id": "item", "path": "/lot/1", "headers": {}, "body": "eA==", "tokens": 10}
+    planned = [replica.Behaviour(cut_after=2, awaits_release=True)]
+    for server in servers:
+        server.planned_behaviours = planned
+    async with platform_site.open_site(servers, [batch]) as site:
+        await site.call(
+            "POST",
+            "/lot/new",
+            orjson.dumps({"items": [row]}),
+            X_Pimentowick_Request_Id="job",
+        )
+        runs = site.gateways[0].runner.list_runs
+        await wait.wait_for(
+            lambda: [run for run in runs() if run.transcript.last_event == "2"],
+            WAIT_S,
+            POLL_S,
+        )
+        [first] = [server for server in servers if server.runs]
+        interrupt(first)
+
+        async def read_text():
+            answer = await site.call("GET", "/-/lots/job?after=0")
+            results = answer.decode()["results"] if answer.status == 200 else None
+            return results and results[0]["text"]
+
+        return await wait.wait_for(read_text, 2 * WAIT_S, POLL_S)
+
+
+TEXT = "\n".join(f"word {n}" for n in range(1, EVENTS + 1))
+
+
+def test_item_goes_on_only_at_the_version_that_began_it():
+    # Its target crashes midway; one other runs the same version.
+    servers = make_replicas(*(f"v{n // 2}" for n in range(8)))
+
+    async def check():
+        assert await run_item(servers, lambda first: first.release.set()) == TEXT
+        began = [s for s in servers for h in s.headers if "Last-Event-Id" not in h]
+        assert list_resumed(servers) == [server.version for server in began]
+
+    asyncio.run(check())
+
+
+def test_item_whose_version_is_gone_begins_anew():
+    # Its target crashes midway, and all others run another version.
+    servers = make_replicas("v1", "v2")
+
+    def replace(first):
+        """Crash a replica, which returns with another version."""
+        first.version = "v3"
+        first.crash()
+
+    async def check():
+        assert await run_item(servers, replace) == TEXT
+        assert list_resumed(servers) == []
+
+    asyncio.run(check())
