Continue a stream only at the software version that began it

Callers of resumable streams got one answer with events of two software versions: when a target crashed midway, the entry went on at any usable target, since it never looked at the version.

The first event fixes the version, and only its targets may take the stream from there. Such a request bypasses those that can go anywhere and doesn't hold them up; it is ended at once when no target of its version is left that isn't draining. Ruled out: waiting for a target other than those that broke off, since with few targets of a version these may be the only ones.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -45,6 +45,7 @@
         objective_at: Monotonic time by which its caller expects the first event, or the
             whole response of a route without events.
         is_return: Whether its caller was turned away before.
+        software_version: Version that its target must run, or None for any.
     """
 
     service: str
@@ -58,6 +59,17 @@
     cost: request_cost.Cost = dataclasses.field(default_factory=request_cost.Cost)
     objective_at: float = math.inf
     is_return: bool = False
+    software_version: str | None = None
+
+    @property
+    def is_restricted(self):
+        """Whether some targets of its service may not take it."""
+        return bool(self.crashed_targets) or self.software_version is not None
+
+    def fits(self, target):
+        """Return whether a target runs the version that it needs."""
+        needed = self.software_version
+        return needed is None or needed == target.registration.software_version
 
 
 class AcquiredSlot:
@@ -361,6 +373,8 @@
             is_trial = slot_request.crashed_targets is not None
             if future.done() or released.id in avoid or is_trial:
                 continue
+            if not slot_request.fits(released):
+                continue
             self._grant(waiter, AcquiredSlot(self, released))
             return
 
@@ -401,6 +415,21 @@
         targets = self._table.list_targets(service)
         return sum(target.slots for target in targets if target.is_usable(now))
 
+    def has_version(self, service, software_version):
+        """Return whether a listed target runs a version and is not draining."""
+        if software_version is None:
+            return False
+        return self._table.has_version(service, software_version)
+
+    def end_unservable_waits(self, service):
+        """End the waits of requests whose software version no target runs any more."""
+        for slot_request, _, future in self._queues.get(service, ()):
+            needed = slot_request.software_version
+            if needed is None or future.done():
+                continue
+            if not self._table.has_version(service, needed):
+                future.set_result(None)
+
     def grant_share(self, service):
         """Grant this entry's share of the free slots to its queued requests.
 
@@ -451,15 +480,15 @@
             slot_request, avoid, future = waiter
             if future.done():
                 continue
-            if limit is not None:
-                limit -= 1
-                if limit < 0:
-                    return
+            if limit is not None and limit <= 0:
+                return
             slot = self._acquire(slot_request, avoid)
-            if slot is None and (avoid or slot_request.crashed_targets):
+            if slot is None and (avoid or slot_request.is_restricted):
                 continue
             if slot is None:
                 return
+            if limit is not None:
+                limit -= 1
             self._grant(waiter, slot)
 
     def _schedule_late_grant(self, service):
@@ -506,18 +535,20 @@
         service = slot_request.service
         now = time.monotonic()
         selection = None
+        if slot_request.software_version is None:
+            targets = self._table.get_targets(service)
+        else:
+            targets = self._table.list_targets(service, slot_request.software_version)
         if slot_request.crashed_targets is not None:
             target = target_choice.choose_for_trial(
-                self._table.list_targets(service), now, slot_request.crashed_targets
+                targets, now, slot_request.crashed_targets
             )
         elif self._table.has_shared_hosts(service):
             selection = self._choice.choose(
-                self._table.get_targets(service),
-                self._describe_situation(slot_request, avoid, now),
+                targets, self._describe_situation(slot_request, avoid, now)
             )
             target = None if selection is None else selection.target
         else:
-            targets = self._table.list_targets(service)
             target = target_choice.choose_for_online(
                 targets,
                 now,
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -435,6 +435,7 @@
 
     def _on_capacity_change(self):
         for service in self.admission.list_services():
+            self.admission.end_unservable_waits(service)
             self.admission.grant_share(service)
         self.runner.wake()
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -8,8 +8,14 @@
 import time
 
 from pimentowick import fingerprint, verdict
-from pimentowick.gateway import admission, decision_log, response, route, upstream
-from pimentowick.gateway.policy import load_shedding, overload
+from pimentowick.gateway import (
+    admission,
+    decision_log,
+    response,
+    route,
+    upstream,
+)
+from pimentowick.gateway.policy import load_shedding, overload, stream_origin
 from pimentowick.platform import message
 from pimentowick.routing import quarantine
 
@@ -25,6 +31,7 @@
 MIN_QUARANTINE_RETRY_S = 0.5
 # Callers choose the identifiers of their attempts.
 MAX_LOGGED_CHARS = 64
+STREAM_VERSION_GONE = "stream_version_gone"
 # No attempt starts with less time than this before the deadline.
 MIN_ATTEMPT_S = 0.03
 
@@ -148,8 +155,10 @@
         self._deadline_at = exchange.received_at + timeout_s
         self._progress = _Progress()
         self._sink = response.CallerSink(
-            exchange, matched_route.kind == route.Kind.STREAM
+            exchange, matched_route.kind == route.Kind.STREAM, self._on_first_event
         )
+        # What began the stream, once its caller has an event.
+        self._origin = None
         self._service = matched_route.choose_service()
         self._slot = None
         self._status = 0
@@ -192,7 +201,11 @@
         while True:
             if await self._is_quarantined():
                 return await self._refuse("quarantined")
-            slot = await self._acquire_slot(slot_request)
+            slot = None
+            if not self._is_version_gone():
+                slot = await self._acquire_slot(slot_request)
+            if slot is None and self._is_version_gone():
+                return await self._fail(STREAM_VERSION_GONE)
             if slot is None:
                 is_refused = self._choose_step() == quarantine.Step.REFUSE
                 return await self._refuse("quarantined" if is_refused else "no_place")
@@ -213,6 +226,24 @@
             if step == _NextStep.FAIL:
                 return await self._fail(outcome.reason)
 
+    def _on_first_event(self):
+        """Remember what began the stream, for later attempts at other targets."""
+        if self._origin is not None or not self._route.resumable:
+            return
+        version = self._slot.target.registration.software_version
+        self._origin = stream_origin.Origin(self._service, version)
+
+    def _get_needed_version(self):
+        return None if self._origin is None else self._origin.software_version
+
+    def _is_version_gone(self):
+        """Return whether the stream can't go on at any target of its service."""
+        if self._origin is None:
+            return False
+        is_allowed = self._service in self._route.services
+        version = self._origin.software_version
+        return not (is_allowed and self._admission.has_version(self._service, version))
+
     def _set_learned_deadlines(self, slot_request):
         """Return a request with deadlines from what was learned of its service.
 
@@ -284,6 +315,7 @@
         slot_request = dataclasses.replace(
             slot_request,
             lost_target=bool(avoid),
+            software_version=self._get_needed_version(),
             crashed_targets=self._list_crashed_targets(),
         )
         slot = None
@@ -293,6 +325,9 @@
             slot = self._admission.try_acquire(slot_request)
         if slot is not None:
             return slot
+        if self._get_needed_version() is not None:
+            # The other targets of its version may be away for longer.
+            avoid = frozenset()
         if self._admission.has_shared_hosts(self._service):
             return await self._wait_or_shed(slot_request, avoid)
         queue_state = self._admission.get_queue_state(self._service)
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -255,9 +255,23 @@
         """Return a list of targets for each service."""
         return [list(targets.values()) for targets in self._by_service.values()]
 
-    def list_targets(self, service):
-        """Return the targets of a service."""
-        return list(self._by_service.get(service, {}).values())
+    def list_targets(self, service, software_version=None):
+        """Return the targets of a service, of any version or of one."""
+        targets = self._by_service.get(service, {}).values()
+        if software_version is None:
+            return list(targets)
+        return [
+            target
+            for target in targets
+            if target.registration.software_version == software_version
+        ]
+
+    def has_version(self, service, software_version):
+        """Return whether a listed target runs a version and may get new work later."""
+        return any(
+            not target.registration.is_draining
+            for target in self.list_targets(service, software_version)
+        )
 
     def get_targets(self, service):
         """Return the targets of a service as a tuple that is kept between changes."""
--- a/pimentowick/gateway/tests/test_admission.py
+++ b/pimentowick/gateway/tests/test_admission.py
@@ -121,3 +121,24 @@
         fresh.cancel()
 
     asyncio.run(run())
+
+
+def test_restricted_request_does_not_block_others():
+    # No target of its version has room; one of another version has.
+    async def run():
+        controller, listed = make_admission(slots=2)
+        restricted = dataclasses.replace(
+            make_slot_request(0.5), software_version="v2", lost_target=True
+        )
+        held = [controller.try_acquire(make_slot_request(1.0)) for _ in range(2)]
+        waiting = [
+            asyncio.create_task(controller.wait_for_slot(request))
+            for request in (restricted, make_slot_request(0.5))
+        ]
+        await asyncio.sleep(0)
+        held[0].release()
+        done = await asyncio.gather(*waiting)
+        assert [slot is None for slot in done] == [True, False]
+        assert listed.online == 2
+
+    asyncio.run(run())
--- a/pimentowick/gateway/tests/test_stream_versions.py
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -6,7 +6,6 @@
 import orjson
 import pytest
 
-from pimentowick import client as http_client
 from pimentowick.fakes import platform_site, replica, wait
 
 STREAM = platform_site.make_route("/chat/", "stream", resumable=True)
@@ -15,7 +14,9 @@
 STREAMS = 6
 WAIT_S = 10.0
 POLL_S = 0.01
+HEARTBEAT_INTERVAL_S = 0.2
 FIRST_EVENTS = b"data: word 2\n\n"
+LAST_EVENT = b"data: word 4\n\n"
 
 
 class Attempt:
@@ -31,7 +32,7 @@
         host, _, port = address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         lines = [
-            "POST /chat/1 HTTP/1.1",
+            f"POST /chat/{request_id} HTTP/1.1",
             f"Host: {platform_site.HOST}",
             f"X-Pimentowick-Request-Id: {request_id}",
             "X-Pimentowick-Deadline-Ms: 8000",
@@ -48,10 +49,10 @@
         self._writer.close()
 
 
-async def send(site, request_id, entry=0, **headers):
+async def send(site, request_id, entry=0, path="/chat/new", **headers):
     return await site.call(
         "POST",
-        "/chat/1",
+        path,
         b"",
         entry,
         X_Pimentowick_Request_Id=request_id,
@@ -63,7 +64,12 @@
 async def take_up(site, first_attempt, request_id, entry=1, last_event="2"):
     """Take a stream up as its caller does after a broken connection."""
     return await send(
-        site, request_id, entry, Last_Event_Id=last_event, Resumes=first_attempt
+        site,
+        request_id,
+        entry,
+        f"/chat/{first_attempt}",
+        Last_Event_Id=last_event,
+        Resumes=first_attempt,
     )
 
 
@@ -84,6 +90,42 @@
     ]
 
 
+def list_began(servers):
+    """Return the versions at which streams began, by request."""
+    return {
+        headers["X-Pimentowick-Request-Id"]: server.version
+        for server in servers
+        for headers in server.headers
+    }
+
+
+async def remove(site, server):
+    """Remove a replica from the store, and wait until all entries know it."""
+    site.store.put("keyed.servers", server.id, b"")
+    await wait.wait_for(
+        lambda: all(server.id not in each.table.by_id for each in site.gateways),
+        WAIT_S,
+        POLL_S,
+    )
+
+
+@contextlib.asynccontextmanager
+async def heartbeats(site):
+    """Let the replicas register again and again, as they do on the platform."""
+
+    async def register():
+        while True:
+            for server in site.replicas:
+                site.register_replica(server)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    task = asyncio.create_task(register())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
 def count_runs(servers):
     return sum(sum(server.runs.values()) for server in servers)
 
@@ -99,31 +141,48 @@
 
 
 def test_entry_continues_a_stream_only_at_the_version_that_began_it():
-    # A target crashes midway, and most of the others run another version.
-    servers = make_replicas("v1", "v1", "v2", "v2", "v2")
-    for server in servers[:2]:
-        server.planned_behaviours = [replica.Behaviour(cut_after=2)]
+    # Targets of several versions break off midway.
+    servers = make_replicas("v1", "v1", "v2", "v2", "v3", "v3")
+    planned = [replica.Behaviour(cut_after=2, awaits_release=True)] * STREAMS
+    for server in servers:
+        server.planned_behaviours = planned
 
     async def check():
         async with platform_site.open_site(servers, ROUTES) as site:
-            answers = [await send(site, f"r{n}") for n in range(12)]
-            assert {answer.status for answer in answers} == {200}
-            assert list_resumed(servers) == ["v1"] * 2
+            attempts = [await Attempt.open(site, f"a{n}") for n in range(STREAMS)]
+            for attempt in attempts:
+                await attempt.read_until(FIRST_EVENTS)
+            began_at = list_began(servers)
+            for server in servers:
+                server.release.set()
+            async with heartbeats(site):
+                for attempt in attempts:
+                    await attempt.read_until(LAST_EVENT)
+            for server in servers:
+                for headers in server.headers:
+                    request_id = headers["X-Pimentowick-Request-Id"]
+                    assert began_at[request_id] == server.version
+            assert len(list_resumed(servers)) == STREAMS
 
     asyncio.run(check())
 
 
 def test_entry_ends_a_stream_whose_version_is_gone():
-    # The only target of its version crashes; events of another one don't fit.
+    # The only target of its version leaves; events of another one don't fit.
     servers = make_replicas("v1", "v2")
+    planned = [replica.Behaviour(cut_after=2, awaits_release=True)]
     for server in servers:
-        server.planned_behaviours = [replica.Behaviour(cut_after=2)]
+        server.planned_behaviours = planned
 
     async def check():
         async with platform_site.open_site(servers, ROUTES) as site:
-            for number in range(2):
-                with pytest.raises(http_client.TransportError):
-                    await send(site, f"r{number}")
+            attempt = await Attempt.open(site, "a0")
+            await attempt.read_until(FIRST_EVENTS)
+            [first] = [server for server in servers if server.runs]
+            await remove(site, first)
+            first.release.set()
+            with pytest.raises(asyncio.IncompleteReadError):
+                await attempt.read_until(LAST_EVENT)
             assert list_resumed(servers) == []
 
     asyncio.run(check())
@@ -139,11 +198,7 @@
     async def check():
         async with platform_site.open_site(servers, ROUTES, entries=3) as site:
             attempts = await begin_streams(site, servers)
-            began_at = {
-                headers["X-Pimentowick-Request-Id"]: server.version
-                for server in servers
-                for headers in server.headers
-            }
+            began_at = list_began(servers)
             if loss == "stopped":
                 await site.gateways.pop(0).close()
             for attempt in attempts:
@@ -195,12 +250,7 @@
             await attempt.read_until(FIRST_EVENTS)
             [first] = [server for server in servers if server.runs]
             [other] = [server for server in servers if server is not first]
-            site.store.put("keyed.servers", first.id, b"")
-            await wait.wait_for(
-                lambda: all(first.id not in g.table.by_id for g in site.gateways),
-                WAIT_S,
-                POLL_S,
-            )
+            await remove(site, first)
             answer = await take_up(site, "a0", "b0")
             assert answer.status == 503
             assert answer.decode()["error"]["code"] == "stream_version_gone"
