Go on with a stream that a caller takes up at the version that began it

The cause is that only the entry that began a stream knew what had begun it, and forgot it with the answer or its process.

The entry that forwards a stream's first event now tells its service and version to three others, chosen by rendezvous hashing, twice; an entry at which the stream is taken up asks at most eight for it. One that learns nothing doesn't guess: it answers 503, not run, within 0.3 s. Who continues bypasses those who begin, at the targets of its version; if none is left, it is told so at once. The name of the first attempt is digested with the workspace and the host, so that nobody learns of another's stream.

Ruled out: a record in the store for each stream (a write for each, and none while it is away); news in the load reports, whose bytes grow with streams times entries; the version of most targets.

--- a/pimentowick/fingerprint.py
+++ b/pimentowick/fingerprint.py
@@ -8,7 +8,7 @@
 
 import hashlib
 
-__all__ = ["compute_fingerprint"]
+__all__ = ["compute_digest", "compute_fingerprint"]
 
 DIGEST_BYTES = 16
 
@@ -32,10 +32,25 @@
         >>> len(one)
         32
     """
+    return compute_digest(workspace, (host.lower(), method, uri), body)
+
+
+def compute_digest(workspace, fields, body=b""):
+    """Return a digest of some fields of a request as a hexadecimal string.
+
+    Args:
+        workspace: Name of the caller's workspace, or None for callers without one.
+        fields: Strings.
+        body: Bytes.
+
+    Examples:
+        >>> compute_digest("a", ("b", "c")) == compute_digest("a", ("bc", ""))
+        False
+    """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     # Without lengths, bytes could move from one field to the next unnoticed.
     caller = "-" if workspace is None else f"w{workspace}"
-    for field in (caller, host.lower(), method, uri):
+    for field in (caller, *fields):
         encoded = field.encode("utf-8", "surrogateescape")
         digest.update(len(encoded).to_bytes(8, "big"))
         digest.update(encoded)
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -32,6 +32,7 @@
     resource_use,
     retention,
     runner,
+    stream_origins,
     target,
     traffic,
 )
@@ -82,6 +83,8 @@
         "no_memory",
         "quarantined",
         "rate_limit",
+        "stream_unknown",
+        "stream_version_gone",
         "target_lost",
         "wrong_token",
     }
@@ -134,6 +137,10 @@
         )
         self.load_reporter.build_crash_report = self.crash_guard.build_report
         self.load_reporter.merge_crash_report = self.crash_guard.merge_report
+        self.stream_origins = stream_origins.StreamOrigins(
+            self.load_reporter, self.metrics
+        )
+        self.load_reporter.handle_origins = self.stream_origins.handle
         target_health = health.Health(self.outliers)
         self.storage = job_storage.JobStorage(
             self.store, JOBS_TOPIC, OUTCOMES_TOPIC, JOBS_PAUSE_S, LONG_POLL_S, settings
@@ -183,6 +190,7 @@
             self.crash_guard,
             self.load_reporter.performance,
             self.load_reporter.slow_targets,
+            self.stream_origins,
         )
         jobs = job_api.JobApi(self.storage, lambda: self.ownership.is_cut_off)
         self._caller_server = exchange.Server(
@@ -289,6 +297,7 @@
         self._supervisor.start_child("ownership", self.ownership.run)
         self._supervisor.start_child("runner", self.runner.run)
         self._supervisor.start_child("quarantine", self.crash_guard.run)
+        self._supervisor.start_child("stream origins", self.stream_origins.run)
         self._supervisor.start_child("clean", self._clean_up)
         self._supervisor.start_child("outliers", self._eject_outliers)
         self._supervisor.start_child(
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -47,6 +47,8 @@
 MAX_DATAGRAM_BYTES = 60_000
 # Decimal places of ages in seconds; reports are tens of milliseconds old themselves.
 AGE_DIGITS = 2
+# Fields of the datagrams that are not load reports.
+ORIGIN_FIELDS = frozenset({"origins", "origin_query", "origin_unknown"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,6 +104,7 @@
         get_limit: Function from the name of a workspace to its `quota.Limit`, or None.
         build_crash_report: Function that returns this entry's `quarantine.Report`.
         merge_crash_report: Function called with that of another entry.
+        handle_origins: Function called with each datagram about origins of streams.
         performance: `pimentowick.gateway.performance.PerformanceMonitor`.
         slow_targets: `pimentowick.gateway.slow_target_monitor.SlowTargetMonitor`.
         peers_pending: Weight of the batch items queued at other entries, by service.
@@ -133,6 +136,7 @@
         self.get_limit = lambda name: None
         self.build_crash_report = quarantine.Report
         self.merge_crash_report = lambda report: None
+        self.handle_origins = lambda message: None
         self.performance = performance.PerformanceMonitor(table)
         self.slow_targets = slow_target_monitor.SlowTargetMonitor(
             table, self.performance, outliers.failure_domain
@@ -343,6 +347,15 @@
                 data["relays"] = bundle.relays
             self._send_to(bundle.receivers, data)
 
+    def send_to(self, addresses, data):
+        """Send data as a datagram with the address of this entry.
+
+        Args:
+            addresses: ``IP:port`` of the receivers.
+            data: A dictionary that can be encoded as JSON.
+        """
+        self._send_to(addresses, {"from": self.address, **data})
+
     def _send_to(self, addresses, data):
         packet = orjson.dumps(data)
         if len(packet) > MAX_DATAGRAM_BYTES or self._transport is None:
@@ -376,6 +389,9 @@
         try:
             message = orjson.loads(data)
             reports = message.get("reports")
+            if ORIGIN_FIELDS & message.keys():
+                self.handle_origins(message)
+                return
             if reports is None:
                 changed = self._apply_report(message)
             else:
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -120,6 +120,10 @@
             "pimentowick_gateway_quarantine",
             "Requests under which targets crashed by state: suspect, quarantined.",
         )
+        self._taken_up = self._make_counter(
+            "pimentowick_gateway_taken_up_streams_total",
+            "Streams that callers take up by outcome: known, unknown, version_gone.",
+        )
         self._refusals = self._make_counter(
             "pimentowick_gateway_refusals_total",
             "Refused requests by code and verdict.",
@@ -262,6 +266,10 @@
         """Count a change of the quarantine: opened, trial or released."""
         self._quarantine_events.inc({"event": event})
 
+    def count_taken_up(self, outcome):
+        """Count a stream that a caller takes up: known, unknown or version_gone."""
+        self._taken_up.inc({"outcome": outcome})
+
     def count_refusal(self, refusal, workspace=None):
         """Count a refused request.
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -13,6 +13,7 @@
     decision_log,
     response,
     route,
+    stream_origins,
     upstream,
 )
 from pimentowick.gateway.policy import load_shedding, overload, stream_origin
@@ -31,7 +32,25 @@
 MIN_QUARANTINE_RETRY_S = 0.5
 # Callers choose the identifiers of their attempts.
 MAX_LOGGED_CHARS = 64
+STREAM_UNKNOWN = "stream_unknown"
 STREAM_VERSION_GONE = "stream_version_gone"
+# The news of a stream reaches other entries by then.
+UNKNOWN_RETRY_S = 0.3
+STREAM_REFUSALS = {
+    STREAM_UNKNOWN: verdict.Refusal(
+        503,
+        STREAM_UNKNOWN,
+        "It is not known what began this stream. It has to begin anew.",
+        retry_after=UNKNOWN_RETRY_S,
+    ),
+    STREAM_VERSION_GONE: verdict.Refusal(
+        503,
+        STREAM_VERSION_GONE,
+        "No target runs the software version that began this stream. It has to begin "
+        "anew, which it may at once.",
+        retry_after=0.0,
+    ),
+}
 # No attempt starts with less time than this before the deadline.
 MIN_ATTEMPT_S = 0.03
 
@@ -73,6 +92,7 @@
         crash_guard: `pimentowick.gateway.crash_guard.SharedCrashGuard`.
         performance: `pimentowick.gateway.performance.PerformanceMonitor`.
         slow_targets: `pimentowick.gateway.slow_target_monitor.SlowTargetMonitor`.
+        origins: `pimentowick.gateway.stream_origins.StreamOrigins`.
     """
 
     def __init__(
@@ -84,7 +104,9 @@
         crash_guard,
         performance,
         slow_targets,
+        origins,
     ):
+        self._origins = origins
         self._slow_targets = slow_targets
         self._crash_guard = crash_guard
         self._performance = performance
@@ -144,6 +166,7 @@
         self._crash_guard = relay._crash_guard
         self._performance = relay._performance
         self._slow_targets = relay._slow_targets
+        self._origins = relay._origins
         self._get_pool = relay._get_pool
         self._health = relay._health
         self._metrics = relay._metrics
@@ -179,6 +202,8 @@
 
     async def run(self):
         """Try targets until the request is answered; return the outcome for the log."""
+        if self._is_taken_up and not await self._find_origin():
+            return await self._refuse(STREAM_UNKNOWN)
         objective_s = self._route.objective_s
         received_at = self._exchange.received_at
         timeout_s = self._deadline_at - received_at
@@ -226,12 +251,36 @@
             if step == _NextStep.FAIL:
                 return await self._fail(outcome.reason)
 
+    @property
+    def _is_taken_up(self):
+        """Whether the caller goes on with a stream of an earlier attempt."""
+        return self._route.kind == route.Kind.STREAM and bool(self._call.last_event)
+
+    async def _find_origin(self):
+        """Find out what began the caller's stream; return whether it may go on."""
+        if not self._call.first_attempt:
+            return False
+        key = self._compute_origin_key(self._call.first_attempt)
+        self._origin = await self._origins.find(key, self._call.request_id)
+        if self._origin is None:
+            return False
+        self._service = self._origin.service
+        return True
+
+    def _compute_origin_key(self, request_id):
+        workspace = None if self._workspace is None else self._workspace.name
+        return stream_origins.compute_key(workspace, self._exchange.host, request_id)
+
     def _on_first_event(self):
-        """Remember what began the stream, for later attempts at other targets."""
+        """Remember what began the stream, for its caller's later attempts."""
         if self._origin is not None or not self._route.resumable:
             return
         version = self._slot.target.registration.software_version
         self._origin = stream_origin.Origin(self._service, version)
+        if version is not None:
+            key = self._compute_origin_key(self._call.request_id)
+            left_s = self._deadline_at - time.monotonic()
+            self._origins.record(key, self._origin, left_s)
 
     def _get_needed_version(self):
         return None if self._origin is None else self._origin.software_version
@@ -314,7 +363,7 @@
         avoid = frozenset(self._progress.tried_targets)
         slot_request = dataclasses.replace(
             slot_request,
-            lost_target=bool(avoid),
+            lost_target=bool(avoid) or self._is_taken_up,
             software_version=self._get_needed_version(),
             crashed_targets=self._list_crashed_targets(),
         )
@@ -331,7 +380,7 @@
         if self._admission.has_shared_hosts(self._service):
             return await self._wait_or_shed(slot_request, avoid)
         queue_state = self._admission.get_queue_state(self._service)
-        is_first = not self._progress.tried_targets
+        is_first = not (self._progress.tried_targets or self._is_taken_up)
         timeout_s = self._deadline_at - self._exchange.received_at
         if is_first and load_shedding.should_shed(
             queue_state, self._route.objective_s, timeout_s
@@ -354,9 +403,8 @@
     async def _wait_or_shed(self, slot_request, avoid):
         """Return a slot of a service on shared hosts, or None if it is shed."""
         prediction = self._admission.predict(slot_request)
-        is_shed = (
-            prediction.prospect == overload.Prospect.NONE
-            and not self._progress.tried_targets
+        is_shed = prediction.prospect == overload.Prospect.NONE and not (
+            self._progress.tried_targets or self._is_taken_up
         )
         room = prediction.room
         decision_log.log_request_event(
@@ -587,6 +635,9 @@
         if reason == "quarantined":
             await self._exchange.refuse(self._make_quarantine_refusal())
             return reason
+        if reason in STREAM_REFUSALS:
+            await self._exchange.refuse(STREAM_REFUSALS[reason])
+            return reason
         refusal = verdict.Refusal(
             503,
             "busy",
