Continue an item only at the software version that began its text

The same cause as with streams: an item of a batch job that was cut or preempted, or whose job went to another entry, went on at any target, so that its text could hold two versions. Its checkpoints now name the service and the version; the item goes on only at targets of it, or begins anew if none is left, which costs no caller anything as its text isn't listed yet. Items that wait for their version don't hold up others. Checkpoints of before name no version and begin anew. A target at whose address another one answers no longer counts as one of its version.

The check of find_longest_text expects the origin besides, the rest as before.

--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -6,6 +6,7 @@
 
 from pimentowick import exception, fingerprint
 from pimentowick.gateway import decision_log, event_stream, performance, upstream
+from pimentowick.gateway.policy import stream_origin
 from pimentowick.platform import message
 
 __all__ = ["Run", "Sink", "save_final", "send"]
@@ -138,6 +139,10 @@
         The `upstream.Outcome` and the `Sink`.
     """
     item_transcript = run.transcript
+    if item_transcript.last_event is None:
+        item_transcript.origin = stream_origin.Origin(
+            run.service, target.registration.software_version
+        )
     sink = Sink(item_transcript)
     headers = message.encode_item_headers(
         run.item,
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -265,7 +265,7 @@
         for key, run in self._runs.items():
             if key[0] == job_id and run.transcript.body is None:
                 try:
-                    run.transcript.load(contents)
+                    run.transcript.load(contents, self._can_continue)
                 except exception.LogError as error:
                     # The body is gone if the item has a result that is not read yet.
                     decision_log.log_request_event(
@@ -397,7 +397,11 @@
         for run in ready:
             if not startable[run.service] or self._hold_quarantined(run, now):
                 continue
+            self._restart_if_version_is_gone(run)
             target = self._choose_target(run, now)
+            if target is None and run.transcript.last_event is not None:
+                # Targets of other versions may have room for the items behind it.
+                continue
             if target is None:
                 startable[run.service] = 0
                 continue
@@ -406,18 +410,45 @@
             self._next_start_at = now + self.load_reporter.propagation_delay_s
             self._start(run, target)
 
+    def _can_continue(self, origin):
+        """Return whether a target may continue a text that began at this origin."""
+        if origin is None or origin.software_version is None:
+            return False
+        return self._table.has_version(origin.service, origin.software_version)
+
+    def _restart_if_version_is_gone(self, run):
+        """Discard the text of an item that no target may continue."""
+        origin = run.transcript.origin
+        if run.transcript.last_event is None:
+            return
+        if self._can_continue(origin) and origin.service == run.service:
+            return
+        self._metrics.count_item("restarted")
+        decision_log.log_request_event(
+            "item.restarted",
+            run.item.id,
+            job=run.job.id,
+            service=run.service,
+            began_at=None if origin is None else origin.service,
+            version=None if origin is None else origin.software_version,
+            events=run.transcript.count_events(),
+        )
+        run.transcript.restart()
+
     def _choose_target(self, run, now):
+        version = None
+        if run.transcript.last_event is not None:
+            version = run.transcript.origin.software_version
+        targets = self._table.list_targets(run.service, version)
         if self._table.has_shared_hosts(run.service):
             return delay_choice.choose_for_item(
-                self._table.get_targets(run.service),
+                targets,
                 now,
                 self._failure_domain,
                 run.remaining_s,
                 run.due_at - time.time(),
             )
-        return target_choice.choose_for_batch(
-            self._table.list_targets(run.service), now, self._failure_domain
-        )
+        return target_choice.choose_for_batch(targets, now, self._failure_domain)
 
     def _start(self, run, target):
         decision_log.log_request_event(
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -1,6 +1,7 @@
 """Table of the known targets with their registrations and load."""
 
 import dataclasses
+import math
 
 from pimentowick.gateway.policy import target_speed
 
@@ -269,7 +270,7 @@
     def has_version(self, service, software_version):
         """Return whether a listed target runs a version and may get new work later."""
         return any(
-            not target.registration.is_draining
+            not target.registration.is_draining and target.paused_until < math.inf
             for target in self.list_targets(service, software_version)
         )
 
--- a/pimentowick/gateway/tests/test_stream_versions.py
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -284,7 +284,7 @@
             POLL_S,
         )
         [first] = [server for server in servers if server.runs]
-        interrupt(first)
+        interrupt(site, first)
 
         async def read_text():
             answer = await site.call("GET", "/-/lots/job?after=0")
@@ -302,7 +302,7 @@
     servers = make_replicas(*(f"v{n // 2}" for n in range(8)))
 
     async def check():
-        assert await run_item(servers, lambda first: first.release.set()) == TEXT
+        assert await run_item(servers, lambda site, first: first.release.set()) == TEXT
         began = [s for s in servers for h in s.headers if "Last-Event-Id" not in h]
         assert list_resumed(servers) == [server.version for server in began]
 
@@ -313,10 +313,14 @@
     # Its target crashes midway, and all others run another version.
     servers = make_replicas("v1", "v2")
 
-    def replace(first):
+    def replace(site, first):
         """Crash a replica, which returns with another version."""
         first.version = "v3"
         first.crash()
+        site.store.put("keyed.servers", "i-1", b"")
+        site.store.put("keyed.servers", "i-2", b"")
+        for server in servers:
+            site.register_replica(server)
 
     async def check():
         assert await run_item(servers, replace) == TEXT
--- a/pimentowick/gateway/tests/test_transcript.py
+++ b/pimentowick/gateway/tests/test_transcript.py
@@ -165,4 +165,4 @@
         name: orjson.dumps(checkpoint) for name, checkpoint in checkpoints.items()
     }
     contents["t/0/odd"] = b"{"
-    assert transcript.find_longest_text(contents, 0)[1:] == (["a"], "1")
+    assert transcript.find_longest_text(contents, 0)[1:] == (["a"], "1", None)
--- a/pimentowick/gateway/transcript.py
+++ b/pimentowick/gateway/transcript.py
@@ -3,8 +3,9 @@
 Notes:
     An item may run at two entries at once. Each checkpoint has a unique name and links
     to its predecessor, so that checkpoints of different runs are never mixed. A new
-    owner resumes from the longest chain. A result refers to one complete text; if an
-    item has several results, the first one counts.
+    owner resumes from the longest chain. The events of a text are all of one software
+    version; if its targets are gone, the item begins anew. A result refers to one
+    complete text; if an item has several results, the first one counts.
 """
 
 import uuid
@@ -13,6 +14,7 @@
 
 from pimentowick import exception
 from pimentowick.gateway import content, decision_log, record
+from pimentowick.gateway.policy import stream_origin
 
 __all__ = ["Transcript", "find_longest_text"]
 
@@ -31,6 +33,8 @@
         body: Its body, or None until it is read.
         texts: Data of the events so far.
         last_event: Identifier of the last event, or None.
+        origin: The `stream_origin.Origin` of the text (`gateway.policy`), or None if it
+            is unknown.
         events_generated: Number of events received from targets at this entry.
     """
 
@@ -45,6 +49,8 @@
         self.body = None
         self.texts = []
         self.last_event = None
+        self.origin = None
+        self._discarded = []
         self.events_generated = 0
 
     @property
@@ -62,11 +68,13 @@
         """Return the number of events so far, including those of other entries."""
         return len(self.texts)
 
-    def load(self, contents):
+    def load(self, contents, can_continue=lambda origin: True):
         """Load the body and the longest chain of checkpoints.
 
         Args:
             contents: Contents of the job, bytes by name.
+            can_continue: Function that returns whether a target may continue a text
+                of an `stream_origin.Origin`. Such texts are preferred.
 
         Raises:
             MissingError: The body is missing or incomplete.
@@ -77,11 +85,19 @@
                 f"{self.item.id}: the body is missing or incomplete."
             )
         self.body = contents[name]
-        self._checkpoints, self.texts, self.last_event = find_longest_text(
-            contents, self.number
-        )
+        found = find_longest_text(contents, self.number, can_continue)
+        self._checkpoints, self.texts, self.last_event, self.origin = found
         self._recorded_count = len(self.texts)
 
+    def restart(self):
+        """Discard the text, so that the item begins anew."""
+        self._discarded += self._checkpoints
+        self._checkpoints = []
+        self._recorded_count = 0
+        self.texts = []
+        self.last_event = None
+        self.origin = None
+
     def add(self, event):
         """Append an event; return False if it does not follow the last one."""
         if self.last_event is not None and not _follows(self.last_event, event.id):
@@ -108,10 +124,18 @@
             "after": self._checkpoints[-1].name if self._checkpoints else None,
             "texts": self.texts[self._recorded_count :],
             "last": self.last_event,
+            "origin": None
+            if self.origin is None
+            else [self.origin.service, self.origin.software_version],
         }
+        checkpoints = self._checkpoints
         references = await self._storage.contents.put(
             self._job.id, {name: orjson.dumps(checkpoint)}, timeout_s
         )
+        if checkpoints is not self._checkpoints:
+            # The text was discarded meanwhile.
+            self._discarded.append(references[name])
+            return
         self._checkpoints.append(references[name])
         self._recorded_count = count
 
@@ -154,7 +178,7 @@
     async def _delete_unneeded(self):
         """Delete the body and the checkpoints of an item that has a result."""
         try:
-            references = [self.item.body, *self._checkpoints]
+            references = [self.item.body, *self._checkpoints, *self._discarded]
             await self._storage.contents.delete(self._job.id, references)
         except exception.LogError as error:
             # They are deleted together with the job.
@@ -179,21 +203,27 @@
         await self._storage.outcomes.put(build, timeout_s)
 
 
-def find_longest_text(contents, number):
-    """Return (references, texts, last event) of the longest chain of checkpoints.
+def find_longest_text(contents, number, can_continue=lambda origin: True):
+    """Return (references, texts, last event, origin) of the best chain of checkpoints.
+
+    The best chain is the longest one that can be continued, or else the longest.
 
     Args:
         contents: Contents of the job, bytes by name.
         number: Number of the item.
+        can_continue: Function from an `stream_origin.Origin` or None to whether a
+            target may continue its text.
 
     Examples:
         >>> one = {"after": None, "texts": ["a", "b"], "last": "2"}
         >>> two = {"after": "t/0/one", "texts": ["c"], "last": "3"}
-        >>> other = {"after": None, "texts": ["x"], "last": "1"}
+        >>> other = {"after": None, "texts": ["x"], "last": "1", "origin": ["s", "v1"]}
         >>> contents = {"t/0/one": one, "t/0/two": two, "t/0/other": other}
         >>> contents = {name: orjson.dumps(value) for name, value in contents.items()}
         >>> find_longest_text(contents, 0)[1:]
-        (['a', 'b', 'c'], '3')
+        (['a', 'b', 'c'], '3', None)
+        >>> find_longest_text(contents, 0, lambda origin: origin is not None)[1:3]
+        (['x'], '1')
     """
     prefix = record.name_checkpoint(number, "")
     checkpoints = {}
@@ -203,18 +233,24 @@
                 checkpoints[name] = orjson.loads(value)
             except ValueError:
                 decision_log.log_event("item.piece_garbled", piece=name)
-    longest = ([], [], None)
-    for name in checkpoints:
+    best, best_rank = ([], [], None, None), (False, 0)
+    for name, checkpoint in checkpoints.items():
         chain = _build_chain(checkpoints, name)
         if chain is None:
             continue
         texts = [text for link in chain for text in checkpoints[link]["texts"]]
-        if len(texts) > len(longest[1]):
-            longest = (chain, texts, checkpoints[name]["last"])
+        origin = _decode_origin(checkpoint.get("origin"))
+        rank = (can_continue(origin), len(texts))
+        if texts and rank > best_rank:
+            best, best_rank = (chain, texts, checkpoint["last"], origin), rank
     references = [
-        content.Reference(name, -1, 1, len(contents[name])) for name in longest[0]
+        content.Reference(name, -1, 1, len(contents[name])) for name in best[0]
     ]
-    return references, longest[1], longest[2]
+    return references, *best[1:]
+
+
+def _decode_origin(row):
+    return None if row is None else stream_origin.Origin(*row)
 
 
 def _build_chain(checkpoints, name):
