Doubt the version of a target whose connection broke, until it registers again

A target may restart under its old identifier with another version. Until its new registration is read, a stream that goes on there would join events of two versions: the identifier that a request names is accepted. Where targets register their start, a broken or refused connection now takes the version away until a registration arrives that can't be older than the break; streams that go on wait for that, and those that begin there meanwhile are remembered as of no version. Open: an entry without a connection to the target at its restart sees no break. The tests call what is new, and can't run on the code before.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -69,7 +69,7 @@
     def fits(self, target):
         """Return whether a target runs the version that it needs."""
         needed = self.software_version
-        return needed is None or needed == target.registration.software_version
+        return needed is None or needed == target.software_version
 
 
 class AcquiredSlot:
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -141,7 +141,7 @@
     item_transcript = run.transcript
     if item_transcript.last_event is None:
         item_transcript.origin = stream_origin.Origin(
-            run.service, target.registration.software_version
+            run.service, target.software_version
         )
     sink = Sink(item_transcript)
     headers = message.encode_item_headers(
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -78,6 +78,8 @@
             self._outliers.record_outcome(
                 target.id, is_complete and outcome.status < 500
             )
+        if outcome.may_be_crash or not outcome.connected:
+            target.record_break(now)
         if outcome.end == upstream.End.COMPLETE or outcome.status:
             target.failures = 0
             return
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -275,7 +275,7 @@
         """Remember what began the stream, for its caller's later attempts."""
         if self._origin is not None or not self._route.resumable:
             return
-        version = self._slot.target.registration.software_version
+        version = self._slot.target.software_version
         self._origin = stream_origin.Origin(self._service, version)
         if version is not None:
             key = self._compute_origin_key(self._call.request_id)
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -2,12 +2,17 @@
 
 import dataclasses
 import math
+import time
 
 from pimentowick.gateway.policy import target_speed
 
 __all__ = ["Registration", "ReportedLoad", "Target", "TargetTable"]
 
 
+# A registration that arrives sooner after a broken connection may be older than that.
+CONFIRMATION_DELAY_S = 1.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Registration:
     """What a target registers about itself.
@@ -100,6 +105,7 @@
         self.reported_load = None
         self.reported_at = float("-inf")
         self._released_at = []
+        self._broken_at = float("-inf")
 
     def acquire_online(self):
         """Count an online request of this entry."""
@@ -166,6 +172,27 @@
             return self.id
         return f"{self.id}@{self.registration.started_ms}"
 
+    def record_break(self, now):
+        """Record that a connection broke, perhaps since the target has restarted."""
+        self._broken_at = now
+
+    def confirm(self, now):
+        """Record that its registration was received again."""
+        if now - self._broken_at >= CONFIRMATION_DELAY_S:
+            self._broken_at = float("-inf")
+
+    @property
+    def software_version(self):
+        """Version of its software, or None if it is uncertain.
+
+        A target that restarts under its old identifier may run another version before
+        its new registration arrives.
+        """
+        may_reuse_id = self.registration.started_ms > 0
+        if may_reuse_id and self._broken_at > float("-inf"):
+            return None
+        return self.registration.software_version
+
     @property
     def slots(self):
         """Number of requests that it runs concurrently."""
@@ -223,6 +250,7 @@
             if known.registration != registration:
                 known.paused_until = 0.0
             known.registration = registration
+            known.confirm(time.monotonic())
             return
         target = Target(registration)
         self.by_id[registration.id] = target
@@ -262,16 +290,16 @@
         if software_version is None:
             return list(targets)
         return [
-            target
-            for target in targets
-            if target.registration.software_version == software_version
+            target for target in targets if target.software_version == software_version
         ]
 
     def has_version(self, service, software_version):
         """Return whether a listed target runs a version and may get new work later."""
         return any(
-            not target.registration.is_draining and target.paused_until < math.inf
-            for target in self.list_targets(service, software_version)
+            target.registration.software_version == software_version
+            and not target.registration.is_draining
+            and target.paused_until < math.inf
+            for target in self._by_service.get(service, {}).values()
         )
 
     def get_targets(self, service):
--- a/pimentowick/gateway/tests/test_stream_versions.py
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import math
+import time
 
 import orjson
 import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
+from pimentowick.gateway import target
 
 STREAM = platform_site.make_route("/chat/", "stream", resumable=True)
 ROUTES = [STREAM]
@@ -261,6 +265,55 @@
     asyncio.run(check())
 
 
+def make_table(born):
+    table = target.TargetTable()
+    for number in range(2):
+        register(table, number, born)
+    return table
+
+
+def register(table, number, born):
+    table.put(
+        target.Registration(
+            f"t{number}", "s", "127.0.0.1", 1 + number, "a", 8, False, born, "v1"
+        )
+    )
+
+
+def test_restarted_target_with_an_old_registration_is_of_no_version():
+    # It returns under its old identifier, perhaps with another version.
+    table = make_table(born=1)
+    now = time.monotonic()
+    table.by_id["t0"].record_break(now)
+    register(table, 0, born=1)
+    assert [each.id for each in table.list_targets("s", "v1")] == ["t1"]
+    assert table.by_id["t0"].software_version is None
+    table.by_id["t1"].record_break(now)
+    assert table.list_targets("s", "v1") == []
+    # Their registrations may confirm them soon.
+    assert table.has_version("s", "v1")
+    table.by_id["t1"].record_break(now - 2 * target.CONFIRMATION_DELAY_S)
+    register(table, 1, born=1)
+    assert [each.id for each in table.list_targets("s", "v1")] == ["t1"]
+
+
+def test_target_whose_identifier_is_never_reused_keeps_its_version():
+    # A request names the identifier, which another run does not accept.
+    table = make_table(born=0)
+    table.by_id["t0"].record_break(time.monotonic())
+    assert len(table.list_targets("s", "v1")) == 2
+
+
+def test_version_of_draining_or_replaced_targets_is_gone():
+    table = make_table(born=0)
+    table.by_id["t0"].paused_until = math.inf
+    assert table.has_version("s", "v1")
+    draining = dataclasses.replace(table.by_id["t1"].registration, is_draining=True)
+    table.put(draining)
+    assert not table.has_version("s", "v1")
+    assert not table.has_version("s", "v2")
+
+
 async def run_item(servers, interrupt):
     """Run a job of one item, interrupt it after two events, and return its text."""
     batch = platform_site.make_route(
