Log the shared parts of the prompts of lost runs

Requests that share a part crashed one target after the other. The log named the fingerprint of each lost run, which is new for each of them, and nothing of the prompt, so that a part can't be told from other causes. Decoding keeps what it can of a malformed header. Nothing is decided by parts yet.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -32,6 +32,7 @@
 MIN_QUARANTINE_RETRY_S = 0.5
 # Callers choose the identifiers of their attempts.
 MAX_LOGGED_CHARS = 64
+MAX_LOGGED_PARTS = 16
 STREAM_UNKNOWN = "stream_unknown"
 STREAM_VERSION_GONE = "stream_version_gone"
 # The news of a stream reaches other entries by then.
@@ -549,6 +550,7 @@
             workspace=None if self._workspace is None else self._workspace.name,
             route=self._route.name,
             target=target.id,
+            parts=self._call.parts[:MAX_LOGGED_PARTS],
             events=events,
             ran_s=time.monotonic() - self._sent_at,
         )
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -21,6 +21,7 @@
     service_time,
     target_choice,
 )
+from pimentowick.platform import message
 from pimentowick.routing import quarantine
 
 __all__ = ["Runner"]
@@ -43,6 +44,7 @@
 UNREACHABLE_BACKOFF_S = 0.1
 # Interval at which a quarantined item is checked again.
 QUARANTINE_CHECK_S = 0.5
+MAX_LOGGED_PARTS = 16
 # Tolerates clock skew between hosts, so that no item is abandoned early.
 CLOCK_SKEW_MARGIN_S = 5.0
 
@@ -604,6 +606,7 @@
             outcome=outcome.reason,
             fingerprint=run.fingerprint,
             target=target.id,
+            parts=message.decode_item_parts(run.item)[:MAX_LOGGED_PARTS],
             events=sink.events,
         )
 
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -19,6 +19,7 @@
     "ListedResult",
     "RequestHeaders",
     "ResponseHeaders",
+    "decode_item_parts",
     "decode_request_headers",
     "decode_response_headers",
     "decode_submission",
@@ -59,6 +60,8 @@
 }
 JOB_PATH = re.compile(r"^/-/(lots|items)/([^/?]+)$")
 MAX_ITEMS_PER_JOB = 200
+# Parts of a prompt that are considered; more are left out in the middle.
+MAX_PARTS = 128
 STATUS_MISDIRECTED = 421
 
 
@@ -97,6 +100,7 @@
         key: API key of the caller's workspace; None if the request has no Authorization
             header, "" if the header is malformed.
         cost: What the request takes of a target, as far as its headers tell.
+        parts: Identifiers of the shared parts of its prompt.
     """
 
     request_id: str
@@ -106,6 +110,7 @@
     first_attempt: str = ""
     key: str | None = dataclasses.field(default=None, repr=False)
     cost: request_cost.Cost = dataclasses.field(default_factory=request_cost.Cost)
+    parts: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,9 +157,35 @@
         first_attempt=headers.get(RESUMES, ""),
         key=_decode_key(headers),
         cost=_decode_cost(headers),
+        parts=_decode_parts(headers),
     )
 
 
+def decode_item_parts(item):
+    """Return the identifiers of the shared parts of the prompt of a `job.Item`."""
+    return _decode_parts(httputil.HTTPHeaders(item.headers))
+
+
+def _decode_parts(headers):
+    """Return the identifiers of the shared parts of a prompt, in order.
+
+    The last part belongs to the request itself. Parts whose tokens are malformed count,
+    so that a malformed one does not hide the others.
+
+    Examples:
+        >>> _decode_parts({PROMPT_PREFIX: "5C1e:200, 91bd:x,91bd:9,e440:250"})
+        ('5c1e', '91bd')
+        >>> _decode_parts({PROMPT_PREFIX: "5c1e:200"}), _decode_parts({})
+        ((), ())
+    """
+    rows = headers.get(PROMPT_PREFIX, "").split(",")[:-1]
+    names = dict.fromkeys(row.partition(":")[0].strip().lower() for row in rows)
+    names = [name for name in names if name]
+    if len(names) > MAX_PARTS:
+        names = names[: MAX_PARTS // 2] + names[-MAX_PARTS // 2 :]
+    return tuple(names)
+
+
 def _decode_cost(headers):
     """Decode the token counts of a request; malformed headers count as absent.
 
