Quarantine parts of prompts under which targets crash

The quarantine knew a request by its fingerprint only, and each of these had a new one: state that a decision needs over several requests was kept for one. Evidence: each crash took runs without an event along, all with different fingerprints.

Each shared part now has a breaker of its own in the same quarantine, with the same reports, records and trials. A part is charged with a crash if its request had not begun to answer, and exonerated by each run that begins later and goes on. Breakers open at three crashes. Sound parts that come with the one to blame may be charged too: requests with few suspected parts are tried first, and one that contains no whole set of suspects of a failed trial need not wait for the next one.

Ruled out: a stricter fingerprint (path and body differ); shutting out whatever was present at three crashes (the first part is present at all); a breaker for each workspace (each could crash as many targets). One workspace may still keep a part shut out for others by crashing targets with it on purpose, as far as the rule forces it: a request of another one that holds fewer suspects is tried first.

--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -159,7 +159,7 @@
         for each in engines:
             inject(each, "clear")
         guard = fleet.entries["entry-0"].router.guard
-        assert guard.policy.count_suspects() == (1, 1)
+        assert guard.policy.count_suspects() == (1, 1, 0)
         outcomes = await asyncio.gather(*(callers.chat("popular") for _ in range(6)))
         assert all(outcome.complete for outcome in outcomes)
 
--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -57,38 +57,42 @@
         self._pending = {}
         self._wake = asyncio.Event()
 
-    async def _count_trial(self, fingerprint):
+    async def _count_trial(self, fingerprint, suspected):
         """Count a trial in the store; return whether this entry may start it."""
         try:
             async with asyncio.timeout(TRIAL_APPEND_TIMEOUT_S):
-                return await self._append(lambda: self._build_trial_record(fingerprint))
+                return await self._append(
+                    lambda: self._build_trial_record(fingerprint, suspected)
+                )
         except (TimeoutError, exception.LogError):
-            return await self._count_trial_without_store(fingerprint)
+            return await self._count_trial_without_store(fingerprint, suspected)
 
-    async def _count_trial_without_store(self, fingerprint):
+    async def _count_trial_without_store(self, fingerprint, suspected):
         is_away = self.feed.end is None or self.feed.unreachable_since is not None
         if not is_away or not self._is_designated(fingerprint):
             return False
-        is_counted = await super()._count_trial(fingerprint)
+        is_counted = await super()._count_trial(fingerprint, suspected)
         if is_counted:
             self._schedule_record(fingerprint)
         return is_counted
 
-    def cancel_trial(self, fingerprint):
+    def cancel_trial(self, names):
         """Record a trial without a result; see `CrashGuard.cancel_trial`."""
-        super().cancel_trial(fingerprint)
-        self._schedule_record(fingerprint)
+        super().cancel_trial(names)
+        for name in names:
+            if self.policy.is_quarantined(name):
+                self._schedule_record(name)
 
     def record_crash(self, fingerprint, target_run):
         """Record that a target broke off a run; see `CrashGuard.record_crash`."""
         super().record_crash(fingerprint, target_run)
-        if self.choose_step(fingerprint) != quarantine.Step.RUN:
+        if self.policy.is_quarantined(fingerprint):
             if fingerprint not in self._recorded:
                 self._schedule_record(fingerprint)
 
-    def record_survival(self, fingerprint, completed=True):
+    def record_survival(self, fingerprint, completed=True, began_at=None):
         """Record a run without a crash; see `CrashGuard.record_survival`."""
-        has_voided = super().record_survival(fingerprint, completed)
+        has_voided = super().record_survival(fingerprint, completed, began_at)
         if has_voided and fingerprint in self._recorded:
             self._schedule_record(fingerprint)
         return has_voided
@@ -164,6 +168,7 @@
                 {fingerprint: [str(name) for name in data["voided"]]},
             )
             trials, cancelled = int(data["trials"]), int(data["cancelled"])
+            sets = [frozenset(map(str, row)) for row in data.get("sets", ())]
         except (ValueError, TypeError, KeyError) as error:
             decision_log.log_event("quarantine.garbled", key=key, why=str(error))
             return
@@ -176,6 +181,7 @@
             time.monotonic(),
             cancelled,
             report.crashes[fingerprint],
+            sets,
         )
 
     async def run(self):
@@ -233,11 +239,12 @@
             return True
         raise exception.LogError("Other entries kept writing records.")
 
-    def _build_trial_record(self, fingerprint):
-        if self.choose_step(fingerprint) != quarantine.Step.TRIAL:
+    def _build_trial_record(self, fingerprint, suspected):
+        now = time.monotonic()
+        if not self.policy.may_start_trial(fingerprint, suspected, now):
             return []
         trials = self.policy.get_trials(fingerprint) + 1
-        record = self._make_record(fingerprint, trials)
+        record = self._make_record(fingerprint, trials, [suspected])
         return [record, *self._list_excess([fingerprint])]
 
     def _build_records(self, fingerprints):
@@ -250,13 +257,15 @@
                 records.append(_make_tombstone(fingerprint))
         return records + self._list_excess(fingerprints)
 
-    def _make_record(self, fingerprint, trials):
+    def _make_record(self, fingerprint, trials, new_sets=()):
+        sets = [*self.policy.list_trial_sets(fingerprint), *new_sets]
         report = self.policy.describe(fingerprint)
         data = {
             "crashes": report.crashes.get(fingerprint, []),
             "voided": report.voided.get(fingerprint, []),
             "trials": trials,
             "cancelled": self.policy.get_cancelled(fingerprint),
+            "sets": [sorted(names) for names in dict.fromkeys(sets)],
         }
         return platform_store.KeyedRecord(KEY_PREFIX + fingerprint, orjson.dumps(data))
 
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -532,7 +532,7 @@
         }
         services = {listed.registration.service for listed in self.table.by_id.values()}
         queues = [self.admission.get_queue_state(service) for service in services]
-        suspects, quarantined = self.crash_guard.policy.count_suspects()
+        suspects, quarantined, parts = self.crash_guard.policy.count_suspects()
         return metric.State(
             ages_s={
                 **{
@@ -556,6 +556,7 @@
             quota_workspaces=self.quotas.count_buckets(),
             suspects=suspects,
             quarantined=quarantined,
+            quarantined_parts=parts,
             host=self._collect_host_state(),
             workspaces=self.admission.sharing.collect_workspaces(),
         )
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -8,6 +8,7 @@
 from pimentowick.gateway import decision_log, event_stream, performance, upstream
 from pimentowick.gateway.policy import stream_origin
 from pimentowick.platform import message
+from pimentowick.routing import quarantine
 
 __all__ = ["Run", "Sink", "save_final", "send"]
 
@@ -67,6 +68,17 @@
             )
         return self._fingerprint
 
+    @property
+    def names(self):
+        """Names under which the item may be quarantined."""
+        return [self.fingerprint, *self.part_names]
+
+    @property
+    def part_names(self):
+        """Names of the shared parts of its prompt."""
+        parts = message.decode_item_parts(self.item)
+        return [quarantine.name_part(self.service, part) for part in parts]
+
     @property
     def item(self):
         """The `pimentowick.gateway.job.Item`."""
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -65,6 +65,7 @@
         quota_workspaces: Number of workspaces with an active token bucket.
         suspects: Number of requests under which targets crashed lately.
         quarantined: Number of those that run only as trials.
+        quarantined_parts: Number of parts of prompts whose requests do.
         host: The `HostState`.
         workspaces: A `pimentowick.gateway.queue_sharing.WorkspaceState` for each busy
             workspace of the services that share one queue, the busiest first.
@@ -86,6 +87,7 @@
     quota_workspaces: int
     suspects: int
     quarantined: int
+    quarantined_parts: int
     host: HostState
     workspaces: list
 
@@ -118,7 +120,8 @@
         )
         self._quarantine = self._make_gauge(
             "pimentowick_gateway_quarantine",
-            "Requests under which targets crashed by state: suspect, quarantined.",
+            "What targets crashed under by state: suspect, quarantined, "
+            "quarantined_part.",
         )
         self._taken_up = self._make_counter(
             "pimentowick_gateway_taken_up_streams_total",
@@ -319,6 +322,7 @@
         self._targets.set({"state": "slow"}, state.slow)
         self._quarantine.set({"state": "suspect"}, state.suspects)
         self._quarantine.set({"state": "quarantined"}, state.quarantined)
+        self._quarantine.set({"state": "quarantined_part"}, state.quarantined_parts)
         self._open_jobs.set({}, state.open_jobs)
         self._quota_share.set({}, state.quota_share)
         self._quota_workspaces.set({}, state.quota_workspaces)
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -179,7 +179,7 @@
         self._deadline_at = exchange.received_at + timeout_s
         self._progress = _Progress()
         self._sink = response.CallerSink(
-            exchange, matched_route.kind == route.Kind.STREAM, self._on_first_event
+            exchange, matched_route.kind == route.Kind.STREAM, self._on_run_began
         )
         # What began the stream, once its caller has an event.
         self._origin = None
@@ -188,7 +188,11 @@
         self._status = 0
         self._sent = False
         self._sent_at = None
-        self._is_trial = False
+        self._trial_names = []
+        self._trial_crashes = frozenset()
+        # Timer after which the current run has survived the parts of its prompt.
+        self._survival_timer = None
+        self._has_survived = False
         self._has_reached_target = False
         self._has_queued = False
         self._is_shed = False
@@ -196,6 +200,10 @@
         # Monotonic time of the first attempt of a caller that was turned away.
         self._first_at = None
 
+    @property
+    def _is_trial(self):
+        return bool(self._trial_names)
+
     @property
     def may_have_run(self):
         """Whether the request may have run at a target."""
@@ -272,7 +280,23 @@
         workspace = None if self._workspace is None else self._workspace.name
         return stream_origins.compute_key(workspace, self._exchange.host, request_id)
 
-    def _on_first_event(self):
+    def _on_run_began(self):
+        """Handle the first event of a run, before it is forwarded."""
+        self._remember_origin()
+        if self._call.parts:
+            self._survival_timer = asyncio.get_running_loop().call_later(
+                quarantine.PART_SURVIVAL_S,
+                self._record_survived_parts,
+                time.monotonic(),
+            )
+
+    def _record_survived_parts(self, began_at):
+        """Record that the parts of the prompt crashed nothing until a time."""
+        self._has_survived = True
+        for name in self._part_names:
+            self._crash_guard.record_survival(name, began_at=began_at)
+
+    def _remember_origin(self):
         """Remember what began the stream, for its caller's later attempts."""
         if self._origin is not None or not self._route.resumable:
             return
@@ -334,27 +358,30 @@
     def _choose_step(self):
         if self._is_trial or self._crash_guard.policy.is_empty():
             return quarantine.Step.RUN
-        return self._crash_guard.choose_step(self._fingerprint)
+        return self._crash_guard.choose_step(self._names)
 
     def _list_crashed_targets(self):
         """Return the targets that crashed under a trial; None if this is not one."""
         if not self._is_trial and self._choose_step() != quarantine.Step.TRIAL:
             return None
-        return frozenset(self._crash_guard.policy.list_crashes(self._fingerprint))
+        if self._is_trial:
+            return self._trial_crashes
+        return frozenset(self._crash_guard.list_crashes(self._names))
 
     async def _is_quarantined(self):
         """Return whether the request must not run, after a trial in progress ended."""
         if self._choose_step() == quarantine.Step.RUN:
             return False
-        step = await self._crash_guard.wait_for_trial(self._fingerprint)
+        step = await self._crash_guard.wait_for_trial(self._names)
         return step == quarantine.Step.REFUSE
 
     async def _may_start(self):
         """Return whether the request may run now; start its trial if it needs one."""
         step = self._choose_step()
         if step == quarantine.Step.TRIAL:
-            self._is_trial = await self._crash_guard.start_trial(
-                self._fingerprint, self._call.request_id
+            self._trial_crashes = frozenset(self._crash_guard.list_crashes(self._names))
+            self._trial_names = await self._crash_guard.start_trial(
+                self._names, self._call.request_id
             )
             return self._is_trial
         return step == quarantine.Step.RUN
@@ -440,7 +467,7 @@
         if self._is_trial:
             return await self._admission.wait_for_slot(slot_request, avoid)
         try:
-            async with self._crash_guard.interrupt_if_refused(self._fingerprint):
+            async with self._crash_guard.interrupt_if_refused(self._names):
                 return await self._admission.wait_for_slot(slot_request, avoid)
         except TimeoutError:
             return None
@@ -486,6 +513,7 @@
             **_describe_selection(self._slot.selection),
         )
         sink = self._sink
+        self._has_survived = False
         events_before = sink.events
         loop = asyncio.get_running_loop()
         with (
@@ -499,6 +527,9 @@
             except asyncio.CancelledError:
                 self._record_cancelled_run(sink.events - events_before)
                 raise
+            finally:
+                if self._survival_timer is not None:
+                    self._survival_timer.cancel()
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
         self._record_performance(target, outcome)
@@ -508,6 +539,7 @@
             self._record_lost_run(target, outcome, sink.events - events_before)
         elif outcome.is_survival:
             self._crash_guard.record_survival(self._fingerprint)
+            self._record_survived_parts(sink.event_times.first_at or self._sent_at)
         return outcome
 
     def _watch_for_slow_target(self, sink, call_later):
@@ -536,11 +568,13 @@
         if time.monotonic() - self._sent_at >= quarantine.SURVIVAL_S:
             self._crash_guard.record_survival(self._fingerprint, completed=False)
         elif self._is_trial:
-            self._crash_guard.cancel_trial(self._fingerprint)
+            self._crash_guard.cancel_trial(self._trial_names)
 
     def _record_lost_run(self, target, outcome, events):
         if outcome.may_be_crash:
-            self._crash_guard.record_crash(self._fingerprint, target.run_id)
+            names = [self._fingerprint] if self._has_survived else self._names
+            for name in names:
+                self._crash_guard.record_crash(name, target.run_id)
         self._metrics.count_lost_run(self._route.kind, events > 0)
         decision_log.log_request_event(
             "online.lost",
@@ -555,6 +589,15 @@
             ran_s=time.monotonic() - self._sent_at,
         )
 
+    @functools.cached_property
+    def _names(self):
+        """Names under which the request may be quarantined."""
+        return [self._fingerprint, *self._part_names]
+
+    @functools.cached_property
+    def _part_names(self):
+        return [quarantine.name_part(self._service, part) for part in self._call.parts]
+
     @functools.cached_property
     def _fingerprint(self):
         return fingerprint.compute_fingerprint(
@@ -632,7 +675,7 @@
         if self._progress.runs or self._exchange.started:
             return await self._fail(reason)
         if self._is_trial and not self._has_reached_target:
-            self._crash_guard.cancel_trial(self._fingerprint)
+            self._crash_guard.cancel_trial(self._trial_names)
         self._status = 503
         if reason == "quarantined":
             await self._exchange.refuse(self._make_quarantine_refusal())
@@ -676,12 +719,12 @@
         return retry_after_s
 
     def _make_quarantine_refusal(self):
-        delay_s = self._crash_guard.get_delay(self._fingerprint)
+        delay_s = self._crash_guard.get_delay(self._names)
         return verdict.Refusal(
             503,
             "quarantined",
-            "Targets crashed under this request, so that it runs again only after the "
-            "time in Retry-After.",
+            "Targets crashed under this request or under a part of its prompt, so that "
+            "it runs again only after the time in Retry-After.",
             retry_after=max(delay_s, MIN_QUARANTINE_RETRY_S),
         )
 
@@ -787,11 +830,13 @@
         if not outcome.endswith("quarantined"):
             return {}
         policy = self._crash_guard.policy
+        opened = [name for name in self._names if policy.is_quarantined(name)]
         return {
             "fingerprint": self._fingerprint,
-            "crashed": policy.list_crashes(self._fingerprint),
-            "trials": policy.get_trials(self._fingerprint),
-            "retry_after_s": self._crash_guard.get_delay(self._fingerprint),
+            "quarantined": opened,
+            "crashed": self._crash_guard.list_crashes(self._names),
+            "trials": sum(policy.get_trials(name) for name in opened),
+            "retry_after_s": self._crash_guard.get_delay(self._names),
         }
 
 
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -18,7 +18,7 @@
     Args:
         exchange: The `exchange.Exchange`.
         is_stream: Whether the route streams events.
-        on_first_event: Function called before the first event is forwarded.
+        on_run_began: Function called before the first event of a target is forwarded.
 
     Attributes:
         status: Status of the response, 0 before its headers arrive.
@@ -33,9 +33,9 @@
         event_times: The `performance.EventTimes` of the current target.
     """
 
-    def __init__(self, exchange, is_stream, on_first_event=lambda: None):
+    def __init__(self, exchange, is_stream, on_run_began=lambda: None):
         self._exchange = exchange
-        self._on_first_event = on_first_event
+        self._on_run_began = on_run_began
         self._is_stream = is_stream
         self.last_event_id = None
         self.events = 0
@@ -85,10 +85,11 @@
             return
         data = b"".join(received.raw for received in in_order)
         self._update_gap()
+        if self.event_times.first_at is None:
+            self._on_run_began()
         self.event_times.record(len(in_order), self._last_forwarded_at)
         if not self._exchange.started:
             self.first_event_at = time.monotonic()
-            self._on_first_event()
             headers = message.remove_hop_headers(self.headers)
             headers.pop("Content-Length", None)
             await self._exchange.start(self.status, headers, data)
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -366,9 +366,9 @@
                 run.item.id,
                 job=run.job.id,
                 fingerprint=run.fingerprint,
-                crashed=self._crash_guard.policy.list_crashes(run.fingerprint),
-                trials=self._crash_guard.policy.get_trials(run.fingerprint),
-                retry_after_s=self._crash_guard.get_delay(run.fingerprint),
+                quarantined=self._list_quarantined(run),
+                crashed=self._crash_guard.list_crashes(run.names),
+                retry_after_s=self._crash_guard.get_delay(run.names),
             )
         return True
 
@@ -534,12 +534,10 @@
 
     async def _run_item(self, run, target):
         step = self._choose_step(run)
-        is_trial = step == quarantine.Step.TRIAL
-        if is_trial and not await self._crash_guard.start_trial(
-            run.fingerprint, run.item.id
-        ):
-            step = quarantine.Step.WAIT
-        if step in (quarantine.Step.WAIT, quarantine.Step.REFUSE):
+        trials = []
+        if step == quarantine.Step.TRIAL:
+            trials = await self._crash_guard.start_trial(run.names, run.item.id)
+        if step != quarantine.Step.RUN and not trials:
             run.not_before = time.monotonic() + QUARANTINE_CHECK_S
             return
         started_at = time.monotonic()
@@ -548,7 +546,7 @@
             outcome, sink = await execution.send(run, target, self._get_pool(target))
         except asyncio.CancelledError:
             if run.events_generated > events_before:
-                self._record_cancelled_run(run, started_at, is_trial)
+                self._record_cancelled_run(run, started_at, trials)
             raise
         self._health.observe_outcome(target, outcome)
         self._metrics.count_item(outcome.reason)
@@ -575,10 +573,9 @@
             self._record_lost_run(run, target, outcome, sink)
         elif outcome.is_survival:
             self._crash_guard.record_survival(run.fingerprint)
-        elif (
-            is_trial and outcome.end == upstream.End.NOT_RUN and not outcome.is_refusal
-        ):
-            self._crash_guard.cancel_trial(run.fingerprint)
+            self._record_survived_parts(run, sink.event_times.first_at or started_at)
+        elif outcome.end == upstream.End.NOT_RUN and not outcome.is_refusal:
+            self._crash_guard.cancel_trial(trials)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
         await self._handle_outcome(run, outcome, sink)
@@ -586,18 +583,28 @@
     def _choose_step(self, run):
         if self._crash_guard.policy.is_empty():
             return quarantine.Step.RUN
-        return self._crash_guard.choose_step(run.fingerprint)
+        return self._crash_guard.choose_step(run.names)
 
-    def _record_cancelled_run(self, run, started_at, is_trial):
+    def _list_quarantined(self, run):
+        policy = self._crash_guard.policy
+        return [name for name in run.names if policy.is_quarantined(name)]
+
+    def _record_survived_parts(self, run, began_at):
+        for name in run.part_names:
+            self._crash_guard.record_survival(name, began_at=began_at)
+
+    def _record_cancelled_run(self, run, started_at, trials):
         """Record what a run shows that streamed events and was preempted."""
         if time.monotonic() - started_at >= quarantine.SURVIVAL_S:
             self._crash_guard.record_survival(run.fingerprint, completed=False)
-        elif is_trial:
-            self._crash_guard.cancel_trial(run.fingerprint)
+            self._record_survived_parts(run, started_at)
+        else:
+            self._crash_guard.cancel_trial(trials)
 
     def _record_lost_run(self, run, target, outcome, sink):
         if outcome.may_be_crash:
-            self._crash_guard.record_crash(run.fingerprint, target.run_id)
+            for name in self._list_suspects(run, sink):
+                self._crash_guard.record_crash(name, target.run_id)
         self._metrics.count_lost_run(run.route.kind, sink.events > 0)
         decision_log.log_request_event(
             "item.lost",
@@ -610,6 +617,16 @@
             events=sink.events,
         )
 
+    def _list_suspects(self, run, sink):
+        """Return the names under which a target may have crashed in a run."""
+        began_at = sink.event_times.first_at
+        if began_at is None:
+            return run.names
+        if time.monotonic() - began_at < quarantine.PART_SURVIVAL_S:
+            return run.names
+        self._record_survived_parts(run, began_at)
+        return [run.fingerprint]
+
     async def _handle_outcome(self, run, outcome, sink):
         if outcome.end == upstream.End.COMPLETE and outcome.status == 200:
             if sink.is_complete() and run.transcript.last_event is not None:
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -284,7 +284,7 @@
         )
         for target in ("t1", "t2"):
             gateway.crash_guard.record_crash(name, target)
-        assert await gateway.crash_guard.start_trial(name, "r91")
+        assert await gateway.crash_guard.start_trial([name], "r91")
         gateway.crash_guard.record_crash(name, "t3")
         answer = await queued
         assert answer.status == 503
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -1,4 +1,9 @@
-"""Enforces the quarantine of requests under which targets crash, within one process."""
+"""Enforces the quarantine of what crashes targets, within one process.
+
+Notes:
+    A request has several names: its fingerprint, and the names of the shared parts of
+    its prompt (`quarantine.name_part`). It may run if all of them may.
+"""
 
 import asyncio
 import contextlib
@@ -22,15 +27,15 @@
         >>> guard = CrashGuard()
         >>> guard.record_crash("f", "target 1")
         >>> guard.record_crash("f", "target 2")
-        >>> guard.choose_step("f")
+        >>> guard.choose_step(["f"])
         <Step.TRIAL: 'trial'>
-        >>> asyncio.run(guard.start_trial("f", "request 3"))
-        True
-        >>> guard.choose_step("f")
+        >>> asyncio.run(guard.start_trial(["f"], "request 3"))
+        ['f']
+        >>> guard.choose_step(["f"])
         <Step.WAIT: 'wait'>
         >>> guard.record_survival("f")
         True
-        >>> guard.choose_step("f")
+        >>> guard.choose_step(["f"])
         <Step.RUN: 'run'>
     """
 
@@ -39,65 +44,87 @@
         self._changed = asyncio.Event()
         self._interruptible = {}
 
-    def choose_step(self, fingerprint):
-        """Return the `quarantine.Step` for a request."""
-        return self.policy.choose_step(fingerprint, time.monotonic())
+    def choose_step(self, names):
+        """Return the `quarantine.Step` for a request.
 
-    def get_delay(self, fingerprint):
+        Args:
+            names: Its fingerprint and the names of its parts.
+        """
+        return self.policy.choose_joint_step(names, time.monotonic())
+
+    def get_delay(self, names):
         """Return the seconds until the next trial of a request."""
-        return self.policy.get_delay(fingerprint, time.monotonic())
+        return self.policy.get_joint_delay(names, time.monotonic())
+
+    def list_crashes(self, names):
+        """Return the targets that crashed under a request or its open parts."""
+        opened = self.policy.list_open(names, time.monotonic())
+        return sorted({t for name in opened for t in self.policy.list_crashes(name)})
 
-    async def wait_for_trial(self, fingerprint):
+    async def wait_for_trial(self, names):
         """Wait until no trial of a request is in progress; return its next `Step`."""
-        while self.choose_step(fingerprint) == quarantine.Step.WAIT:
-            remaining_s = self.policy.get_trial_remaining(fingerprint, time.monotonic())
+        while self.choose_step(names) == quarantine.Step.WAIT:
+            now = time.monotonic()
+            remaining_s = max(self.policy.get_trial_remaining(n, now) for n in names)
             try:
                 async with asyncio.timeout(remaining_s):
                     await self._changed.wait()
             except TimeoutError:
                 pass
-        return self.choose_step(fingerprint)
+        return self.choose_step(names)
 
     @contextlib.asynccontextmanager
-    async def interrupt_if_refused(self, fingerprint):
+    async def interrupt_if_refused(self, names):
         """Cancel the body of the context once a request must not run.
 
         Raises:
             TimeoutError: The body was cancelled.
         """
         async with asyncio.timeout(None) as timeout:
-            self._interruptible[timeout] = fingerprint
+            self._interruptible[timeout] = names
             try:
                 yield
             finally:
                 del self._interruptible[timeout]
 
-    async def start_trial(self, fingerprint, request_id):
-        """Count a trial of a request.
+    async def start_trial(self, names, request_id):
+        """Count a trial of a request, for each of its names that is quarantined.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            names: Its fingerprint and the names of its parts.
             request_id: Its identifier, for the log.
 
         Returns:
-            Whether the request may run now.
+            The names of which this is a trial; empty if the request may not run now.
         """
-        if not await self._count_trial(fingerprint):
-            return False
-        self.on_trial(fingerprint, request_id)
-        return True
+        counted = []
+        suspected = self.policy.list_suspected(names)
+        for name in self.policy.list_open(names, time.monotonic()):
+            if not await self._count_trial(name, suspected):
+                self.cancel_trial(counted)
+                return []
+            counted.append(name)
+        for name in counted:
+            self.on_trial(name, request_id)
+        return counted
+
+    async def _count_trial(self, name, suspected):
+        """Count a trial of a request with a set of suspected names.
 
-    async def _count_trial(self, fingerprint):
-        """Count a trial; return whether it may start."""
-        if self.choose_step(fingerprint) != quarantine.Step.TRIAL:
+        Returns:
+            Whether it may start.
+        """
+        now = time.monotonic()
+        if not self.policy.may_start_trial(name, suspected, now):
             return False
-        trials = self.policy.get_trials(fingerprint) + 1
-        self.policy.record_trials(fingerprint, trials, time.monotonic())
+        trials = self.policy.get_trials(name) + 1
+        self.policy.record_trials(name, trials, now, sets=[suspected])
         return True
 
-    def cancel_trial(self, fingerprint):
+    def cancel_trial(self, names):
         """Record that a trial ended without a result, such as a refusal."""
-        self.policy.cancel_trial(fingerprint, time.monotonic())
+        for name in names:
+            self.policy.cancel_trial(name, time.monotonic())
         self._notify_changed()
 
     def record_crash(self, fingerprint, target_run):
@@ -111,21 +138,23 @@
             self.on_opened(fingerprint)
         self._notify_changed()
 
-    def record_survival(self, fingerprint, completed=True):
+    def record_survival(self, fingerprint, completed=True, began_at=None):
         """Record that a target ran a request without a crash.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the request, or name of a part.
             completed: Whether the run completed, and was not cancelled.
+            began_at: Monotonic time at which it began to answer, if it says nothing
+                about crashes since.
 
         Returns:
             Whether crashes were voided.
         """
-        was_open = self.choose_step(fingerprint) != quarantine.Step.RUN
+        was_open = self.policy.is_quarantined(fingerprint)
         now = time.monotonic()
-        if not self.policy.record_survival(fingerprint, now, completed):
+        if not self.policy.record_survival(fingerprint, now, completed, began_at):
             return False
-        if was_open:
+        if was_open and not self.policy.is_quarantined(fingerprint):
             self.on_released(fingerprint)
         self._notify_changed()
         return True
@@ -142,8 +171,8 @@
     def _notify_changed(self):
         self._changed.set()
         self._changed = asyncio.Event()
-        for timeout, fingerprint in self._interruptible.items():
-            if self.choose_step(fingerprint) == quarantine.Step.REFUSE:
+        for timeout, names in self._interruptible.items():
+            if self.choose_step(names) == quarantine.Step.REFUSE:
                 timeout.reschedule(asyncio.get_running_loop().time())
 
 
--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests under which targets crash.
+"""Quarantine of requests, and of parts of prompts, under which targets crash.
 
 Notes:
     Failure pattern: a request crashes each target that begins to run it, and its
@@ -15,6 +15,21 @@
     gets few of them. A popular request needs no trial: an entry at which it completed
     lately closes the breaker at once.
 
+    A part of a prompt may crash targets as well, in requests of which no two are alike.
+    Each shared part has a breaker of its own, which differs in what counts. A part is
+    charged with the crashes of targets at which its requests had not begun to answer:
+    such a part crashes a target as it begins to. A run that has begun and goes on shows
+    that its parts crashed nothing until then. A popular part is present at most crashes
+    and shows that all the time, so its breaker stays closed for a moment after each
+    such run. Sound parts come with the one to blame, and their breakers may open with
+    its own. So a request with one suspected part runs as a trial at once, and one with
+    more of them the later, the more it has. Each breaker keeps the sets of suspects of
+    the requests that were its trials. A request that contains none of these sets whole
+    is tried without delay a few times, since its trial tells suspects apart.
+
+    Breakers of parts are common to all workspaces. Otherwise each workspace could crash
+    as many targets with the same part.
+
     Each entry keeps the set of targets that crashed under a request, and merges it with
     those of its peers. A completed run voids the crashes known at that time. Voided
     crashes are remembered, so that lost, repeated and reordered reports do no harm, and
@@ -29,8 +44,31 @@
 import collections
 import dataclasses
 import enum
-
-__all__ = ["SURVIVAL_S", "Quarantine", "Report", "Step"]
+import hashlib
+
+__all__ = [
+    "PART_SURVIVAL_S",
+    "SURVIVAL_S",
+    "Quarantine",
+    "Report",
+    "Step",
+    "name_part",
+]
+
+PART_PREFIX = "part-"
+MAX_NAME_CHARS = 64
+DIGEST_BYTES = 16
+# Sound parts are present at some crashes without a run in between.
+MIN_PART_CRASHES = 3
+# A run that has sent events for this long did not crash for its parts.
+PART_SURVIVAL_S = 0.1
+# The breaker of a part stays closed for this long after a run that survived began.
+PART_GRACE_S = 0.5
+# Sets of suspects that are kept for each breaker, and names in each.
+MAX_TRIAL_SETS = 3
+MAX_TRIAL_SET = 8
+# Delay of a trial for each suspected part of its request beyond the first.
+COMBINED_TRIAL_DELAY_S = 3.0
 
 # A single crash says little: most of the requests at the target did not cause it.
 MIN_CRASHES = 2
@@ -48,12 +86,12 @@
 # Exceeds the time for which a report or a record of a voided crash may be in transit.
 VOID_RETENTION_S = 60.0
 # Bounds on memory, of all requests and of one.
-MAX_SUSPECTS = 512
+MAX_SUSPECTS = 2048
 MAX_CRASHES = 8
 # Changes are reported repeatedly for this long, so that a lost report does no harm.
 REPORT_DURATION_S = 3.0
-# Exceeds the requests that one entry may lose with a target.
-MAX_REPORTED = 16
+# Exceeds the requests that one entry may lose with a target, with their parts.
+MAX_REPORTED = 64
 
 
 class Step(enum.Enum):
@@ -71,9 +109,10 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Suspect:
-    """What is known of one request under which a target crashed.
+    """What is known of one request or part under which a target crashed.
 
     Attributes:
+        min_crashes: Number of crashes at which its breaker opens.
         crashes: Time of report by target; the newest last.
         voided: Time of voiding by target.
         trials: Number of trials since the breaker opened.
@@ -81,8 +120,11 @@
         next_trial_at: Time from which the next trial may start.
         trial_ends_at: Time until which the result of a trial may arrive.
         updated_at: Time of the last change.
+        opened_at: Time at which its breaker opened.
+        trial_sets: Suspected names of the requests that were its trials.
     """
 
+    min_crashes: int = MIN_CRASHES
     crashes: dict = dataclasses.field(default_factory=dict)
     voided: dict = dataclasses.field(default_factory=dict)
     trials: int = 0
@@ -90,11 +132,13 @@
     next_trial_at: float = float("-inf")
     trial_ends_at: float = float("-inf")
     updated_at: float = 0.0
+    opened_at: float = float("-inf")
+    trial_sets: list = dataclasses.field(default_factory=list)
 
     @property
     def is_open(self):
-        """Whether the request is quarantined."""
-        return len(self.crashes) >= MIN_CRASHES
+        """Whether it is quarantined."""
+        return len(self.crashes) >= self.min_crashes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,8 +154,35 @@
     voided: dict = dataclasses.field(default_factory=dict)
 
 
+def name_part(service, part):
+    """Return the identifier under which a part of prompts is known.
+
+    Args:
+        service: Name of the service.
+        part: Identifier of the part.
+
+    Examples:
+        >>> name_part("chat", "5c1e")
+        'part-5c1e@chat'
+        >>> len(name_part("chat", "x" * 5000)) < 50
+        True
+    """
+    name = f"{part}@{service}"
+    if len(name) > MAX_NAME_CHARS:
+        encoded = name.encode("utf-8", "surrogateescape")
+        name = hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
+    return PART_PREFIX + name
+
+
+def _is_part(name):
+    return name.startswith(PART_PREFIX)
+
+
 class Quarantine:
-    """The quarantined requests as known to one entry; times are monotonic, in seconds.
+    """What one entry knows of quarantined requests and parts of prompts.
+
+    Both are named by strings: a request by its fingerprint, a part by `name_part`.
+    Times are monotonic, in seconds.
 
     Examples:
         >>> quarantine = Quarantine()
@@ -133,6 +204,11 @@
         True
         >>> quarantine.choose_step("f", now=3.0)
         <Step.RUN: 'run'>
+        >>> part = name_part("chat", "5c1e")
+        >>> [quarantine.record_crash(part, f"target {n}", now=4.0) for n in (1, 2, 3)]
+        [False, False, True]
+        >>> quarantine.choose_joint_step(["f", part], now=4.0)
+        <Step.TRIAL: 'trial'>
     """
 
     def __init__(self):
@@ -141,13 +217,14 @@
         self._observed = collections.OrderedDict()
 
     def is_empty(self):
-        """Return whether nothing is known of any request."""
+        """Return whether nothing is known of any request or part."""
         return not self._suspects
 
     def count_suspects(self):
-        """Return (suspects, quarantined ones among them)."""
-        opened = sum(suspect.is_open for suspect in self._suspects.values())
-        return len(self._suspects), opened
+        """Return (suspects, quarantined requests, quarantined parts) among them."""
+        opened = [name for name, each in self._suspects.items() if each.is_open]
+        parts = sum(map(_is_part, opened))
+        return len(self._suspects), len(opened) - parts, parts
 
     def list_suspects(self):
         """Return the fingerprints of all requests of which anything is known."""
@@ -173,10 +250,83 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.is_open:
             return Step.RUN
+        if _is_part(fingerprint) and self._completed_lately(fingerprint, now):
+            return Step.RUN
         if now >= suspect.next_trial_at:
             return Step.TRIAL
         return Step.WAIT if now < suspect.trial_ends_at else Step.REFUSE
 
+    def choose_joint_step(self, names, now):
+        """Return the `Step` for a request, given its name and those of its parts."""
+        opened = self.list_open(names, now)
+        if not opened:
+            return Step.RUN
+        suspected = self.list_suspected(names)
+        steps = [self._choose_step_beside(name, suspected, now) for name in opened]
+        if Step.REFUSE in steps:
+            return Step.REFUSE
+        if Step.WAIT in steps:
+            return Step.WAIT
+        is_delayed = self._get_combined_delay(opened, suspected, now) > 0
+        return Step.REFUSE if is_delayed else Step.TRIAL
+
+    def list_suspected(self, names):
+        """Return the set of those names that have crashes that count."""
+        suspected = [name for name in names if self.list_crashes(name)]
+        return frozenset(suspected[:MAX_TRIAL_SET])
+
+    def _choose_step_beside(self, name, suspected, now):
+        """Return the `Step` for a name in a request with a set of suspected names."""
+        step = self.choose_step(name, now)
+        is_untested = self._tells_apart(name, suspected)
+        return Step.TRIAL if step == Step.REFUSE and is_untested else step
+
+    def _tells_apart(self, name, suspected):
+        """Return whether a trial with these suspects may exonerate some of them."""
+        trial_sets = self._suspects[name].trial_sets
+        return 0 < len(trial_sets) < MAX_TRIAL_SETS and not any(
+            trial_set <= suspected for trial_set in trial_sets
+        )
+
+    def may_start_trial(self, name, suspected, now):
+        """Return whether a request with a set of suspected names may be a trial."""
+        return (
+            self.choose_step(name, now) != Step.RUN
+            and self._choose_step_beside(name, suspected, now) == Step.TRIAL
+        )
+
+    def list_open(self, names, now):
+        """Return those names that may not run freely now."""
+        return [name for name in names if self.choose_step(name, now) != Step.RUN]
+
+    def get_joint_delay(self, names, now):
+        """Return the seconds until the next trial of a request with these names."""
+        opened = self.list_open(names, now)
+        delays = [self.get_delay(name, now) for name in opened]
+        suspected = self.list_suspected(names)
+        return max(0.0, self._get_combined_delay(opened, suspected, now), *delays)
+
+    def _get_combined_delay(self, opened, suspected, now):
+        """Return the seconds for which requests with fewer suspects go first."""
+        if not opened or all(self._tells_apart(name, suspected) for name in opened):
+            return 0.0
+        suspects = [self._suspects[name] for name in opened]
+        contained = {
+            trial_set
+            for suspect in suspects
+            for trial_set in suspect.trial_sets
+            if trial_set <= suspected
+        }
+        count = len(suspected) - 1 + max(0, len(contained) - 1)
+        if not count:
+            return 0.0
+        since = max(max(each.opened_at, each.next_trial_at) for each in suspects)
+        return max(0.0, since + COMBINED_TRIAL_DELAY_S * count - now)
+
+    def is_quarantined(self, name):
+        """Return whether a breaker is open, also one of a part that ran lately."""
+        return self._is_open(name)
+
     def get_delay(self, fingerprint, now):
         """Return the seconds until the next trial of a request."""
         suspect = self._suspects.get(fingerprint)
@@ -200,31 +350,41 @@
         self._void_if_completed(fingerprint, now)
         return not was_open and self._is_open(fingerprint)
 
-    def record_survival(self, fingerprint, now, completed=True):
+    def record_survival(self, fingerprint, now, completed=True, began_at=None):
         """Record that a target ran a request without a crash.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the request, or name of a part.
             now: Time of the end of the run.
             completed: Whether the run completed. One that was cancelled voids the
                 crashes so far, but says nothing about later ones.
+            began_at: Time at which it began to answer, if it says nothing about crashes
+                since; `now` by default.
 
         Returns:
             Whether crashes were voided.
         """
+        began_at = now if began_at is None else began_at
         if completed:
             self._completed.pop(fingerprint, None)
-            self._completed[fingerprint] = now
+            self._completed[fingerprint] = began_at
             if len(self._completed) > MAX_COMPLETED:
                 self._completed.popitem(last=False)
-        return self._void_all(fingerprint, now)
+        return self._void_until(fingerprint, began_at, now)
 
     def get_trial_remaining(self, fingerprint, now):
         """Return the seconds for which the result of a trial may still arrive."""
         suspect = self._suspects.get(fingerprint)
         return 0.0 if suspect is None else max(0.0, suspect.trial_ends_at - now)
 
-    def record_trials(self, fingerprint, trials, now, cancelled=0, known_crashes=None):
+    def list_trial_sets(self, name):
+        """Return the sets of suspected names of the trials of a name."""
+        suspect = self._suspects.get(name)
+        return [] if suspect is None else suspect.trial_sets
+
+    def record_trials(
+        self, fingerprint, trials, now, cancelled=0, known_crashes=None, sets=()
+    ):
         """Record the numbers of trials of a request; lower numbers are ignored.
 
         Args:
@@ -234,6 +394,7 @@
             cancelled: Number of those that ended without a result.
             known_crashes: Targets whose crashes were known when it started; None for
                 all. Further crashes are its result.
+            sets: Sets of the suspected names of the requests that were its trials.
         """
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.is_open:
@@ -241,6 +402,9 @@
         if trials <= suspect.trials and cancelled <= suspect.cancelled:
             return
         is_started = trials > suspect.trials
+        if is_started:
+            new = [each for each in sets if each not in suspect.trial_sets]
+            suspect.trial_sets = (suspect.trial_sets + new)[:MAX_TRIAL_SETS]
         suspect.trials = max(trials, suspect.trials)
         suspect.cancelled = max(cancelled, suspect.cancelled)
         suspect.updated_at = now
@@ -332,27 +496,38 @@
             suspect = self._insert(fingerprint)
         if target in suspect.voided or target in suspect.crashes:
             return False
+        was_open = suspect.is_open
         suspect.crashes[target] = now
+        if suspect.is_open and not was_open:
+            suspect.opened_at = now
         if len(suspect.crashes) > MAX_CRASHES:
             del suspect.crashes[next(iter(suspect.crashes))]
         suspect.trial_ends_at = float("-inf")
         suspect.updated_at = now
         return True
 
+    def _completed_lately(self, name, now):
+        completed_at = self._completed.get(name, float("-inf"))
+        retention_s = PART_GRACE_S if _is_part(name) else COMPLETION_RETENTION_S
+        return now - completed_at <= retention_s
+
     def _void_if_completed(self, fingerprint, now):
-        completed_at = self._completed.get(fingerprint, float("-inf"))
-        if now - completed_at <= COMPLETION_RETENTION_S and self._is_open(fingerprint):
-            self._void_all(fingerprint, now)
+        if _is_part(fingerprint):
+            # It may crash targets from now on, so that its crashes are kept.
+            return
+        if self._completed_lately(fingerprint, now) and self._is_open(fingerprint):
+            self._void_until(fingerprint, now, now)
 
-    def _void_all(self, fingerprint, now):
-        """Void all crashes of a request; return whether there were any."""
+    def _void_until(self, fingerprint, until, now):
+        """Void the crashes of a request until some time; return whether it did."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.crashes:
+        if suspect is None:
             return False
-        for target in list(suspect.crashes):
+        voided = [target for target, at in suspect.crashes.items() if at <= until]
+        for target in voided:
             self._void_crash(fingerprint, target, now)
             self._observe(fingerprint, target, True, now)
-        return True
+        return bool(voided)
 
     def _void_crash(self, fingerprint, target, now):
         suspect = self._suspects.get(fingerprint)
@@ -365,13 +540,15 @@
         suspect.updated_at = now
         if not suspect.is_open:
             suspect.trials = suspect.cancelled = 0
+            suspect.trial_sets = []
             suspect.next_trial_at = float("-inf")
             suspect.trial_ends_at = float("-inf")
 
     def _insert(self, fingerprint):
         if len(self._suspects) >= MAX_SUSPECTS:
             self._evict()
-        suspect = self._suspects[fingerprint] = _Suspect()
+        min_crashes = MIN_PART_CRASHES if _is_part(fingerprint) else MIN_CRASHES
+        suspect = self._suspects[fingerprint] = _Suspect(min_crashes)
         return suspect
 
     def _evict(self):
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -208,14 +208,13 @@
         """
         if request.is_trial or self.guard.policy.is_empty():
             return
-        step = await self.guard.wait_for_trial(request.fingerprint)
+        step = await self.guard.wait_for_trial([request.fingerprint])
         if step == quarantine.Step.TRIAL:
-            request.is_trial = await self.guard.start_trial(
-                request.fingerprint, request.id
-            )
+            trials = await self.guard.start_trial([request.fingerprint], request.id)
+            request.is_trial = bool(trials)
         if step == quarantine.Step.RUN or request.is_trial:
             return
-        delay_s = self.guard.get_delay(request.fingerprint)
+        delay_s = self.guard.get_delay([request.fingerprint])
         refusal = verdict.Refusal(
             503,
             "quarantined",
