Close new connections unread while one entry gets most of them

An entry whose event loop uses 85% of its core and that holds half of all running requests now limits the new connections that it serves, halves the limit while it is busy and raises it when it is not; the rest is closed unread, so that a retry is safe and meets another entry. Kept connections and the readiness check go on. Ruled out: a limit for each busy entry, as a retry would meet another busy one; a limit on open connections, which says nothing of the work.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -161,6 +161,16 @@
         now = time.monotonic()
         return sum(overload.is_late(waiter[0], now) for waiter in queue)
 
+    def compute_request_share(self):
+        """Return the share of the running and queued requests that this entry holds."""
+        services = [group for group in self._table.list_by_service() if group]
+        targets = [target for group in services for target in group]
+        own = sum(target.online for target in targets)
+        peers = sum(target.peers_online for target in targets)
+        own += sum(self.count_queued(service) for service in self._queues)
+        peers += sum(max(0, count) for count in self.peers_waiting.values())
+        return own / (own + peers) if own else 0.0
+
     def list_services(self):
         """Return the services that have requests queued at this entry."""
         return [name for name, queue in self._queues.items() if queue]
--- a/pimentowick/gateway/caller_connections.py
+++ b/pimentowick/gateway/caller_connections.py
@@ -8,7 +8,7 @@
 
 from pimentowick import web
 from pimentowick.gateway import decision_log, descriptors
-from pimentowick.gateway.policy import connection_limit
+from pimentowick.gateway.policy import connection_limit, connection_shedding
 
 __all__ = ["AcceptingServer", "CallerConnections"]
 
@@ -112,14 +112,18 @@
     Attributes:
         accepted_at_once: Number of connections accepted in one event loop iteration.
         limit: The `connection_limit.ConnectionLimit`.
+        shedding: The `connection_shedding.ConnectionShedding`.
         rejected: Number of connections closed at once for a limit.
+        shed: Number of connections closed at once in a flood.
         closed_idle: Number of idle connections closed for a limit.
     """
 
     def __init__(self, get_idle_timeout):
         self.accepted_at_once = MAX_ACCEPTED_AT_ONCE
         self.limit = connection_limit.ConnectionLimit()
+        self.shedding = connection_shedding.ConnectionShedding()
         self.rejected = 0
+        self.shed = 0
         self.closed_idle = 0
         self._get_idle_timeout = get_idle_timeout
         self._states = {}
@@ -144,6 +148,9 @@
 
     def admit(self, address):
         """Return whether to serve a new connection, after making room if necessary."""
+        if not self.shedding.admit(time.monotonic()):
+            self.shed += 1
+            return False
         if not self.limit.is_near(len(self._states)):
             return True
         decision = self.limit.decide(
@@ -156,6 +163,26 @@
             self._log_limit(address, decision)
         return decision.accepts
 
+    def observe_load(self, processor_share, request_share):
+        """Update the limit on new connections; call at regular intervals.
+
+        Args:
+            processor_share: Share of its processor that this entry uses.
+            request_share: Share of the running requests of all entries that it holds.
+        """
+        previous = self.shedding.rate_per_s
+        self.shedding.observe(processor_share, request_share, time.monotonic())
+        rate_per_s = self.shedding.rate_per_s
+        if (previous is None) != (rate_per_s is None):
+            decision_log.log_event(
+                "caller.shedding",
+                outcome="ended" if rate_per_s is None else "began",
+                rate_per_s=rate_per_s,
+                processor_share=processor_share,
+                request_share=request_share,
+                shed=self.shed,
+            )
+
     def close_spare(self):
         """Close the connection that is least likely to be used again."""
         spare = connection_limit.find_spare(
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -206,6 +206,9 @@
             self._caller_server.held.budget,
             lambda: len(self._caller_server.connections) + self.pools.count_open(),
             self._traffic,
+            lambda share: self._caller_server.connections.observe_load(
+                share, self.admission.compute_request_share()
+            ),
         )
         self._readiness_server = exchange.Server(
             settings.ready_address, self._answer_readiness
@@ -578,6 +581,7 @@
                 "reader_ended": held.ended_readers,
                 "connection_rejected": connections.rejected,
                 "connection_closed": connections.closed_idle,
+                "connection_shed": connections.shed,
             },
         )
 
--- a/pimentowick/gateway/resource_use.py
+++ b/pimentowick/gateway/resource_use.py
@@ -13,6 +13,8 @@
 __all__ = ["ResourceMonitor"]
 
 INTERVAL_S = 0.3
+# The event loop runs in one thread.
+EVENT_LOOP_CORES = 1.0
 MEGABYTE = 1_000_000
 # Bytes per second of a link of one megabit per second.
 BYTES_PER_MEGABIT = 125_000
@@ -49,6 +51,8 @@
         budget: The `memory_budget.MemoryBudget`, whose capacity is updated.
         count_sockets: Function that returns the number of open sockets.
         counted: The `traffic.Traffic` of the entry.
+        on_processor_use: Function called with the share of what the event loop can use
+            of the processor, if that is limited.
 
     Attributes:
         settings: The `pimentowick.platform.node.NodeSettings` in force.
@@ -56,7 +60,15 @@
         loop_delay_s: Longest delay of the event loop since the last observation.
     """
 
-    def __init__(self, settings, budget, count_sockets, counted):
+    def __init__(
+        self,
+        settings,
+        budget,
+        count_sockets,
+        counted,
+        on_processor_use=lambda share: None,
+    ):
+        self._on_processor_use = on_processor_use
         self.settings = settings
         self._budget = budget
         self._count_sockets = count_sockets
@@ -109,6 +121,10 @@
             level = self._levels[resource].update(use.share, now)
             if level != previous:
                 self._log_level(resource, use, previous, level)
+        processor = self.uses[resource_level.Resource.PROCESSOR]
+        if processor.limit:
+            cores = min(processor.limit, EVENT_LOOP_CORES)
+            self._on_processor_use(processor.used / cores)
         memory = self.uses[resource_level.Resource.MEMORY]
         self._update_capacity(memory.used)
         self._trim(now)
