Test streams that end with their connection

They have neither a length nor chunks; one that ends inside an event has been broken off, and what came of that event is neither passed on nor joined to another run's. The three tests pass on the code as it is.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -21,7 +21,8 @@
             and closes the connection without a response; ``extra`` sends a second,
             unsolicited response; ``unsigned`` omits the replica's identifier;
             ``crossed`` first sends a response to another request; ``wrong_order``
-            leaves out an event; ``silent`` sends nothing and keeps the connection.
+            leaves out an event; ``silent`` sends nothing and keeps the connection;
+            ``unframed`` streams with neither a length nor chunks and closes.
         cut_after: Number of events or bytes after which the response is truncated.
         partial_event: Whether it is truncated in the middle of an event.
         awaits_release: Whether it is truncated only once `Replica.release` is set.
@@ -156,6 +157,9 @@
         if behaviour.kind == "vanish":
             self.close_connection()
             return
+        if behaviour.kind == "unframed":
+            await self._respond_unframed(behaviour, request_id)
+            return
         if behaviour.kind == "silent":
             await self.wait_for_disconnect()
         if behaviour.kind == "crossed":
@@ -189,6 +193,22 @@
         if behaviour.kind == "extra":
             self.connection.write(_make_raw_response("another", b"stray"))
 
+    async def _respond_unframed(self, behaviour, request_id):
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"{HEADER_PREFIX}Request-Id: {request_id}",
+            f"{HEADER_PREFIX}Server-Stamp: {self.server.id}",
+            "Content-Type: text/event-stream",
+        ]
+        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        numbers = list(range(first, self.server.events + 1))[: behaviour.cut_after]
+        events = [f"id: {number}\ndata: word {number}\n\n" for number in numbers]
+        if behaviour.partial_event:
+            events.append(f"id: {numbers[-1] + 1}\nda")
+        stream = self.detach()
+        await stream.write("\r\n".join([*lines, "", "".join(events)]).encode())
+        stream.close()
+
     async def _stream_events(self, behaviour):
         self.set_header("Content-Type", "text/event-stream")
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
--- a/pimentowick/gateway/tests/test_online.py
+++ b/pimentowick/gateway/tests/test_online.py
@@ -297,3 +297,50 @@
         )
 
     run_with([replica.Replica(slots=8)], check)
+
+
+def test_stream_that_ends_with_its_connection_is_passed_on_whole():
+    # It has neither a length nor chunks.
+    server = replica.Replica()
+    server.planned_behaviours = [replica.Behaviour("unframed")] * 2
+
+    async def check(site):
+        for number, path in enumerate(("/chat/1", "/draft/1")):
+            answer = await send(site, path, f"r{number}")
+            assert (answer.status, answer.body) == (200, STREAM_BODY)
+        assert sum(server.runs.values()) == 2
+
+    run_with([server], check)
+
+
+def test_stream_that_ends_with_its_connection_inside_an_event_goes_on():
+    # The part of the event that arrived must not be joined to another run's.
+    servers = [replica.Replica(f"i-{n}") for n in range(2)]
+    planned = [replica.Behaviour("unframed", cut_after=1, partial_event=True)]
+    for each in servers:
+        each.planned_behaviours = planned
+
+    async def check(site):
+        answer = await send(site, "/chat/1")
+        assert (answer.status, answer.body) == (200, STREAM_BODY)
+        runs = [headers for each in servers for headers in each.headers]
+        assert sorted(run.get("Last-Event-Id", "") for run in runs) == ["", "1"]
+
+    run_with(servers, check)
+
+
+def test_stream_that_ends_inside_an_event_does_not_look_complete():
+    # It may run only once, so that it can't go on elsewhere.
+    server = replica.Replica()
+    server.planned_behaviours = [
+        replica.Behaviour("unframed", cut_after=1, partial_event=True)
+    ]
+
+    async def check(site):
+        try:
+            answer = await send(site, "/draft/1")
+        except http_client.TransportError:
+            return
+        assert answer.status == 502
+
+    run_with([server], check)
