Count a stream that ends with its connection before an event as lost

Such a stream has neither a length nor chunks, so that a target that crashes as it begins to answer seemed to have answered: its request, and the parts of its prompt, were taken for sound each time. A stream with whole events whose connection ends is complete as before, as is an empty one whose end is told, which is what is left after the last event.

--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -134,6 +134,11 @@
         self.events += self.is_in_order
         self.event_times.record(int(self.is_in_order), self.last_received_at)
 
+    @property
+    def ends_within_event(self):
+        """Whether part of an event arrived after the last whole one."""
+        return not self._splitter.is_empty()
+
     def is_complete(self):
         """Return whether the stream ended after a whole event, with none missing."""
         return self._splitter.is_empty() and self.is_in_order
@@ -175,7 +180,7 @@
         request_task.cancel()
         checkpoint_task.cancel()
         await asyncio.gather(checkpoint_task, request_task, return_exceptions=True)
-    return outcome, sink
+    return outcome.check_events(sink.events, sink.ends_within_event), sink
 
 
 async def _checkpoint_periodically(item_transcript):
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -530,6 +530,10 @@
             finally:
                 if self._survival_timer is not None:
                     self._survival_timer.cancel()
+        if sink.forwards_events:
+            outcome = outcome.check_events(
+                sink.event_times.count, sink.ends_within_event
+            )
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
         self._record_performance(target, outcome)
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -123,6 +123,11 @@
         except ValueError:
             return False
 
+    @property
+    def ends_within_event(self):
+        """Whether part of an event arrived after the last whole one."""
+        return not self._splitter.is_empty()
+
     def is_complete(self):
         """Return whether the stream ended after a complete event, all in order."""
         return self._splitter.is_empty() and not self.out_of_order
--- a/pimentowick/gateway/tests/test_crashing_parts.py
+++ b/pimentowick/gateway/tests/test_crashing_parts.py
@@ -164,3 +164,19 @@
         assert late == [200] * 8
 
     run_with(check, parts=())
+
+
+@pytest.mark.parametrize("path", ["/draft/", "/chat/"])
+def test_stream_that_ends_with_its_connection_before_an_event_counts_as_lost(path):
+    # Its head has neither a length nor chunks, so that it looks like a whole answer.
+    async def check(site):
+        for server in site.replicas:
+            server.planned_behaviours = [
+                replica.Behaviour("unframed", cut_after=0) for _ in range(REQUESTS)
+            ]
+        statuses = await send_many(site, lambda number: (POISON,), path=path)
+        runs = sum(sum(server.runs.values()) for server in site.replicas)
+        assert runs <= MAX_CRASHES
+        assert statuses[-1] == 503
+
+    run_with(check, parts=())
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -75,12 +75,29 @@
         reason: Reason code for the log.
         status: HTTP status of the response, or 0 without one.
         connected: Whether a connection to the target was open.
+        is_framed: Whether the response told its end without closing the connection.
     """
 
     end: End
     reason: str
     status: int = 0
     connected: bool = True
+    is_framed: bool = True
+
+    def check_events(self, count, ends_within_event):
+        """Return the outcome of an event stream, given what arrived.
+
+        A target that crashes closes a stream whose end is that of its connection, too.
+
+        Args:
+            count: Number of whole events.
+            ends_within_event: Whether part of another one arrived.
+        """
+        if self.end != End.COMPLETE or self.is_framed or self.status != 200:
+            return self
+        if count and not ends_within_event:
+            return self
+        return dataclasses.replace(self, end=End.INCOMPLETE, reason="cut_short")
 
     @property
     def may_be_crash(self):
@@ -277,7 +294,9 @@
             return Outcome(End.INCOMPLETE, "unsigned", reader.status)
         if answer.has_encoding:
             return Outcome(End.INCOMPLETE, "encoded", reader.status)
-        return Outcome(End.COMPLETE, "answered", reader.status)
+        return Outcome(
+            End.COMPLETE, "answered", reader.status, is_framed=reader.is_framed
+        )
 
     def is_reusable(self, now):
         """Return whether another request may be sent."""
