Let the soak test serve two software versions and crash targets under a part

Replicas run two versions; callers take broken streams up; each stream and item must go on at the version that began it. A new fault sends 24 requests with a part under which each replica crashes, of which at most 8 may.

--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -1,15 +1,21 @@
 """Fault injection: signals to gateways and faults of the fakes."""
 
 import asyncio
+import contextlib
 import signal
 
-from pimentowick.fakes import faults, replica, wait
+from pimentowick import exception
+from pimentowick.fakes import faults, platform_site, replica, wait
 
 __all__ = ["FAULT_KINDS", "FaultInjector"]
 
 APPEND_PATH = "/-/log-append"
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.05
+PART_REQUESTS = 24
+PART_INTERVAL_S = 0.1
+# Five crashes, and three requests that come later.
+MAX_PART_CRASHES = 8
 
 
 class FaultInjector:
@@ -21,12 +27,14 @@
 
     Attributes:
         injected: List of the kinds of the injected faults.
+        violations: Descriptions of violated invariants.
     """
 
     def __init__(self, fleet, rng):
         self._fleet = fleet
         self._rng = rng
         self.injected = []
+        self.violations = []
 
     async def inject(self, kind):
         """Inject one fault; return when it has ended or was handed to the fakes."""
@@ -106,6 +114,33 @@
                 replica.Behaviour("unsigned"),
             ]
 
+    async def _crash_under_part(self):
+        """Send new requests with one part under which each replica crashes."""
+        part = f"bad{len(self.injected)}"
+        for each in self._fleet.replicas:
+            each.crash_parts.add(part)
+        before = self._count_crashes()
+        for number in range(PART_REQUESTS):
+            gateway = self._choose_gateway()
+            headers = {
+                "Host": platform_site.HOST,
+                "X-Pimentowick-Request-Id": f"{part}-{number}",
+                "X-Pimentowick-Deadline-Ms": "1000",
+                "X-Pimentowick-Prompt-Prefix": f"{part}:50,own{number}:50",
+            }
+            path = f"/draft/{part}/{number}"
+            with contextlib.suppress(exception.UnavailableError):
+                await self._fleet.client.fetch(
+                    "POST", gateway.address, path, b"x", headers, timeout_s=2.0
+                )
+            await asyncio.sleep(PART_INTERVAL_S)
+        crashes = self._count_crashes() - before
+        if crashes > MAX_PART_CRASHES:
+            self.violations.append(f"{part}: {crashes} replicas crashed")
+
+    def _count_crashes(self):
+        return sum(each.crashes for each in self._fleet.replicas)
+
     async def _rebalance_groups(self):
         for group in self._fleet.store.groups.values():
             group.members.clear()
@@ -125,4 +160,5 @@
     "silent_connections": FaultInjector._stall_connections,
     "break_answers": FaultInjector._break_responses,
     "deal_anew": FaultInjector._rebalance_groups,
+    "crash_part": FaultInjector._crash_under_part,
 }
--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -1,6 +1,7 @@
 """Gateway processes, and fakes of the platform that run in this process."""
 
 import asyncio
+import functools
 import os
 import pathlib
 import signal
@@ -104,13 +105,15 @@
         slowdown: Slowdown that replicas report, in percent; None if they report none.
     """
 
-    def __init__(self, directory, gateways=3, replicas=3, slowdown=None):
+    def __init__(self, directory, gateways=3, replicas=4, slowdown=None):
         self._directory = directory
         self._slowdown = slowdown
         self._gateway_count = gateways
         self.store = platform_store.PlatformStore()
         self.replicas = [
-            replica.Replica(f"i-{n}", events=12, event_interval_s=0.02)
+            replica.Replica(
+                f"i-{n}", events=12, event_interval_s=0.02, version=f"v{n % 2}"
+            )
             for n in range(replicas)
         ]
         self.gateways = []
@@ -124,7 +127,8 @@
             # Turns on the decisions for services on shared hosts.
             each.slowdown = self._slowdown
             await each.start()
-            self.store.put("keyed.servers", each.id, each.make_registration("lm"))
+            each.on_crash = functools.partial(self._register_again, each)
+            self._register(each)
         routes = [
             platform_site.make_route("/chat/", "stream", resumable=True),
             platform_site.make_route("/draft/", "stream"),
@@ -140,6 +144,13 @@
             await gateway.start()
         await self.wait_ready()
 
+    def _register(self, server):
+        self.store.put("keyed.servers", server.id, server.make_registration("lm"))
+
+    def _register_again(self, server, previous_id):
+        self.store.put("keyed.servers", previous_id, b"")
+        self._register(server)
+
     async def wait_ready(self):
         """Wait until all gateways report that they are ready."""
         for gateway in self.gateways:
--- a/pimentowick/soak/run.py
+++ b/pimentowick/soak/run.py
@@ -16,6 +16,8 @@
 
 REQUEST_ID_HEADER = "X-Pimentowick-Request-Id"
 DEADLINE_HEADER = "X-Pimentowick-Deadline-Ms"
+LAST_EVENT_HEADER = "Last-Event-Id"
+FIRST_ATTEMPT_HEADER = "Resumes"
 REQUEST_TIMEOUT_S = 8.0
 MAX_JOB_SUBMISSIONS = 200
 JOB_TIMEOUT_S = 90.0
@@ -25,9 +27,12 @@
 EVENTS_PER_RESPONSE = 12
 # Work on the hosts of replicas takes the usual time.
 USUAL_PERCENT = 100
-EXPECTED_BODY = "".join(
-    f"id: {n}\ndata: word {n}\n\n" for n in range(1, EVENTS_PER_RESPONSE + 1)
-).encode()
+EXPECTED_EVENTS = [
+    f"id: {n}\ndata: word {n}\n\n".encode() for n in range(1, EVENTS_PER_RESPONSE + 1)
+]
+EXPECTED_BODY = b"".join(EXPECTED_EVENTS)
+# What follows the first event.
+EXPECTED_REST = b"".join(EXPECTED_EVENTS[1:])
 EXPECTED_TEXT = "\n".join(f"word {n}" for n in range(1, EVENTS_PER_RESPONSE + 1))
 
 
@@ -77,12 +82,14 @@
                 await injector.inject(self.rng.choice(kinds))
                 await asyncio.sleep(self.rng.uniform(0.2, 1.0))
             self.findings.faults = injector.injected
+            self.findings.violations += injector.violations
             self._stopping.set()
             await asyncio.gather(*callers)
             await self._restart_exited()
             await self.fleet.wait_ready()
             await self._check_jobs()
             self._check_executions()
+            self._check_versions()
         finally:
             for caller in callers:
                 caller.cancel()
@@ -111,11 +118,27 @@
             try:
                 response = await self._send("POST", path, b"x", headers)
             except exception.UnavailableError:
-                pass
+                if path == "/chat/1":
+                    await self._take_up(request_id, path)
             else:
                 self._check_response(request_id, response)
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
+    async def _take_up(self, first_id, path):
+        """Go on with a broken stream after its first event."""
+        headers = {
+            REQUEST_ID_HEADER: f"r{next(self._counter)}",
+            DEADLINE_HEADER: "6000",
+            LAST_EVENT_HEADER: "1",
+            FIRST_ATTEMPT_HEADER: first_id,
+        }
+        try:
+            response = await self._send("POST", path, b"x", headers)
+        except exception.UnavailableError:
+            return
+        if response.status == 200 and response.body != EXPECTED_REST:
+            self._add_violation(f"{first_id}: goes on with {response.body[:80]!r}")
+
     def _check_response(self, request_id, response):
         if response.status == 200:
             self.findings.served += 1
@@ -204,6 +227,22 @@
             return None
         return rows
 
+    def _check_versions(self):
+        """Check that each stream and item went on at the version that began it."""
+        began, went_on = {}, {}
+        for each in self.fleet.replicas:
+            for headers in each.headers:
+                first_id = headers[REQUEST_ID_HEADER]
+                first_id = headers.get(FIRST_ATTEMPT_HEADER, first_id)
+                runs = went_on if LAST_EVENT_HEADER in headers else began
+                runs.setdefault(first_id, set()).add(each.version)
+        for first_id, versions in went_on.items():
+            is_item = any(first_id in names for names in self.accepted.values())
+            if not versions <= began.get(first_id, set()):
+                self._add_violation(f"{first_id}: went on at {versions}")
+            if len(versions) > 1 and not is_item:
+                self._add_violation(f"{first_id}: holds events of {versions}")
+
     def _check_executions(self):
         runs = {}
         for each in self.fleet.replicas:
