Trace parts of prompts and streams that can't go on

pimentowick trace of a refused request names the part that is quarantined, and pimentowick trace part-ID@SERVICE shows all requests with it: which targets crashed, which runs were trials, what was refused.

--- a/pimentowick/cli/tests/test_trace.py
+++ b/pimentowick/cli/tests/test_trace.py
@@ -191,6 +191,47 @@
     assert "1 attempts were refused without having run" in output
 
 
+def test_trace_explains_a_part_of_prompts_that_crashes_targets(tmp_path):
+    # The requests have nothing in common but the part.
+    fields = (
+        '"fingerprint":"f9","quarantined":["part-5c1e@lm"],"crashed":["t1","t2"],'
+        '"trials":1,"retry_after_s":4.0'
+    )
+    path = write_log(
+        tmp_path,
+        "front-1",
+        '{"time":10.0,"event":"online.lost","id":"r1","target":"t1",'
+        '"fingerprint":"f1","parts":["a0","5c1e"]}',
+        '{"time":10.2,"event":"online.lost","id":"r2","target":"t2",'
+        '"fingerprint":"f2","parts":["5c1e"]}',
+        '{"time":11.0,"event":"quarantine.trial","id":"r2",'
+        '"fingerprint":"part-5c1e@lm"}',
+        '{"time":12.0,"event":"online.ended","id":"r3","outcome":"quarantined",'
+        f'"status":503,"took_s":0.001,{fields}}}',
+    )
+    code, output = run_command(["pimentowick", "trace", "r3", path])
+    assert code == 0
+    assert "Trace part-5c1e@lm for all such attempts" in output
+    code, output = run_command(["pimentowick", "trace", "part-5c1e@lm", path])
+    assert code == 0
+    assert "2 targets broke off 2 runs of requests with this part" in output
+    assert "1 runs were trials, and 1 attempts were refused" in output
+
+
+def test_trace_explains_a_stream_that_can_not_go_on(tmp_path):
+    path = write_log(
+        tmp_path,
+        "front-1",
+        '{"time":10.0,"event":"stream.origin","id":"r1","key":"k","version":null,'
+        '"asked":3,"took_s":0.01}',
+        '{"time":10.0,"event":"online.ended","id":"r1","outcome":"stream_unknown",'
+        '"status":503,"took_s":0.011}',
+    )
+    code, output = run_command(["pimentowick", "trace", "r1", path])
+    assert code == 0
+    assert "no gateway that was asked knows which software version" in output
+
+
 def test_unknown_id_and_missing_file_are_reported(tmp_path):
     path = write_log(tmp_path, "a", '{"time":1.0,"event":"gateway.started"}')
     code, output = run_command(["pimentowick", "trace", "nobody", path])
--- a/pimentowick/cli/trace.py
+++ b/pimentowick/cli/trace.py
@@ -2,6 +2,7 @@
 
 from pimentowick.cli import base
 from pimentowick.gateway import history
+from pimentowick.routing import quarantine
 
 __all__ = ["Trace"]
 
@@ -14,7 +15,9 @@
     examples = ("pimentowick trace 51f0 front-1.log front-2.log",)
     arguments = [
         base.make_argument(
-            "id", "Id of a request, an item or a job, or a request's fingerprint."
+            "id",
+            "Id of a request, an item or a job, a request's fingerprint, or the name "
+            "of a part of prompts (part-ID@SERVICE).",
         ),
         base.make_argument("files", "Decision logs of gateways.", multiple=True),
     ]
@@ -23,10 +26,13 @@
         lines = read_decision_logs(self.argument("files"))[0]
         wanted_id = self.argument("id")
         id_lines, context_lines = history.find_related(lines, wanted_id)
+        is_part = bool(id_lines) and wanted_id.startswith(quarantine.PART_PREFIX)
         is_fingerprint = bool(id_lines) and all(
             line.data.get("fingerprint") == wanted_id for line in id_lines
         )
-        if is_fingerprint:
+        if is_part:
+            cause = history.explain_fingerprint(id_lines, "requests with this part")
+        elif is_fingerprint:
             cause = history.explain_fingerprint(id_lines)
         else:
             cause = history.explain(id_lines, context_lines)
@@ -36,7 +42,7 @@
                 [*id_lines, *context_lines], key=lambda line: line.time
             )
             rows = [
-                line.to_text(shown_lines[0].time, shows_id=is_fingerprint)
+                line.to_text(shown_lines[0].time, shows_id=is_fingerprint or is_part)
                 for line in shown_lines
             ]
         self.show({"cause": cause, "lines": rows}, "\n".join([*rows, cause]))
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -54,6 +54,7 @@
     task: object = None
     is_held: bool = False
     _fingerprint: str = ""
+    _parts: tuple | None = None
 
     @property
     def fingerprint(self):
@@ -76,8 +77,14 @@
     @property
     def part_names(self):
         """Names of the shared parts of its prompt."""
-        parts = message.decode_item_parts(self.item)
-        return [quarantine.name_part(self.service, part) for part in parts]
+        return [quarantine.name_part(self.service, part) for part in self.parts]
+
+    @property
+    def parts(self):
+        """Identifiers of the shared parts of its prompt."""
+        if self._parts is None:
+            self._parts = message.decode_item_parts(self.item)
+        return self._parts
 
     @property
     def item(self):
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -125,7 +125,8 @@
         )
         self._taken_up = self._make_counter(
             "pimentowick_gateway_taken_up_streams_total",
-            "Streams that callers take up by outcome: known, unknown, version_gone.",
+            "Streams that callers take up by outcome: known, unknown, "
+            "stream_version_gone.",
         )
         self._refusals = self._make_counter(
             "pimentowick_gateway_refusals_total",
@@ -270,7 +271,11 @@
         self._quarantine_events.inc({"event": event})
 
     def count_taken_up(self, outcome):
-        """Count a stream that a caller takes up: known, unknown or version_gone."""
+        """Count a stream that a caller takes up.
+
+        Args:
+            outcome: ``known``, ``unknown`` or ``stream_version_gone``.
+        """
         self._taken_up.inc({"outcome": outcome})
 
     def count_refusal(self, refusal, workspace=None):
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -239,6 +239,8 @@
             if not self._is_version_gone():
                 slot = await self._acquire_slot(slot_request)
             if slot is None and self._is_version_gone():
+                if self._is_taken_up:
+                    self._metrics.count_taken_up(STREAM_VERSION_GONE)
                 return await self._fail(STREAM_VERSION_GONE)
             if slot is None:
                 is_refused = self._choose_step() == quarantine.Step.REFUSE
@@ -834,12 +836,11 @@
         if not outcome.endswith("quarantined"):
             return {}
         policy = self._crash_guard.policy
-        opened = [name for name in self._names if policy.is_quarantined(name)]
         return {
             "fingerprint": self._fingerprint,
-            "quarantined": opened,
+            "quarantined": policy.list_quarantined(self._names),
             "crashed": self._crash_guard.list_crashes(self._names),
-            "trials": sum(policy.get_trials(name) for name in opened),
+            "trials": policy.count_trials(self._names),
             "retry_after_s": self._crash_guard.get_delay(self._names),
         }
 
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -21,7 +21,6 @@
     service_time,
     target_choice,
 )
-from pimentowick.platform import message
 from pimentowick.routing import quarantine
 
 __all__ = ["Runner"]
@@ -366,8 +365,9 @@
                 run.item.id,
                 job=run.job.id,
                 fingerprint=run.fingerprint,
-                quarantined=self._list_quarantined(run),
+                quarantined=self._crash_guard.policy.list_quarantined(run.names),
                 crashed=self._crash_guard.list_crashes(run.names),
+                trials=self._crash_guard.policy.count_trials(run.names),
                 retry_after_s=self._crash_guard.get_delay(run.names),
             )
         return True
@@ -585,10 +585,6 @@
             return quarantine.Step.RUN
         return self._crash_guard.choose_step(run.names)
 
-    def _list_quarantined(self, run):
-        policy = self._crash_guard.policy
-        return [name for name in run.names if policy.is_quarantined(name)]
-
     def _record_survived_parts(self, run, began_at):
         for name in run.part_names:
             self._crash_guard.record_survival(name, began_at=began_at)
@@ -613,7 +609,7 @@
             outcome=outcome.reason,
             fingerprint=run.fingerprint,
             target=target.id,
-            parts=message.decode_item_parts(run.item)[:MAX_LOGGED_PARTS],
+            parts=run.parts[:MAX_LOGGED_PARTS],
             events=sink.events,
         )
 
--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -47,6 +47,7 @@
 import hashlib
 
 __all__ = [
+    "PART_PREFIX",
     "PART_SURVIVAL_S",
     "SURVIVAL_S",
     "Quarantine",
@@ -327,6 +328,14 @@
         """Return whether a breaker is open, also one of a part that ran lately."""
         return self._is_open(name)
 
+    def list_quarantined(self, names):
+        """Return those names whose breakers are open."""
+        return [name for name in names if self._is_open(name)]
+
+    def count_trials(self, names):
+        """Return the number of trials of those names that are quarantined."""
+        return sum(self.get_trials(name) for name in self.list_quarantined(names))
+
     def get_delay(self, fingerprint, now):
         """Return the seconds until the next trial of a request."""
         suspect = self._suspects.get(fingerprint)
