--- a/pimentowick/fakes/platform_site.py
+++ b/pimentowick/fakes/platform_site.py
@@ -165,6 +165,19 @@
             "keyed.servers", server.id, server.make_registration(SERVICE, **changes)
         )
 
+    def register_after_crashes(self, server):
+        """Let a replica register under its new identifier after each crash."""
+
+        def register_again(previous_id):
+            self.store.put("keyed.servers", previous_id, b"")
+            self.register_replica(server)
+
+        server.on_crash = register_again
+
+    def count_crashes(self):
+        """Return how often replicas have crashed."""
+        return sum(server.crashes for server in self.replicas)
+
     async def call(self, method, path, body=None, entry=0, **headers):
         """Send a request to an entry; underscores in header names become dashes."""
         names = {name.replace("_", "-"): value for name, value in headers.items()}
--- a/pimentowick/gateway/tests/test_crashing_parts.py
+++ b/pimentowick/gateway/tests/test_crashing_parts.py
@@ -37,24 +37,12 @@
         async with platform_site.open_site(servers, ROUTES, entries) as site:
             for server in servers:
                 server.crash_parts.update(parts)
-                server.on_crash = make_reregistration(site, server)
+                site.register_after_crashes(server)
             await check(site)
 
     asyncio.run(run())
 
 
-def make_reregistration(site, server):
-    def register_again(previous_id):
-        site.store.put("keyed.servers", previous_id, b"")
-        site.register_replica(server)
-
-    return register_again
-
-
-def count_crashes(site):
-    return sum(server.crashes for server in site.replicas)
-
-
 async def send(site, number, *parts, path="/draft/"):
     """Send a request of its own with some parts to one of the entries."""
     names = [*parts, f"own{number}"]
@@ -92,7 +80,7 @@
             send_many(site, lambda number: parts, path=path),
             send_many(site, lambda number: parts[:-1] or (SHARED,), first=1000),
         )
-        assert 3 <= count_crashes(site) <= MAX_CRASHES
+        assert 3 <= site.count_crashes() <= MAX_CRASHES
         assert statuses[-1] == 503
         if parts[0] != POISON:
             assert sound[REQUESTS // 2 :].count(200) > 0.9 * REQUESTS / 2
@@ -107,7 +95,7 @@
             send_many(site, lambda number: (SHARED, poison[number % 2])),
             send_many(site, lambda number: (SHARED, "rare"), first=1000),
         )
-        assert count_crashes(site) <= 2 * MAX_CRASHES
+        assert site.count_crashes() <= 2 * MAX_CRASHES
         refused = statuses[REQUESTS // 2 :].count(503)
         assert refused > 0.8 * REQUESTS / 2
         assert sound[REQUESTS // 2 :].count(200) > 0.9 * REQUESTS / 2
@@ -146,7 +134,7 @@
             return answer.status == 200 and len(answer.decode()["results"]) == 8
 
         await wait.wait_for(are_done, WAIT_S, POLL_S)
-        assert count_crashes(site) <= MAX_CRASHES
+        assert site.count_crashes() <= MAX_CRASHES
 
     run_with(check, entries=1)
 
@@ -185,7 +173,7 @@
 def test_entry_that_has_just_started_knows_the_part():
     async def check(site):
         await crash_until_quarantined(site)
-        crashes = count_crashes(site)
+        crashes = site.count_crashes()
         await site.start_entry()
         await wait.wait_for(
             lambda: site.gateways[-1].crash_guard.policy.is_quarantined(NAME),
@@ -194,7 +182,7 @@
         )
         for number in (103, 107, 111):
             assert (await send(site, number, SHARED, POISON)).status == 503
-        assert count_crashes(site) <= crashes + 1
+        assert site.count_crashes() <= crashes + 1
 
     run_with(check)
 
@@ -205,7 +193,7 @@
             load_report.LoadReporter, "datagram_received", lambda self, data, addr: None
         )
         await send_many(site, lambda number: (SHARED, POISON))
-        assert count_crashes(site) <= MAX_CRASHES + 2 * len(site.gateways)
+        assert site.count_crashes() <= MAX_CRASHES + 2 * len(site.gateways)
         assert all(
             gateway.crash_guard.policy.is_quarantined(NAME) for gateway in site.gateways
         )
@@ -239,7 +227,7 @@
 
     async def check(site):
         statuses = await send_many(site, lambda number: (POISON, *odd))
-        assert count_crashes(site) <= MAX_CRASHES
+        assert site.count_crashes() <= MAX_CRASHES
         assert statuses[-1] == 503
 
     run_with(check)
--- a/pimentowick/gateway/tests/test_quarantine.py
+++ b/pimentowick/gateway/tests/test_quarantine.py
@@ -35,24 +35,12 @@
         async with platform_site.open_site(servers, ROUTES, entries, **changes) as site:
             for server in servers:
                 server.crash_bodies.add(POISON)
-                server.on_crash = make_reregistration(site, server)
+                site.register_after_crashes(server)
             await check(site)
 
     asyncio.run(run())
 
 
-def make_reregistration(site, server):
-    def register_again(previous_id):
-        site.store.put("keyed.servers", previous_id, b"")
-        site.register_replica(server)
-
-    return register_again
-
-
-def count_crashes(site):
-    return sum(server.crashes for server in site.replicas)
-
-
 async def send(site, path, number, body=POISON, entry=None, **headers):
     await wait.wait_for(lambda: has_free_target(site), 15, 0.01)
     return await site.call(
@@ -78,7 +66,7 @@
     # Attempts under new ids at any entry would each crash another replica.
     async def check(site):
         answers = [await send(site, path, number) for number in range(12)]
-        assert count_crashes(site) <= MAX_RUNS
+        assert site.count_crashes() <= MAX_RUNS
         assert answers[0].status == 502
         assert answers[-1].status == 503
         assert float(answers[-1].headers["Retry-After"]) > 0
@@ -98,7 +86,7 @@
             await wait.wait_for(
                 lambda name=f"job{number}": is_done(site, name), 20, 0.01
             )
-        assert 0 < count_crashes(site) <= MAX_RUNS
+        assert 0 < site.count_crashes() <= MAX_RUNS
         assert not await is_done(site, "poisoned")
 
     run_with(check)
@@ -356,14 +344,14 @@
     async def check(site):
         await quarantine_poison(site)
         await wait.wait_for(lambda: list_records(site), 15, 0.01)
-        crashes = count_crashes(site)
+        crashes = site.count_crashes()
         for gateway in site.gateways:
             await gateway.close()
         site.gateways.clear()
         await site.start_entry()
         await wait.wait_for(lambda: count_open(site) == 1, 15, 0.01)
         assert (await send(site, "/draft/1", 90)).status == 503
-        assert count_crashes(site) == crashes
+        assert site.count_crashes() == crashes
 
     run_with(check)
 
@@ -387,9 +375,9 @@
         for number in range(3):
             await send(site, "/draft/1", number, entry=0)
         await wait.wait_for(lambda: count_open(site) == 2, 15, 0.01)
-        crashes = count_crashes(site)
+        crashes = site.count_crashes()
         assert (await send(site, "/draft/1", 9, entry=1)).status == 503
-        assert count_crashes(site) == crashes
+        assert site.count_crashes() == crashes
 
     run_with(check)
 
@@ -402,7 +390,7 @@
             lambda: all(each.unreachable_since is not None for each in feeds), 15, 0.01
         )
         answers = [await send(site, "/draft/1", number) for number in range(12)]
-        assert count_crashes(site) <= MAX_RUNS
+        assert site.count_crashes() <= MAX_RUNS
         assert answers[-1].status == 503
         site.store.fault_injector.inject(faults.Fault("clear"))
         await wait.wait_for(lambda: list_records(site), 15, 0.01)
