Take an answer without an event for no proof that a part is sound

A target may reject a request before it begins to run it, with a status below 500. Such an answer exonerated the parts of its prompt, also one that crashes targets, whose breaker then closed. Only events, or a whole plain answer with 200, do so now. The new test failed before: the part stood among those that completed. Found by review.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -545,7 +545,10 @@
             self._record_lost_run(target, outcome, sink.events - events_before)
         elif outcome.is_survival:
             self._crash_guard.record_survival(self._fingerprint)
-            self._record_survived_parts(sink.event_times.first_at or self._sent_at)
+            if outcome.status == 200 and not sink.forwards_events:
+                self._record_survived_parts(self._sent_at)
+            elif sink.event_times.count:
+                self._record_survived_parts(sink.event_times.first_at)
         return outcome
 
     def _watch_for_slow_target(self, sink, call_later):
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -573,7 +573,8 @@
             self._record_lost_run(run, target, outcome, sink)
         elif outcome.is_survival:
             self._crash_guard.record_survival(run.fingerprint)
-            self._record_survived_parts(run, sink.event_times.first_at or started_at)
+            if sink.events:
+                self._record_survived_parts(run, sink.event_times.first_at)
         elif outcome.end == upstream.End.NOT_RUN and not outcome.is_refusal:
             self._crash_guard.cancel_trial(trials)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
--- a/pimentowick/gateway/tests/test_crashing_parts.py
+++ b/pimentowick/gateway/tests/test_crashing_parts.py
@@ -247,3 +247,17 @@
         assert statuses[-1] == 503
 
     run_with(check, parts=())
+
+
+def test_answer_without_an_event_shows_nothing_of_its_parts():
+    # A target may reject a request before it begins to run it.
+    async def check(site):
+        for server in site.replicas:
+            server.planned_behaviours = [replica.Behaviour("impossible")] * 5
+        for number in range(len(site.replicas)):
+            assert (await send(site, number, "odd")).status == 422
+        name = quarantine.name_part(platform_site.SERVICE, "odd")
+        for gateway in site.gateways:
+            assert name not in gateway.crash_guard.policy._completed
+
+    run_with(check, parts=())
