--- a/pimentowick/gateway/stream_origins.py
+++ b/pimentowick/gateway/stream_origins.py
@@ -77,15 +77,12 @@
             left_s: Time until its caller's deadline, in seconds.
         """
         self._table.put(key, origin, left_s, time.monotonic())
-        self._send(key, origin, left_s)
-        loop = asyncio.get_running_loop()
-        loop.call_later(REPEAT_DELAY_S, self._send, key, origin, left_s)
-
-    def _send(self, key, origin, left_s):
         live = self._reporter.list_live_peers()
+        holders = stream_origin.choose_holders(key, live)
         row = [origin.service, origin.software_version, left_s]
-        self._reporter.send_to(
-            stream_origin.choose_holders(key, live), {"origins": {key: row}}
+        self._reporter.send_to(holders, {"origins": {key: row}})
+        asyncio.get_running_loop().call_later(
+            REPEAT_DELAY_S, self._reporter.send_to, holders, {"origins": {key: row}}
         )
 
     async def find(self, key, request_id):
