Continue a generation of the first deployment only at its software version

An agent may now state its target's software_version; once a caller has tokens, or an item does, only targets of that version go on, the one that failed before those of another version. An item begins anew elsewhere. Agents that state none are of one version, as before. The agent itself goes on at its own engine only, so nothing changes there; that the engine may have returned with another version is open, as no engine states it.

--- a/pimentowick/agent/daemon.py
+++ b/pimentowick/agent/daemon.py
@@ -296,6 +296,8 @@
             "lease_s": self.settings.lease_s,
             "models": list(self.load.models),
         }
+        if target.software_version is not None:
+            static["software_version"] = target.software_version
         if target.kind == "engine":
             static.update(self.orders.describe(self.load.models, self.load.adapters))
             static["max_models"] = target.max_models
--- a/pimentowick/batch/item.py
+++ b/pimentowick/batch/item.py
@@ -34,10 +34,18 @@
     Attributes:
         texts: Tokens generated so far; the next attempt resumes after them.
         attempts: Number of attempts started.
+        software_version: Version of the target that generated the tokens.
     """
 
     texts: list = dataclasses.field(default_factory=list)
     attempts: int = 0
+    software_version: str | None = None
+
+    def prepare(self, software_version):
+        """Prepare an attempt at a target; discard the tokens of another version."""
+        if software_version != self.software_version:
+            self.texts.clear()
+        self.software_version = software_version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +83,7 @@
         The `Result`.
     """
     progress.attempts += 1
+    progress.prepare(peer.software_version)
     request_id = f"{job.id}-{item}"
     envelope = routing_attempt.make_envelope(
         request_id,
--- a/pimentowick/entry/tests/test_online.py
+++ b/pimentowick/entry/tests/test_online.py
@@ -91,6 +91,34 @@
     run(check, agent_settings={"idle_s": 0.5})
 
 
+@pytest.mark.parametrize("versions", [("v1", "v2", "v3"), ("v1", "v1", "v2", "v2")])
+def test_broken_stream_resumes_only_at_its_software_version(versions):
+    """An engine disconnects in the middle of a stream. Engines of other versions write
+    what does not fit.
+    """
+
+    async def check(fleet, callers):
+        for index, version in enumerate(versions):
+            target = engine.Engine(models=[embedded.MODEL], base_step_ms=2)
+            name = f"lm-{version}-{index}"
+            await fleet.add_target(
+                name, "engine", embedded.MODEL, target, software_version=version
+            )
+        await fleet.wait_for(fleet.is_ready)
+        on_text = inject_fault_once(fleet, "cut")
+        outcome = await callers.stream("break", 60, on_text=on_text)
+        assert outcome.complete
+        assert callers.count_runs(outcome.request_id) == 2
+        ran = {
+            name.split("-")[1]
+            for name, target in fleet.targets.items()
+            if target.runs[outcome.request_id]
+        }
+        assert len(ran) == 1
+
+    run(check, engines=0)
+
+
 def test_stream_resumes_after_its_agent_crashed():
     """An agent crashes while it relays a stream."""
 
--- a/pimentowick/fakes/embedded.py
+++ b/pimentowick/fakes/embedded.py
@@ -134,13 +134,15 @@
         await self.log.close()
         await self.client.close()
 
-    async def add_target(self, name, kind, service_name, target):
+    async def add_target(self, name, kind, service_name, target, **target_settings):
         """Start a fake target and its agent."""
         await target.start()
         self.targets[name] = target
-        await self.add_agent(f"agent-{name}", name, kind, service_name)
+        await self.add_agent(
+            f"agent-{name}", name, kind, service_name, **target_settings
+        )
 
-    async def add_agent(self, name, target_name, kind, service_name):
+    async def add_agent(self, name, target_name, kind, service_name, **target_settings):
         """Start an agent for a running target."""
         fields = dict(self._agent_settings)
         target = {
@@ -149,6 +151,7 @@
             "kind": kind,
             "service": service_name,
             **fields.pop("target", {}),
+            **target_settings,
         }
         settings = process_settings.AgentSettings(
             name=name, failure_domain="here", target=target, **fields
--- a/pimentowick/membership/peer.py
+++ b/pimentowick/membership/peer.py
@@ -69,6 +69,11 @@
         """Name of the model or service that the target serves."""
         return self.report.get("service")
 
+    @property
+    def software_version(self):
+        """Version of the target's software, or None if its agent does not state it."""
+        return self.report.get("software_version")
+
     def list_services(self):
         """Return the names of the models or the service that the target serves.
 
--- a/pimentowick/routing/router.py
+++ b/pimentowick/routing/router.py
@@ -44,6 +44,9 @@
         excluded: Names of the peers that refused the request or failed.
         attempts: Number of attempts started.
         is_trial: Whether it is quarantined and runs as a trial.
+        has_begun: Whether the caller has received tokens.
+        software_version: Version of the target of the latest attempt, or None if it is
+            not stated. Once tokens were received, no other one may go on.
     """
 
     id: str
@@ -59,6 +62,8 @@
     excluded: set = dataclasses.field(default_factory=set)
     attempts: int = 0
     is_trial: bool = False
+    has_begun: bool = False
+    software_version: str | None = None
 
     @functools.cached_property
     def fingerprint(self):
@@ -108,8 +113,8 @@
     async def generate(self, request):
         """Yield `Tokens` and a final `End` for a generation.
 
-        An interrupted generation is resumed at another target after the tokens that
-        were already yielded.
+        An interrupted generation is resumed at another target of the same software
+        version after the tokens that were already yielded.
 
         Raises:
             RefusedError: All attempts failed, or the deadline expired.
@@ -122,6 +127,7 @@
                 for frame in frames:
                     if "texts" in frame and frame["index"] == produced:
                         produced += len(frame["texts"])
+                        request.has_begun = True
                         request.payload["generate"]["resume_tokens"] = produced
                         yield external_engine.Tokens(frame["index"], frame["texts"])
                     elif frame.get("end"):
@@ -226,9 +232,16 @@
 
     def _choose_peer(self, request):
         pool = self._fleet.get_pool(request.service, request.kind)
-        peer = self._balancer.choose(pool, request.prefix, request.excluded)
-        if peer is not None:
-            return peer
+        unfit = set()
+        if request.has_begun:
+            needed = request.software_version
+            unfit = {p.name for p in pool.members if p.software_version != needed}
+        # A target that failed is better than one of another version.
+        for excluded in (request.excluded | unfit, unfit):
+            peer = self._balancer.choose(pool, request.prefix, excluded)
+            if peer is not None and peer.name not in unfit:
+                request.software_version = peer.software_version
+                return peer
         raise exception.RefusedError(
             _merge_verdicts(
                 request,
--- a/pimentowick/settings.py
+++ b/pimentowick/settings.py
@@ -191,6 +191,11 @@
         min_length=1,
         description="Name of the model or service that the target serves.",
     )
+    software_version: str | None = pydantic.Field(
+        None,
+        description="Version of the target's software; a generation goes on only at"
+        " targets of the version that began it.",
+    )
     adapter: str = pydantic.Field(
         "http", description="http, or module:Class of another adapter of the target."
     )
