Close no new connections at an entry that hears no other

Without other entries, as after all of them were killed, a retry comes back to the same one, so that closing a connection unread only costs it. The new test failed before: a limit was set.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -206,9 +206,7 @@
             self._caller_server.held.budget,
             lambda: len(self._caller_server.connections) + self.pools.count_open(),
             self._traffic,
-            lambda share: self._caller_server.connections.observe_load(
-                share, self.admission.compute_request_share()
-            ),
+            self._on_processor_use,
         )
         self._readiness_server = exchange.Server(
             settings.ready_address, self._answer_readiness
@@ -441,6 +439,12 @@
             None if limited is None else quota.Limit(limited.rate_per_s, limited.burst)
         )
 
+    def _on_processor_use(self, processor_share):
+        # Without other entries, a retry would come back to this one.
+        has_peers = bool(self.load_reporter.list_live_peers())
+        request_share = self.admission.compute_request_share() if has_peers else 0.0
+        self._caller_server.connections.observe_load(processor_share, request_share)
+
     def _on_load_change(self):
         self.load_reporter.schedule_report()
         self.runner.wake()
--- a/pimentowick/gateway/tests/test_connection_shedding.py
+++ b/pimentowick/gateway/tests/test_connection_shedding.py
@@ -127,3 +127,19 @@
         await server.close()
 
     asyncio.run(run())
+
+
+def test_entry_that_hears_no_other_closes_no_connection():
+    # A retry would come back to it.
+    async def run():
+        async with platform_site.open_site() as site:
+            gateway = site.gateways[0]
+            [target] = gateway.table.by_id.values()
+            target.online = 4
+            for _ in range(5):
+                gateway._on_processor_use(1.0)
+                await asyncio.sleep(0.01)
+            assert gateway._caller_server.connections.shedding.rate_per_s is None
+            target.online = 0
+
+    asyncio.run(run())
