Move what a request asks of the quarantine out of the relay

A request's trial, its survival and what it reports of crashes are a class of their own now; no decision changes. 796 tests of gateway, platform and routing pass.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -4,13 +4,13 @@
 import contextlib
 import dataclasses
 import enum
-import functools
 import time
 
 from pimentowick import fingerprint, verdict
 from pimentowick.gateway import (
     admission,
     decision_log,
+    request_guard,
     response,
     route,
     stream_origins,
@@ -28,8 +28,6 @@
 RESPONSE_MARGIN_S = 0.02
 # Attempts that targets may reject without running them before the request fails.
 MAX_REFUSALS = 4
-# A trial that another entry starts is decided by then.
-MIN_QUARANTINE_RETRY_S = 0.5
 # Callers choose the identifiers of their attempts.
 MAX_LOGGED_CHARS = 64
 MAX_LOGGED_PARTS = 16
@@ -164,7 +162,6 @@
         self, relay, exchange, matched_route, call, timeout_s, workspace, strips_key
     ):
         self._admission = relay._admission
-        self._crash_guard = relay._crash_guard
         self._performance = relay._performance
         self._slow_targets = relay._slow_targets
         self._origins = relay._origins
@@ -184,26 +181,22 @@
         # What began the stream, once its caller has an event.
         self._origin = None
         self._service = matched_route.choose_service()
+        self._guard = request_guard.RequestGuard(
+            relay._crash_guard,
+            call.request_id,
+            self._compute_fingerprint,
+            lambda: [quarantine.name_part(self._service, part) for part in call.parts],
+        )
         self._slot = None
         self._status = 0
         self._sent = False
         self._sent_at = None
-        self._trial_names = []
-        self._trial_crashes = frozenset()
-        # Timer after which the current run has survived the parts of its prompt.
-        self._survival_timer = None
-        self._has_survived = False
-        self._has_reached_target = False
         self._has_queued = False
         self._is_shed = False
         self._refusal_inputs = {}
         # Monotonic time of the first attempt of a caller that was turned away.
         self._first_at = None
 
-    @property
-    def _is_trial(self):
-        return bool(self._trial_names)
-
     @property
     def may_have_run(self):
         """Whether the request may have run at a target."""
@@ -233,8 +226,8 @@
         if self._admission.has_shared_hosts(self._service):
             slot_request = self._set_learned_deadlines(slot_request)
         while True:
-            if await self._is_quarantined():
-                return await self._refuse("quarantined")
+            if await self._guard.is_refused():
+                return await self._refuse(request_guard.QUARANTINED)
             slot = None
             if not self._is_version_gone():
                 slot = await self._acquire_slot(slot_request)
@@ -243,19 +236,20 @@
                     self._metrics.count_taken_up(STREAM_VERSION_GONE)
                 return await self._fail(STREAM_VERSION_GONE)
             if slot is None:
-                is_refused = self._choose_step() == quarantine.Step.REFUSE
-                return await self._refuse("quarantined" if is_refused else "no_place")
+                is_refused = self._guard.choose_step() == quarantine.Step.REFUSE
+                reason = request_guard.QUARANTINED if is_refused else "no_place"
+                return await self._refuse(reason)
             self._slot = slot
             try:
                 outcome = None
-                if await self._may_start():
+                if await self._guard.may_start():
                     outcome = await self._send(slot.target)
             finally:
                 slot.release()
             if outcome is None:
-                if self._may_start_later():
+                if self._guard.may_start_later():
                     continue
-                return await self._refuse("quarantined")
+                return await self._refuse(request_guard.QUARANTINED)
             step = await self._handle_outcome(outcome)
             if step == _NextStep.DONE:
                 return outcome.reason
@@ -285,18 +279,7 @@
     def _on_run_began(self):
         """Handle the first event of a run, before it is forwarded."""
         self._remember_origin()
-        if self._call.parts:
-            self._survival_timer = asyncio.get_running_loop().call_later(
-                quarantine.PART_SURVIVAL_S,
-                self._record_survived_parts,
-                time.monotonic(),
-            )
-
-    def _record_survived_parts(self, began_at):
-        """Record that the parts of the prompt crashed nothing until a time."""
-        self._has_survived = True
-        for name in self._part_names:
-            self._crash_guard.record_survival(name, began_at=began_at)
+        self._guard.on_run_began()
 
     def _remember_origin(self):
         """Remember what began the stream, for its caller's later attempts."""
@@ -333,7 +316,9 @@
         )
         received_at = self._exchange.received_at
         if control.returning:
-            self._first_at = control.returning.take(self._fingerprint, received_at)
+            self._first_at = control.returning.take(
+                self._guard.fingerprint, received_at
+            )
         first_at = received_at if self._first_at is None else self._first_at
         objective_at = objective_s + min(received_at, first_at)
         control.retry_budget.record_request(
@@ -353,41 +338,6 @@
             is_return=self._first_at is not None,
         )
 
-    def _may_start_later(self):
-        """Return whether the trial of another attempt has released it, or still may."""
-        return self._choose_step() in (quarantine.Step.RUN, quarantine.Step.WAIT)
-
-    def _choose_step(self):
-        if self._is_trial or self._crash_guard.policy.is_empty():
-            return quarantine.Step.RUN
-        return self._crash_guard.choose_step(self._names)
-
-    def _list_crashed_targets(self):
-        """Return the targets that crashed under a trial; None if this is not one."""
-        if not self._is_trial and self._choose_step() != quarantine.Step.TRIAL:
-            return None
-        if self._is_trial:
-            return self._trial_crashes
-        return frozenset(self._crash_guard.list_crashes(self._names))
-
-    async def _is_quarantined(self):
-        """Return whether the request must not run, after a trial in progress ended."""
-        if self._choose_step() == quarantine.Step.RUN:
-            return False
-        step = await self._crash_guard.wait_for_trial(self._names)
-        return step == quarantine.Step.REFUSE
-
-    async def _may_start(self):
-        """Return whether the request may run now; start its trial if it needs one."""
-        step = self._choose_step()
-        if step == quarantine.Step.TRIAL:
-            self._trial_crashes = frozenset(self._crash_guard.list_crashes(self._names))
-            self._trial_names = await self._crash_guard.start_trial(
-                self._names, self._call.request_id
-            )
-            return self._is_trial
-        return step == quarantine.Step.RUN
-
     async def _acquire_slot(self, slot_request):
         """Return an `admission.AcquiredSlot`, or None if the request is shed."""
         avoid = frozenset(self._progress.tried_targets)
@@ -395,7 +345,7 @@
             slot_request,
             lost_target=bool(avoid) or self._is_taken_up,
             software_version=self._get_needed_version(),
-            crashed_targets=self._list_crashed_targets(),
+            crashed_targets=self._guard.list_crashed_targets(),
         )
         slot = None
         if self._admission.may_start_at_once(slot_request):
@@ -466,10 +416,10 @@
         return slot
 
     async def _wait_for_slot(self, slot_request, avoid):
-        if self._is_trial:
+        if self._guard.is_trial:
             return await self._admission.wait_for_slot(slot_request, avoid)
         try:
-            async with self._crash_guard.interrupt_if_refused(self._names):
+            async with self._guard.interrupt_if_refused():
                 return await self._admission.wait_for_slot(slot_request, avoid)
         except TimeoutError:
             return None
@@ -515,7 +465,7 @@
             **_describe_selection(self._slot.selection),
         )
         sink = self._sink
-        self._has_survived = False
+        self._guard.start_run()
         events_before = sink.events
         loop = asyncio.get_running_loop()
         with (
@@ -527,11 +477,11 @@
             try:
                 outcome = await self._get_pool(target).send(request, sink)
             except asyncio.CancelledError:
-                self._record_cancelled_run(sink.events - events_before)
+                if sink.events > events_before:
+                    self._guard.record_cancelled_run(self._sent_at)
                 raise
             finally:
-                if self._survival_timer is not None:
-                    self._survival_timer.cancel()
+                self._guard.end_run()
         if sink.forwards_events:
             outcome = outcome.check_events(
                 sink.event_times.count, sink.ends_within_event
@@ -544,11 +494,9 @@
         if outcome.end == upstream.End.INCOMPLETE:
             self._record_lost_run(target, outcome, sink.events - events_before)
         elif outcome.is_survival:
-            self._crash_guard.record_survival(self._fingerprint)
-            if outcome.status == 200 and not sink.forwards_events:
-                self._record_survived_parts(self._sent_at)
-            elif sink.event_times.count:
-                self._record_survived_parts(sink.event_times.first_at)
+            is_plain = outcome.status == 200 and not sink.forwards_events
+            began_at = self._sent_at if is_plain else sink.event_times.first_at
+            self._guard.record_answer(began_at)
         return outcome
 
     def _watch_for_slow_target(self, sink, call_later):
@@ -571,25 +519,15 @@
             duration_s = self._sink.event_times.compute_interval_s()
         self._performance.record_duration(target, self._route.name, duration_s, now)
 
-    def _record_cancelled_run(self, events):
-        if not events:
-            return
-        if time.monotonic() - self._sent_at >= quarantine.SURVIVAL_S:
-            self._crash_guard.record_survival(self._fingerprint, completed=False)
-        elif self._is_trial:
-            self._crash_guard.cancel_trial(self._trial_names)
-
     def _record_lost_run(self, target, outcome, events):
         if outcome.may_be_crash:
-            names = [self._fingerprint] if self._has_survived else self._names
-            for name in names:
-                self._crash_guard.record_crash(name, target.run_id)
+            self._guard.record_crash(target.run_id)
         self._metrics.count_lost_run(self._route.kind, events > 0)
         decision_log.log_request_event(
             "online.lost",
             self._call.request_id,
             outcome=outcome.reason,
-            fingerprint=self._fingerprint,
+            fingerprint=self._guard.fingerprint,
             workspace=None if self._workspace is None else self._workspace.name,
             route=self._route.name,
             target=target.id,
@@ -598,17 +536,7 @@
             ran_s=time.monotonic() - self._sent_at,
         )
 
-    @functools.cached_property
-    def _names(self):
-        """Names under which the request may be quarantined."""
-        return [self._fingerprint, *self._part_names]
-
-    @functools.cached_property
-    def _part_names(self):
-        return [quarantine.name_part(self._service, part) for part in self._call.parts]
-
-    @functools.cached_property
-    def _fingerprint(self):
+    def _compute_fingerprint(self):
         return fingerprint.compute_fingerprint(
             None if self._workspace is None else self._workspace.name,
             self._exchange.host,
@@ -621,8 +549,8 @@
         """Return the `_NextStep`; send the response if it is complete."""
         if outcome.end == upstream.End.NOT_RUN:
             self._progress.refusals += 1
-            if self._is_trial and outcome.is_refusal:
-                self._has_reached_target = True
+            if self._guard.is_trial and outcome.is_refusal:
+                self._guard.has_reached_target = True
                 return _NextStep.FAIL
             return self._retry_or_fail(self._progress.refusals < MAX_REFUSALS)
         self._progress.runs += 1
@@ -630,7 +558,7 @@
         may_retry = (
             self._route.can_retry
             and self._progress.runs < self._route.max_attempts
-            and not self._is_trial
+            and not self._guard.is_trial
         )
         if outcome.end == upstream.End.INCOMPLETE:
             return self._retry_or_fail(may_retry)
@@ -683,11 +611,10 @@
         """Answer that the request did not run; return the outcome for the log."""
         if self._progress.runs or self._exchange.started:
             return await self._fail(reason)
-        if self._is_trial and not self._has_reached_target:
-            self._crash_guard.cancel_trial(self._trial_names)
+        self._guard.cancel_unused_trial()
         self._status = 503
-        if reason == "quarantined":
-            await self._exchange.refuse(self._make_quarantine_refusal())
+        if reason == request_guard.QUARANTINED:
+            await self._exchange.refuse(self._guard.make_refusal())
             return reason
         if reason in STREAM_REFUSALS:
             await self._exchange.refuse(STREAM_REFUSALS[reason])
@@ -711,7 +638,7 @@
         is_known = self._first_at is not None
         first_at = self._first_at if is_known else received_at
         self._admission.record_turned_away(
-            self._fingerprint, first_at, now, self._deadline_at
+            self._guard.fingerprint, first_at, now, self._deadline_at
         )
         expected_s, retry_after_s = self._admission.predict_retry(
             self._service, self._deadline_at, now
@@ -727,16 +654,6 @@
         }
         return retry_after_s
 
-    def _make_quarantine_refusal(self):
-        delay_s = self._crash_guard.get_delay(self._names)
-        return verdict.Refusal(
-            503,
-            "quarantined",
-            "Targets crashed under this request or under a part of its prompt, so that "
-            "it runs again only after the time in Retry-After.",
-            retry_after=max(delay_s, MIN_QUARANTINE_RETRY_S),
-        )
-
     async def _fail(self, reason):
         """End a request that no target completed; return the outcome for the log."""
         if self._exchange.started:
@@ -799,6 +716,8 @@
         }
         self._metrics.count_request(self._route.kind, outcome, self._status, phases)
         self._record_latency(now if first_event_at is None else first_event_at)
+        is_quarantined = outcome.endswith(request_guard.QUARANTINED)
+        quarantined = self._guard.describe() if is_quarantined else {}
         decision_log.log_request_event(
             event,
             self._call.request_id,
@@ -824,7 +743,7 @@
             free=queue_state.free_slots,
             places=queue_state.slots,
             waiting=queue_state.queued,
-            **self._describe_quarantine(outcome),
+            **quarantined,
             **self._refusal_inputs,
         )
 
@@ -835,18 +754,6 @@
                 self._service, self._route.kind, answered_at - self._sent_at
             )
 
-    def _describe_quarantine(self, outcome):
-        if not outcome.endswith("quarantined"):
-            return {}
-        policy = self._crash_guard.policy
-        return {
-            "fingerprint": self._fingerprint,
-            "quarantined": policy.list_quarantined(self._names),
-            "crashed": self._crash_guard.list_crashes(self._names),
-            "trials": policy.count_trials(self._names),
-            "retry_after_s": self._crash_guard.get_delay(self._names),
-        }
-
 
 def _describe_selection(selection):
     """Return what decided for a target that was chosen by expected delay."""
