--- a/pimentowick/gateway/tests/test_stream_versions.py
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -356,6 +356,8 @@
             await attempt.read_until(FIRST_EVENTS)
             [first] = [server for server in servers if server.runs]
             [other] = [server for server in servers if server is not first]
+            known = site.gateways[1].table.by_id[first.id]
+            await wait.wait_for(lambda: known.total_online, WAIT_S, POLL_S)
             task = asyncio.create_task(take_up(site, "a0", "b0"))
             other.holds_last_event = False
             for number in range(3):
