Remember what began a stream until its caller's own deadline

A caller whose stream was broken off at its route's timeout may take it up until its own deadline, and what had begun the stream was forgotten a second after the timeout: it was refused as unknown. The new test failed before. Found by review.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -289,7 +289,9 @@
         self._origin = stream_origin.Origin(self._service, version)
         if version is not None:
             key = self._compute_origin_key(self._call.request_id)
-            left_s = self._deadline_at - time.monotonic()
+            # The caller may return until its own deadline, beyond the route's timeout.
+            deadline_s = self._call.deadline_s or DEFAULT_DEADLINE_S
+            left_s = self._exchange.received_at + deadline_s - time.monotonic()
             self._origins.record(key, self._origin, left_s)
 
     def _get_needed_version(self):
--- a/pimentowick/gateway/tests/test_stream_versions.py
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import target
+from pimentowick.gateway import stream_origins, target
 
 STREAM = platform_site.make_route("/chat/", "stream", resumable=True)
 ROUTES = [STREAM]
@@ -344,6 +344,26 @@
     asyncio.run(check())
 
 
+def test_origin_is_remembered_beyond_the_timeout_of_the_route():
+    # The caller may take its stream up until its own deadline of eight seconds.
+    servers = make_replicas("v1")
+    servers[0].holds_last_event = True
+    routes = [
+        platform_site.make_route("/chat/", "stream", resumable=True, timeout_ms=1000)
+    ]
+
+    async def check():
+        async with platform_site.open_site(servers, routes) as site:
+            attempt = await Attempt.open(site, "a0")
+            await attempt.read_until(FIRST_EVENTS)
+            key = stream_origins.compute_key(None, platform_site.HOST, "a0")
+            origins = site.gateways[0].stream_origins
+            assert origins.get(key, time.monotonic() + 4.0) is not None
+            attempt.close()
+
+    asyncio.run(check())
+
+
 def test_stream_waits_for_a_full_target_of_its_version():
     # Targets of another version are free, and new streams go there.
     servers = make_replicas("v1", "v2", slots=1)
