Name requests and parts alike in the quarantine's modules

Parameters called fingerprint held names of parts as well. No logic changes; the fields of the log keep their names. 159 tests of the quarantine pass.

--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -57,23 +57,23 @@
         self._pending = {}
         self._wake = asyncio.Event()
 
-    async def _count_trial(self, fingerprint, suspected):
+    async def _count_trial(self, name, suspected):
         """Count a trial in the store; return whether this entry may start it."""
         try:
             async with asyncio.timeout(TRIAL_APPEND_TIMEOUT_S):
                 return await self._append(
-                    lambda: self._build_trial_record(fingerprint, suspected)
+                    lambda: self._build_trial_record(name, suspected)
                 )
         except (TimeoutError, exception.LogError):
-            return await self._count_trial_without_store(fingerprint, suspected)
+            return await self._count_trial_without_store(name, suspected)
 
-    async def _count_trial_without_store(self, fingerprint, suspected):
+    async def _count_trial_without_store(self, name, suspected):
         is_away = self.feed.end is None or self.feed.unreachable_since is not None
-        if not is_away or not self._is_designated(fingerprint):
+        if not is_away or not self._is_designated(name):
             return False
-        is_counted = await super()._count_trial(fingerprint, suspected)
+        is_counted = await super()._count_trial(name, suspected)
         if is_counted:
-            self._schedule_record(fingerprint)
+            self._schedule_record(name)
         return is_counted
 
     def cancel_trial(self, names):
@@ -83,64 +83,64 @@
             if self.policy.is_quarantined(name):
                 self._schedule_record(name)
 
-    def record_crash(self, fingerprint, target_run):
+    def record_crash(self, name, target_run):
         """Record that a target broke off a run; see `CrashGuard.record_crash`."""
-        super().record_crash(fingerprint, target_run)
-        if self.policy.is_quarantined(fingerprint):
-            if fingerprint not in self._recorded:
-                self._schedule_record(fingerprint)
+        super().record_crash(name, target_run)
+        if self.policy.is_quarantined(name):
+            if name not in self._recorded:
+                self._schedule_record(name)
 
-    def record_survival(self, fingerprint, completed=True, began_at=None):
+    def record_survival(self, name, completed=True, began_at=None):
         """Record a run without a crash; see `CrashGuard.record_survival`."""
-        has_voided = super().record_survival(fingerprint, completed, began_at)
-        if has_voided and fingerprint in self._recorded:
-            self._schedule_record(fingerprint)
+        has_voided = super().record_survival(name, completed, began_at)
+        if has_voided and name in self._recorded:
+            self._schedule_record(name)
         return has_voided
 
-    def on_opened(self, fingerprint):
+    def on_opened(self, name):
         """Log and count it; see `CrashGuard.on_opened`."""
         self._metrics.count_quarantine("opened")
         decision_log.log_event(
             "quarantine.opened",
-            fingerprint=fingerprint,
-            targets=self.policy.list_crashes(fingerprint),
+            fingerprint=name,
+            targets=self.policy.list_crashes(name),
         )
 
-    def on_trial(self, fingerprint, request_id):
+    def on_trial(self, name, request_id):
         """Log and count it; see `CrashGuard.on_trial`."""
         self._metrics.count_quarantine("trial")
         decision_log.log_request_event(
             "quarantine.trial",
             request_id,
-            fingerprint=fingerprint,
-            trials=self.policy.get_trials(fingerprint),
-            targets=self.policy.list_crashes(fingerprint),
+            fingerprint=name,
+            trials=self.policy.get_trials(name),
+            targets=self.policy.list_crashes(name),
         )
 
-    def on_released(self, fingerprint):
+    def on_released(self, name):
         """Log and count it; see `CrashGuard.on_released`."""
         self._metrics.count_quarantine("released")
-        decision_log.log_event("quarantine.released", fingerprint=fingerprint)
+        decision_log.log_event("quarantine.released", fingerprint=name)
 
     def merge_report(self, report):
         """Apply the `quarantine.Report` of another entry."""
         if not (report.crashes or report.voided):
             return
-        for fingerprint in self.policy.merge_report(report, time.monotonic()):
-            self.on_opened(fingerprint)
-        for fingerprint in report.voided:
-            self._close_record(fingerprint)
+        for name in self.policy.merge_report(report, time.monotonic()):
+            self.on_opened(name)
+        for name in report.voided:
+            self._close_record(name)
         self._notify_changed()
 
-    def _close_record(self, fingerprint):
+    def _close_record(self, name):
         """Update the record of a request that completed at another entry.
 
         The record may have been written after that entry had read the records.
         """
-        is_open = self._recorded.get(fingerprint, False)
-        if is_open and not self.policy.list_crashes(fingerprint):
-            if self._is_designated(fingerprint):
-                self._schedule_record(fingerprint)
+        is_open = self._recorded.get(name, False)
+        if is_open and not self.policy.list_crashes(name):
+            if self._is_designated(name):
+                self._schedule_record(name)
 
     def build_report(self):
         """Return the `quarantine.Report` of this entry."""
@@ -157,30 +157,30 @@
             key: Its key, which begins with `KEY_PREFIX`.
             value: Its value; empty if the record was deleted.
         """
-        fingerprint = key.removeprefix(KEY_PREFIX)
-        self._recorded.pop(fingerprint, None)
+        name = key.removeprefix(KEY_PREFIX)
+        self._recorded.pop(name, None)
         if not value:
             return
         try:
             data = orjson.loads(value)
             report = quarantine.Report(
-                {fingerprint: [str(name) for name in data["crashes"]]},
-                {fingerprint: [str(name) for name in data["voided"]]},
+                {name: [str(target) for target in data["crashes"]]},
+                {name: [str(target) for target in data["voided"]]},
             )
             trials, cancelled = int(data["trials"]), int(data["cancelled"])
             sets = [frozenset(map(str, row)) for row in data.get("sets", ())]
         except (ValueError, TypeError, KeyError) as error:
             decision_log.log_event("quarantine.garbled", key=key, why=str(error))
             return
-        self._recorded[fingerprint] = bool(report.crashes[fingerprint])
+        self._recorded[name] = bool(report.crashes[name])
         self.merge_report(report)
-        self._close_record(fingerprint)
+        self._close_record(name)
         self.policy.record_trials(
-            fingerprint,
+            name,
             trials,
             time.monotonic(),
             cancelled,
-            report.crashes[fingerprint],
+            report.crashes[name],
             sets,
         )
 
@@ -205,8 +205,8 @@
 
     async def _write_pending(self):
         batch = list(self._pending)[:MAX_RECORDS_PER_APPEND]
-        for fingerprint in batch:
-            del self._pending[fingerprint]
+        for name in batch:
+            del self._pending[name]
         try:
             await self._append(lambda: self._build_records(batch))
         except exception.LogError as error:
@@ -239,35 +239,35 @@
             return True
         raise exception.LogError("Other entries kept writing records.")
 
-    def _build_trial_record(self, fingerprint, suspected):
+    def _build_trial_record(self, name, suspected):
         now = time.monotonic()
-        if not self.policy.may_start_trial(fingerprint, suspected, now):
+        if not self.policy.may_start_trial(name, suspected, now):
             return []
-        trials = self.policy.get_trials(fingerprint) + 1
-        record = self._make_record(fingerprint, trials, [suspected])
-        return [record, *self._list_excess([fingerprint])]
+        trials = self.policy.get_trials(name) + 1
+        record = self._make_record(name, trials, [suspected])
+        return [record, *self._list_excess([name])]
 
-    def _build_records(self, fingerprints):
+    def _build_records(self, names):
         records = []
-        for fingerprint in fingerprints:
-            if self.policy.is_known(fingerprint):
-                trials = self.policy.get_trials(fingerprint)
-                records.append(self._make_record(fingerprint, trials))
-            elif fingerprint in self._recorded:
-                records.append(_make_tombstone(fingerprint))
-        return records + self._list_excess(fingerprints)
-
-    def _make_record(self, fingerprint, trials, new_sets=()):
-        sets = [*self.policy.list_trial_sets(fingerprint), *new_sets]
-        report = self.policy.describe(fingerprint)
+        for name in names:
+            if self.policy.is_known(name):
+                trials = self.policy.get_trials(name)
+                records.append(self._make_record(name, trials))
+            elif name in self._recorded:
+                records.append(_make_tombstone(name))
+        return records + self._list_excess(names)
+
+    def _make_record(self, name, trials, new_sets=()):
+        sets = [*self.policy.list_trial_sets(name), *new_sets]
+        report = self.policy.describe(name)
         data = {
-            "crashes": report.crashes.get(fingerprint, []),
-            "voided": report.voided.get(fingerprint, []),
+            "crashes": report.crashes.get(name, []),
+            "voided": report.voided.get(name, []),
             "trials": trials,
-            "cancelled": self.policy.get_cancelled(fingerprint),
+            "cancelled": self.policy.get_cancelled(name),
             "sets": [sorted(names) for names in dict.fromkeys(sets)],
         }
-        return platform_store.KeyedRecord(KEY_PREFIX + fingerprint, orjson.dumps(data))
+        return platform_store.KeyedRecord(KEY_PREFIX + name, orjson.dumps(data))
 
     def _list_excess(self, written):
         """Return the tombstones of the oldest records beyond `MAX_RECORDS`."""
@@ -275,24 +275,24 @@
         excess = max(0, len(others) + len(written) - MAX_RECORDS)
         return [_make_tombstone(name) for name in others[:excess]]
 
-    def _is_designated(self, fingerprint):
+    def _is_designated(self, name):
         """Return whether this entry is the one chosen among those that are heard."""
         entries = [self._address, *self._list_live_peers()]
         return self._address == max(
-            entries, key=lambda entry: rendezvous.compute_weight(fingerprint, entry)
+            entries, key=lambda entry: rendezvous.compute_weight(name, entry)
         )
 
     def _clean(self, now):
         self.policy.expire(now)
-        for fingerprint in self._recorded:
-            if not self.policy.is_known(fingerprint):
-                if self._is_designated(fingerprint):
-                    self._schedule_record(fingerprint)
+        for name in self._recorded:
+            if not self.policy.is_known(name):
+                if self._is_designated(name):
+                    self._schedule_record(name)
 
-    def _schedule_record(self, fingerprint):
-        self._pending[fingerprint] = None
+    def _schedule_record(self, name):
+        self._pending[name] = None
         self._wake.set()
 
 
-def _make_tombstone(fingerprint):
-    return platform_store.KeyedRecord(KEY_PREFIX + fingerprint, b"")
+def _make_tombstone(name):
+    return platform_store.KeyedRecord(KEY_PREFIX + name, b"")
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -127,22 +127,22 @@
             self.policy.cancel_trial(name, time.monotonic())
         self._notify_changed()
 
-    def record_crash(self, fingerprint, target_run):
+    def record_crash(self, name, target_run):
         """Record that a target broke off a run of a request.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            name: Name of the request or part.
             target_run: Identifier of the run of the target.
         """
-        if self.policy.record_crash(fingerprint, target_run, time.monotonic()):
-            self.on_opened(fingerprint)
+        if self.policy.record_crash(name, target_run, time.monotonic()):
+            self.on_opened(name)
         self._notify_changed()
 
-    def record_survival(self, fingerprint, completed=True, began_at=None):
+    def record_survival(self, name, completed=True, began_at=None):
         """Record that a target ran a request without a crash.
 
         Args:
-            fingerprint: Fingerprint of the request, or name of a part.
+            name: Name of the request or part.
             completed: Whether the run completed, and was not cancelled.
             began_at: Monotonic time at which it began to answer, if it says nothing
                 about crashes since.
@@ -150,22 +150,22 @@
         Returns:
             Whether crashes were voided.
         """
-        was_open = self.policy.is_quarantined(fingerprint)
+        was_open = self.policy.is_quarantined(name)
         now = time.monotonic()
-        if not self.policy.record_survival(fingerprint, now, completed, began_at):
+        if not self.policy.record_survival(name, now, completed, began_at):
             return False
-        if was_open and not self.policy.is_quarantined(fingerprint):
-            self.on_released(fingerprint)
+        if was_open and not self.policy.is_quarantined(name):
+            self.on_released(name)
         self._notify_changed()
         return True
 
-    def on_opened(self, fingerprint):
+    def on_opened(self, name):
         """Handle that a request became quarantined."""
 
-    def on_trial(self, fingerprint, request_id):
+    def on_trial(self, name, request_id):
         """Handle the start of a trial."""
 
-    def on_released(self, fingerprint):
+    def on_released(self, name):
         """Handle that a quarantined request completed."""
 
     def _notify_changed(self):
--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -147,8 +147,8 @@
     """Recent observations of one entry.
 
     Attributes:
-        crashes: Targets that crashed, by fingerprint.
-        voided: Targets whose crashes no longer count, by fingerprint.
+        crashes: Targets that crashed, by name.
+        voided: Targets whose crashes no longer count, by name.
     """
 
     crashes: dict = dataclasses.field(default_factory=dict)
@@ -228,30 +228,30 @@
         return len(self._suspects), len(opened) - parts, parts
 
     def list_suspects(self):
-        """Return the fingerprints of all requests of which anything is known."""
+        """Return the names of all requests and parts of which anything is known."""
         return list(self._suspects)
 
-    def list_crashes(self, fingerprint):
+    def list_crashes(self, name):
         """Return the targets that crashed under a request since it last completed."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         return [] if suspect is None else sorted(suspect.crashes)
 
-    def get_trials(self, fingerprint):
+    def get_trials(self, name):
         """Return the number of trials of a request since its breaker opened."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         return 0 if suspect is None else suspect.trials
 
-    def get_cancelled(self, fingerprint):
+    def get_cancelled(self, name):
         """Return the number of those trials that ended without a result."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         return 0 if suspect is None else suspect.cancelled
 
-    def choose_step(self, fingerprint, now):
+    def choose_step(self, name, now):
         """Return the `Step` for a request."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         if suspect is None or not suspect.is_open:
             return Step.RUN
-        if _is_part(fingerprint) and self._completed_lately(fingerprint, now):
+        if _is_part(name) and self._completed_lately(name, now):
             return Step.RUN
         if now >= suspect.next_trial_at:
             return Step.TRIAL
@@ -336,34 +336,34 @@
         """Return the number of trials of those names that are quarantined."""
         return sum(self.get_trials(name) for name in self.list_quarantined(names))
 
-    def get_delay(self, fingerprint, now):
+    def get_delay(self, name, now):
         """Return the seconds until the next trial of a request."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         return 0.0 if suspect is None else max(0.0, suspect.next_trial_at - now)
 
-    def record_crash(self, fingerprint, target, now):
+    def record_crash(self, name, target, now):
         """Record that a target broke off a run of a request at this entry.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            name: Name of the request or part.
             target: Identifier of the run of the target.
             now: Time of the crash.
 
         Returns:
             Whether the request became quarantined.
         """
-        was_open = self._is_open(fingerprint)
-        if not self._add_crash(fingerprint, target, now):
+        was_open = self._is_open(name)
+        if not self._add_crash(name, target, now):
             return False
-        self._observe(fingerprint, target, False, now)
-        self._void_if_completed(fingerprint, now)
-        return not was_open and self._is_open(fingerprint)
+        self._observe(name, target, False, now)
+        self._void_if_completed(name, now)
+        return not was_open and self._is_open(name)
 
-    def record_survival(self, fingerprint, now, completed=True, began_at=None):
+    def record_survival(self, name, now, completed=True, began_at=None):
         """Record that a target ran a request without a crash.
 
         Args:
-            fingerprint: Fingerprint of the request, or name of a part.
+            name: Name of the request or part.
             now: Time of the end of the run.
             completed: Whether the run completed. One that was cancelled voids the
                 crashes so far, but says nothing about later ones.
@@ -375,15 +375,15 @@
         """
         began_at = now if began_at is None else began_at
         if completed:
-            self._completed.pop(fingerprint, None)
-            self._completed[fingerprint] = began_at
+            self._completed.pop(name, None)
+            self._completed[name] = began_at
             if len(self._completed) > MAX_COMPLETED:
                 self._completed.popitem(last=False)
-        return self._void_until(fingerprint, began_at, now)
+        return self._void_until(name, began_at, now)
 
-    def get_trial_remaining(self, fingerprint, now):
+    def get_trial_remaining(self, name, now):
         """Return the seconds for which the result of a trial may still arrive."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         return 0.0 if suspect is None else max(0.0, suspect.trial_ends_at - now)
 
     def list_trial_sets(self, name):
@@ -392,12 +392,12 @@
         return [] if suspect is None else suspect.trial_sets
 
     def record_trials(
-        self, fingerprint, trials, now, cancelled=0, known_crashes=None, sets=()
+        self, name, trials, now, cancelled=0, known_crashes=None, sets=()
     ):
         """Record the numbers of trials of a request; lower numbers are ignored.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            name: Name of the request or part.
             trials: Number of trials since its breaker opened.
             now: Time at which the latest of them became known.
             cancelled: Number of those that ended without a result.
@@ -405,7 +405,7 @@
                 all. Further crashes are its result.
             sets: Sets of the suspected names of the requests that were its trials.
         """
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         if suspect is None or not suspect.is_open:
             return
         if trials <= suspect.trials and cancelled <= suspect.cancelled:
@@ -427,15 +427,15 @@
         if known_crashes is None or suspect.crashes.keys() <= set(known_crashes):
             suspect.trial_ends_at = now + TRIAL_TIMEOUT_S
 
-    def cancel_trial(self, fingerprint, now):
+    def cancel_trial(self, name, now):
         """Record that the latest trial ended without a result, such as a refusal.
 
         The request may have another trial at once.
         """
-        cancelled = self.get_cancelled(fingerprint) + 1
-        if cancelled <= self.get_trials(fingerprint):
-            trials = self.get_trials(fingerprint)
-            self.record_trials(fingerprint, trials, now, cancelled)
+        cancelled = self.get_cancelled(name) + 1
+        if cancelled <= self.get_trials(name):
+            trials = self.get_trials(name)
+            self.record_trials(name, trials, now, cancelled)
 
     def build_report(self, now):
         """Return the `Report` of this entry's recent observations."""
@@ -445,9 +445,9 @@
                 break
             self._observed.popitem(last=False)
         report = Report()
-        for (fingerprint, target), (is_voided, _) in self._observed.items():
+        for (name, target), (is_voided, _) in self._observed.items():
             rows = report.voided if is_voided else report.crashes
-            rows.setdefault(fingerprint, []).append(target)
+            rows.setdefault(name, []).append(target)
         return report
 
     def merge_report(self, report, now):
@@ -456,35 +456,35 @@
         Crashes are merged before they are voided; the order of reports does not matter.
         """
         opened = []
-        for fingerprint, targets in report.crashes.items():
-            was_open = self._is_open(fingerprint)
+        for name, targets in report.crashes.items():
+            was_open = self._is_open(name)
             for target in targets:
-                self._add_crash(fingerprint, target, now)
-            self._void_if_completed(fingerprint, now)
-            if not was_open and self._is_open(fingerprint):
-                opened.append(fingerprint)
-        for fingerprint, targets in report.voided.items():
+                self._add_crash(name, target, now)
+            self._void_if_completed(name, now)
+            if not was_open and self._is_open(name):
+                opened.append(name)
+        for name, targets in report.voided.items():
             for target in targets:
-                self._void_crash(fingerprint, target, now)
+                self._void_crash(name, target, now)
         return opened
 
-    def describe(self, fingerprint):
+    def describe(self, name):
         """Return all that is known of a request, as a `Report`."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         if suspect is None:
             return Report()
         return Report(
-            {fingerprint: sorted(suspect.crashes)},
-            {fingerprint: sorted(suspect.voided)},
+            {name: sorted(suspect.crashes)},
+            {name: sorted(suspect.voided)},
         )
 
-    def is_known(self, fingerprint):
+    def is_known(self, name):
         """Return whether crashes or voided crashes of a request are known."""
-        return fingerprint in self._suspects
+        return name in self._suspects
 
     def expire(self, now):
         """Remove what is older than its retention."""
-        for fingerprint, suspect in list(self._suspects.items()):
+        for name, suspect in list(self._suspects.items()):
             suspect.voided = {
                 target: at
                 for target, at in suspect.voided.items()
@@ -492,17 +492,17 @@
             }
             is_idle = now - suspect.updated_at > RETENTION_S
             if is_idle or not (suspect.crashes or suspect.voided):
-                del self._suspects[fingerprint]
+                del self._suspects[name]
 
-    def _is_open(self, fingerprint):
-        suspect = self._suspects.get(fingerprint)
+    def _is_open(self, name):
+        suspect = self._suspects.get(name)
         return suspect is not None and suspect.is_open
 
-    def _add_crash(self, fingerprint, target, now):
+    def _add_crash(self, name, target, now):
         """Add a crash; return whether it is new and counts."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         if suspect is None:
-            suspect = self._insert(fingerprint)
+            suspect = self._insert(name)
         if target in suspect.voided or target in suspect.crashes:
             return False
         was_open = suspect.is_open
@@ -520,28 +520,28 @@
         retention_s = PART_GRACE_S if _is_part(name) else COMPLETION_RETENTION_S
         return now - completed_at <= retention_s
 
-    def _void_if_completed(self, fingerprint, now):
-        if _is_part(fingerprint):
+    def _void_if_completed(self, name, now):
+        if _is_part(name):
             # It may crash targets from now on, so that its crashes are kept.
             return
-        if self._completed_lately(fingerprint, now) and self._is_open(fingerprint):
-            self._void_until(fingerprint, now, now)
+        if self._completed_lately(name, now) and self._is_open(name):
+            self._void_until(name, now, now)
 
-    def _void_until(self, fingerprint, until, now):
+    def _void_until(self, name, until, now):
         """Void the crashes of a request until some time; return whether it did."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(name)
         if suspect is None:
             return False
         voided = [target for target, at in suspect.crashes.items() if at <= until]
         for target in voided:
-            self._void_crash(fingerprint, target, now)
-            self._observe(fingerprint, target, True, now)
+            self._void_crash(name, target, now)
+            self._observe(name, target, True, now)
         return bool(voided)
 
-    def _void_crash(self, fingerprint, target, now):
-        suspect = self._suspects.get(fingerprint)
+    def _void_crash(self, name, target, now):
+        suspect = self._suspects.get(name)
         if suspect is None:
-            suspect = self._insert(fingerprint)
+            suspect = self._insert(name)
         suspect.crashes.pop(target, None)
         suspect.voided[target] = now
         if len(suspect.voided) > MAX_CRASHES:
@@ -553,11 +553,11 @@
             suspect.next_trial_at = float("-inf")
             suspect.trial_ends_at = float("-inf")
 
-    def _insert(self, fingerprint):
+    def _insert(self, name):
         if len(self._suspects) >= MAX_SUSPECTS:
             self._evict()
-        min_crashes = MIN_PART_CRASHES if _is_part(fingerprint) else MIN_CRASHES
-        suspect = self._suspects[fingerprint] = _Suspect(min_crashes)
+        min_crashes = MIN_PART_CRASHES if _is_part(name) else MIN_CRASHES
+        suspect = self._suspects[name] = _Suspect(min_crashes)
         return suspect
 
     def _evict(self):
@@ -565,8 +565,8 @@
         closed = (name for name, each in self._suspects.items() if not each.is_open)
         del self._suspects[next(closed, next(iter(self._suspects)))]
 
-    def _observe(self, fingerprint, target, is_voided, now):
-        self._observed.pop((fingerprint, target), None)
-        self._observed[fingerprint, target] = (is_voided, now)
+    def _observe(self, name, target, is_voided, now):
+        self._observed.pop((name, target), None)
+        self._observed[name, target] = (is_voided, now)
         if len(self._observed) > MAX_REPORTED:
             self._observed.popitem(last=False)
