--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -128,6 +129,17 @@
         words += [first_ms, step_ms, path]
         self.replicas[name] = self._start_stand_in(name, "replica.py", *words)
 
+    def stop_heartbeat(self, name):
+        """Let a replica write to the store no more; it serves on."""
+        self.replicas[name].send_signal(signal.SIGUSR1)
+
+    def end_replica(self, name):
+        """End a replica."""
+        process = self.replicas.pop(name)
+        process.kill()
+        process.wait()
+        self._record_crash(name)
+
     async def crash_replica(self, name, down_s, successor, *settings):
         """Kill a replica, and start it again under a new id after some seconds."""
         process = self.replicas.pop(name)
@@ -153,7 +165,21 @@
                 line |= {"id": request_id, "end": "crash", "last": "?"}
                 file.write(json.dumps(line) + "\n")
 
-    def start_gateway(self, number):
+    def start_cut_proxy(self):
+        """Start a proxy before the store, which `command_cut` cuts and heals."""
+        port = find_port()
+        store_port = self.store.rpartition(":")[2]
+        self.cut_proxy = self._start_stand_in("cut", "cut.py", port, store_port)
+        if self.cut_proxy.stdout.readline().strip() != b"done":
+            raise Unable("a proxy did not start")
+        return f"127.0.0.1:{port}"
+
+    def command_cut(self, word):
+        """Cut the way through the proxy before the store, or heal it."""
+        if self._command(self.cut_proxy, word) != ["done"]:
+            raise Unable("the proxy before the store has ended")
+
+    def start_gateway(self, number, store=None):
         """Start a gateway with the command of the deploy file."""
         ip = f"{self._network}.{10 + number}"
         front, ready, peer = find_port(ip), find_port(ip), find_port(ip)
@@ -177,7 +203,7 @@
             "bounds.drain_ms": 2000,
             "bounds.grace_s": 8,
             "bounds.status_s": 120,
-            "platform.address": self.store,
+            "platform.address": store or self.store,
             "platform.form": "log",
             "platform.parts": PARTS,
             "platform.record_bytes": 262144,
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 import time
 
@@ -39,6 +40,7 @@
         self.running = 0
         self.waiting = 0
         self.sequence = 0
+        self.is_leaving = False
 
     def log(self, event, **fields):
         """Write one line of what the replica saw."""
@@ -49,7 +51,7 @@
         """Write the registration to the store, again and again."""
         client = httpclient.AsyncHTTPClient()
         url = f"http://{self.store}/stand-in/servers/{self.id}"
-        while True:
+        while not self.is_leaving:
             self.sequence += 1
             entry = {
                 "service": self.service,
@@ -150,7 +152,11 @@
     )
     server = httpserver.HTTPServer(application)
     server.add_sockets(netutil.bind_sockets(int(port), "127.0.0.1"))
+    loop = asyncio.get_running_loop()
+    # It says no more to the store, and serves on.
+    loop.add_signal_handler(signal.SIGUSR1, setattr, replica, "is_leaving", True)
     await replica.register()
+    await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
