--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -303,6 +304,7 @@
                 process.kill()
         for process in self._processes:
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def find_partition(job_id):
