--- a/review/3/drive.py
+++ b/review/3/drive.py
@@ -20,10 +20,10 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SLOTS, FIRST_MS, STEP_MS = 8, 60, 20
 ONLINE_EVENTS, ONLINE_PER_S = 30, 19.0
-ROUNDS, ROUND_S = 12, 8.0
+ROUNDS, ROUND_S = 14, 6.7
 # After the begin of a round: the cut (5.5 s at most), the removal of the replica's
 # entry, and its end, with which streams that still run there are cut.
-CUT_AT, CUT_S = 1.0, 3.0
+CUT_AT, CUT_S = 1.0, 2.0
 REMOVED_AT = CUT_AT + CUT_S - 0.3
 ENDS_AT = CUT_AT + CUT_S + 3.4
 # Bounds of the deployment.
