--- a/review/3/drive.py
+++ b/review/3/drive.py
@@ -25,6 +25,8 @@
 # entry, and its end, with which streams that still run there are cut.
 CUT_AT, CUT_S = 1.0, 2.0
 REMOVED_AT = CUT_AT + CUT_S - 0.3
+# A heartbeat that is under way as the replica stops them has arrived by then.
+HEARTBEAT_ENDS_S = 0.4
 ENDS_AT = CUT_AT + CUT_S + 3.4
 # Bounds of the deployment.
 DRAIN_S, STABLE_WINDOW_S = 2.0, 3.0
@@ -83,8 +85,9 @@
     if TROUBLE:
         site.command_cut("cut")
         record.write("the gateway is cut off from the store")
-    await wait_until(REMOVED_AT)
+    await wait_until(REMOVED_AT - HEARTBEAT_ENDS_S)
     site.stop_heartbeat(leaver)
+    await wait_until(REMOVED_AT)
     await deployment.call(site.store, "DELETE", f"/stand-in/servers/{leaver}")
     removed_at = time.monotonic()
     record.write(f"the entry of {leaver} is removed; it serves on")
@@ -97,6 +100,8 @@
     site.end_replica(leaver)
     record.write(f"{leaver} ends")
     await wait_until(ROUND_S)
+    if await site.is_listed(leaver):
+        raise deployment.Unable(f"{leaver} is listed again")
     return leaver, removed_at, healed_at
 
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -250,6 +250,12 @@
                     raise Unable(f"the gateway at {ready} did not get ready")
                 await asyncio.sleep(0.1)
 
+    async def is_listed(self, name):
+        """Return whether the store lists a replica."""
+        path = "/-/log-newest?topic=keyed.servers&part=0"
+        _, body = await call(self.store, "GET", path)
+        return any(row["key"] == name for row in json.loads(body)["items"])
+
     async def list_owners(self):
         """Return the gateway's number for each partition of the batch jobs."""
         path = "/-/log-owners?group=batch"
