Take back the charge of a crash once its target proves to be alive

An online request was refused with `quarantined` for up to ten minutes.

Cause: a connection that closes during a run is charged to the request as a crash of its target, and the charge was never checked against what came later. Two charges open the quarantine, and each reset of a trial counts as a failed trial (1, 15, 600 s).

Change: a charge is voided once the same run of the target proves to be alive after it, by a registration that the store wrote later or by a whole answer to a later request, the latter only where no target starts again under its id. A charge at once remains, since a request that does crash its targets must not reach more of them; waiting for proof before charging was ruled out for that. Another break of the same run is a new charge under another identifier. Peers learn of voided charges as before.

New in test_quarantine.py: registrations older than the crash, a target that crashes after a reset, reports in any order.

--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -97,6 +97,25 @@
             self._schedule_record(name)
         return has_voided
 
+    def record_target_survival(self, target_run, until):
+        """Record that a run of a target was alive; see `crash_guard.CrashGuard`."""
+        voided = super().record_target_survival(target_run, until)
+        for name in voided:
+            if name in self._recorded:
+                self._schedule_record(name)
+        return voided
+
+    def record_target_answer(self, target, sent_at):
+        """Record that a target answered a request, so that it was alive.
+
+        Args:
+            target: The `pimentowick.gateway.target.Target`.
+            sent_at: Monotonic time at which the request was sent.
+        """
+        # A target that may start again under its identifier may be another run.
+        if not target.registration.started_ms:
+            self.record_target_survival(target.run_id, sent_at)
+
     def on_opened(self, name):
         """Log and count it; see `CrashGuard.on_opened`."""
         self._metrics.count_quarantine("opened")
@@ -122,6 +141,13 @@
         self._metrics.count_quarantine("released")
         decision_log.log_event("quarantine.released", fingerprint=name)
 
+    def on_withdrawn(self, name, target_run):
+        """Log and count it; see `CrashGuard.on_withdrawn`."""
+        self._metrics.count_quarantine("withdrawn")
+        decision_log.log_event(
+            "quarantine.withdrawn", fingerprint=name, survived_by=target_run
+        )
+
     def merge_report(self, report):
         """Apply the `quarantine.Report` of another entry."""
         if not (report.crashes or report.voided):
--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -152,7 +152,11 @@
             self._traffic,
             self.table.has_shared_hosts,
         )
-        self._targets = follower.TargetFollower(self.table, self._on_capacity_change)
+        self._targets = follower.TargetFollower(
+            self.table,
+            self._on_capacity_change,
+            self.crash_guard.record_target_survival,
+        )
         self.runner = runner.Runner(
             address,
             settings.failure_domain,
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -12,6 +12,8 @@
 
 # Targets whose records expired in a store outage register again within two seconds.
 REREGISTER_S = 2.2
+# A record may have been sent this long before the store wrote it.
+WRITE_DELAY_S = 1.0
 
 
 class ConfigurationFollower(feed.Follower):
@@ -66,11 +68,14 @@
     Args:
         table: `target.TargetTable`.
         on_change: Function called after targets were added, changed or removed.
+        on_alive: Function called with the identifier of a run of a target and a
+            monotonic time at which it was certainly alive.
     """
 
-    def __init__(self, table, on_change):
+    def __init__(self, table, on_change, on_alive=lambda target_run, until: None):
         self._table = table
         self._on_change = on_change
+        self._on_alive = on_alive
         self._missing_since = {}
         self.feed = None
 
@@ -78,19 +83,26 @@
         """Add targets before all are read, so that requests can be sent to them."""
         for record in records:
             if record.value:
-                self.apply(record)
+                self._update(record)
 
     def reset(self, records):
         """Apply the newest record of each key."""
         listed = {record.key for record in records if record.value}
         for record in records:
-            self.apply(record)
+            self._update(record)
         for target_id in list(self._table.by_id):
             if target_id not in listed:
                 self._mark_missing(target_id)
 
     def apply(self, record):
-        """Apply the next record."""
+        """Apply the next record, which was written after the last complete read."""
+        registration = self._update(record)
+        if registration is not None:
+            run_id = self._table.by_id[record.key].run_id
+            self._on_alive(run_id, self.feed.fresh_at - WRITE_DELAY_S)
+
+    def _update(self, record):
+        """Update a target; return its `target.Registration`, if it is listed."""
         registration = None
         if record.value:
             registration = operator.decode_target(record.key, record.value)
@@ -99,7 +111,7 @@
         if registration is None:
             if record.key in self._table.by_id:
                 self._mark_missing(record.key)
-            return
+            return None
         self._missing_since.pop(record.key, None)
         known = self._table.by_id.get(record.key)
         self._table.put(registration)
@@ -113,6 +125,7 @@
                 slots=registration.slots,
             )
         self._on_change()
+        return registration
 
     def on_caught_up(self):
         """Remove the targets that stay unlisted, if the grace period has passed."""
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -267,7 +267,7 @@
         self._lost_runs.inc(labels)
 
     def count_quarantine(self, event):
-        """Count a change of the quarantine: opened, trial or released."""
+        """Count a change: opened, trial, released or withdrawn."""
         self._quarantine_events.inc({"event": event})
 
     def count_taken_up(self, outcome):
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -493,6 +493,8 @@
         self._record_performance(target, outcome)
         load = self._slot.online_at_start + self._slot.batch_at_start
         self._health.observe_outcome(target, outcome, load < target.slots / 2)
+        if outcome.end == upstream.End.COMPLETE:
+            self._guard.record_target_answer(target, self._sent_at)
         if outcome.end == upstream.End.INCOMPLETE:
             self._record_lost_run(target, outcome, sink.events - events_before)
         elif outcome.is_survival:
--- a/pimentowick/gateway/request_guard.py
+++ b/pimentowick/gateway/request_guard.py
@@ -125,6 +125,10 @@
         if began_at is not None:
             self._record_survived_parts(began_at)
 
+    def record_target_answer(self, target, sent_at):
+        """Record it; see `crash_guard.SharedCrashGuard.record_target_answer`."""
+        self._guard.record_target_answer(target, sent_at)
+
     def record_cancelled_run(self, sent_at):
         """Record that a run that had sent events was cancelled.
 
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -569,6 +569,8 @@
             took_s=time.monotonic() - started_at,
             due_in_s=run.due_at - time.time(),
         )
+        if outcome.end == upstream.End.COMPLETE:
+            self._crash_guard.record_target_answer(target, started_at)
         if outcome.end == upstream.End.INCOMPLETE:
             self._record_lost_run(run, target, outcome, sink)
         elif outcome.is_survival:
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -159,6 +159,27 @@
         self._notify_changed()
         return True
 
+    def record_target_survival(self, target_run, until):
+        """Record that a run of a target was alive at some time.
+
+        Args:
+            target_run: Identifier of the run of the target.
+            until: Monotonic time at which it was certainly alive.
+
+        Returns:
+            The names whose crashes were voided.
+        """
+        if self.policy.is_empty():
+            return []
+        voided, released = self.policy.record_target_survival(
+            target_run, until, time.monotonic()
+        )
+        for name in released:
+            self.on_withdrawn(name, target_run)
+        if voided:
+            self._notify_changed()
+        return voided
+
     def on_opened(self, name):
         """Handle that a request became quarantined."""
 
@@ -168,6 +189,9 @@
     def on_released(self, name):
         """Handle that a quarantined request completed."""
 
+    def on_withdrawn(self, name, target_run):
+        """Handle the release of a request, since a target survived it."""
+
     def _notify_changed(self):
         self._changed.set()
         self._changed = asyncio.Event()
--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -35,6 +35,11 @@
     crashes are remembered, so that lost, repeated and reordered reports do no harm, and
     no clocks are compared.
 
+    A connection that breaks may also have been reset on its way. It counts as a crash
+    at first, since a request that does crash its targets would else reach more of them,
+    and no longer once the same run of the target proves to be alive. If that run breaks
+    off again, it counts under another identifier than the crash that was voided.
+
 References:
     M. Nygard, "Release It!", 2007 (circuit breaker).
     B. Beyer et al., "Site Reliability Engineering", 2016, chapter 22 (query of death).
@@ -57,6 +62,8 @@
 ]
 
 PART_PREFIX = "part-"
+# Between the run of a target and the number of broken connections that it survived.
+SURVIVED_SEPARATOR = "#"
 MAX_NAME_CHARS = 64
 DIGEST_BYTES = 16
 # Sound parts are present at some crashes without a run in between.
@@ -123,6 +130,7 @@
         updated_at: Time of the last change.
         opened_at: Time at which its breaker opened.
         trial_sets: Suspected names of the requests that were its trials.
+        survived: Number of supposed crashes that a run of a target survived, by run.
     """
 
     min_crashes: int = MIN_CRASHES
@@ -135,6 +143,7 @@
     updated_at: float = 0.0
     opened_at: float = float("-inf")
     trial_sets: list = dataclasses.field(default_factory=list)
+    survived: dict = dataclasses.field(default_factory=dict)
 
     @property
     def is_open(self):
@@ -179,6 +188,12 @@
     return name.startswith(PART_PREFIX)
 
 
+def _identify_crash(suspect, target):
+    """Return the identifier of the next crash of a run of a target."""
+    survived = suspect.survived.get(target, 0)
+    return f"{target}{SURVIVED_SEPARATOR}{survived}" if survived else target
+
+
 class Quarantine:
     """What one entry knows of quarantined requests and parts of prompts.
 
@@ -216,6 +231,7 @@
         self._completed = collections.OrderedDict()
         self._suspects = collections.OrderedDict()
         self._observed = collections.OrderedDict()
+        self._names_by_target = {}
 
     def is_empty(self):
         """Return whether nothing is known of any request or part."""
@@ -353,6 +369,8 @@
             Whether the request became quarantined.
         """
         was_open = self._is_open(name)
+        if name in self._suspects:
+            target = _identify_crash(self._suspects[name], target)
         if not self._add_crash(name, target, now):
             return False
         self._observe(name, target, False, now)
@@ -381,6 +399,45 @@
                 self._completed.popitem(last=False)
         return self._void_until(name, began_at, now)
 
+    def record_target_survival(self, target, until, now):
+        """Void the supposed crashes of a run of a target that is still alive.
+
+        Args:
+            target: Identifier of the run of the target.
+            until: Time at which it was certainly alive.
+            now: Current time.
+
+        Returns:
+            The names whose crashes were voided, and those of them that are no longer
+            quarantined.
+        """
+        voided, released = [], []
+        for name in list(self._names_by_target.get(target, ())):
+            was_open = self._is_open(name)
+            if name in self._suspects and self._void_survived(name, target, until, now):
+                voided.append(name)
+                if was_open and not self._is_open(name):
+                    released.append(name)
+        return voided, released
+
+    def _void_survived(self, name, target, until, now):
+        """Void what a run of a target survived; return whether anything counted."""
+        suspect = self._suspects[name]
+        has_counted = False
+        while True:
+            crash = _identify_crash(suspect, target)
+            is_counted = crash in suspect.crashes
+            recorded_at = suspect.crashes.get(crash, suspect.voided.get(crash))
+            if recorded_at is None or recorded_at >= until:
+                return has_counted
+            if is_counted:
+                self._void_crash(name, crash, now)
+                self._observe(name, crash, True, now)
+                has_counted = True
+            suspect.survived[target] = suspect.survived.get(target, 0) + 1
+            if len(suspect.survived) > MAX_CRASHES:
+                del suspect.survived[next(iter(suspect.survived))]
+
     def get_trial_remaining(self, name, now):
         """Return the seconds for which the result of a trial may still arrive."""
         suspect = self._suspects.get(name)
@@ -493,6 +550,10 @@
             is_idle = now - suspect.updated_at > RETENTION_S
             if is_idle or not (suspect.crashes or suspect.voided):
                 del self._suspects[name]
+        self._names_by_target.clear()
+        for name, suspect in self._suspects.items():
+            for crash in (*suspect.crashes, *suspect.voided):
+                self._index(name, crash)
 
     def _is_open(self, name):
         suspect = self._suspects.get(name)
@@ -507,6 +568,7 @@
             return False
         was_open = suspect.is_open
         suspect.crashes[target] = now
+        self._index(name, target)
         if suspect.is_open and not was_open:
             suspect.opened_at = now
         if len(suspect.crashes) > MAX_CRASHES:
@@ -544,6 +606,7 @@
             suspect = self._insert(name)
         suspect.crashes.pop(target, None)
         suspect.voided[target] = now
+        self._index(name, target)
         if len(suspect.voided) > MAX_CRASHES:
             del suspect.voided[next(iter(suspect.voided))]
         suspect.updated_at = now
@@ -553,6 +616,12 @@
             suspect.next_trial_at = float("-inf")
             suspect.trial_ends_at = float("-inf")
 
+    def _index(self, name, crash):
+        """Remember that a crash of a target concerns a name."""
+        run, separator, _ = crash.rpartition(SURVIVED_SEPARATOR)
+        for target in {crash, run if separator else crash}:
+            self._names_by_target.setdefault(target, set()).add(name)
+
     def _insert(self, name):
         if len(self._suspects) >= MAX_SUSPECTS:
             self._evict()
--- a/pimentowick/routing/tests/test_quarantine.py
+++ b/pimentowick/routing/tests/test_quarantine.py
@@ -223,3 +223,55 @@
     for name in ("t3", "t4"):
         policy.record_crash("f", name, now=2.0)
     assert policy.choose_step("f", now=2.0) == quarantine.Step.TRIAL
+
+
+def open_breaker(*targets):
+    entry = quarantine.Quarantine()
+    for at, target in enumerate(targets):
+        entry.record_crash("f", target, float(at))
+    return entry
+
+
+def test_crash_that_its_target_survived_no_longer_counts():
+    # A connection that was reset looks like a crash until the target shows up again.
+    entry = open_breaker("t1", "t2")
+    entry.record_trials("f", 3, 2.0)
+    assert entry.get_delay("f", 2.0) > 100
+    assert entry.record_target_survival("t2", until=3.0, now=3.5) == (["f"], ["f"])
+    assert entry.choose_step("f", 3.5) == quarantine.Step.RUN
+    assert entry.get_trials("f") == 0
+
+
+def test_crash_counts_if_its_target_was_seen_before_only():
+    # A registration that was written before the crash is read after it.
+    entry = open_breaker("t1", "t2")
+    assert entry.record_target_survival("t2", until=1.0, now=3.0) == ([], [])
+    assert entry.record_target_survival("t3", until=3.0, now=3.0) == ([], [])
+    assert entry.choose_step("f", 3.0) == quarantine.Step.TRIAL
+
+
+def test_target_that_survived_a_reset_may_crash_later():
+    # The crash counts, once, in whatever order the entries learn of both.
+    first, second = open_breaker("t1"), quarantine.Quarantine()
+    reset = first.build_report(0.0)
+    first.record_target_survival("t1", until=1.0, now=1.0)
+    survival = first.build_report(1.0)
+    first.record_crash("f", "t1", 2.0)
+    crash = first.build_report(2.0)
+    assert len(first.list_crashes("f")) == 1
+    for report in (crash, reset, survival, crash):
+        second.merge_report(report, 3.0)
+    assert second.list_crashes("f") == first.list_crashes("f")
+    for entry in (first, second):
+        entry.record_target_survival("t1", until=5.0, now=5.0)
+        assert not entry.list_crashes("f")
+
+
+def test_survival_is_told_to_entries_that_did_not_see_it():
+    first = open_breaker("t1", "t2")
+    second = quarantine.Quarantine()
+    second.merge_report(first.build_report(1.0), 1.0)
+    assert second.is_quarantined("f")
+    first.record_target_survival("t1", until=2.0, now=2.0)
+    second.merge_report(first.build_report(2.0), 2.0)
+    assert not second.is_quarantined("f")
