Keep unlisted targets after an outage only, not after a cut of one entry

The gateway had been cut off from the store for 2 s.

Cause: an unlisted target is kept for 2.2 s after the reads of this gateway work again, since registrations expire during an outage. A cut of this gateway alone looked the same to it.

Ruled out: reads that begin late (0.75 s of backoff, within drain_ms), and requests with a place from before (the streams were sent 3.0 s and more after the way was back).

Change: peers report already when the store last renewed their leases. If such renewals follow each other within 0.8 s from the last complete read until reads work again, there was no outage, and unlisted targets go at once. Otherwise the grace period stays; a read of its own ends it, and failed reads of this topic are repeated after 0.6 s at most. No new bytes on the wire.

Tests that failed before, with a grace period of ten minutes: a target that is removed early or late in the cut of one entry, two entries cut off in turns. Beside them: a real outage with 2 and 9 entries keeps all targets.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -62,6 +62,8 @@
 # For topics whose changes must take effect within three seconds, including the time to
 # detect a dead connection and event loop delays on a busy host.
 SHORT_POLL_S = 0.9
+# Of the targets: a target that has left meanwhile gets requests until the next read.
+TARGETS_MAX_BACKOFF_S = 0.6
 STORE_TIMEOUT_S = 1.0
 # The load balancer removes an entry after two failed checks, a second apart.
 BALANCER_REMOVAL_S = 2.5
@@ -260,8 +262,10 @@
             self._targets,
             TARGETS_PAUSE_SHARE * self.settings.drain_s,
             SHORT_POLL_S,
+            max_backoff_s=TARGETS_MAX_BACKOFF_S,
         )
         self._targets.feed = targets
+        self.load_reporter.on_peer_renewal = self._targets.record_peer_contact
         entries = feed.Feed(
             self.store,
             ENTRIES_TOPIC,
@@ -295,6 +299,7 @@
                 f"feed {name}", self._follow_after_startup, log.feed
             )
             self._supervisor.start_child(f"append {name}", log.run)
+        self._supervisor.start_child("missing targets", self._targets.run)
         self._supervisor.start_child("neighbours", self.load_reporter.run)
         self._supervisor.start_child("news relay", self.load_reporter.run_relay)
         self._supervisor.start_child("announce", self._register)
--- a/pimentowick/gateway/feed.py
+++ b/pimentowick/gateway/feed.py
@@ -41,6 +41,9 @@
     def on_caught_up(self):
         """Handle a read that has reached the end of the partition."""
 
+    def on_read_failed(self):
+        """Handle the first of a series of failed reads."""
+
 
 def read_boottime():
     """Return a monotonic time, in seconds, that includes the time suspended."""
@@ -60,6 +63,7 @@
         wait_s: Maximum duration of a long poll, in seconds. A dead connection is
             detected after this time plus the timeout of the store.
         clock: Function that returns the time used for `fresh_at_boottime`.
+        max_backoff_s: Maximum pause between two failed reads, in seconds.
 
     Attributes:
         end: Offset after the last record read, or None before the first snapshot.
@@ -70,7 +74,15 @@
     """
 
     def __init__(
-        self, store, topic, partition, follower, pause_s, wait_s, clock=read_boottime
+        self,
+        store,
+        topic,
+        partition,
+        follower,
+        pause_s,
+        wait_s,
+        clock=read_boottime,
+        max_backoff_s=MAX_BACKOFF_S,
     ):
         self.store = store
         self.topic = topic
@@ -79,6 +91,7 @@
         self.pause_s = pause_s
         self.wait_s = wait_s
         self.clock = clock
+        self.max_backoff_s = max_backoff_s
         self.end = None
         self.fresh_at = float("-inf")
         self.fresh_at_boottime = float("-inf")
@@ -91,12 +104,14 @@
         """Read until cancelled."""
         backoff_s = INITIAL_BACKOFF_S
         while True:
+            # A read that waits for records would take longer to fail again.
+            wait_s = self.wait_s if self.unreachable_since is None else 0.0
             try:
-                has_new_records = await self._read_once(self.wait_s)
+                has_new_records = await self._read_once(wait_s)
             except exception.LogError as error:
                 self._on_read_failed(error)
                 await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
-                backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+                backoff_s = min(backoff_s * 2, self.max_backoff_s)
                 continue
             backoff_s = INITIAL_BACKOFF_S
             if has_new_records:
@@ -220,6 +235,7 @@
         if self.unreachable_since is None:
             self.unreachable_since = time.monotonic()
             decision_log.log_event("feed.lost", topic=self.topic, why=str(error))
+            self.follower.on_read_failed()
 
     def _notify_changed(self):
         self._changed.set()
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -1,11 +1,13 @@
 """Followers of the store's topics: configuration, targets and other entries."""
 
+import asyncio
 import time
 
 import orjson
 
 from pimentowick import exception
 from pimentowick.gateway import crash_guard, decision_log, feed, route
+from pimentowick.gateway.policy import store_outage
 from pimentowick.platform import operator
 
 __all__ = ["ConfigurationFollower", "EntryFollower", "TargetFollower"]
@@ -63,7 +65,8 @@
 class TargetFollower(feed.Follower):
     """Updates the target table.
 
-    Targets whose records expired in a store outage get time to register again.
+    Targets whose records expired in a store outage get time to register again, unless
+    the store served other entries meanwhile: then they have left.
 
     Args:
         table: `target.TargetTable`.
@@ -77,6 +80,10 @@
         self._on_change = on_change
         self._on_alive = on_alive
         self._missing_since = {}
+        self._peer_contact = store_outage.PeerContact()
+        # Time of the last complete read before an outage that may have removed records.
+        self._complete_until = None
+        self._grace_began = asyncio.Event()
         self.feed = None
 
     def preview(self, records):
@@ -127,22 +134,48 @@
         self._on_change()
         return registration
 
+    def on_read_failed(self):
+        """Remember from when on records may have expired unseen."""
+        if self._complete_until is None:
+            self._complete_until = self.feed.fresh_at
+
     def on_caught_up(self):
         """Remove the targets that stay unlisted, if the grace period has passed."""
         self.remove_missing_targets()
 
+    def record_peer_contact(self, at):
+        """Record that the store served another entry at a monotonic time."""
+        self._peer_contact.record(at)
+        if self._missing_since:
+            self.remove_missing_targets()
+
+    async def run(self):
+        """Remove missing targets as soon as each grace period ends, until cancelled."""
+        while True:
+            await self._grace_began.wait()
+            self._grace_began.clear()
+            ends_at = self.feed.recovered_at + REREGISTER_S
+            await asyncio.sleep(max(0.0, ends_at - time.monotonic()))
+            try:
+                # A registration may have been written since the last read.
+                await self.feed.refresh()
+            except exception.LogError as error:
+                decision_log.log_event("targets.unconfirmed", why=str(error))
+
     def _mark_missing(self, target_id):
         self._missing_since.setdefault(target_id, time.monotonic())
         self.remove_missing_targets()
 
     def remove_missing_targets(self):
-        """Remove the targets that stay unlisted after the grace period."""
-        now = time.monotonic()
-        if (
-            self.feed.unreachable_since is not None
-            or now - self.feed.recovered_at < REREGISTER_S
-        ):
-            return
+        """Remove the unlisted targets that do not have to register again."""
+        is_reachable = self.feed.unreachable_since is None
+        if self._complete_until is not None:
+            if self._may_have_expired() and self._is_in_grace():
+                if is_reachable and self._missing_since:
+                    self._grace_began.set()
+                return
+            if is_reachable:
+                self._complete_until = None
         for target_id in self._missing_since:
             decision_log.log_event("target.gone", target=target_id)
             self._table.remove(target_id)
@@ -150,6 +183,19 @@
             self._missing_since.clear()
             self._on_change()
 
+    def _may_have_expired(self):
+        """Return whether the store may have been away for everybody."""
+        until = self.feed.recovered_at
+        if self.feed.unreachable_since is not None:
+            until = time.monotonic()
+        return not self._peer_contact.covers(self._complete_until, until)
+
+    def _is_in_grace(self):
+        """Return whether targets may still be about to register again."""
+        if self.feed.unreachable_since is not None:
+            return True
+        return time.monotonic() - self.feed.recovered_at < REREGISTER_S
+
 
 class EntryFollower(feed.Follower):
     """Passes on what entries tell each other through the store.
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -105,6 +105,8 @@
         build_crash_report: Function that returns this entry's `quarantine.Report`.
         merge_crash_report: Function called with that of another entry.
         handle_origins: Function called with each datagram about origins of streams.
+        on_peer_renewal: Function called with the monotonic time of another entry's
+            latest lease renewal, for each report of it.
         performance: `pimentowick.gateway.performance.PerformanceMonitor`.
         slow_targets: `pimentowick.gateway.slow_target_monitor.SlowTargetMonitor`.
         peers_pending: Weight of the batch items queued at other entries, by service.
@@ -137,6 +139,7 @@
         self.build_crash_report = quarantine.Report
         self.merge_crash_report = lambda report: None
         self.handle_origins = lambda message: None
+        self.on_peer_renewal = lambda at: None
         self.performance = performance.PerformanceMonitor(table)
         self.slow_targets = slow_target_monitor.SlowTargetMonitor(
             table, self.performance, outliers.failure_domain
@@ -453,6 +456,8 @@
         age_s = report.get("renewed_s_ago")
         now = time.monotonic()
         peer.renewed_at = None if age_s is None else now - float(age_s)
+        if peer.renewed_at is not None:
+            self.on_peer_renewal(peer.renewed_at)
         changed = loads != peer.loads or waiting != peer.waiting
         peer.sequence_number = sequence_number
         peer.last_heard_at = now
