Count no trial as failed that ended without a result

Cause: a trial is counted before it runs. Of its ends without a crash or an answer only some took that back: a trial that was preempted before its first event, left by its caller, stopped while it was being counted, refused (items) or answered with nonsense counted as failed, and the third failed trial delays the next one by ten minutes.

Ruled out: that the item gets no place (no replica had it in the calm), and that the crashes alone hold it.

Change: each such end cancels the trial. Counting goes on in the background if its request is stopped meanwhile, so that the cancellation follows it. Online trials that a full target refused count as before, since each send is one of the few allowed.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -479,8 +479,8 @@
             try:
                 outcome = await self._get_pool(target).send(request, sink)
             except asyncio.CancelledError:
-                if sink.events > events_before:
-                    self._guard.record_cancelled_run(self._sent_at)
+                has_begun = sink.events > events_before
+                self._guard.record_cancelled_run(self._sent_at, has_begun)
                 raise
             finally:
                 self._guard.end_run()
@@ -526,6 +526,8 @@
     def _record_lost_run(self, target, outcome, events):
         if outcome.may_be_crash:
             self._guard.record_crash(target.run_id)
+        else:
+            self._guard.cancel_trial()
         self._metrics.count_lost_run(self._route.kind, events > 0)
         decision_log.log_request_event(
             "online.lost",
--- a/pimentowick/gateway/request_guard.py
+++ b/pimentowick/gateway/request_guard.py
@@ -34,6 +34,7 @@
         self._list_part_names = list_part_names
         self._trial_names = []
         self._trial_crashes = frozenset()
+        self._is_cancelled = False
         # Timer after which the current run has survived the parts of its prompt.
         self._survival_timer = None
         self._has_survived = False
@@ -129,15 +130,22 @@
         """Record it; see `crash_guard.SharedCrashGuard.record_target_answer`."""
         self._guard.record_target_answer(target, sent_at)
 
-    def record_cancelled_run(self, sent_at):
-        """Record that a run that had sent events was cancelled.
+    def record_cancelled_run(self, sent_at, has_begun):
+        """Record that a run was cancelled, as its caller left or at its deadline.
 
         Args:
             sent_at: Monotonic time at which the request was sent.
+            has_begun: Whether it had sent events.
         """
-        if time.monotonic() - sent_at >= quarantine.SURVIVAL_S:
+        if has_begun and time.monotonic() - sent_at >= quarantine.SURVIVAL_S:
             self._guard.record_survival(self.fingerprint, completed=False)
-        elif self.is_trial:
+        else:
+            self.cancel_trial()
+
+    def cancel_trial(self):
+        """Record that a trial ended without a result, if this is one."""
+        if self.is_trial and not self._is_cancelled:
+            self._is_cancelled = True
             self._guard.cancel_trial(self._trial_names)
 
     def record_crash(self, target_run):
@@ -152,8 +160,8 @@
 
     def cancel_unused_trial(self):
         """Record that the request is refused; a trial without a target is void."""
-        if self.is_trial and not self.has_reached_target:
-            self._guard.cancel_trial(self._trial_names)
+        if not self.has_reached_target:
+            self.cancel_trial()
 
     def make_refusal(self):
         """Return the `verdict.Refusal` of a quarantined request."""
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -545,8 +545,8 @@
         try:
             outcome, sink = await execution.send(run, target, self._get_pool(target))
         except asyncio.CancelledError:
-            if run.events_generated > events_before:
-                self._record_cancelled_run(run, started_at, trials)
+            has_begun = run.events_generated > events_before
+            self._record_cancelled_run(run, has_begun, started_at, trials)
             raise
         self._health.observe_outcome(target, outcome)
         self._metrics.count_item(outcome.reason)
@@ -573,11 +573,11 @@
             self._crash_guard.record_target_answer(target, started_at)
         if outcome.end == upstream.End.INCOMPLETE:
             self._record_lost_run(run, target, outcome, sink)
-        elif outcome.is_survival:
+        if outcome.is_survival:
             self._crash_guard.record_survival(run.fingerprint)
             if sink.events:
                 self._record_survived_parts(run, sink.event_times.first_at)
-        elif outcome.end == upstream.End.NOT_RUN and not outcome.is_refusal:
+        elif not outcome.may_be_crash:
             self._crash_guard.cancel_trial(trials)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
@@ -592,9 +592,10 @@
         for name in run.part_names:
             self._crash_guard.record_survival(name, began_at=began_at)
 
-    def _record_cancelled_run(self, run, started_at, trials):
-        """Record what a run shows that streamed events and was preempted."""
-        if time.monotonic() - started_at >= quarantine.SURVIVAL_S:
+    def _record_cancelled_run(self, run, has_begun, started_at, trials):
+        """Record what a run shows that was preempted or handed over."""
+        ran_s = time.monotonic() - started_at
+        if has_begun and ran_s >= quarantine.SURVIVAL_S:
             self._crash_guard.record_survival(run.fingerprint, completed=False)
             self._record_survived_parts(run, started_at)
         else:
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -97,6 +97,19 @@
         Returns:
             The names of which this is a trial; empty if the request may not run now.
         """
+        counting = asyncio.ensure_future(self._count_trials(names))
+        try:
+            counted = await asyncio.shield(counting)
+        except asyncio.CancelledError:
+            # The store may have counted it already.
+            counting.add_done_callback(self._cancel_counted)
+            raise
+        for name in counted:
+            self.on_trial(name, request_id)
+        return counted
+
+    async def _count_trials(self, names):
+        """Count a trial for each name; return those names, or none if one may not."""
         counted = []
         suspected = self.policy.list_suspected(names)
         for name in self.policy.list_open(names, time.monotonic()):
@@ -104,10 +117,12 @@
                 self.cancel_trial(counted)
                 return []
             counted.append(name)
-        for name in counted:
-            self.on_trial(name, request_id)
         return counted
 
+    def _cancel_counted(self, counting):
+        if not counting.cancelled() and counting.exception() is None:
+            self.cancel_trial(counting.result())
+
     async def _count_trial(self, name, suspected):
         """Count a trial of a request with a set of suspected names.
 
