Hold items of jobs for seconds at most when targets crash under them

Cause: the quarantine treats an item like an online request, whose caller comes again: after the third failed trial it may run once in 600 s. An item has nobody to send it again. The same held it for crashes under an equal item or request, for a shared part, and for trials of owners that are gone.

Change: deferred work may have its next trial 2, 4 and then 5 s after the latest crash or trial under one of its names, however many trials failed. Trials are counted in the store as before, one at a time over all gateways.

--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -57,21 +57,21 @@
         self._pending = {}
         self._wake = asyncio.Event()
 
-    async def _count_trial(self, name, suspected):
+    async def _count_trial(self, name, suspected, is_deferred):
         """Count a trial in the store; return whether this entry may start it."""
         try:
             async with asyncio.timeout(TRIAL_APPEND_TIMEOUT_S):
                 return await self._append(
-                    lambda: self._build_trial_record(name, suspected)
+                    lambda: self._build_trial_record(name, suspected, is_deferred)
                 )
         except (TimeoutError, exception.LogError):
-            return await self._count_trial_without_store(name, suspected)
+            return await self._count_trial_without_store(name, suspected, is_deferred)
 
-    async def _count_trial_without_store(self, name, suspected):
+    async def _count_trial_without_store(self, name, suspected, is_deferred):
         is_away = self.feed.end is None or self.feed.unreachable_since is not None
         if not is_away or not self._is_designated(name):
             return False
-        is_counted = await super()._count_trial(name, suspected)
+        is_counted = await super()._count_trial(name, suspected, is_deferred)
         if is_counted:
             self._schedule_record(name)
         return is_counted
@@ -265,9 +265,9 @@
             return True
         raise exception.LogError("Other entries kept writing records.")
 
-    def _build_trial_record(self, name, suspected):
+    def _build_trial_record(self, name, suspected, is_deferred):
         now = time.monotonic()
-        if not self.policy.may_start_trial(name, suspected, now):
+        if not self.policy.may_start_trial(name, suspected, now, is_deferred):
             return []
         trials = self.policy.get_trials(name) + 1
         record = self._make_record(name, trials, [suspected])
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -108,10 +108,16 @@
 
 
 class Sink(upstream.Sink):
-    """Adds the events of one run to a transcript."""
+    """Adds the events of one run to a transcript.
 
-    def __init__(self, transcript):
+    Args:
+        transcript: The `pimentowick.gateway.transcript.Transcript`.
+        on_began: Function called with the first event.
+    """
+
+    def __init__(self, transcript, on_began=lambda: None):
         self._transcript = transcript
+        self._on_began = on_began
         self._splitter = event_stream.EventSplitter()
         self.status = 0
         self.events = 0
@@ -138,6 +144,8 @@
         if received_event.id is None or not self.is_in_order:
             return
         self.is_in_order = self._transcript.add(received_event)
+        if self.is_in_order and not self.events:
+            self._on_began()
         self.events += self.is_in_order
         self.event_times.record(int(self.is_in_order), self.last_received_at)
 
@@ -151,13 +159,14 @@
         return self._splitter.is_empty() and self.is_in_order
 
 
-async def send(run, target, pool):
+async def send(run, target, pool, on_began=lambda: None):
     """Run an item on a target, with periodic checkpoints.
 
     Args:
         run: The `Run`.
         target: The `pimentowick.gateway.target.Target`.
         pool: The `connection_pool.Pool` of the target.
+        on_began: Function called with the first event.
 
     Returns:
         The `upstream.Outcome` and the `Sink`.
@@ -167,7 +176,7 @@
         item_transcript.origin = stream_origin.Origin(
             run.service, target.software_version
         )
-    sink = Sink(item_transcript)
+    sink = Sink(item_transcript, on_began)
     headers = message.encode_item_headers(
         run.item,
         len(item_transcript.body),
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -368,7 +368,7 @@
                 quarantined=self._crash_guard.policy.list_quarantined(run.names),
                 crashed=self._crash_guard.list_crashes(run.names),
                 trials=self._crash_guard.policy.count_trials(run.names),
-                retry_after_s=self._crash_guard.get_delay(run.names),
+                retry_after_s=self._crash_guard.get_delay(run.names, is_deferred=True),
             )
         return True
 
@@ -536,14 +536,16 @@
         step = self._choose_step(run)
         trials = []
         if step == quarantine.Step.TRIAL:
-            trials = await self._crash_guard.start_trial(run.names, run.item.id)
+            trials = await self._crash_guard.start_trial(
+                run.names, run.item.id, is_deferred=True
+            )
         if step != quarantine.Step.RUN and not trials:
             run.not_before = time.monotonic() + QUARANTINE_CHECK_S
             return
         started_at = time.monotonic()
         events_before = run.events_generated
         try:
-            outcome, sink = await execution.send(run, target, self._get_pool(target))
+            outcome, sink = await self._send(run, target)
         except asyncio.CancelledError:
             has_begun = run.events_generated > events_before
             self._record_cancelled_run(run, has_begun, started_at, trials)
@@ -583,10 +585,30 @@
         self._release_slot(run)
         await self._handle_outcome(run, outcome, sink)
 
+    async def _send(self, run, target):
+        """Run an item; its parts have survived once it has sent events for a while."""
+        timers = []
+
+        def on_began():
+            timer = asyncio.get_running_loop().call_later(
+                quarantine.PART_SURVIVAL_S,
+                self._record_survived_parts,
+                run,
+                time.monotonic(),
+            )
+            timers.append(timer)
+
+        try:
+            pool = self._get_pool(target)
+            return await execution.send(run, target, pool, on_began)
+        finally:
+            for timer in timers:
+                timer.cancel()
+
     def _choose_step(self, run):
         if self._crash_guard.policy.is_empty():
             return quarantine.Step.RUN
-        return self._crash_guard.choose_step(run.names)
+        return self._crash_guard.choose_step(run.names, is_deferred=True)
 
     def _record_survived_parts(self, run, began_at):
         for name in run.part_names:
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -44,17 +44,24 @@
         self._changed = asyncio.Event()
         self._interruptible = {}
 
-    def choose_step(self, names):
+    def choose_step(self, names, is_deferred=False):
         """Return the `quarantine.Step` for a request.
 
         Args:
             names: Its fingerprint and the names of its parts.
+            is_deferred: Whether it is an item of a batch job.
         """
-        return self.policy.choose_joint_step(names, time.monotonic())
+        now = time.monotonic()
+        if is_deferred:
+            return self.policy.choose_deferred_step(names, now)
+        return self.policy.choose_joint_step(names, now)
 
-    def get_delay(self, names):
+    def get_delay(self, names, is_deferred=False):
         """Return the seconds until the next trial of a request."""
-        return self.policy.get_joint_delay(names, time.monotonic())
+        now = time.monotonic()
+        if is_deferred:
+            return self.policy.get_deferred_delay(names, now)
+        return self.policy.get_joint_delay(names, now)
 
     def list_crashes(self, names):
         """Return the targets that crashed under a request or its open parts."""
@@ -87,17 +94,18 @@
             finally:
                 del self._interruptible[timeout]
 
-    async def start_trial(self, names, request_id):
+    async def start_trial(self, names, request_id, is_deferred=False):
         """Count a trial of a request, for each of its names that is quarantined.
 
         Args:
             names: Its fingerprint and the names of its parts.
             request_id: Its identifier, for the log.
+            is_deferred: Whether it is an item of a batch job.
 
         Returns:
             The names of which this is a trial; empty if the request may not run now.
         """
-        counting = asyncio.ensure_future(self._count_trials(names))
+        counting = asyncio.ensure_future(self._count_trials(names, is_deferred))
         try:
             counted = await asyncio.shield(counting)
         except asyncio.CancelledError:
@@ -108,12 +116,12 @@
             self.on_trial(name, request_id)
         return counted
 
-    async def _count_trials(self, names):
+    async def _count_trials(self, names, is_deferred):
         """Count a trial for each name; return those names, or none if one may not."""
         counted = []
         suspected = self.policy.list_suspected(names)
         for name in self.policy.list_open(names, time.monotonic()):
-            if not await self._count_trial(name, suspected):
+            if not await self._count_trial(name, suspected, is_deferred):
                 self.cancel_trial(counted)
                 return []
             counted.append(name)
@@ -123,14 +131,14 @@
         if not counting.cancelled() and counting.exception() is None:
             self.cancel_trial(counting.result())
 
-    async def _count_trial(self, name, suspected):
+    async def _count_trial(self, name, suspected, is_deferred):
         """Count a trial of a request with a set of suspected names.
 
         Returns:
             Whether it may start.
         """
         now = time.monotonic()
-        if not self.policy.may_start_trial(name, suspected, now):
+        if not self.policy.may_start_trial(name, suspected, now, is_deferred):
             return False
         trials = self.policy.get_trials(name) + 1
         self.policy.record_trials(name, trials, now, sets=[suspected])
--- a/pimentowick/routing/quarantine.py
+++ b/pimentowick/routing/quarantine.py
@@ -35,6 +35,10 @@
     crashes are remembered, so that lost, repeated and reordered reports do no harm, and
     no clocks are compared.
 
+    An item of a batch job never crashes targets by itself, and nobody sends it again.
+    It may be present at many crashes of a burst. Such deferred work is held for some
+    seconds after the latest crash or trial only, however many trials have failed.
+
     A connection that breaks may also have been reset on its way. It counts as a crash
     at first, since a request that does crash its targets would else reach more of them,
     and no longer once the same run of the target proves to be alive. If that run breaks
@@ -82,6 +86,9 @@
 MIN_CRASHES = 2
 # Delay after the first, the second and all further trials.
 TRIAL_DELAYS_S = (1.0, 15.0, 600.0)
+# Delay of deferred work after the latest crash or trial, by the crashes since it was
+# quarantined.
+DEFERRED_DELAYS_S = (2.0, 4.0, 5.0)
 # A request that completed within this time did not cause the crashes since.
 COMPLETION_RETENTION_S = 60.0
 MAX_COMPLETED = 1024
@@ -127,6 +134,7 @@
         cancelled: Number of those that ended without a result.
         next_trial_at: Time from which the next trial may start.
         trial_ends_at: Time until which the result of a trial may arrive.
+        tried_at: Time at which the latest trial became known.
         updated_at: Time of the last change.
         opened_at: Time at which its breaker opened.
         trial_sets: Suspected names of the requests that were its trials.
@@ -140,6 +148,7 @@
     cancelled: int = 0
     next_trial_at: float = float("-inf")
     trial_ends_at: float = float("-inf")
+    tried_at: float = float("-inf")
     updated_at: float = 0.0
     opened_at: float = float("-inf")
     trial_sets: list = dataclasses.field(default_factory=list)
@@ -305,12 +314,39 @@
             trial_set <= suspected for trial_set in trial_sets
         )
 
-    def may_start_trial(self, name, suspected, now):
-        """Return whether a request with a set of suspected names may be a trial."""
-        return (
-            self.choose_step(name, now) != Step.RUN
-            and self._choose_step_beside(name, suspected, now) == Step.TRIAL
-        )
+    def choose_deferred_step(self, names, now):
+        """Return the `Step` for deferred work with some names."""
+        if not self.list_open(names, now):
+            return Step.RUN
+        is_held = self.get_deferred_delay(names, now) > 0
+        return Step.REFUSE if is_held else Step.TRIAL
+
+    def get_deferred_delay(self, names, now):
+        """Return the seconds until the next trial of deferred work."""
+        opened = self.list_open(names, now)
+        return max((self._get_deferred_delay(name, now) for name in opened), default=0)
+
+    def _get_deferred_delay(self, name, now):
+        suspect = self._suspects[name]
+        further_crashes = len(suspect.crashes) - suspect.min_crashes
+        delay_s = DEFERRED_DELAYS_S[min(further_crashes, len(DEFERRED_DELAYS_S) - 1)]
+        latest_at = max(suspect.tried_at, *suspect.crashes.values())
+        return max(0.0, min(suspect.next_trial_at, latest_at + delay_s) - now)
+
+    def may_start_trial(self, name, suspected, now, is_deferred=False):
+        """Return whether a request may be a trial of one of its names.
+
+        Args:
+            name: Name of the request or part.
+            suspected: Set of its suspected names.
+            now: Current time.
+            is_deferred: Whether it is deferred work.
+        """
+        if self.choose_step(name, now) == Step.RUN:
+            return False
+        if is_deferred:
+            return not self._get_deferred_delay(name, now)
+        return self._choose_step_beside(name, suspected, now) == Step.TRIAL
 
     def list_open(self, names, now):
         """Return those names that may not run freely now."""
@@ -471,6 +507,7 @@
         if is_started:
             new = [each for each in sets if each not in suspect.trial_sets]
             suspect.trial_sets = (suspect.trial_sets + new)[:MAX_TRIAL_SETS]
+            suspect.tried_at = now
         suspect.trials = max(trials, suspect.trials)
         suspect.cancelled = max(cancelled, suspect.cancelled)
         suspect.updated_at = now
--- a/pimentowick/routing/tests/test_quarantine.py
+++ b/pimentowick/routing/tests/test_quarantine.py
@@ -13,6 +13,7 @@
 # Later runs count as retries beyond the allowed crashes.
 STABLE_S = 3.0
 RUN_S = 0.1
+MAX_DEFERRED_S = 5.0
 
 
 class Fleet:
@@ -275,3 +276,31 @@
     first.record_target_survival("t1", until=2.0, now=2.0)
     second.merge_report(first.build_report(2.0), 2.0)
     assert not second.is_quarantined("f")
+
+
+@pytest.mark.parametrize("name", ["f", quarantine.name_part("lm", "a0")])
+@pytest.mark.parametrize("crashes", [3, 5, 8, 12])
+def test_deferred_work_is_held_for_seconds_after_the_latest_crash(name, crashes):
+    # Nobody sends it again, so that a delay of minutes would lose it.
+    entry = quarantine.Quarantine()
+    for number in range(crashes):
+        entry.record_crash(name, f"t{number}", float(number))
+        entry.record_trials(name, max(0, number - 2), float(number))
+    calm_at = float(crashes - 1)
+    assert entry.get_deferred_delay([name], calm_at) <= MAX_DEFERRED_S
+    step = entry.choose_deferred_step([name], calm_at + MAX_DEFERRED_S)
+    assert step == quarantine.Step.TRIAL
+
+
+def test_deferred_trial_that_crashes_delays_the_next_one():
+    # Else an item whose part does crash targets would end one after the other.
+    entry = open_breaker("t1", "t2")
+    ended_at = []
+    now = 1.0
+    while now < 60.0:
+        if entry.choose_deferred_step(["f"], now) == quarantine.Step.TRIAL:
+            entry.record_trials("f", entry.get_trials("f") + 1, now)
+            entry.record_crash("f", f"d{len(ended_at)}", now + RUN_S)
+            ended_at.append(now)
+        now += 0.5
+    assert 60 / MAX_DEFERRED_S - 1 <= len(ended_at) <= 60 / MAX_DEFERRED_S + 2
