Bound the answers of targets in memory and time

What callers saw: bytes that are no answer and come without end held a request until its deadline (504) and an item for as long as they came.

Cause: responses were read to their end, whatever they held. A body had no limit, a head none in time; the limit on one event was not used, and each chunk was joined to the whole event and searched with it. Any byte kept a run of an item alive.

A refusal, or another outcome that the head tells, is acted on within 0.1 s. Blank lines and comments go out with the next event. Such ends are incomplete answers and never crashes of the target.

--- a/pimentowick/gateway/event_stream.py
+++ b/pimentowick/gateway/event_stream.py
@@ -1,10 +1,14 @@
 """Splitting of a byte stream into server-sent events, whose bytes stay unchanged."""
 
 import dataclasses
+import re
 
 __all__ = ["Event", "EventSplitter"]
 
 MAX_EVENT_BYTES = 1_048_576
+# Blank lines and comments between two events.
+MAX_EMPTY_BYTES = 8_192
+BLANK_LINES = re.compile(rb"[\r\n]+")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -12,7 +16,8 @@
     """One complete event.
 
     Attributes:
-        raw: Its bytes, including the blank line that ends it.
+        raw: Its bytes, including the blank line that ends it, and the comments and
+            blank lines before it.
         id: Value of its ``id`` field, or None.
         data: Values of its ``data`` fields, joined by line feeds.
     """
@@ -39,29 +44,63 @@
     """
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._has_cr = False
+        # What came since the last event and is none.
+        self._prefix = bytearray()
 
     def feed(self, chunk):
         """Return the events that `chunk` completes."""
-        data = self._buffer + chunk
-        if b"\r" in data:
-            separator, size = b"\r\n\r\n", 4
-        else:
-            separator, size = b"\n\n", 2
+        # What was searched before is searched again only if the separator changes.
+        had_cr, self._has_cr = self._has_cr, self._has_cr or b"\r" in chunk
+        start = max(0, len(self._buffer) - 3) if had_cr == self._has_cr else 0
+        separator = b"\r\n\r\n" if self._has_cr else b"\n\n"
+        self._buffer += chunk
         events = []
-        start = 0
-        while (end := data.find(separator, start)) >= 0:
-            events.append(_parse_event(data[start : end + size]))
-            start = end + size
-        self._buffer = data[start:]
+        begin = self._skip_blank_lines(0)
+        while (end := self._buffer.find(separator, max(begin, start))) >= 0:
+            end += len(separator)
+            raw = bytes(self._buffer[begin:end])
+            begin = self._skip_blank_lines(end)
+            event = _parse_event(raw)
+            if event is None:
+                self._prefix += raw
+                if self.is_overlong:
+                    break
+                continue
+            if self._prefix:
+                event = dataclasses.replace(event, raw=bytes(self._prefix) + raw)
+                self._prefix.clear()
+            events.append(event)
+        if begin:
+            del self._buffer[:begin]
+            self._has_cr = b"\r" in self._buffer
         return events
 
+    def _skip_blank_lines(self, begin):
+        """Move blank lines to the prefix of the next event; return where they end."""
+        found = BLANK_LINES.match(self._buffer, begin)
+        if found is None:
+            return begin
+        self._prefix += found[0]
+        return found.end()
+
+    @property
+    def is_overlong(self):
+        """Whether the bytes are no stream of events, or one of them has no end."""
+        return (
+            len(self._buffer) > MAX_EVENT_BYTES or len(self._prefix) > MAX_EMPTY_BYTES
+        )
+
     def is_empty(self):
         """Return whether no incomplete event is buffered."""
         return not self._buffer.strip()
 
 
 def _parse_event(raw):
+    """Return an `Event`, or None if it has neither an identifier nor data."""
+    if b"id" not in raw and b"data" not in raw:
+        return None
     event_id = None
     lines = []
     for line in raw.splitlines():
@@ -71,4 +110,6 @@
             event_id = value
         elif name == b"data":
             lines.append(value)
+    if event_id is None and not lines:
+        return None
     return Event(raw, event_id, "\n".join(lines))
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -19,7 +19,7 @@
 CHECKPOINT_TIMEOUT_S = 2.0
 # The target aborts the run after this time, for example if the entry crashes.
 MAX_RUN_S = 30.0
-# A run that receives no bytes for this long is aborted.
+# A run that receives no event for this long is aborted.
 IDLE_TIMEOUT_S = 4.0
 
 
@@ -119,6 +119,7 @@
         self._transcript = transcript
         self._on_began = on_began
         self._splitter = event_stream.EventSplitter()
+        self._received_bytes = 0
         self.status = 0
         self.events = 0
         self.event_times = performance.EventTimes()
@@ -136,10 +137,25 @@
         """Parse events from a chunk of the body; see `upstream.Sink`."""
         if self.status != 200:
             return
-        self.last_received_at = time.monotonic()
+        self._received_bytes += len(chunk)
         for received_event in self._splitter.feed(chunk):
+            # Bytes that complete no event may come without end.
+            self.last_received_at = time.monotonic()
             self._add_event(received_event)
 
+    def needs_body(self, status):
+        """Return whether the body has events; see `upstream.Sink`."""
+        return status == 200
+
+    @property
+    def can_continue(self):
+        """Whether more of the body may complete the item; see `upstream.Sink`."""
+        return (
+            self.is_in_order
+            and not self._splitter.is_overlong
+            and self._received_bytes <= upstream.MAX_RESPONSE_BYTES
+        )
+
     def _add_event(self, received_event):
         if received_event.id is None or not self.is_in_order:
             return
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -56,6 +56,8 @@
 
     def _clear_buffer(self):
         self.buffered = []
+        self._buffered_bytes = 0
+        self._announced_bytes = 0
         self._exchange.account.set(memory_budget.Kind.RESPONSE, 0)
 
     async def on_headers(self, status, headers, answer):
@@ -68,6 +70,9 @@
             and answer.is_signed
             and not answer.has_encoding
         )
+        length = headers.get("Content-Length", "")
+        if length.isdecimal() and not self.forwards_events:
+            self._announced_bytes = int(length)
 
     async def on_chunk(self, chunk):
         """Forward or buffer part of the body; see `upstream.Sink`."""
@@ -76,8 +81,19 @@
             return
         await self._exchange.wait_for_room()
         self._exchange.account.add(memory_budget.Kind.RESPONSE, len(chunk))
+        self._buffered_bytes += len(chunk)
         self.buffered.append(chunk)
 
+    @property
+    def can_continue(self):
+        """Whether more of the body may complete the response; see `upstream.Sink`."""
+        return (
+            not self.out_of_order
+            and not self._splitter.is_overlong
+            and max(self._buffered_bytes, self._announced_bytes)
+            <= upstream.MAX_RESPONSE_BYTES
+        )
+
     async def _forward_events(self, chunk):
         events = self._splitter.feed(chunk)
         in_order = [received for received in events if self._accept(received)]
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -36,8 +36,22 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_BUFFER_BYTES = 8_388_608
-CHUNK_BYTES = 65_536
+READ_BYTES = 16_384
+# Small chunks of a body are joined up to this size.
+CHUNK_BYTES = 8_192
 MAX_HEADER_BYTES = 65_536
+# A body that is forwarded whole, or the events of one run of an item.
+MAX_RESPONSE_BYTES = 3_145_728
+# Rest of a response whose head says all that is needed.
+MAX_UNUSED_BYTES = 16_384
+# What may arrive beyond twice the body so far: bytes that are not joined to it yet, and
+# the lines between chunks, which cost most if chunks hold next to nothing.
+MAX_OVERHEAD_BYTES = 32_768
+UNUSED_BODY_TIMEOUT_S = 0.1
+# From the first byte of a head to its end.
+HEAD_TIMEOUT_S = 1.0
+# Informational responses (1xx) before the expected one.
+MAX_INTERIM_RESPONSES = 8
 # Responses to earlier requests that are discarded before the expected one.
 MAX_STRAY_RESPONSES = 2
 
@@ -140,9 +154,63 @@
     async def on_chunk(self, chunk):
         """Handle a chunk of the body."""
 
+    @property
+    def can_continue(self):
+        """Whether more of the body may complete the response."""
+        return True
+
+    def needs_body(self, status):
+        """Return whether the body of a response with an HTTP status is of use."""
+        return True
+
 
 class _Stream(iostream.IOStream):
-    """An `IOStream` that can be checked for unread bytes."""
+    """An `IOStream` that bounds responses, and can be checked for unread bytes.
+
+    Attributes:
+        is_abandoned: Whether it was closed because of what the target sent.
+        body_bytes: Size of the body that was received of the current response.
+    """
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.is_abandoned = False
+        self.body_bytes = 0
+        self._received_bytes = 0
+        self._awaits_head = False
+        self._head_timer = None
+
+    def read_from_fd(self, buf):
+        """Read bytes; see `tornado.iostream.BaseIOStream`."""
+        count = super().read_from_fd(buf)
+        if not count:
+            return count
+        if self._awaits_head:
+            if self._head_timer is None:
+                loop = asyncio.get_running_loop()
+                self._head_timer = loop.call_later(HEAD_TIMEOUT_S, self.abandon)
+            return count
+        self._received_bytes += count
+        if self._received_bytes > 2 * self.body_bytes + MAX_OVERHEAD_BYTES:
+            asyncio.get_running_loop().call_soon(self.abandon)
+        return count
+
+    def expect_head(self):
+        """Limit the time from the next byte on until `end_head` is called."""
+        self._awaits_head = True
+
+    def end_head(self):
+        """Count the bytes of the body from now on."""
+        self._awaits_head = False
+        self._received_bytes = self.body_bytes = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def abandon(self):
+        """Close the connection, because the rest of a response is of no use."""
+        self.is_abandoned = True
+        self.close()
 
     def has_unread_bytes(self):
         """Return whether unread bytes are available, or the peer has closed."""
@@ -165,6 +233,7 @@
         sink: The `Sink`.
         on_load: Function called with the load that came with the response, or None.
         counted: The `traffic.Traffic` that counts the body.
+        stream: The stream, which is closed once the rest of a response is of no use.
 
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
@@ -172,9 +241,10 @@
         is_stray: Whether the response belongs to another request.
         is_finished: Whether the response has arrived completely.
         is_framed: Whether the end of the body is known without closing the connection.
+        needs_body: Whether the body is of use.
     """
 
-    def __init__(self, request_id, sink, on_load, counted):
+    def __init__(self, request_id, sink, on_load, counted, stream):
         self._request_id = request_id
         self._sink = sink
         self._on_load = on_load
@@ -184,10 +254,26 @@
         self.is_stray = False
         self.is_finished = False
         self.is_framed = True
+        self.needs_body = True
+        self._stream = stream
+        self._interim_responses = 0
+        self._unused_bytes = 0
+        self._unused_timer = None
+
+    @property
+    def is_stopped(self):
+        """Whether the connection was closed because the rest is of no use."""
+        return self._stream.is_abandoned
 
     async def headers_received(self, start_line, headers):
         if 100 <= start_line.code < 200:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._stream.abandon()
+            self._stream.end_head()
+            self._stream.expect_head()
             return
+        self._stream.end_head()
         self.status = start_line.code
         self.answer = message.decode_response_headers(start_line.code, headers)
         self.is_framed = (
@@ -204,14 +290,49 @@
             self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
             await self._sink.on_headers(start_line.code, headers, self.answer)
+        self.needs_body = self._is_usable() and self._sink.needs_body(start_line.code)
+        if self.needs_body and not self._sink.can_continue:
+            self._stream.abandon()
+        is_refusal = self.answer.not_executed or self.answer.is_misdirected
+        if not (self.needs_body or is_refusal or "Content-Length" in headers):
+            self._stream.abandon()
+        if not self.needs_body:
+            self._unused_timer = asyncio.get_running_loop().call_later(
+                UNUSED_BODY_TIMEOUT_S, self._stream.abandon
+            )
+
+    def _is_usable(self):
+        """Return whether the head is that of an answer to the request."""
+        return (
+            not self.is_stray
+            and not self.answer.not_executed
+            and not self.answer.is_misdirected
+            and self.answer.is_signed
+            and not self.answer.has_encoding
+        )
 
     async def data_received(self, chunk):
         self._traffic.received += len(chunk)
-        if not self.is_stray and not self.answer.not_executed:
-            await self._sink.on_chunk(chunk)
+        self._stream.body_bytes += len(chunk)
+        if self.is_stopped:
+            return
+        if not self.needs_body:
+            self._unused_bytes += len(chunk)
+            if self._unused_bytes > MAX_UNUSED_BYTES:
+                self._stream.abandon()
+            return
+        await self._sink.on_chunk(chunk)
+        if not self._sink.can_continue:
+            self._stream.abandon()
 
     def finish(self):
-        self.is_finished = True
+        self.is_finished = not self.is_stopped
+        self.close()
+
+    def close(self):
+        """Stop the timer."""
+        if self._unused_timer is not None:
+            self._unused_timer.cancel()
 
     def on_connection_close(self):
         pass
@@ -251,16 +372,14 @@
         self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
-        reader = _Reader(request.request_id, sink, self._on_load, self._traffic)
-        await http.read_response(reader)
+        reader = await self._read(http, request, sink)
         for _ in range(MAX_STRAY_RESPONSES):
             if not (reader.is_finished and reader.is_stray and reader.is_framed):
                 break
             # A late response to an earlier request, by its request identifier.
-            reader = _Reader(request.request_id, sink, self._on_load, self._traffic)
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
             http.finish()
-            await http.read_response(reader)
+            reader = await self._read(http, request, sink)
         outcome = self._classify(reader)
         reusable = (
             reader.is_finished
@@ -276,17 +395,40 @@
             self.idle_until = time.monotonic() + idle_s
         return outcome, reusable
 
+    async def _read(self, http, request, sink):
+        """Read one response; return the `_Reader`.
+
+        Raises:
+            StreamClosedError: The target closed the connection.
+        """
+        reader = _Reader(
+            request.request_id, sink, self._on_load, self._traffic, self.stream
+        )
+        self.stream.expect_head()
+        try:
+            await http.read_response(reader)
+        except iostream.StreamClosedError:
+            if not reader.is_stopped:
+                raise
+        finally:
+            self.stream.end_head()
+            reader.close()
+        return reader
+
     def _classify(self, reader):
         answer = reader.answer
         if answer is None:
-            return Outcome(End.INCOMPLETE, "no_answer")
+            reason = "endless_head" if reader.is_stopped else "no_answer"
+            return Outcome(End.INCOMPLETE, reason)
         if reader.is_stray:
             return Outcome(End.INCOMPLETE, "answer_to_another_request", reader.status)
         if answer.is_misdirected:
             return Outcome(End.NOT_RUN, "misdirected", reader.status)
         if answer.not_executed:
             return Outcome(End.NOT_RUN, REFUSED, reader.status)
-        if not reader.is_finished:
+        if reader.is_stopped and reader.needs_body:
+            return Outcome(End.INCOMPLETE, "endless_body", reader.status)
+        if not reader.is_finished and not reader.is_stopped:
             return Outcome(End.INCOMPLETE, "cut_short", reader.status)
         if not reader.is_framed and self.stream.error is not None:
             return Outcome(End.INCOMPLETE, "reset", reader.status)
@@ -321,9 +463,7 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     _set_options(sock)
-    stream = _Stream(
-        sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES
-    )
+    stream = _Stream(sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_BYTES)
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await stream.connect(address)
