Bound the answers of the store and of other entries

An answer without end of the store, or of a peer that is asked for its configuration, was held up to the client's own 100 MB, and without any limit where it is read by an idle timeout. The same cause as in the answers of targets: no bound on what was not asked for.

Change: the client takes a maximum size of one answer; 8 MiB for the store (pages of 1 MB) and for configurations of peers. Datagrams of peers and the requests of callers had limits already.

Test: test_answer_without_end_is_given_up.

--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -35,6 +35,7 @@
 LOW_SPEED_MARGIN_S = 2
 BUFFER_BYTES = 16_384
 MAX_IDLE_CONNECTION_S = 60
+MAX_BODY_BYTES = 104_857_600
 # Number of intervals into which the idle timeout of a stream is divided. One that ends
 # late because this process got no processor time counts no more than the others.
 IDLE_INTERVALS = 4
@@ -166,13 +167,16 @@
     Args:
         max_connections: Maximum number of concurrent requests.
         tls: `pimentowick.tls.ClientTls` for encrypted connections, or None.
+        max_body_bytes: Maximum size of the body of one response, in bytes; a longer one
+            counts as incomplete. Streams that are read by lines have no such limit.
 
     Attributes:
         peak_queued: Maximum number of requests that were queued at the same time.
     """
 
-    def __init__(self, max_connections=64, tls=None):
+    def __init__(self, max_connections=64, tls=None, max_body_bytes=MAX_BODY_BYTES):
         self.max_connections = max_connections
+        self.max_body_bytes = max_body_bytes
         self.peak_queued = 0
         self._tls = tls
         self._curl = None
@@ -180,7 +184,11 @@
 
     async def start(self):
         """Create the connection pool."""
-        self._curl = _CurlClient(force_instance=True, max_clients=self.max_connections)
+        self._curl = _CurlClient(
+            force_instance=True,
+            max_clients=self.max_connections,
+            max_body_size=self.max_body_bytes,
+        )
 
     async def close(self):
         """Close all connections."""
@@ -380,6 +388,7 @@
         self._client = client
         self._request = None
         self._chunks = []
+        self._received_bytes = 0
         self._partial_line = b""
         self._received = asyncio.Event()
 
@@ -399,6 +408,7 @@
         if self.transfer.aborted:
             return 0
         self._chunks.append(chunk)
+        self._received_bytes += len(chunk)
         self._received.set()
         return len(chunk)
 
@@ -460,13 +470,19 @@
         complete.
 
         Raises:
-            TransportError: If the response was truncated or the stream timed out.
+            TransportError: If the response was truncated or too long, or the stream
+                timed out.
         """
         try:
             while not self.task.done():
                 self._received.clear()
                 if not await self._wait_for_data():
                     raise self._make_stall_error()
+                if self._received_bytes > self._client.max_body_bytes:
+                    raise TransportError(
+                        f"The answer from {self.address} is too long.",
+                        self.transfer.get_verdict(),
+                    )
         finally:
             self.abort()
         error = self.task.exception()
--- a/pimentowick/gateway/peer_configuration.py
+++ b/pimentowick/gateway/peer_configuration.py
@@ -28,6 +28,7 @@
 FETCH_AGE_S = 2.0
 FETCH_INTERVAL_S = 0.3
 FETCH_TIMEOUT_S = 0.5
+MAX_CONFIGURATION_BYTES = 8_388_608
 
 
 class PeerConfiguration:
@@ -45,7 +46,7 @@
         self._feed = feed
         self._list_peers = list_peers
         self._is_needed = is_needed
-        self._client = client.Client()
+        self._client = client.Client(max_body_bytes=MAX_CONFIGURATION_BYTES)
         self._uses_peer = False
 
     async def start(self):
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -31,6 +31,8 @@
 RECORD_LENGTH = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
 MAX_CONNECTIONS = 24
+# Exceeds a page of records or of newest values in base64.
+MAX_ANSWER_BYTES = 8_388_608
 # Total timeout of a read whose response keeps arriving.
 MAX_READ_S = 30.0
 # Minimum throughput of an entry's link that is shared with other traffic.
@@ -161,7 +163,7 @@
         self.calls = collections.Counter()
         self.bytes = collections.Counter()
         self.last_contact_at = float("-inf")
-        self._client = client.Client(max_connections=MAX_CONNECTIONS)
+        self._client = client.Client(MAX_CONNECTIONS, max_body_bytes=MAX_ANSWER_BYTES)
 
     async def start(self):
         """Create the connection pool."""
--- a/pimentowick/tests/test_client.py
+++ b/pimentowick/tests/test_client.py
@@ -216,3 +216,39 @@
                 await asyncio.sleep(0.02)
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize("as_stream", [False, True])
+@pytest.mark.parametrize("head", [b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\n"])
+def test_answer_without_end_is_given_up(head, as_stream):
+    # All of it would be held in memory for as long as it comes.
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head)
+        with contextlib.suppress(OSError):
+            while True:
+                writer.write(b"A: b\r\n" * 5000)
+                await writer.drain()
+        closed.set()
+        writer.close()
+
+    async def check():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = http_client.Client(max_body_bytes=1 << 20)
+        await client.start()
+        with pytest.raises(http_client.TransportError) as caught:
+            if as_stream:
+                stream = client.open_stream("GET", address, "/", timeout_s=60.0)
+                await stream.read_response()
+            else:
+                await client.fetch("GET", address, "/", timeout_s=60.0)
+        assert caught.value.verdict == verdict.Verdict.MAY_HAVE_RUN
+        assert not caught.value.timed_out
+        await asyncio.wait_for(closed.wait(), 20)
+        await client.close()
+        server.close()
+
+    asyncio.run(check())
