--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 
+from tornado import iostream
+
 from pimentowick.fakes import faults, server
 
 __all__ = ["Behaviour", "Replica"]
 
 HEADER_PREFIX = "X-Pimentowick-"
+ENDLESS_BLOCK_BYTES = 16_384
 
 
 @dataclasses.dataclass
@@ -22,7 +26,8 @@
             unsolicited response; ``unsigned`` omits the replica's identifier;
             ``crossed`` first sends a response to another request; ``wrong_order``
             leaves out an event; ``silent`` sends nothing and keeps the connection;
-            ``unframed`` streams with neither a length nor chunks and closes.
+            ``unframed`` streams with neither a length nor chunks and closes;
+            ``endless`` sends bytes that are no event until the caller closes.
         cut_after: Number of events or bytes after which the response is truncated.
         partial_event: Whether it is truncated in the middle of an event.
         awaits_release: Whether it is truncated only once `Replica.release` is set.
@@ -164,6 +169,9 @@
         if behaviour.kind == "unframed":
             await self._respond_unframed(behaviour, request_id)
             return
+        if behaviour.kind == "endless":
+            await self._respond_endless(request_id)
+            return
         if behaviour.kind == "silent":
             await self.wait_for_disconnect()
         if behaviour.kind == "crossed":
@@ -213,6 +221,19 @@
         await stream.write("\r\n".join([*lines, "", "".join(events)]).encode())
         stream.close()
 
+    async def _respond_endless(self, request_id):
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"{HEADER_PREFIX}Request-Id: {request_id}",
+            f"{HEADER_PREFIX}Server-Stamp: {self.server.id}",
+        ]
+        stream = self.detach()
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write("\r\n".join([*lines, "", ""]).encode())
+            while True:
+                await stream.write(b"x" * ENDLESS_BLOCK_BYTES)
+                await asyncio.sleep(0)
+
     async def _stream_events(self, behaviour):
         self.set_header("Content-Type", "text/event-stream")
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -112,6 +112,7 @@
                 replica.Behaviour("vanish"),
                 replica.Behaviour("refuse"),
                 replica.Behaviour("unsigned"),
+                replica.Behaviour("endless"),
             ]
 
     async def _crash_under_part(self):
