--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -63,7 +63,7 @@
 # detect a dead connection and event loop delays on a busy host.
 SHORT_POLL_S = 0.9
 # Of the targets: a target that has left meanwhile gets requests until the next read.
-TARGETS_MAX_BACKOFF_S = 0.6
+TARGETS_MAX_BACKOFF_S = 0.4
 STORE_TIMEOUT_S = 1.0
 # The load balancer removes an entry after two failed checks, a second apart.
 BALANCER_REMOVAL_S = 2.5
--- a/pimentowick/gateway/policy/store_outage.py
+++ b/pimentowick/gateway/policy/store_outage.py
@@ -16,9 +16,9 @@
 
 __all__ = ["PeerContact"]
 
-# Exceeds the interval between two renewals of one entry; a registration expires only
-# after a longer outage.
-MAX_INTERVAL_S = 0.8
+# Exceeds twice the interval between two renewals, as the only peer may lose one; a
+# registration expires only after a longer outage.
+MAX_INTERVAL_S = 1.2
 # Closer times say no more.
 RESOLUTION_S = 0.05
 # Exceeds the time for which one entry may be cut off and its peers still be heard.
