Count trials of one process without a pause again

Between the choice of the step and the first line of that task other requests choose the same step. Ruled out: load, as it failed alone each time.

Change: only the guard that shares trials through the store counts in a task. The other one counts within the same step, as before.

--- a/pimentowick/gateway/crash_guard.py
+++ b/pimentowick/gateway/crash_guard.py
@@ -57,6 +57,23 @@
         self._pending = {}
         self._wake = asyncio.Event()
 
+    async def _count_trials(self, names, is_deferred):
+        """Count a trial for each name; see `crash_guard.CrashGuard`.
+
+        It is counted to the end if it is cancelled, since the store may have counted it
+        already, and is then cancelled there, too.
+        """
+        counting = asyncio.ensure_future(super()._count_trials(names, is_deferred))
+        try:
+            return await asyncio.shield(counting)
+        except asyncio.CancelledError:
+            counting.add_done_callback(self._cancel_counted)
+            raise
+
+    def _cancel_counted(self, counting):
+        if not counting.cancelled() and counting.exception() is None:
+            self.cancel_trial(counting.result())
+
     async def _count_trial(self, name, suspected, is_deferred):
         """Count a trial in the store; return whether this entry may start it."""
         try:
--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -105,13 +105,7 @@
         Returns:
             The names of which this is a trial; empty if the request may not run now.
         """
-        counting = asyncio.ensure_future(self._count_trials(names, is_deferred))
-        try:
-            counted = await asyncio.shield(counting)
-        except asyncio.CancelledError:
-            # The store may have counted it already.
-            counting.add_done_callback(self._cancel_counted)
-            raise
+        counted = await self._count_trials(names, is_deferred)
         for name in counted:
             self.on_trial(name, request_id)
         return counted
@@ -127,10 +121,6 @@
             counted.append(name)
         return counted
 
-    def _cancel_counted(self, counting):
-        if not counting.cancelled() and counting.exception() is None:
-            self.cancel_trial(counting.result())
-
     async def _count_trial(self, name, suspected, is_deferred):
         """Count a trial of a request with a set of suspected names.
 
