Let the fake replica name the request in its refusals, as targets do

PROTOCOL.md: targets echo the identifier of the request in their responses. The fake named none, so no test could tell a refusal that names its request from one that doesn't. Ran: the tests of online requests, removed targets, quarantine and dispatch.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -131,7 +131,7 @@
             HEADER_PREFIX + "Expect-Instance", replica.id
         )
         if expected != replica.id:
-            self.set_status(421)
+            self._refuse(421)
             return
         behaviour = (
             replica.planned_behaviours.pop(0)
@@ -139,8 +139,7 @@
             else Behaviour()
         )
         if behaviour.kind == "refuse":
-            self.set_status(503)
-            self.set_header(HEADER_PREFIX + "Not-Executed", "1")
+            self._refuse(503)
             return
         request_id = self.request.headers[HEADER_PREFIX + "Request-Id"]
         replica.runs[request_id] += 1
@@ -155,6 +154,14 @@
 
     get = post
 
+    def _refuse(self, status):
+        """State that the request did not run."""
+        self.set_status(status)
+        self.set_header(HEADER_PREFIX + "Not-Executed", "1")
+        request_id = self.request.headers.get(HEADER_PREFIX + "Request-Id")
+        if request_id is not None:
+            self.set_header(HEADER_PREFIX + "Request-Id", request_id)
+
     async def _run(self, behaviour, request_id):
         prefix = self.request.headers.get(HEADER_PREFIX + "Prompt-Prefix", "")
         parts = {row.partition(":")[0] for row in prefix.split(",")}
