Log and count which response ended an attempt, on which connection

What was missing: a refused attempt left no line, and no line named the connection, what it had carried before, or whether the response named the request. The record of the incident could not tell a refusal that names no request from a second copy of one, a failed connection, or a wrong account of this gateway. Change: online.not_run for each attempt that counts as not run, target.stray_response for each response that is discarded, the connection's number, age and history in both and in online.lost and item.ran, may_have_run in online.ended; a counter of responses by what they name, how they were used and what their connection carried before. No decision changes. The test reads the line and the counter of a refused attempt.

--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -40,6 +40,7 @@
         target: The `pimentowick.gateway.target.Target` while running, else None.
         task: The `asyncio.Task` while running, else None.
         is_held: Whether it waits because it is quarantined.
+        connections: Numbers of the connections that carried it.
     """
 
     job: object
@@ -53,6 +54,7 @@
     target: object = None
     task: object = None
     is_held: bool = False
+    connections: set = dataclasses.field(default_factory=set)
     _fingerprint: str = ""
     _parts: tuple | None = None
 
@@ -202,7 +204,12 @@
         item_transcript.last_event,
     )
     request = upstream.Request(
-        run.item.id, METHOD, run.item.path, headers, item_transcript.body
+        run.item.id,
+        METHOD,
+        run.item.path,
+        headers,
+        item_transcript.body,
+        run.connections,
     )
     checkpoint_task = asyncio.create_task(_checkpoint_periodically(item_transcript))
     request_task = asyncio.ensure_future(pool.send(request, sink))
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -114,6 +114,12 @@
             "pimentowick_gateway_lost_runs_total",
             "Runs whose target broke off, by kind and whether an event had arrived.",
         )
+        self._responses = self._make_counter(
+            "pimentowick_gateway_target_responses_total",
+            "Responses of targets by the request that they name (own, none, other), "
+            "use (complete, not_run, incomplete, stray) and connection (new, kept, "
+            "repeated).",
+        )
         self._quarantine_events = self._make_counter(
             "pimentowick_gateway_quarantine_events_total",
             "Changes of the quarantine by event: opened, trial, released.",
@@ -266,6 +272,27 @@
         labels = {"kind": str(kind), "events": "some" if has_events else "none"}
         self._lost_runs.inc(labels)
 
+    def count_responses(self, outcome):
+        """Count the responses that were read for one request to a target.
+
+        Args:
+            outcome: The `upstream.Outcome`.
+        """
+        delivery = outcome.delivery
+        if delivery is None:
+            return
+        history = delivery.history
+        for naming in delivery.strays:
+            self._responses.inc(
+                {"names": str(naming), "use": "stray", "connection": history}
+            )
+        if delivery.naming is None:
+            return
+        use = outcome.end.name.lower()
+        self._responses.inc(
+            {"names": str(delivery.naming), "use": use, "connection": history}
+        )
+
     def count_quarantine(self, event):
         """Count a change: opened, trial, released or withdrawn."""
         self._quarantine_events.inc({"event": event})
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -68,11 +68,13 @@
         runs: Number of attempts that may have run at a target.
         refusals: Number of attempts that did not run.
         tried_targets: Identifiers of the targets that it was sent to.
+        connections: Numbers of the connections that carried it.
     """
 
     runs: int = 0
     refusals: int = 0
     tried_targets: set = dataclasses.field(default_factory=set)
+    connections: set = dataclasses.field(default_factory=set)
 
     @property
     def attempts(self):
@@ -446,6 +448,7 @@
             self._exchange.uri,
             headers,
             self._exchange.body,
+            self._progress.connections,
         )
         self._sent = True
         self._sent_at = time.monotonic()
@@ -488,8 +491,10 @@
             outcome = outcome.check_events(
                 sink.event_times.count, sink.ends_within_event
             )
+        self._metrics.count_responses(outcome)
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
+            self._log_not_run(target, outcome)
         self._record_performance(target, outcome)
         load = self._slot.online_at_start + self._slot.batch_at_start
         self._health.observe_outcome(target, outcome, load < target.slots / 2)
@@ -523,6 +528,22 @@
             duration_s = self._sink.event_times.compute_interval_s()
         self._performance.record_duration(target, self._route.name, duration_s, now)
 
+    def _log_not_run(self, target, outcome):
+        """Log why an attempt counts as not run."""
+        delivery = outcome.delivery
+        decision_log.log_request_event(
+            "online.not_run",
+            self._call.request_id,
+            outcome=outcome.reason,
+            status=outcome.status,
+            target=target.id,
+            attempt=self._progress.attempts + 1,
+            names=None if delivery is None else delivery.naming,
+            strays=0 if delivery is None else len(delivery.strays),
+            took_s=time.monotonic() - self._sent_at,
+            **upstream.describe_delivery(delivery),
+        )
+
     def _record_lost_run(self, target, outcome, events):
         if outcome.may_be_crash:
             self._guard.record_crash(target.run_id)
@@ -540,6 +561,7 @@
             parts=self._call.parts[:MAX_LOGGED_PARTS],
             events=events,
             ran_s=time.monotonic() - self._sent_at,
+            **upstream.describe_delivery(outcome.delivery),
         )
 
     def _compute_fingerprint(self):
@@ -740,6 +762,7 @@
             slots=None if slot is None else slot.target.slots,
             runs=self._progress.runs,
             refusals=self._progress.refusals,
+            may_have_run=self.may_have_run,
             events=self._sink.events,
             waited_s=waited_s,
             first_s=first_event_s,
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -552,6 +552,7 @@
             raise
         self._health.observe_outcome(target, outcome)
         self._metrics.count_item(outcome.reason)
+        self._metrics.count_responses(outcome)
         self.load_reporter.performance.record_duration(
             target,
             run.route.name,
@@ -570,6 +571,7 @@
             failures=run.transcript.failures,
             took_s=time.monotonic() - started_at,
             due_in_s=run.due_at - time.time(),
+            **upstream.describe_delivery(outcome.delivery),
         )
         if outcome.end == upstream.End.COMPLETE:
             self._crash_guard.record_target_answer(target, started_at)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -12,19 +12,24 @@
 import contextlib
 import dataclasses
 import enum
+import itertools
 import socket
 import time
 
 from tornado import http1connection, httputil, iostream
 
+from pimentowick.gateway import decision_log
 from pimentowick.platform import message
 
 __all__ = [
     "Connection",
+    "Delivery",
     "End",
+    "Naming",
     "Outcome",
     "Request",
     "Sink",
+    "describe_delivery",
     "open_connection",
 ]
 
@@ -80,6 +85,45 @@
 CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
 
 
+class Naming(enum.StrEnum):
+    """Which request a response names."""
+
+    OWN = "own"
+    """The request that was sent."""
+    NONE = "none"
+    """No request."""
+    OTHER = "other"
+    """Another request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivery:
+    """How the response to a request was received.
+
+    Attributes:
+        connection: Number of the connection, unique in this process.
+        earlier_requests: Number of requests that the connection carried before.
+        carried_before: Whether this request was one of them.
+        age_s: Age of the connection when the request was sent, in seconds.
+        naming: The `Naming` of the response, or None without one.
+        strays: The `Naming` of each response that was discarded before.
+    """
+
+    connection: int
+    earlier_requests: int
+    carried_before: bool
+    age_s: float
+    naming: Naming | None = None
+    strays: tuple = ()
+
+    @property
+    def history(self):
+        """What the connection carried before, as a label: new, kept or repeated."""
+        if self.carried_before:
+            return "repeated"
+        return "kept" if self.earlier_requests else "new"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """How a request to a target ended, and why.
@@ -90,6 +134,7 @@
         status: HTTP status of the response, or 0 without one.
         connected: Whether a connection to the target was open.
         is_framed: Whether the response told its end without closing the connection.
+        delivery: The `Delivery`, or None if the connection ended without a response.
     """
 
     end: End
@@ -97,6 +142,7 @@
     status: int = 0
     connected: bool = True
     is_framed: bool = True
+    delivery: Delivery | None = None
 
     def check_events(self, count, ends_within_event):
         """Return the outcome of an event stream, given what arrived.
@@ -134,13 +180,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """An HTTP request to a target."""
+    """An HTTP request to a target.
+
+    Attributes:
+        request_id: Identifier of the request, or "".
+        method: HTTP method.
+        uri: Path and query.
+        headers: `tornado.httputil.HTTPHeaders`.
+        body: The body.
+        connections: Numbers of the connections that carried it so far, shared by all
+            attempts.
+    """
 
     request_id: str
     method: str
     uri: str
     headers: httputil.HTTPHeaders
     body: bytes
+    connections: set = dataclasses.field(default_factory=set)
 
 
 class Sink(abc.ABC):
@@ -238,6 +295,7 @@
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
         answer: The decoded `message.ResponseHeaders`, None before the headers arrive.
+        naming: The `Naming` of the response, None before the headers arrive.
         is_stray: Whether the response belongs to another request.
         is_finished: Whether the response has arrived completely.
         is_framed: Whether the end of the body is known without closing the connection.
@@ -251,6 +309,7 @@
         self._traffic = counted
         self.status = 0
         self.answer = None
+        self.naming = None
         self.is_stray = False
         self.is_finished = False
         self.is_framed = True
@@ -281,6 +340,7 @@
             or "Transfer-Encoding" in headers
             or start_line.code in (204, 304)
         )
+        self.naming = _compare_ids(self.answer.request_id, self._request_id)
         # Rejections may omit the request identifier.
         is_unidentified = self.answer.not_executed and not self.answer.request_id
         self.is_stray = (
@@ -338,6 +398,18 @@
         pass
 
 
+def _compare_ids(response_id, request_id):
+    """Return the `Naming` of a response.
+
+    Examples:
+        >>> _compare_ids("r1", "r1"), _compare_ids("", "r1"), _compare_ids("r2", "r1")
+        (<Naming.OWN: 'own'>, <Naming.NONE: 'none'>, <Naming.OTHER: 'other'>)
+    """
+    if response_id == request_id:
+        return Naming.OWN
+    return Naming.OTHER if response_id else Naming.NONE
+
+
 class Connection:
     """One connection to a target.
 
@@ -347,10 +419,16 @@
         counted: The `traffic.Traffic` that counts the bodies.
 
     Attributes:
+        number: Number of the connection, unique in this process.
         idle_until: Monotonic time until which it may be reused.
     """
 
+    _numbers = itertools.count(1)
+
     def __init__(self, stream, on_load, counted):
+        self.number = next(self._numbers)
+        self._opened_at = time.monotonic()
+        self._request_count = 0
         self.stream = stream
         self._on_load = on_load
         self._traffic = counted
@@ -367,20 +445,27 @@
         Returns:
             The `Outcome`, and whether the connection can be reused.
         """
+        delivery = self._start_delivery(request)
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine(request.method, request.uri, "HTTP/1.1")
         self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
         reader = await self._read(http, request, sink)
+        strays = []
         for _ in range(MAX_STRAY_RESPONSES):
             if not (reader.is_finished and reader.is_stray and reader.is_framed):
                 break
+            strays.append(reader.naming)
+            self._log_stray(request, reader, delivery)
             # A late response to an earlier request, by its request identifier.
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
             http.finish()
             reader = await self._read(http, request, sink)
-        outcome = self._classify(reader)
+        delivery = dataclasses.replace(
+            delivery, naming=reader.naming, strays=tuple(strays)
+        )
+        outcome = dataclasses.replace(self._classify(reader), delivery=delivery)
         reusable = (
             reader.is_finished
             and reader.is_framed
@@ -395,6 +480,28 @@
             self.idle_until = time.monotonic() + idle_s
         return outcome, reusable
 
+    def _start_delivery(self, request):
+        """Count a request; return its `Delivery` without a response."""
+        delivery = Delivery(
+            self.number,
+            self._request_count,
+            self.number in request.connections,
+            time.monotonic() - self._opened_at,
+        )
+        self._request_count += 1
+        request.connections.add(self.number)
+        return delivery
+
+    def _log_stray(self, request, reader, delivery):
+        decision_log.log_request_event(
+            "target.stray_response",
+            request.request_id,
+            status=reader.status,
+            names=reader.naming,
+            says_not_run=reader.answer.not_executed,
+            **describe_delivery(delivery),
+        )
+
     async def _read(self, http, request, sink):
         """Read one response; return the `_Reader`.
 
@@ -453,6 +560,18 @@
         self.stream.close()
 
 
+def describe_delivery(delivery):
+    """Return the fields of a `Delivery` for the log; none without a delivery."""
+    if delivery is None:
+        return {}
+    return {
+        "connection": delivery.connection,
+        "carried": delivery.earlier_requests,
+        "carried_this": delivery.carried_before,
+        "connection_age_s": delivery.age_s,
+    }
+
+
 async def open_connection(address, on_load, counted):
     """Return a new `Connection` to the target at an address.
 
