--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import dataclasses
+import weakref
 
 from tornado import iostream
 
@@ -30,13 +31,17 @@
             ``endless`` sends bytes that are no event until the caller closes.
         cut_after: Number of events or bytes after which the response is truncated.
         partial_event: Whether it is truncated in the middle of an event.
-        awaits_release: Whether it is truncated only once `Replica.release` is set.
+        awaits_release: Whether it is truncated, refused, or preceded by a late refusal
+            only once `Replica.release` is set.
+        late_refusal: Whether a refusal that belongs to no request precedes the next
+            response on the connection: ``copy`` names this request, ``unnamed`` none.
     """
 
     kind: str = "answer"
     cut_after: int | None = None
     partial_event: bool = False
     awaits_release: bool = False
+    late_refusal: str = ""
 
 
 class Replica(server.Server):
@@ -93,6 +98,8 @@
         self.on_crash = lambda previous_id: None
         self.slowdown = None
         self._first_id = replica_id
+        # Refusals to send before the next response, by connection.
+        self._late_refusals = weakref.WeakKeyDictionary()
 
     def crash_under_request(self):
         """Crash because of a request in `crash_bodies`."""
@@ -139,6 +146,9 @@
             else Behaviour()
         )
         if behaviour.kind == "refuse":
+            if behaviour.awaits_release:
+                await replica.release.wait()
+            self._plan_late_refusal(behaviour)
             self._refuse(503)
             return
         request_id = self.request.headers[HEADER_PREFIX + "Request-Id"]
@@ -148,12 +158,31 @@
         replica.running += 1
         replica.peak_running = max(replica.peak_running, replica.running)
         try:
+            await self._send_late_refusal(behaviour)
             await self._run(behaviour, request_id)
         finally:
             replica.running -= 1
+        self._plan_late_refusal(behaviour)
 
     get = post
 
+    async def _send_late_refusal(self, behaviour):
+        """Send the refusal that an earlier request on the connection left."""
+        late_refusals = self.server._late_refusals
+        if self.connection not in late_refusals:
+            return
+        if behaviour.awaits_release:
+            await self.server.release.wait()
+        self.connection.write(late_refusals.pop(self.connection))
+
+    def _plan_late_refusal(self, behaviour):
+        if not behaviour.late_refusal:
+            return
+        request_id = None
+        if behaviour.late_refusal == "copy":
+            request_id = self.request.headers[HEADER_PREFIX + "Request-Id"]
+        self.server._late_refusals[self.connection] = _make_raw_refusal(request_id)
+
     def _refuse(self, status):
         """State that the request did not run."""
         self.set_status(status)
@@ -274,3 +303,14 @@
         "",
     ]
     return "\r\n".join(lines).encode() + body
+
+
+def _make_raw_refusal(request_id):
+    lines = [
+        "HTTP/1.1 503 Service Unavailable",
+        f"{HEADER_PREFIX}Not-Executed: 1",
+        "Content-Length: 0",
+    ]
+    if request_id is not None:
+        lines.append(f"{HEADER_PREFIX}Request-Id: {request_id}")
+    return "\r\n".join([*lines, "", ""]).encode()
--- a/pimentowick/gateway/tests/test_late_refusals.py
+++ b/pimentowick/gateway/tests/test_late_refusals.py
@@ -1,13 +1,19 @@
 import asyncio
+import time
 
 import pytest
 
-from pimentowick.fakes import platform_site, replica
+from pimentowick.fakes import platform_site, replica, wait
 from pimentowick.gateway import decision_log
 from pimentowick.platform import message
 
 PLAIN = platform_site.make_route("/confirm/", "non_idempotent", max_attempts=1)
-ROUTES = [PLAIN]
+STREAM = platform_site.make_route("/draft/", "stream", max_attempts=1)
+ROUTES = [PLAIN, STREAM]
+# Path and number of events of a request that may run once.
+ONCE_ONLY = [("/confirm/1", 0), ("/draft/1", 3)]
+WAIT_S = 10.0
+POLL_S = 0.001
 
 
 def run_with(replicas, check):
@@ -65,3 +71,66 @@
         assert f"{name}{{{labels}}} 1" in page
 
     run_with([server], check)
+
+
+async def until(condition):
+    await wait.wait_for(condition, WAIT_S, POLL_S)
+
+
+@pytest.mark.parametrize(("path", "event_count"), ONCE_ONLY)
+@pytest.mark.parametrize("replica_count", [1, 2])
+def test_refusal_that_names_no_request_ends_no_other_attempt(
+    replica_count, path, event_count
+):
+    # A target sends a refusal without an identifier before the response to the next
+    # request on a kept connection. That request runs, so it must not be sent to another
+    # target, nor be reported as not run.
+    servers = [replica.Replica(f"i-{n}", event_count) for n in range(replica_count)]
+    for each in servers:
+        each.planned_behaviours = [replica.Behaviour(late_refusal="unnamed")]
+
+    async def check(site):
+        number = 0
+        while any(each.planned_behaviours for each in servers):
+            number += 1
+            assert (await send(site, f"before{number}", path)).status == 200
+        for number in range(2 * replica_count):
+            answer = await send(site, f"r{number}", path)
+            assert (answer.status, count_runs(servers, f"r{number}")) == (200, 1)
+
+    run_with(servers, check)
+
+
+@pytest.mark.parametrize(("path", "event_count"), ONCE_ONLY)
+def test_second_copy_of_a_refusal_ends_no_later_attempt(path, event_count):
+    # Both targets refuse a request, one refusal is sent twice, and the request is sent
+    # to the same target again. The copy arrives while the request runs, which must not
+    # be sent to another target then, nor be reported as not run.
+    servers = [replica.Replica(f"i-{n}", event_count) for n in range(2)]
+    for each in servers:
+        each.planned_behaviours = [
+            replica.Behaviour("refuse", late_refusal="copy", awaits_release=True),
+            replica.Behaviour(awaits_release=True),
+        ]
+
+    async def check(site):
+        by_id = site.gateways[0].table.by_id
+
+        def is_usable(server):
+            return by_id[server.id].is_usable(time.monotonic())
+
+        sending = asyncio.create_task(send(site, "r", path))
+        await until(lambda: any(len(s.planned_behaviours) == 1 for s in servers))
+        first, second = sorted(servers, key=lambda s: len(s.planned_behaviours))
+        first.release.set()
+        await until(lambda: len(second.planned_behaviours) == 1)
+        first.release.clear()
+        await until(lambda: is_usable(first))
+        second.release.set()
+        await until(lambda: first.runs["r"])
+        await until(lambda: is_usable(second))
+        first.release.set()
+        answer = await sending
+        assert (answer.status, count_runs(servers, "r")) == (200, 1)
+
+    run_with(servers, check)
