Take a refusal that names no request only from a connection that carried no other

What callers saw: a request that may run once was answered 503 and ran (one target), or was sent to a second target and ran there too (two targets). Cause: a response that said not run was taken for the answer to the current request if it named no request. Targets echo the identifier of the request; on a kept connection a response without one may be left over from the request before ("such bytes belong to no request"). Ruled out: never believing it. A target that names no request in a refusal would keep its callers waiting until their deadline, also on a connection on which nothing else can have been answered; there it still counts. Why it works: the first response on a connection can't belong to an earlier request; any later one must name its request, else it is discarded and the next one is read.

--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -291,6 +291,8 @@
         on_load: Function called with the load that came with the response, or None.
         counted: The `traffic.Traffic` that counts the body.
         stream: The stream, which is closed once the rest of a response is of no use.
+        is_first: Whether this is the first response on the connection. A refusal that
+            names no request can't belong to an earlier one then.
 
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
@@ -302,8 +304,9 @@
         needs_body: Whether the body is of use.
     """
 
-    def __init__(self, request_id, sink, on_load, counted, stream):
+    def __init__(self, request_id, sink, on_load, counted, stream, is_first):
         self._request_id = request_id
+        self._is_first = is_first
         self._sink = sink
         self._on_load = on_load
         self._traffic = counted
@@ -341,10 +344,8 @@
             or start_line.code in (204, 304)
         )
         self.naming = _compare_ids(self.answer.request_id, self._request_id)
-        # Rejections may omit the request identifier.
-        is_unidentified = self.answer.not_executed and not self.answer.request_id
-        self.is_stray = (
-            self.answer.request_id != self._request_id and not is_unidentified
+        self.is_stray = self.naming != Naming.OWN and not (
+            self._is_first and self.naming == Naming.NONE and self.answer.not_executed
         )
         if not self.is_stray:
             self._on_load(self.answer.load)
@@ -451,17 +452,18 @@
         self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
-        reader = await self._read(http, request, sink)
+        is_first = not delivery.earlier_requests
+        reader = await self._read(http, request, sink, is_first)
         strays = []
         for _ in range(MAX_STRAY_RESPONSES):
             if not (reader.is_finished and reader.is_stray and reader.is_framed):
                 break
             strays.append(reader.naming)
             self._log_stray(request, reader, delivery)
-            # A late response to an earlier request, by its request identifier.
+            # A late response to an earlier request, or one that names no request.
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
             http.finish()
-            reader = await self._read(http, request, sink)
+            reader = await self._read(http, request, sink, is_first=False)
         delivery = dataclasses.replace(
             delivery, naming=reader.naming, strays=tuple(strays)
         )
@@ -502,14 +504,19 @@
             **describe_delivery(delivery),
         )
 
-    async def _read(self, http, request, sink):
+    async def _read(self, http, request, sink, is_first):
         """Read one response; return the `_Reader`.
 
         Raises:
             StreamClosedError: The target closed the connection.
         """
         reader = _Reader(
-            request.request_id, sink, self._on_load, self._traffic, self.stream
+            request.request_id,
+            sink,
+            self._on_load,
+            self._traffic,
+            self.stream,
+            is_first,
         )
         self.stream.expect_head()
         try:
