Send no request again over a connection that has carried it

What callers saw: a request that may run once was refused by a target, ran at the same target on its next attempt, and was sent to another target or answered 503. Cause: the identifier tells a late response from that of another request, but not from that of another attempt of the same request. Idle connections are taken last in, first out, so the next attempt at a target mostly went over the connection that had just carried the refusal; a second copy of it ended that attempt as not run. Evidence: test_second_copy_of_a_refusal_ends_no_later_attempt, two cases: (503, ran twice) before, (200, ran once) now. Why it works: a second response to an earlier attempt can come on that attempt's connection only, where it names another request than the one that waits.

--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -72,7 +72,7 @@
             self._busy -= 1
 
     async def _send(self, request, sink):
-        connection = self._take_idle()
+        connection = self._take_idle(request)
         if connection is None:
             try:
                 connection = await self._connect()
@@ -121,14 +121,25 @@
             connection.close()
         self._idle.clear()
 
-    def _take_idle(self):
+    def _take_idle(self, request):
+        """Return the idle connection that was used last, or None.
+
+        A connection that carried the request before may still deliver another response
+        to it, which could not be told from the response to this attempt.
+        """
         now = time.monotonic()
-        while self._idle:
+        repeated = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
-            if connection.is_reusable(now):
-                return connection
-            connection.close()
-        return None
+            if not connection.is_reusable(now):
+                connection.close()
+            elif connection.number in request.connections:
+                repeated.append(connection)
+            else:
+                found = connection
+        self._idle += reversed(repeated)
+        return found
 
     async def _connect(self):
         """Open a connection, in place of an idle one if descriptors are exhausted."""
