Send a request without an identifier over a new connection only

A response without an identifier that is left over on a kept connection names the same request, none, as a request without an identifier, and would be taken for its answer. Evidence: test_request_without_an_identifier_uses_no_kept_connection failed before (1 connection opened, 2 expected) and passes now.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -57,6 +57,7 @@
     Attributes:
         planned_behaviours: `Behaviour` of each of the next requests; later ones are
             answered normally.
+        requests: Number of requests received, without those for another identifier.
         runs: Number of runs by request identifier.
         headers: Headers of the requests that ran, in order.
         request_uris: Path and query of the requests that ran, in order.
@@ -84,6 +85,7 @@
         self.slots = slots
         self.version = version
         self.planned_behaviours = []
+        self.requests = 0
         self.runs = collections.Counter()
         self.headers = []
         self.request_uris = []
@@ -145,13 +147,17 @@
             if replica.planned_behaviours
             else Behaviour()
         )
+        replica.requests += 1
         if behaviour.kind == "refuse":
             if behaviour.awaits_release:
                 await replica.release.wait()
             self._plan_late_refusal(behaviour)
             self._refuse(503)
             return
-        request_id = self.request.headers[HEADER_PREFIX + "Request-Id"]
+        request_id = self.request.headers.get(HEADER_PREFIX + "Request-Id")
+        if request_id is None:
+            self._refuse(400)
+            return
         replica.runs[request_id] += 1
         replica.headers.append(dict(self.request.headers))
         replica.request_uris.append(self.request.uri)
--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -125,8 +125,11 @@
         """Return the idle connection that was used last, or None.
 
         A connection that carried the request before may still deliver another response
-        to it, which could not be told from the response to this attempt.
+        to it, which could not be told from the response to this attempt. A request
+        without an identifier can't tell any response from its own.
         """
+        if not request.request_id:
+            return None
         now = time.monotonic()
         repeated = []
         found = None
--- a/pimentowick/gateway/tests/test_late_refusals.py
+++ b/pimentowick/gateway/tests/test_late_refusals.py
@@ -25,10 +25,9 @@
 
 
 async def send(site, request_id, path="/confirm/1"):
-    headers = {
-        message.REQUEST_ID: request_id,
-        message.DEADLINE: "4000",
-    }
+    headers = {message.DEADLINE: "4000"}
+    if request_id is not None:
+        headers[message.REQUEST_ID] = request_id
     return await site.call("POST", path, b"hello", **headers)
 
 
@@ -134,3 +133,20 @@
         assert (answer.status, count_runs(servers, "r")) == (200, 1)
 
     run_with(servers, check)
+
+
+def test_request_without_an_identifier_uses_no_kept_connection():
+    # A target sends a response without an identifier before the next one on a kept
+    # connection. A request without an identifier could not tell it from its own.
+    server = replica.Replica(events=0)
+
+    async def check(site):
+        assert (await send(site, "r1")).status == 200
+        pools = site.gateways[0].pools
+        opened = pools.count_opened()
+        sending = asyncio.create_task(send(site, None))
+        await until(lambda: server.requests == 2)
+        sending.cancel()
+        assert pools.count_opened() == opened + 1
+
+    run_with([server], check)
