Send each generation to its engine over a new connection

What callers of the first deployment would see: a generation that runs is reported as not run, and the router sends it to another agent. The lines of an engine name request and attempt, its refusals (404, 400, 429, 503) name nothing and were believed from kept connections. Evidence: test_refusal_left_over_on_a_connection_ends_no_other_generation failed before (RefusedError target_busy, not run, while the engine generated) and passes now. Ruled out: reading on after a refusal; a curl transfer ends with its first response.

--- a/pimentowick/external/engine.py
+++ b/pimentowick/external/engine.py
@@ -160,6 +160,10 @@
             "/generate",
             dataclasses.asdict(generation),
             idle_s=self._idle_s,
+            # A refusal names no request, so one that is left over on a kept connection
+            # would be taken for the response to this generation. The engine runs on the
+            # same host, where new connections are cheap.
+            new_connection=True,
         )
         ended = False
         try:
