Let the soak's targets send refusals and answers that belong to no request

A standing check: targets of the soak now also send a second copy of a refusal, a refusal that names no request, and an answer to another request before the next response on a connection. What targets ran, by identifier, was compared with what callers were told already, over real processes.

--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -113,6 +113,10 @@
                 replica.Behaviour("refuse"),
                 replica.Behaviour("unsigned"),
                 replica.Behaviour("endless"),
+                replica.Behaviour("refuse", late_refusal="copy"),
+                replica.Behaviour(late_refusal="unnamed"),
+                replica.Behaviour(late_refusal="copy"),
+                replica.Behaviour("crossed"),
             ]
 
     async def _crash_under_part(self):
