Send no request to a target once its deadline has passed

What callers saw: a request whose body was complete only after its deadline was sent to a target, ran there for nobody, and was answered 504. Cause: the deadline was enforced by a timeout around the attempts, which ends the first one only after its bytes are written. Evidence: test_request_whose_deadline_has_passed_is_sent_to_no_target failed before (504, may have run) and passes now (503 with Retry-After, not run). Ran: the tests of online requests, of the daemon and of dispatch (61 passed, 1 xpassed).

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -143,11 +143,13 @@
         relayed = _RelayedRequest(
             self, exchange, matched_route, call, timeout_s, workspace, strips_key
         )
+        remaining_s = exchange.received_at + timeout_s - time.monotonic()
         try:
-            async with asyncio.timeout(
-                exchange.received_at + timeout_s - time.monotonic()
-            ):
-                outcome = await relayed.run()
+            if remaining_s < MIN_ATTEMPT_S:
+                outcome = await relayed.on_timeout()
+            else:
+                async with asyncio.timeout(remaining_s):
+                    outcome = await relayed.run()
         except TimeoutError:
             outcome = await relayed.on_timeout()
         except asyncio.CancelledError:
--- a/pimentowick/gateway/tests/test_online.py
+++ b/pimentowick/gateway/tests/test_online.py
@@ -139,6 +139,20 @@
     run_with([server], check)
 
 
+def test_request_whose_deadline_has_passed_is_sent_to_no_target():
+    # The body of a request was complete only after its deadline. A target would run it
+    # for nobody, and the caller would not hear that it may come back.
+    server = replica.Replica(events=0)
+
+    async def check(site):
+        answer = await send(site, "/confirm/1", deadline_ms=10)
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert not server.runs
+
+    run_with([server], check)
+
+
 def test_unsolicited_response_reaches_no_caller():
     # A target sends an unsolicited second response. Matched to the next request on the
     # connection, it would leak one caller's data to another.
