Charge no target with a caller's closed connection

What follows: the run counted as cut short by its target, was charged as a crash, counted against the target's health, and a resumable stream was sent to another target for nobody. Cause: both connections report their close with the same exception, and it was caught where only the target's was meant. Evidence: test_caller_that_is_gone_is_no_failure_of_the_target failed before (a crash was recorded) and passes now. The close of the caller's connection usually cancels the request first, which is why tests did not show it.

--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -58,7 +58,7 @@
             outcome: The `upstream.Outcome`.
             seemed_free: Whether most of its slots seemed to be free.
         """
-        if outcome.reason == upstream.NO_DESCRIPTOR:
+        if outcome.reason in (upstream.NO_DESCRIPTOR, upstream.CALLER_GONE):
             return
         now = time.monotonic()
         if outcome.reason == "misdirected":
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -502,7 +502,10 @@
         self._health.observe_outcome(target, outcome, load < target.slots / 2)
         if outcome.end == upstream.End.COMPLETE:
             self._guard.record_target_answer(target, self._sent_at)
-        if outcome.end == upstream.End.INCOMPLETE:
+        if outcome.reason == upstream.CALLER_GONE:
+            has_begun = sink.events > events_before
+            self._guard.record_cancelled_run(self._sent_at, has_begun)
+        elif outcome.end == upstream.End.INCOMPLETE:
             self._record_lost_run(target, outcome, sink.events - events_before)
         elif outcome.is_survival:
             is_plain = outcome.status == 200 and not sink.forwards_events
@@ -585,6 +588,8 @@
             return self._retry_or_fail(self._progress.refusals < MAX_REFUSALS)
         self._progress.runs += 1
         self._status = outcome.status
+        if outcome.reason == upstream.CALLER_GONE:
+            return _NextStep.FAIL
         may_retry = (
             self._route.can_retry
             and self._progress.runs < self._route.max_attempts
--- a/pimentowick/gateway/tests/test_broken_connections.py
+++ b/pimentowick/gateway/tests/test_broken_connections.py
@@ -6,8 +6,11 @@
 
 import orjson
 import pytest
+from tornado import iostream
 
+from pimentowick import client
 from pimentowick.fakes import platform_site, replica, wait
+from pimentowick.gateway import exchange
 from pimentowick.routing import quarantine
 
 ROUTES = [
@@ -161,3 +164,24 @@
         )
 
     run_with(check)
+
+
+def test_caller_that_is_gone_is_no_failure_of_the_target(monkeypatch):
+    # The write of an event to a caller fails before the close of its connection is
+    # seen. The target is sound, and nobody waits for another attempt.
+    async def start(each, status, headers, chunk=None):
+        each.disconnect()
+        raise iostream.StreamClosedError
+
+    monkeypatch.setattr(exchange.Exchange, "start", start)
+
+    async def check(site):
+        gateway = site.gateways[0]
+        for number in range(4):
+            with pytest.raises(client.TransportError):
+                await send(site, number, 0)
+        assert gateway.crash_guard.policy.is_empty()
+        assert not gateway.outliers.build_report()
+        assert sum(sum(each.runs.values()) for each in site.replicas) == 4
+
+    run_with(check, entries=1, replicas=1)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -81,6 +81,8 @@
 REFUSED = "target_refused"
 # No descriptor could be had for a connection; the target is not to blame.
 NO_DESCRIPTOR = "no_descriptor"
+# The caller's connection was closed; the target is not to blame.
+CALLER_GONE = "caller_gone"
 # Reasons of incomplete responses whose connection the target closed.
 CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
 
@@ -302,6 +304,7 @@
         is_finished: Whether the response has arrived completely.
         is_framed: Whether the end of the body is known without closing the connection.
         needs_body: Whether the body is of use.
+        is_caller_gone: Whether the sink's own connection was closed.
     """
 
     def __init__(self, request_id, sink, on_load, counted, stream, is_first):
@@ -317,6 +320,7 @@
         self.is_finished = False
         self.is_framed = True
         self.needs_body = True
+        self.is_caller_gone = False
         self._stream = stream
         self._interim_responses = 0
         self._unused_bytes = 0
@@ -382,7 +386,12 @@
             if self._unused_bytes > MAX_UNUSED_BYTES:
                 self._stream.abandon()
             return
-        await self._sink.on_chunk(chunk)
+        try:
+            await self._sink.on_chunk(chunk)
+        except iostream.StreamClosedError:
+            self.is_caller_gone = True
+            self._stream.abandon()
+            return
         if not self._sink.can_continue:
             self._stream.abandon()
 
@@ -534,6 +543,8 @@
         if answer is None:
             reason = "endless_head" if reader.is_stopped else "no_answer"
             return Outcome(End.INCOMPLETE, reason)
+        if reader.is_caller_gone:
+            return Outcome(End.INCOMPLETE, CALLER_GONE, reader.status)
         if reader.is_stray:
             return Outcome(End.INCOMPLETE, "answer_to_another_request", reader.status)
         if answer.is_misdirected:
