Grant slots to queued requests once a target takes work again after a refusal

What callers saw: a request that its only target had refused waited for 1.8 s and was answered 503, though the target took work again after the pause of 50 ms. Cause: queued requests get slots when a slot or a target changes; the end of a pause changes neither, so that nothing granted them a slot until other work ended. Evidence: test_refused_request_is_sent_again_once_its_target_takes_work failed before (503, never run) and passes now.

--- a/pimentowick/gateway/admission.py
+++ b/pimentowick/gateway/admission.py
@@ -467,6 +467,14 @@
             loop.call_later(delay_s, self.grant_share, service)
         self.grant_slots(service, limit)
 
+    def grant_after_pause(self, target):
+        """Grant slots to queued requests once a paused target takes work again."""
+        pause_s = target.paused_until - time.monotonic()
+        if 0 < pause_s < math.inf:
+            loop = asyncio.get_running_loop()
+            service = target.registration.service
+            loop.call_later(pause_s, self.grant_share, service)
+
     def grant_slots(self, service, limit=None):
         """Grant free slots to queued requests, to at most `limit` of them.
 
--- a/pimentowick/gateway/tests/test_online.py
+++ b/pimentowick/gateway/tests/test_online.py
@@ -124,6 +124,19 @@
     run_with(servers, check)
 
 
+def test_refused_request_is_sent_again_once_its_target_takes_work():
+    # The only target refuses a request and takes work again a moment later. The request
+    # must not wait until nearly its deadline for nothing.
+    server = replica.Replica(events=0)
+    server.planned_behaviours = [replica.Behaviour("refuse")] * 2
+
+    async def check(site):
+        answer = await send(site, "/confirm/1")
+        assert (answer.status, server.runs) == (200, {"r1": 1})
+
+    run_with([server], check)
+
+
 def test_refusal_says_when_to_come_back():
     # All targets reject the request. The caller must get a Retry-After at once instead
     # of waiting until its deadline.
