Delay only the append that a test of late duplicates is about

test_late_duplicate_result_is_ignored failed 18 of 30 times with ten side by side (1 of 30 here), at the wait for the second record. Traced: the test polled each millisecond for the moment between the append of the item's text and that of its result, to delay the second. If the poll came late, nothing was delayed and no duplicate arose. With a poll each 0.1 s the old test fails 3 of 3 times. Change: the fake store limits the delay to one topic, and the delay is set before the first append.

--- a/pimentowick/fakes/platform_store.py
+++ b/pimentowick/fakes/platform_store.py
@@ -67,6 +67,7 @@
     Attributes:
         append_delay_s: If set, appends get no response and are processed this many
             seconds later; their conditions are checked at that time.
+        delayed_topic: Topic to which `append_delay_s` is limited; None for all.
         capacity_bytes: Total size of all records from which on appends get 507.
         calls: Number of requests by path.
         partitions: Partitions by topic and number.
@@ -77,6 +78,7 @@
         super().__init__(port)
         self.parts = parts
         self.append_delay_s = None
+        self.delayed_topic = None
         self.capacity_bytes = MAX_STORED_BYTES
         self.calls = collections.Counter()
         self.partitions = {}
@@ -167,13 +169,16 @@
         if topic in ("keyed.op", "keyed.servers"):
             await self.respond({"error": "forbidden"}, 403)
             return
-        if self.server.append_delay_s is not None:
+        if self.server.append_delay_s is not None and self._is_delayed(topic):
             loop = asyncio.get_running_loop()
             loop.call_later(self.server.append_delay_s, self._append)
             await self.wait_for_disconnect()
         status, body = self._append()
         await self.respond(body, status)
 
+    def _is_delayed(self, topic):
+        return self.server.delayed_topic in (None, topic)
+
     def _append(self):
         partition = self.find_partition()
         contents = list(_split_records(self.request.body))
--- a/pimentowick/gateway/tests/test_transcript.py
+++ b/pimentowick/gateway/tests/test_transcript.py
@@ -97,9 +97,10 @@
         add_events(item_transcript, "a", 1, 2)
         await wait.wait_for(lambda: fake_store.partitions, 5, 0.005)
         calls = fake_store.calls["/-/log-append"]
-        finishing = asyncio.create_task(item_transcript.finish(10))
-        await wait.wait_for(lambda: fake_store.calls["/-/log-append"] > calls, 5, 0.001)
+        fake_store.delayed_topic = "keyed.outcomes"
         fake_store.append_delay_s = 0.6
+        finishing = asyncio.create_task(item_transcript.finish(10))
+        # The text of the item, then its result.
         await wait.wait_for(
             lambda: fake_store.calls["/-/log-append"] > calls + 1, 5, 0.001
         )
