Test which responses say that a request did not run

Eighteen forms on a kept connection: refusals of any status, with and without the mark, of this request, another one or none, cut short, in two parts, after an interim response, after bytes that are no response, after up to three responses to others; and an attempt that is silent at the deadline after another one was refused.

--- a/pimentowick/gateway/tests/test_late_refusals.py
+++ b/pimentowick/gateway/tests/test_late_refusals.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -24,8 +25,8 @@
     asyncio.run(run())
 
 
-async def send(site, request_id, path="/confirm/1"):
-    headers = {message.DEADLINE: "4000"}
+async def send(site, request_id, path="/confirm/1", deadline_ms=4000):
+    headers = {message.DEADLINE: str(deadline_ms)}
     if request_id is not None:
         headers[message.REQUEST_ID] = request_id
     return await site.call("POST", path, b"hello", **headers)
@@ -150,3 +151,119 @@
         assert pools.count_opened() == opened + 1
 
     run_with([server], check)
+
+
+def make_refusal(status, request_id="{id}", is_marked=True):
+    """Return the head of a response that may say that a request did not run."""
+    lines = [f"HTTP/1.1 {status} Refused", "Content-Length: 0"]
+    lines += [f"{message.REQUEST_ID}: {request_id}"] * bool(request_id)
+    lines += [f"{message.NOT_EXECUTED}: 1"] * is_marked
+    return "\r\n".join([*lines, "", ""])
+
+
+class RawTarget:
+    """A target that answers the first request on a connection, then as given."""
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.id = "i-raw"
+        self._writers = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        is_first = True
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                await reader.readexactly(len(b"hello"))
+                rows = dict(row.split(": ", 1) for row in head.split("\r\n")[1:-2])
+                request_id = rows[message.REQUEST_ID]
+                await self._answer(writer, request_id, is_first)
+                is_first = False
+
+    async def _answer(self, writer, request_id, is_first):
+        answer = (
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+            f"{message.REQUEST_ID}: {{id}}\r\n{message.SERVER_STAMP}: s\r\n\r\n"
+        )
+        for part in [answer] if is_first else self.parts:
+            if part is None:
+                writer.close()
+                return
+            writer.write(part.replace("{id}", request_id).encode())
+            await writer.drain()
+            # The next part arrives in a read of its own.
+            await asyncio.sleep(0)
+
+    def make_registration(self, service, **changes):
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "here",
+            "slots": 8,
+            "state": "ready",
+            **changes,
+        }
+
+    async def close(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+
+HEAD = make_refusal(503)
+
+
+@pytest.mark.parametrize(
+    ("parts", "status"),
+    [
+        ([HEAD], 200),
+        ([make_refusal(429)], 200),
+        ([make_refusal(500)], 200),
+        ([make_refusal(421, is_marked=False)], 503),
+        ([HEAD[:40], HEAD[40:]], 200),
+        (["HTTP/1.1 100 Continue\r\n\r\n", HEAD], 200),
+        ([make_refusal(503, "other"), HEAD], 200),
+        ([make_refusal(503, None), make_refusal(421, "other"), HEAD], 200),
+        ([make_refusal(503, is_marked=False)], 502),
+        ([make_refusal(429, is_marked=False)], 502),
+        ([HEAD[:-2], None], 502),
+        (["no response\r\n\r\n", HEAD], 502),
+        ([make_refusal(503, "other"), None], 502),
+        ([make_refusal(503, None), None], 502),
+        ([make_refusal(421, None, is_marked=False), None], 502),
+        ([make_refusal(503, "other")] * 3 + [HEAD], 502),
+        ([make_refusal(503, "other")], 504),
+        ([make_refusal(503, None)], 504),
+    ],
+)
+def test_only_a_refusal_of_the_request_itself_says_that_it_did_not_run(parts, status):
+    # A request that did not run is served by its next attempt, over a new connection.
+    # Anything else leaves open whether it runs, so its caller must hear 502 or 504.
+    async def check(site):
+        assert (await send(site, "before")).status == 200
+        answer = await send(site, "r", deadline_ms=600)
+        assert answer.status == status
+
+    run_with([RawTarget(parts)], check)
+
+
+def test_request_that_was_refused_before_may_run_at_its_deadline():
+    # One target refuses a request, the next attempt is still silent at the deadline.
+    # The refusal of the first attempt says nothing about the second.
+    server = replica.Replica(events=0)
+    server.planned_behaviours = [
+        replica.Behaviour("refuse"),
+        replica.Behaviour("silent"),
+    ]
+
+    async def check(site):
+        answer = await send(site, "r", deadline_ms=800)
+        assert (answer.status, server.runs["r"]) == (504, 1)
+
+    run_with([server], check)
