--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -278,19 +278,19 @@
         Args:
             outcome: The `upstream.Outcome`.
         """
-        delivery = outcome.delivery
-        if delivery is None:
+        received = outcome.received
+        if received is None:
             return
-        history = delivery.history
-        for naming in delivery.strays:
+        history = received.history
+        for naming in received.strays:
             self._responses.inc(
                 {"names": str(naming), "use": "stray", "connection": history}
             )
-        if delivery.naming is None:
+        if received.naming is None:
             return
         use = outcome.end.name.lower()
         self._responses.inc(
-            {"names": str(delivery.naming), "use": use, "connection": history}
+            {"names": str(received.naming), "use": use, "connection": history}
         )
 
     def count_quarantine(self, event):
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -10,6 +10,7 @@
 from pimentowick.gateway import (
     admission,
     decision_log,
+    delivery,
     request_guard,
     response,
     route,
@@ -535,7 +536,7 @@
 
     def _log_not_run(self, target, outcome):
         """Log why an attempt counts as not run."""
-        delivery = outcome.delivery
+        received = outcome.received
         decision_log.log_request_event(
             "online.not_run",
             self._call.request_id,
@@ -543,10 +544,10 @@
             status=outcome.status,
             target=target.id,
             attempt=self._progress.attempts + 1,
-            names=None if delivery is None else delivery.naming,
-            strays=0 if delivery is None else len(delivery.strays),
+            names=None if received is None else received.naming,
+            strays=0 if received is None else len(received.strays),
             took_s=time.monotonic() - self._sent_at,
-            **upstream.describe_delivery(delivery),
+            **delivery.describe(received),
         )
 
     def _record_lost_run(self, target, outcome, events):
@@ -566,7 +567,7 @@
             parts=self._call.parts[:MAX_LOGGED_PARTS],
             events=events,
             ran_s=time.monotonic() - self._sent_at,
-            **upstream.describe_delivery(outcome.delivery),
+            **delivery.describe(outcome.received),
         )
 
     def _compute_fingerprint(self):
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -7,6 +7,7 @@
 from pimentowick import exception
 from pimentowick.gateway import (
     decision_log,
+    delivery,
     execution,
     ownership,
     prefetch,
@@ -571,7 +572,7 @@
             failures=run.transcript.failures,
             took_s=time.monotonic() - started_at,
             due_in_s=run.due_at - time.time(),
-            **upstream.describe_delivery(outcome.delivery),
+            **delivery.describe(outcome.received),
         )
         if outcome.end == upstream.End.COMPLETE:
             self._crash_guard.record_target_answer(target, started_at)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -18,18 +18,15 @@
 
 from tornado import http1connection, httputil, iostream
 
-from pimentowick.gateway import decision_log
+from pimentowick.gateway import decision_log, delivery
 from pimentowick.platform import message
 
 __all__ = [
     "Connection",
-    "Delivery",
     "End",
-    "Naming",
     "Outcome",
     "Request",
     "Sink",
-    "describe_delivery",
     "open_connection",
 ]
 
@@ -87,45 +84,6 @@
 CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
 
 
-class Naming(enum.StrEnum):
-    """Which request a response names."""
-
-    OWN = "own"
-    """The request that was sent."""
-    NONE = "none"
-    """No request."""
-    OTHER = "other"
-    """Another request."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Delivery:
-    """How the response to a request was received.
-
-    Attributes:
-        connection: Number of the connection, unique in this process.
-        earlier_requests: Number of requests that the connection carried before.
-        carried_before: Whether this request was one of them.
-        age_s: Age of the connection when the request was sent, in seconds.
-        naming: The `Naming` of the response, or None without one.
-        strays: The `Naming` of each response that was discarded before.
-    """
-
-    connection: int
-    earlier_requests: int
-    carried_before: bool
-    age_s: float
-    naming: Naming | None = None
-    strays: tuple = ()
-
-    @property
-    def history(self):
-        """What the connection carried before, as a label: new, kept or repeated."""
-        if self.carried_before:
-            return "repeated"
-        return "kept" if self.earlier_requests else "new"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """How a request to a target ended, and why.
@@ -136,7 +94,7 @@
         status: HTTP status of the response, or 0 without one.
         connected: Whether a connection to the target was open.
         is_framed: Whether the response told its end without closing the connection.
-        delivery: The `Delivery`, or None if the connection ended without a response.
+        received: The `delivery.Delivery`, or None if the connection ended first.
     """
 
     end: End
@@ -144,7 +102,7 @@
     status: int = 0
     connected: bool = True
     is_framed: bool = True
-    delivery: Delivery | None = None
+    received: delivery.Delivery | None = None
 
     def check_events(self, count, ends_within_event):
         """Return the outcome of an event stream, given what arrived.
@@ -299,7 +257,7 @@
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
         answer: The decoded `message.ResponseHeaders`, None before the headers arrive.
-        naming: The `Naming` of the response, None before the headers arrive.
+        naming: The `delivery.Naming` of the response, None before the headers arrive.
         is_stray: Whether the response belongs to another request.
         is_finished: Whether the response has arrived completely.
         is_framed: Whether the end of the body is known without closing the connection.
@@ -347,10 +305,8 @@
             or "Transfer-Encoding" in headers
             or start_line.code in (204, 304)
         )
-        self.naming = _compare_ids(self.answer.request_id, self._request_id)
-        self.is_stray = self.naming != Naming.OWN and not (
-            self._is_first and self.naming == Naming.NONE and self.answer.not_executed
-        )
+        self.naming = delivery.compare_ids(self.answer.request_id, self._request_id)
+        self.is_stray = not self._is_own()
         if not self.is_stray:
             self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
@@ -366,6 +322,12 @@
                 UNUSED_BODY_TIMEOUT_S, self._stream.abandon
             )
 
+    def _is_own(self):
+        """Return whether the response belongs to the request."""
+        if self.naming != delivery.Naming.NONE:
+            return self.naming == delivery.Naming.OWN
+        return self._is_first and self.answer.not_executed
+
     def _is_usable(self):
         """Return whether the head is that of an answer to the request."""
         return (
@@ -408,18 +370,6 @@
         pass
 
 
-def _compare_ids(response_id, request_id):
-    """Return the `Naming` of a response.
-
-    Examples:
-        >>> _compare_ids("r1", "r1"), _compare_ids("", "r1"), _compare_ids("r2", "r1")
-        (<Naming.OWN: 'own'>, <Naming.NONE: 'none'>, <Naming.OTHER: 'other'>)
-    """
-    if response_id == request_id:
-        return Naming.OWN
-    return Naming.OTHER if response_id else Naming.NONE
-
-
 class Connection:
     """One connection to a target.
 
@@ -455,28 +405,14 @@
         Returns:
             The `Outcome`, and whether the connection can be reused.
         """
-        delivery = self._start_delivery(request)
+        received = self._start_delivery(request)
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine(request.method, request.uri, "HTTP/1.1")
         self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
-        is_first = not delivery.earlier_requests
-        reader = await self._read(http, request, sink, is_first)
-        strays = []
-        for _ in range(MAX_STRAY_RESPONSES):
-            if not (reader.is_finished and reader.is_stray and reader.is_framed):
-                break
-            strays.append(reader.naming)
-            self._log_stray(request, reader, delivery)
-            # A late response to an earlier request, or one that names no request.
-            http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
-            http.finish()
-            reader = await self._read(http, request, sink, is_first=False)
-        delivery = dataclasses.replace(
-            delivery, naming=reader.naming, strays=tuple(strays)
-        )
-        outcome = dataclasses.replace(self._classify(reader), delivery=delivery)
+        reader, received = await self._read_own(http, request, sink, received)
+        outcome = dataclasses.replace(self._classify(reader), received=received)
         reusable = (
             reader.is_finished
             and reader.is_framed
@@ -492,8 +428,8 @@
         return outcome, reusable
 
     def _start_delivery(self, request):
-        """Count a request; return its `Delivery` without a response."""
-        delivery = Delivery(
+        """Count a request; return its `delivery.Delivery` without a response."""
+        received = delivery.Delivery(
             self.number,
             self._request_count,
             self.number in request.connections,
@@ -501,16 +437,37 @@
         )
         self._request_count += 1
         request.connections.add(self.number)
-        return delivery
+        return received
+
+    async def _read_own(self, http, request, sink, received):
+        """Read responses up to that of the request; discard those before it.
+
+        Returns:
+            The `_Reader` of the last response, and the complete `delivery.Delivery`.
+        """
+        is_first = not received.earlier_requests
+        reader = await self._read(http, request, sink, is_first)
+        strays = []
+        for _ in range(MAX_STRAY_RESPONSES):
+            if not (reader.is_finished and reader.is_stray and reader.is_framed):
+                break
+            strays.append(reader.naming)
+            self._log_stray(request, reader, received)
+            http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
+            http.finish()
+            reader = await self._read(http, request, sink, is_first=False)
+        return reader, dataclasses.replace(
+            received, naming=reader.naming, strays=tuple(strays)
+        )
 
-    def _log_stray(self, request, reader, delivery):
+    def _log_stray(self, request, reader, received):
         decision_log.log_request_event(
             "target.stray_response",
             request.request_id,
             status=reader.status,
             names=reader.naming,
             says_not_run=reader.answer.not_executed,
-            **describe_delivery(delivery),
+            **delivery.describe(received),
         )
 
     async def _read(self, http, request, sink, is_first):
@@ -578,18 +535,6 @@
         self.stream.close()
 
 
-def describe_delivery(delivery):
-    """Return the fields of a `Delivery` for the log; none without a delivery."""
-    if delivery is None:
-        return {}
-    return {
-        "connection": delivery.connection,
-        "carried": delivery.earlier_requests,
-        "carried_this": delivery.carried_before,
-        "connection_age_s": delivery.age_s,
-    }
-
-
 async def open_connection(address, on_load, counted):
     """Return a new `Connection` to the target at an address.
 
