Let a planned stop wait for requests whose bodies are on their way

What callers saw: a request in transit around a planned stop ended with a closed connection, though a target had already got it. Cause: the stop waits until no request is being answered. A request counted from the start of the task that answers it, so one with complete headers whose body was still on its way, or whose task had not begun, was not waited for; the process closed all connections at once after the 2.75 s in which the listener and idle connections close. Ruled out: a request read while its idle connection closes; it is not run then, as checked when its last byte is read. Bounds: the wait ends with the grace period, as for requests that are being answered.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -370,7 +370,10 @@
         # ready. The listener closes early enough for these to finish.
         await asyncio.sleep(max(0.0, began_at + BALANCER_REMOVAL_S - time.monotonic()))
         await self._caller_server.stop_listening()
-        while self._caller_server.active_requests and time.monotonic() < ends_at:
+        # A request whose body is still on its way counts, too.
+        while (
+            self._caller_server.has_unfinished_requests and time.monotonic() < ends_at
+        ):
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         await batch
         decision_log.log_event(
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -244,8 +244,15 @@
         self._server = None
         self._closing = False
         self._idle = set()
+        # Connections with a request, from the end of its headers to that of its answer.
+        self._busy = set()
         self.active_requests = 0
 
+    @property
+    def has_unfinished_requests(self):
+        """Whether a request is being read or answered."""
+        return bool(self._busy or self.active_requests)
+
     def is_closing(self):
         """Return whether connections are closed after their next response."""
         return self._closing
@@ -320,6 +327,7 @@
     def start_request(self, server_conn, request_conn):
         """Return a reader; see `tornado.httputil.HTTPServerConnectionDelegate`."""
         self._idle.add(server_conn)
+        self._busy.discard(server_conn)
         self.connections.mark_idle(server_conn)
         # Shared by all connections; tornado reads it before each request.
         self._server.conn_params.header_timeout = self.get_limits().idle_timeout_s
@@ -328,11 +336,13 @@
     def on_request_started(self, server_conn):
         """Mark a connection as busy once the headers of a request are complete."""
         self._idle.discard(server_conn)
+        self._busy.add(server_conn)
         self.connections.mark_busy(server_conn)
 
     def on_close(self, server_conn):
-        """Remove a closed connection from the idle ones."""
+        """Forget a closed connection."""
         self._idle.discard(server_conn)
+        self._busy.discard(server_conn)
         self.connections.remove(server_conn)
 
     async def serve(self, exchange):
--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -185,6 +185,36 @@
     run_with([server], check)
 
 
+def test_planned_stop_waits_for_a_request_whose_body_is_on_its_way(monkeypatch):
+    # The body of a request is complete only after the idle connections were closed. The
+    # process must not end between its last byte and its answer.
+    monkeypatch.setattr(daemon, "BALANCER_REMOVAL_S", 0.0)
+    server = replica.Replica()
+    head = (
+        f"POST /chat/1 HTTP/1.1\r\nHost: {platform_site.HOST}\r\n"
+        "X-Pimentowick-Request-Id: r\r\nX-Pimentowick-Deadline-Ms: 4000\r\n"
+        "Content-Length: 5\r\n\r\nhe"
+    )
+
+    async def check(site, gateway):
+        host, _, port = gateway.settings.callers_address.partition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        idle_reader, idle_writer = await asyncio.open_connection(host, port)
+        writer.write(head.encode())
+        await wait_true(lambda: len(gateway._caller_server._idle) == 1)
+        draining = asyncio.create_task(gateway.drain())
+        assert await idle_reader.read() == b""
+        done, _ = await asyncio.wait({draining}, timeout=0.5)
+        assert not done
+        writer.write(b"llo")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        await draining
+        idle_writer.close()
+        writer.close()
+
+    run_with([server], check)
+
+
 def test_reloading_settings_interrupts_no_request(tmp_path, monkeypatch):
     server = replica.Replica(events=20, event_interval_s=0.02)
 
