Wake queued requests after the pause of a refusal, not of a failed connection

A request then used up its attempts at targets that were gone and lengthened their pauses, so that the next one was refused although they were back. The wake-up is for targets that refuse, as its commit says; its test still passes.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -586,7 +586,8 @@
             if self._guard.is_trial and outcome.is_refusal:
                 self._guard.has_reached_target = True
                 return _NextStep.FAIL
-            self._admission.grant_after_pause(self._slot.target)
+            if outcome.is_refusal:
+                self._admission.grant_after_pause(self._slot.target)
             return self._retry_or_fail(self._progress.refusals < MAX_REFUSALS)
         self._progress.runs += 1
         self._status = outcome.status
