--- a/review/standins-2/replica.py
+++ b/review/standins-2/replica.py
@@ -55,7 +55,7 @@
             return self.send(writer, "421 Misdirected Request", not_run, b"")
         version = headers.get("x-pimentowick-expect-version", str(self.weights))
         if version != str(self.weights):
-            print(f"answers 421 to {request_id}, which expects weights {version}")
+            print(f"answers 421 to {request_id}: weights {version}", flush=True)
             return self.send(writer, "421 Misdirected Request", not_run, b"")
         first = int(headers.get("last-event-id", "0")) + 1
         print(f"runs {request_id} {method} {target} from event {first}", flush=True)
