--- a/review/standins-2/replica.py
+++ b/review/standins-2/replica.py
@@ -1,12 +1,12 @@
 """A replica as a process: streams events, or answers as its options say.
 
 Usage: replica.py ID OPTIONS, where OPTIONS is a JSON object: `events`, `interval_s`,
-`unframed` (answers have no length and end with their connection). It prints its
-address, and each request that it runs.
+`unframed_id` (the answer to this request has no length and ends with its connection),
+`other_events` (of all other requests), `weights` (the version of its weights). It
+prints its address, and each request that it runs.
 """
 
 import asyncio
-import itertools
 import json
 import sys
 
@@ -18,7 +18,8 @@
         self.name = name
         self.events = options.get("events", 40)
         self.interval_s = options.get("interval_s", 0.02)
-        self.unframed = options.get("unframed", False)
+        self.other_events = options.get("other_events", self.events)
+        self.unframed_id = options.get("unframed_id")
         self.weights = options.get("weights", 1)
         self.running = 0
 
@@ -78,24 +79,23 @@
 
     async def stream(self, writer, own, first, request_id):
         """Send the events from `first` on; return whether to keep the connection."""
-        framing = ["Connection: close"] if self.unframed else []
-        framing = framing or ["Transfer-Encoding: chunked"]
-        head = "\r\n".join(["HTTP/1.1 200 OK", *own, *framing, "", ""])
+        is_framed = request_id != self.unframed_id
+        last = self.other_events if is_framed else self.events
+        framing = "Transfer-Encoding: chunked" if is_framed else "Connection: close"
+        head = "\r\n".join(["HTTP/1.1 200 OK", *own, framing, "", ""])
         writer.write(head.encode())
-        for number in itertools.takewhile(
-            lambda number: number <= self.events, itertools.count(first)
-        ):
+        for number in range(first, last + 1):
             await asyncio.sleep(self.interval_s)
             event = f"id: {number}\ndata: word {number}\n\n".encode()
-            if not self.unframed:
+            if is_framed:
                 event = b"%x\r\n%s\r\n" % (len(event), event)
             writer.write(event)
             await writer.drain()
-        print(f"has run {request_id} to event {self.events}", flush=True)
-        if not self.unframed:
+        print(f"has run {request_id} to event {last}", flush=True)
+        if is_framed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
-        return not self.unframed
+        return is_framed
 
 
 async def main():
