Refuse requests that a stop would cut, and close connections that become idle

Cause: a stop was a state of the listener and of idle connections. A connection whose head was sent before the SIGTERM and whose response ended after idle connections had been closed took requests up to the end, and no request was weighed against the time left. The same cause: requests that wait in the queue, requests without a response and job submissions during an outage lost their connection at the end.

Ruled out: the moment of the close alone. With longer streams, a pause before the next request or none the case was broken as well.

Change: policy/graceful_stop.py learns how long responses of a route take. A request that has not run goes to a target only while it can be finished, else it gets 503 "stopping", not run, on a connection that is closed. What is without a response at the end gets 504. Connections that become idle after the listener closed are closed after 0.25 s unless bytes have arrived.

Weighed: closing the connection as its response ends.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -36,7 +36,12 @@
     target,
     traffic,
 )
-from pimentowick.gateway.policy import outlier_detection, quota, report_relay
+from pimentowick.gateway.policy import (
+    graceful_stop,
+    outlier_detection,
+    quota,
+    report_relay,
+)
 from pimentowick.platform import message, node, operator, store
 
 __all__ = ["Gateway", "run"]
@@ -69,6 +74,8 @@
 BALANCER_REMOVAL_S = 2.5
 # Reserved at the end of the grace period for closing connections and tasks.
 SHUTDOWN_MARGIN_S = 0.4
+# Part of it for the last answers to callers, whose requests are given up.
+LAST_ANSWERS_S = 0.1
 DRAIN_CHECK_INTERVAL_S = 0.02
 STARTUP_CHECK_INTERVAL_S = 0.02
 CLEANUP_INTERVAL_S = 5.0
@@ -87,6 +94,7 @@
         "rate_limit",
         "stream_unknown",
         "stream_version_gone",
+        "stopping",
         "target_lost",
         "wrong_token",
     }
@@ -188,7 +196,8 @@
             self.ownership, self.runner, self.storage, self.load_reporter
         )
         self.load_reporter.get_held_partitions = self._handover.list_held_partitions
-        request_relay = relay.Relay(
+        self._graceful_stop = graceful_stop.GracefulStop()
+        self._relay = relay.Relay(
             self.admission,
             self.pools.get,
             target_health,
@@ -197,8 +206,11 @@
             self.load_reporter.performance,
             self.load_reporter.slow_targets,
             self.stream_origins,
+            self._graceful_stop,
+        )
+        jobs = job_api.JobApi(
+            self.storage, lambda: self.ownership.is_cut_off, self._graceful_stop
         )
-        jobs = job_api.JobApi(self.storage, lambda: self.ownership.is_cut_off)
         self._caller_server = exchange.Server(
             settings.callers_address,
             lambda request: self._dispatcher.serve(request),
@@ -242,7 +254,7 @@
             self._feeds["configuration"],
             self.authentication,
             self.quotas,
-            request_relay,
+            self._relay,
             jobs,
         )
 
@@ -363,16 +375,20 @@
         decision_log.log_event(
             "gateway.draining", busy=self._caller_server.active_requests
         )
-        self._caller_server.close_after_response()
+        listens_until = began_at + BALANCER_REMOVAL_S
         ends_at = began_at + self.settings.stop_grace_s - SHUTDOWN_MARGIN_S
+        self._graceful_stop.begin(began_at, ends_at, listens_until)
+        self._caller_server.close_after_response(ends_at + LAST_ANSWERS_S / 2)
+        self._relay.stop()
         batch = asyncio.create_task(self._stop_batch_work(ends_at))
         # The load balancer may keep sending requests if too few other entries are
         # ready. The listener closes early enough for these to finish.
-        await asyncio.sleep(max(0.0, began_at + BALANCER_REMOVAL_S - time.monotonic()))
+        await asyncio.sleep(max(0.0, listens_until - time.monotonic()))
         await self._caller_server.stop_listening()
         # A request whose body is still on its way counts, too.
         while (
-            self._caller_server.has_unfinished_requests and time.monotonic() < ends_at
+            self._caller_server.has_unfinished_requests
+            and time.monotonic() < ends_at + LAST_ANSWERS_S
         ):
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         await batch
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import urllib.parse
 
@@ -31,14 +32,22 @@
 BODY_TIMEOUT_S = 30
 # Interval of the check for slow headers, well below the configured header timeout.
 SLOW_CHECK_INTERVAL_S = 0.25
-# Time for requests to arrive on accepted connections after the listener closes: a
-# round trip to the caller and an iteration of a busy event loop.
-ACCEPTED_GRACE_S = 0.25
+# Time for a request to arrive on an idle connection before a stopping server closes
+# it: a round trip to the caller and an iteration of a busy event loop.
+IDLE_GRACE_S = 0.25
 # Reason phrases that tornado lacks.
 REASON_PHRASES = {421: "Misdirected Request"}
 UNAUTHORIZED = 401
 # Larger bodies are written apart from the headers, so that they are not copied.
 LARGE_BODY_BYTES = 65_536
+# Callers whose requests are not answered in time learn so before the process ends.
+UNFINISHED = "unfinished"
+UNFINISHED_REFUSAL = verdict.Refusal(
+    504,
+    UNFINISHED,
+    "This entry stops before the answer is complete. The request may have run.",
+    verdict.Verdict.MAY_HAVE_RUN,
+)
 
 
 class Exchange:
@@ -243,6 +252,10 @@
         self._handle = handle
         self._server = None
         self._closing = False
+        self._closes_idle = False
+        # Monotonic time by which all requests are answered.
+        self._answers_by = None
+        self._timers = set()
         self._idle = set()
         # Connections with a request, from the end of its headers to that of its answer.
         self._busy = set()
@@ -250,8 +263,9 @@
 
     @property
     def has_unfinished_requests(self):
-        """Whether a request is being read or answered."""
-        return bool(self._busy or self.active_requests)
+        """Whether a request is being read or answered, or may still arrive."""
+        is_open = self._closes_idle and self._idle
+        return bool(self._busy or self.active_requests or is_open)
 
     def is_closing(self):
         """Return whether connections are closed after their next response."""
@@ -268,20 +282,50 @@
         )
         self._server.add_sockets(sockets)
 
-    def close_after_response(self):
-        """Close each connection after its next response."""
+    def close_after_response(self, answers_by=None):
+        """Close each connection after its next response.
+
+        Args:
+            answers_by: Monotonic time at which requests without a response are
+                refused; None for no limit.
+        """
         self._closing = True
+        self._answers_by = answers_by
+        for timer in self._timers:
+            self._limit(timer)
+
+    def _limit(self, timer):
+        """Let a request time out before the process ends."""
+        if self._answers_by is not None and not timer.expired():
+            left_s = self._answers_by - time.monotonic()
+            timer.reschedule(asyncio.get_running_loop().time() + left_s)
 
     async def stop_listening(self):
-        """Stop accepting connections and close the idle ones.
+        """Stop accepting connections, and close idle ones from now on.
 
         A request sent while its connection closes is not read; the caller sees the
         close and knows that it did not run.
         """
         self._server.stop()
+        self._closes_idle = True
+        for connection in self._idle:
+            self._close_if_idle_later(connection)
         # Connections accepted by the kernel may hold requests that are not read yet.
-        await asyncio.sleep(ACCEPTED_GRACE_S)
-        self.close_idle()
+        await asyncio.sleep(IDLE_GRACE_S)
+
+    def _close_if_idle_later(self, connection):
+        asyncio.get_running_loop().call_later(
+            IDLE_GRACE_S, self._close_if_idle, connection
+        )
+
+    def _close_if_idle(self, connection):
+        """Close a connection unless a request has arrived on it or is arriving."""
+        if connection not in self._idle:
+            return
+        if _has_unread_bytes(connection.stream):
+            self._close_if_idle_later(connection)
+            return
+        connection.stream.close()
 
     async def close_slow_connections(self):
         """Close connections that exceed the header timeout, until cancelled.
@@ -329,6 +373,8 @@
         self._idle.add(server_conn)
         self._busy.discard(server_conn)
         self.connections.mark_idle(server_conn)
+        if self._closes_idle:
+            self._close_if_idle_later(server_conn)
         # Shared by all connections; tornado reads it before each request.
         self._server.conn_params.header_timeout = self.get_limits().idle_timeout_s
         return request_reader.RequestReader(self, server_conn, request_conn)
@@ -351,7 +397,7 @@
         try:
             if exchange.limit_refusal is not None:
                 raise exception.RefusedError(exchange.limit_refusal)
-            await self._handle(exchange)
+            await self._handle_in_time(exchange)
             exchange.release_body()
             await exchange.wait_until_read()
         except iostream.StreamClosedError:
@@ -377,6 +423,21 @@
                 exchange.abort()
             self.held.close(exchange)
 
+    async def _handle_in_time(self, exchange):
+        """Answer a request, or refuse it before the process ends."""
+        timer = asyncio.timeout(None)
+        try:
+            async with timer:
+                self._timers.add(timer)
+                self._limit(timer)
+                await self._handle(exchange)
+        except TimeoutError:
+            if not timer.expired():
+                raise
+            raise exception.RefusedError(UNFINISHED_REFUSAL) from None
+        finally:
+            self._timers.discard(timer)
+
     async def refuse_early(self, exchange, refusal):
         """Refuse a request before its body is read; the rest of it is discarded."""
         with contextlib.suppress(iostream.StreamClosedError):
@@ -390,3 +451,14 @@
             return
         with contextlib.suppress(iostream.StreamClosedError):
             await exchange.refuse(refusal)
+
+
+def _has_unread_bytes(stream):
+    """Return whether bytes of a caller were received that form no request yet."""
+    # Tornado has no public way to tell how much is buffered.
+    if stream._read_buffer_size:
+        return True
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -30,9 +30,11 @@
     Args:
         storage: `pimentowick.gateway.job_storage.JobStorage`.
         is_cut_off: Function that tells whether this entry alone has lost the store.
+        graceful_stop: `pimentowick.gateway.policy.graceful_stop.GracefulStop`.
     """
 
-    def __init__(self, storage, is_cut_off):
+    def __init__(self, storage, is_cut_off, graceful_stop):
+        self._graceful_stop = graceful_stop
         self._storage = storage
         self._is_cut_off = is_cut_off
 
@@ -158,7 +160,9 @@
     async def read_results(self, exchange, job_id, call):
         """Answer with the results from a position on, with long polling."""
         after = _read_position(exchange.query.get("after", "0"))
-        deadline = time.monotonic() + min(call.wait_s, MAX_LONG_POLL_S)
+        began_at = time.monotonic()
+        wait_s = min(call.wait_s, MAX_LONG_POLL_S)
+        deadline = began_at + self._graceful_stop.limit_wait(wait_s, began_at)
         while True:
             job = await self._find(job_id, exchange.host, after)
             remaining_s = deadline - time.monotonic()
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -11,6 +11,7 @@
     admission,
     decision_log,
     delivery,
+    exchange,
     request_guard,
     response,
     route,
@@ -34,6 +35,7 @@
 MAX_LOGGED_PARTS = 16
 STREAM_UNKNOWN = "stream_unknown"
 STREAM_VERSION_GONE = "stream_version_gone"
+STOPPING = "stopping"
 # The news of a stream reaches other entries by then.
 UNKNOWN_RETRY_S = 0.3
 STREAM_REFUSALS = {
@@ -51,6 +53,13 @@
         retry_after=0.0,
     ),
 }
+# Connections of the entry that stops are closed, so that a retry reaches another one.
+STOPPING_REFUSAL = verdict.Refusal(
+    503,
+    STOPPING,
+    "This entry stops and would not finish the request. Send it again; it has not run.",
+    retry_after=0.0,
+)
 # No attempt starts with less time than this before the deadline.
 MIN_ATTEMPT_S = 0.03
 
@@ -95,6 +104,7 @@
         performance: `pimentowick.gateway.performance.PerformanceMonitor`.
         slow_targets: `pimentowick.gateway.slow_target_monitor.SlowTargetMonitor`.
         origins: `pimentowick.gateway.stream_origins.StreamOrigins`.
+        graceful_stop: `pimentowick.gateway.policy.graceful_stop.GracefulStop`.
     """
 
     def __init__(
@@ -107,7 +117,10 @@
         performance,
         slow_targets,
         origins,
+        graceful_stop,
     ):
+        self._graceful_stop = graceful_stop
+        self._requests = set()
         self._origins = origins
         self._slow_targets = slow_targets
         self._crash_guard = crash_guard
@@ -149,8 +162,7 @@
             if remaining_s < MIN_ATTEMPT_S:
                 outcome = await relayed.on_timeout()
             else:
-                async with asyncio.timeout(remaining_s):
-                    outcome = await relayed.run()
+                outcome = await self._run(relayed, remaining_s)
         except TimeoutError:
             outcome = await relayed.on_timeout()
         except asyncio.CancelledError:
@@ -159,6 +171,23 @@
         relayed.log_end("online.ended", outcome, version)
         return relayed.may_have_run
 
+    async def _run(self, relayed, remaining_s):
+        self._requests.add(relayed)
+        try:
+            async with asyncio.timeout(remaining_s) as relayed.timer:
+                relayed.limit_to_stop()
+                return await relayed.run()
+        finally:
+            self._requests.discard(relayed)
+
+    def stop(self):
+        """Give up the active requests once it is certain that they can't be finished.
+
+        Call after the graceful stop has begun.
+        """
+        for relayed in list(self._requests):
+            relayed.limit_to_stop()
+
 
 class _RelayedRequest:
     """One online request from its arrival to the end of its response."""
@@ -170,6 +199,7 @@
         self._performance = relay._performance
         self._slow_targets = relay._slow_targets
         self._origins = relay._origins
+        self._graceful_stop = relay._graceful_stop
         self._get_pool = relay._get_pool
         self._health = relay._health
         self._metrics = relay._metrics
@@ -201,12 +231,35 @@
         self._refusal_inputs = {}
         # Monotonic time of the first attempt of a caller that was turned away.
         self._first_at = None
+        # The `asyncio.Timeout` of the request.
+        self.timer = None
 
     @property
     def may_have_run(self):
         """Whether the request may have run at a target."""
         return self._sent or bool(self._progress.runs)
 
+    def limit_to_stop(self):
+        """Time out early if the entry stops before the request can be finished."""
+        if not self._graceful_stop.has_begun or self.timer.expired():
+            return
+        gives_up_at = min(self._deadline_at, self._graceful_stop.ends_at)
+        if not self.may_have_run:
+            gives_up_at = min(gives_up_at, self._compute_latest_start())
+        loop = asyncio.get_running_loop()
+        self.timer.reschedule(loop.time() + gives_up_at - time.monotonic())
+
+    def _can_be_finished(self):
+        """Return whether a request that has not run may run before the entry ends."""
+        if self.may_have_run or not self._graceful_stop.has_begun:
+            return True
+        return time.monotonic() < self._compute_latest_start()
+
+    def _compute_latest_start(self):
+        return self._graceful_stop.compute_latest_start(
+            self._route.name, self._exchange.received_at, self._deadline_at
+        )
+
     async def run(self):
         """Try targets until the request is answered; return the outcome for the log."""
         if self._is_taken_up and not await self._find_origin():
@@ -231,6 +284,8 @@
         if self._admission.has_shared_hosts(self._service):
             slot_request = self._set_learned_deadlines(slot_request)
         while True:
+            if not self._can_be_finished():
+                return await self._refuse(STOPPING)
             if await self._guard.is_refused():
                 return await self._refuse(request_guard.QUARANTINED)
             slot = None
@@ -247,12 +302,12 @@
             self._slot = slot
             try:
                 outcome = None
-                if await self._guard.may_start():
+                if self._can_be_finished() and await self._guard.may_start():
                     outcome = await self._send(slot.target)
             finally:
                 slot.release()
             if outcome is None:
-                if self._guard.may_start_later():
+                if not self._can_be_finished() or self._guard.may_start_later():
                     continue
                 return await self._refuse(request_guard.QUARANTINED)
             step = await self._handle_outcome(outcome)
@@ -455,6 +510,7 @@
         )
         self._sent = True
         self._sent_at = time.monotonic()
+        self.limit_to_stop()
         decision_log.log_request_event(
             "online.sent",
             self._call.request_id,
@@ -497,6 +553,7 @@
         self._metrics.count_responses(outcome)
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
+            self.limit_to_stop()
             self._log_not_run(target, outcome)
         self._record_performance(target, outcome)
         load = self._slot.online_at_start + self._slot.batch_at_start
@@ -530,6 +587,7 @@
         if outcome.end != upstream.End.COMPLETE or outcome.status != 200:
             return
         duration_s = now - self._sent_at
+        self._graceful_stop.record_duration(self._route.name, duration_s)
         if self._route.kind == route.Kind.STREAM:
             duration_s = self._sink.event_times.compute_interval_s()
         self._performance.record_duration(target, self._route.name, duration_s, now)
@@ -654,6 +712,10 @@
         if reason == request_guard.QUARANTINED:
             await self._exchange.refuse(self._guard.make_refusal())
             return reason
+        if reason == STOPPING:
+            self._refusal_inputs = self._describe_stop()
+            await self._exchange.refuse(STOPPING_REFUSAL)
+            return reason
         if reason in STREAM_REFUSALS:
             await self._exchange.refuse(STREAM_REFUSALS[reason])
             return reason
@@ -711,18 +773,36 @@
         return reason
 
     async def on_timeout(self):
-        """End a request at its deadline; return the outcome for the log."""
+        """End a request at its deadline, or as the entry stops.
+
+        Returns:
+            The outcome for the log.
+        """
+        left_s = self._deadline_at - time.monotonic()
+        is_stopping = self._graceful_stop.has_begun and left_s >= MIN_ATTEMPT_S
         if self._exchange.started:
             self._exchange.abort()
-            return "timeout_midway"
+            return "stopping_midway" if is_stopping else "timeout_midway"
         if not self._sent:
-            return await self._refuse("timeout_unsent")
+            return await self._refuse(STOPPING if is_stopping else "timeout_unsent")
         self._status = 504
+        if is_stopping:
+            self._refusal_inputs = self._describe_stop()
+            await self._exchange.refuse(exchange.UNFINISHED_REFUSAL)
+            return exchange.UNFINISHED
         await self._exchange.refuse(
             verdict.make_deadline_refusal(verdict.Verdict.MAY_HAVE_RUN)
         )
         return "timeout"
 
+    def _describe_stop(self):
+        now = time.monotonic()
+        return {
+            "left_s": self._deadline_at - now,
+            "stop_left_s": self._graceful_stop.ends_at - now,
+            "latest_start_s": self._compute_latest_start() - now,
+        }
+
     def _meets_objective(self, first_event_s, total_s):
         """Return whether the caller was answered within the route's objective."""
         if self._status != 200 or not self._exchange.finished:
