Send the last answers of a stop however busy the process is

Cause: the last answers had 50 ms, measured by the clock. A stall of the event loop over that time made the answers and the end due in one iteration, and the connections were closed first.

Change: the end waits for a number of iterations of the event loop instead of a time, first for the relay's answers, then for those of requests given up here. They take 0.2 s of the 0.4 s that the process keeps for itself.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -74,8 +74,9 @@
 BALANCER_REMOVAL_S = 2.5
 # Reserved at the end of the grace period for closing connections and tasks.
 SHUTDOWN_MARGIN_S = 0.4
-# Part of it for the last answers to callers, whose requests are given up.
-LAST_ANSWERS_S = 0.1
+# Checks for the last answers to callers, twice. They are counted instead of timed, so
+# that a busy event loop sends the answers before the connections are closed.
+LAST_CHECKS = 5
 DRAIN_CHECK_INTERVAL_S = 0.02
 STARTUP_CHECK_INTERVAL_S = 0.02
 CLEANUP_INTERVAL_S = 5.0
@@ -378,7 +379,7 @@
         listens_until = began_at + BALANCER_REMOVAL_S
         ends_at = began_at + self.settings.stop_grace_s - SHUTDOWN_MARGIN_S
         self._graceful_stop.begin(began_at, ends_at, listens_until)
-        self._caller_server.close_after_response(ends_at + LAST_ANSWERS_S / 2)
+        self._caller_server.close_after_response()
         self._relay.stop()
         batch = asyncio.create_task(self._stop_batch_work(ends_at))
         # The load balancer may keep sending requests if too few other entries are
@@ -387,15 +388,24 @@
         await self._caller_server.stop_listening()
         # A request whose body is still on its way counts, too.
         while (
-            self._caller_server.has_unfinished_requests
-            and time.monotonic() < ends_at + LAST_ANSWERS_S
+            self._caller_server.has_unfinished_requests and time.monotonic() < ends_at
         ):
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        # The relay has given up its requests at the same time.
+        await self._wait_for_last_answers()
+        self._caller_server.give_up_requests()
+        await self._wait_for_last_answers()
         await batch
         decision_log.log_event(
             "gateway.drained", busy=self._caller_server.active_requests
         )
 
+    async def _wait_for_last_answers(self):
+        for _ in range(LAST_CHECKS):
+            if not self._caller_server.has_unfinished_requests:
+                return
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+
     async def _stop_batch_work(self, ends_at):
         """Save the progress of batch items and release the partitions.
 
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -253,8 +253,8 @@
         self._server = None
         self._closing = False
         self._closes_idle = False
-        # Monotonic time by which all requests are answered.
-        self._answers_by = None
+        self._gives_up = False
+        # `asyncio.Timeout` of each request being answered.
         self._timers = set()
         self._idle = set()
         # Connections with a request, from the end of its headers to that of its answer.
@@ -282,23 +282,16 @@
         )
         self._server.add_sockets(sockets)
 
-    def close_after_response(self, answers_by=None):
-        """Close each connection after its next response.
-
-        Args:
-            answers_by: Monotonic time at which requests without a response are
-                refused; None for no limit.
-        """
+    def close_after_response(self):
+        """Close each connection after its next response."""
         self._closing = True
-        self._answers_by = answers_by
-        for timer in self._timers:
-            self._limit(timer)
 
-    def _limit(self, timer):
-        """Let a request time out before the process ends."""
-        if self._answers_by is not None and not timer.expired():
-            left_s = self._answers_by - time.monotonic()
-            timer.reschedule(asyncio.get_running_loop().time() + left_s)
+    def give_up_requests(self):
+        """Refuse the requests without a response; the process is about to end."""
+        self._gives_up = True
+        for timer in self._timers:
+            if not timer.expired():
+                timer.reschedule(asyncio.get_running_loop().time())
 
     async def stop_listening(self):
         """Stop accepting connections, and close idle ones from now on.
@@ -425,11 +418,10 @@
 
     async def _handle_in_time(self, exchange):
         """Answer a request, or refuse it before the process ends."""
-        timer = asyncio.timeout(None)
+        timer = asyncio.timeout(0 if self._gives_up else None)
         try:
             async with timer:
                 self._timers.add(timer)
-                self._limit(timer)
                 await self._handle(exchange)
         except TimeoutError:
             if not timer.expired():
--- a/pimentowick/gateway/tests/test_kept_connections.py
+++ b/pimentowick/gateway/tests/test_kept_connections.py
@@ -1,6 +1,7 @@
 """Requests on connections that callers keep open while an entry stops."""
 
 import asyncio
+import time
 
 import orjson
 import pytest
@@ -17,6 +18,7 @@
 SHORT_GRACE_S = 2.0
 LONG_GRACE_S = 30.0
 WAIT_S = 20.0
+JOB = orjson.dumps({"items": [{"id": "i", "path": "/lot/1", "body": ""}]})
 
 
 class Connection:
@@ -224,6 +226,29 @@
     run_stop(check)
 
 
+def test_last_answers_are_sent_by_a_busy_process():
+    # Guards against connections that are closed before their answers are sent, if the
+    # event loop is blocked while the time for them passes.
+    async def check(site, server):
+        job = await Connection.open(site)
+        site.store.fault_injector.inject(faults.Fault("down"))
+        job.send("j", path="/lot/x", body=JOB)
+        gateway = site.gateways[0]
+        await wait.wait_for(
+            lambda: gateway._caller_server.active_requests, WAIT_S, 0.005
+        )
+        stopping = begin_stop(site)
+        loop = asyncio.get_running_loop()
+        grace_s = SHORT_GRACE_S - daemon.SHUTDOWN_MARGIN_S
+        loop.call_later(grace_s - 0.05, time.sleep, 0.5)
+        status, _ = await job.read_head()
+        assert status == 504
+        await stopping
+        job.close()
+
+    run_stop(check)
+
+
 @pytest.mark.parametrize("when", ["before", "after"])
 def test_job_submission_during_a_store_outage_gets_a_final_answer(when):
     # Guards against submissions that end with a closed connection.
@@ -231,10 +256,9 @@
         connection = await begin_stream(site, "r1")
         job = await Connection.open(site)
         site.store.fault_injector.inject(faults.Fault("down"))
-        body = orjson.dumps({"items": [{"id": "i", "path": "/lot/1", "body": ""}]})
         gateway = site.gateways[0]
         if when == "before":
-            job.send("j", path="/lot/x", body=body)
+            job.send("j", path="/lot/x", body=JOB)
             await wait.wait_for(
                 lambda: gateway._caller_server.active_requests == 2, WAIT_S, 0.005
             )
@@ -243,7 +267,7 @@
             stopping = await stop(site)
             server.release.set()
             await connection.finish_stream()
-            connection.send("j", path="/lot/x", body=body)
+            connection.send("j", path="/lot/x", body=JOB)
             job.close()
             job = connection
         status, _ = await job.read_head()
