Make sure of the run of a target before a text begins or goes on there

Callers saw (a report from a system like ours): streams that they took up after all gateways had been killed were answered 200, but the text was joined from two software versions.

Cause: a target may return under its old identifier with another version. The version was read from the registration and doubted only after a connection of this gateway had broken. A gateway that has just started, or had no connection there, sees no break; nor was the version of the first event made sure of, and items take theirs from the store.

Ruled out: a guess where nobody knows the origin. Such take-ups are refused.

Change: a connection ends with the run that accepted it. The target is asked once on each connection that carries such a text when it was started. If that is not what it registered, a text doesn't go on there, and one that begins there has no version. Targets that do not register their start are not asked.

Weighed: nothing goes on until a newer registration has come (up to a heartbeat of what callers have left, and blind to a restart without a gap of the gateway); a question before each text (a probe for each, and a race).

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -53,12 +53,15 @@
         event_interval_s: Pause before each event, in seconds.
         slots: Number of slots that the replica registers.
         version: Version of its software that it registers; None registers none.
+        started_ms: Unix time of its start in milliseconds, which it registers and
+            reports; 0 for a replica that says nothing of it.
 
     Attributes:
         planned_behaviours: `Behaviour` of each of the next requests; later ones are
             answered normally.
         requests: Number of requests received, without those for another identifier.
         runs: Number of runs by request identifier.
+        run_versions: Version of its software in each of these runs.
         headers: Headers of the requests that ran, in order.
         request_uris: Path and query of the requests that ran, in order.
         running: Number of requests running now.
@@ -69,6 +72,7 @@
             run.
         crash_parts: Parts of prompts whose requests do the same.
         sends_head: Whether it sends the head of an unframed stream before it crashes.
+        reports: Number of reports that it has sent.
         crashes: Number of crashes.
         on_crash: Function called after a crash with the previous identifier.
         slowdown: Slowdown of a shared host that responses report, in percent of the
@@ -76,7 +80,13 @@
     """
 
     def __init__(
-        self, replica_id="i-1", events=3, event_interval_s=0.0, slots=8, version="v1"
+        self,
+        replica_id="i-1",
+        events=3,
+        event_interval_s=0.0,
+        slots=8,
+        version="v1",
+        started_ms=0,
     ):
         super().__init__()
         self.id = replica_id
@@ -84,9 +94,11 @@
         self.event_interval_s = event_interval_s
         self.slots = slots
         self.version = version
+        self.started_ms = started_ms
         self.planned_behaviours = []
         self.requests = 0
         self.runs = collections.Counter()
+        self.run_versions = collections.defaultdict(list)
         self.headers = []
         self.request_uris = []
         self.running = 0
@@ -96,6 +108,7 @@
         self.crash_bodies = set()
         self.crash_parts = set()
         self.sends_head = False
+        self.reports = 0
         self.crashes = 0
         self.on_crash = lambda previous_id: None
         self.slowdown = None
@@ -115,15 +128,26 @@
             connection.close()
         self.on_crash(previous_id)
 
+    def restart(self, version):
+        """Start anew under the same identifier, with another version of its software.
+
+        It breaks off all requests, and does not register.
+        """
+        self.started_ms += 1
+        self.version = version
+        for connection in list(self.fault_injector.connections):
+            connection.close()
+
     def list_routes(self):
         """Return the routes of the replica."""
-        return [("/.*", _Handler)]
+        return [("/-/report", _ReportHandler), ("/.*", _Handler)]
 
     def make_registration(self, service, **changes):
         """Return the record with which the replica registers itself."""
         version = {} if self.version is None else {"version": self.version}
         return {
             **version,
+            **self.describe_run(),
             "service": service,
             "address": self.address,
             "zone": "here",
@@ -132,6 +156,16 @@
             **changes,
         }
 
+    def describe_run(self):
+        """Return what the replica says of its start."""
+        return {"born": self.started_ms} if self.started_ms else {}
+
+
+class _ReportHandler(faults.Handler):
+    async def get(self):
+        self.server.reports += 1
+        self.write({"num_running": self.server.running, **self.server.describe_run()})
+
 
 class _Handler(faults.Handler):
     async def post(self):
@@ -159,6 +193,7 @@
             self._refuse(400)
             return
         replica.runs[request_id] += 1
+        replica.run_versions[request_id].append(replica.version)
         replica.headers.append(dict(self.request.headers))
         replica.request_uris.append(self.request.uri)
         replica.running += 1
--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -81,6 +81,10 @@
                 if descriptors.is_exhausted(error):
                     reason = upstream.NO_DESCRIPTOR
                 return upstream.Outcome(upstream.End.NOT_RUN, reason, connected=False)
+        refusal = await self._check_run(connection, request.run_check)
+        if refusal is not None:
+            connection.close()
+            return refusal
         reusable = False
         try:
             outcome, reusable = await connection.exchange(
@@ -95,6 +99,19 @@
                 connection.close()
         return outcome
 
+    async def _check_run(self, connection, run_check):
+        """Return the `Outcome` if a request must not be sent, or None."""
+        try:
+            if await connection.check_run(run_check):
+                return None
+        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+            reason = f"report_{type(error).__name__}"
+            return upstream.Outcome(upstream.End.NOT_RUN, reason, connected=False)
+        except BaseException:
+            connection.close()
+            raise
+        return upstream.Outcome(upstream.End.NOT_RUN, upstream.OTHER_RUN)
+
     def _compute_max_idle(self):
         peak_use = self._peak.get(time.monotonic())
         return self._get_policy().compute_max_idle(self._get_share(), peak_use)
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -190,11 +190,17 @@
         The `upstream.Outcome` and the `Sink`.
     """
     item_transcript = run.transcript
-    if item_transcript.last_event is None:
-        item_transcript.origin = stream_origin.Origin(
-            run.service, target.software_version
-        )
-    sink = Sink(item_transcript, on_began)
+    begins = item_transcript.last_event is None
+    run_check = target.make_run_check(is_required=not begins)
+
+    def on_first_event():
+        if begins:
+            item_transcript.origin = stream_origin.Origin(
+                run.service, run_check.confirmed_version
+            )
+        on_began()
+
+    sink = Sink(item_transcript, on_first_event)
     headers = message.encode_item_headers(
         run.item,
         len(item_transcript.body),
@@ -210,6 +216,7 @@
         headers,
         item_transcript.body,
         run.connections,
+        run_check,
     )
     checkpoint_task = asyncio.create_task(_checkpoint_periodically(item_transcript))
     request_task = asyncio.ensure_future(pool.send(request, sink))
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -61,6 +61,9 @@
         if outcome.reason in (upstream.NO_DESCRIPTOR, upstream.CALLER_GONE):
             return
         now = time.monotonic()
+        if outcome.reason == upstream.OTHER_RUN:
+            target.record_break(now)
+            return
         if outcome.reason == "misdirected":
             # Another target now has this address; the registry will list it.
             target.paused_until = float("inf")
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -224,6 +224,7 @@
         )
         self._slot = None
         self._status = 0
+        self._run_check = None
         self._sent = False
         self._sent_at = None
         self._has_queued = False
@@ -345,7 +346,7 @@
         """Remember what began the stream, for its caller's later attempts."""
         if self._origin is not None or not self._route.resumable:
             return
-        version = self._slot.target.software_version
+        version = self._run_check.confirmed_version
         self._origin = stream_origin.Origin(self._service, version)
         if version is not None:
             key = self._compute_origin_key(self._call.request_id)
@@ -500,6 +501,7 @@
             None if self._workspace is None else self._workspace.name,
             self._strips_key,
         )
+        self._run_check = target.make_run_check(self._origin is not None)
         request = upstream.Request(
             self._call.request_id,
             self._exchange.method,
@@ -507,6 +509,7 @@
             headers,
             self._exchange.body,
             self._progress.connections,
+            self._run_check if self._route.resumable else None,
         )
         self._sent = True
         self._sent_at = time.monotonic()
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -6,8 +6,7 @@
 
 from pimentowick.gateway.policy import target_speed
 
-__all__ = ["Registration", "ReportedLoad", "Target", "TargetTable"]
-
+__all__ = ["Registration", "ReportedLoad", "RunCheck", "Target", "TargetTable"]
 
 # A registration that arrives sooner after a broken connection may be older than that.
 CONFIRMATION_DELAY_S = 1.0
@@ -41,6 +40,44 @@
     software_version: str | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class RunCheck:
+    """Which run of a target a request is meant for, and whether that run gets it.
+
+    A target may return under its old identifier with other software before an entry
+    knows. The connection that carries a request tells which run is at its other end.
+
+    Attributes:
+        started_ms: Unix time of its start in milliseconds, as registered; 0 if the
+            identifier alone names the run.
+        software_version: Version of its software, as registered.
+        is_required: Whether no other run may get the request.
+        is_confirmed: Whether the registered run gets the request.
+    """
+
+    started_ms: int
+    software_version: str | None
+    is_required: bool
+    is_confirmed: bool = False
+
+    def compare(self, started_ms):
+        """Compare the run with that at the other end of a connection.
+
+        Args:
+            started_ms: Unix time of its start in milliseconds, 0 if unknown.
+
+        Returns:
+            Whether the request may be sent there.
+        """
+        self.is_confirmed = started_ms == self.started_ms
+        return self.is_confirmed or not self.is_required
+
+    @property
+    def confirmed_version(self):
+        """Version of the software that gets the request, or None if uncertain."""
+        return self.software_version if self.is_confirmed else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """The load that a target reports with a response.
@@ -172,8 +209,22 @@
             return self.id
         return f"{self.id}@{self.registration.started_ms}"
 
+    def make_run_check(self, is_required):
+        """Return the `RunCheck` of a request.
+
+        Args:
+            is_required: Whether no other run than the registered one may get it.
+        """
+        registration = self.registration
+        return RunCheck(
+            registration.started_ms,
+            registration.software_version,
+            is_required,
+            is_confirmed=not registration.started_ms,
+        )
+
     def record_break(self, now):
-        """Record that a connection broke, perhaps since the target has restarted."""
+        """Record that the target may have restarted, as after a broken connection."""
         self._broken_at = now
 
     def confirm(self, now):
--- a/pimentowick/gateway/tests/test_stream_versions.py
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -80,6 +80,7 @@
 
 
 def make_replicas(*versions, **options):
+    """Return a replica for each version, with further arguments of `Replica`."""
     return [
         replica.Replica(f"i-{n}", events=EVENTS, version=version, **options)
         for n, version in enumerate(versions, 1)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -18,7 +18,7 @@
 
 from tornado import http1connection, httputil, iostream
 
-from pimentowick.gateway import decision_log, delivery
+from pimentowick.gateway import decision_log, delivery, target
 from pimentowick.platform import message
 
 __all__ = [
@@ -56,6 +56,9 @@
 MAX_INTERIM_RESPONSES = 8
 # Responses to earlier requests that are discarded before the expected one.
 MAX_STRAY_RESPONSES = 2
+# Well above a round trip to a busy target.
+REPORT_TIMEOUT_S = 0.3
+MAX_REPORT_BYTES = 65_536
 
 PARAMETERS = http1connection.HTTP1ConnectionParameters(
     max_header_size=MAX_HEADER_BYTES,
@@ -80,6 +83,8 @@
 NO_DESCRIPTOR = "no_descriptor"
 # The caller's connection was closed; the target is not to blame.
 CALLER_GONE = "caller_gone"
+# The target has restarted under its old identifier, or may have.
+OTHER_RUN = "other_run"
 # Reasons of incomplete responses whose connection the target closed.
 CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
 
@@ -150,6 +155,8 @@
         body: The body.
         connections: Numbers of the connections that carried it so far, shared by all
             attempts.
+        run_check: The `pimentowick.gateway.target.RunCheck`, or None if it does not
+            matter which run of the target gets the request.
     """
 
     request_id: str
@@ -158,6 +165,7 @@
     headers: httputil.HTTPHeaders
     body: bytes
     connections: set = dataclasses.field(default_factory=set)
+    run_check: target.RunCheck | None = None
 
 
 class Sink(abc.ABC):
@@ -370,6 +378,40 @@
         pass
 
 
+class _ReportReader(httputil.HTTPMessageDelegate):
+    """Collects the body of a target's report.
+
+    Args:
+        stream: The stream, which is closed if the report is too long.
+
+    Attributes:
+        body: The body.
+        is_reusable: Whether the connection may carry another request.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.body = b""
+        self.is_reusable = False
+
+    def headers_received(self, start_line, headers):
+        self._stream.end_head()
+        answer = message.decode_response_headers(start_line.code, headers)
+        self.is_reusable = not answer.closes_connection
+
+    def data_received(self, chunk):
+        self._stream.body_bytes += len(chunk)
+        self.body += chunk
+        if len(self.body) > MAX_REPORT_BYTES:
+            self._stream.abandon()
+
+    def finish(self):
+        pass
+
+    def on_connection_close(self):
+        self.is_reusable = False
+
+
 class Connection:
     """One connection to a target.
 
@@ -389,6 +431,8 @@
         self.number = next(self._numbers)
         self._opened_at = time.monotonic()
         self._request_count = 0
+        # When the target was started, 0 if it does not say, None if it was not asked.
+        self._started_ms = None
         self.stream = stream
         self._on_load = on_load
         self._traffic = counted
@@ -427,6 +471,45 @@
             self.idle_until = time.monotonic() + idle_s
         return outcome, reusable
 
+    async def check_run(self, run_check):
+        """Return whether a request may be sent to the run of the target at the end.
+
+        The target is asked once: a connection ends with the run that accepted it.
+
+        Args:
+            run_check: The `pimentowick.gateway.target.RunCheck` of the request, or
+                None if any run may get it.
+
+        Raises:
+            StreamClosedError: The target closed the connection.
+            TimeoutError: It did not answer in time.
+        """
+        if run_check is None or not run_check.started_ms:
+            return True
+        if self._started_ms is None:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                self._started_ms = await self._ask_start()
+        return run_check.compare(self._started_ms)
+
+    async def _ask_start(self):
+        """Ask the target when it was started."""
+        self._request_count += 1
+        http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
+        start_line = httputil.RequestStartLine("GET", message.REPORT_PATH, "HTTP/1.1")
+        host, port = self.stream.socket.getpeername()
+        headers = httputil.HTTPHeaders({"Host": f"{host}:{port}"})
+        http.write_headers(start_line, headers)
+        http.finish()
+        reader = _ReportReader(self.stream)
+        self.stream.expect_head()
+        try:
+            await http.read_response(reader)
+        finally:
+            self.stream.end_head()
+        if not reader.is_reusable or self.stream.closed():
+            raise iostream.StreamClosedError
+        return message.decode_report(reader.body)
+
     def _start_delivery(self, request):
         """Count a request; return its `delivery.Delivery` without a response."""
         received = delivery.Delivery(
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -20,6 +20,7 @@
     "RequestHeaders",
     "ResponseHeaders",
     "decode_item_parts",
+    "decode_report",
     "decode_request_headers",
     "decode_response_headers",
     "decode_submission",
@@ -42,6 +43,8 @@
 MAX_WAIT = "X-Pimentowick-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
 RESUMES = "Resumes"
+# What a replica says of itself.
+REPORT_PATH = "/-/report"
 AUTHORIZATION = "Authorization"
 SCHEME = "Token"
 # A workspace is called a tenant on the wire.
@@ -345,6 +348,26 @@
     return target.ReportedLoad(*figures[:3], slowdown)
 
 
+def decode_report(body):
+    """Return when a target was started, from its report.
+
+    Returns:
+        Unix time in milliseconds, or 0 if the target does not say.
+
+    Examples:
+        >>> decode_report(b'{"born": 1700000000000, "num_running": 3}')
+        1700000000000
+        >>> decode_report(b'{"born": "today"}'), decode_report(b"busy")
+        (0, 0)
+    """
+    try:
+        data = orjson.loads(body)
+    except ValueError:
+        return 0
+    started_ms = data.get("born") if isinstance(data, dict) else None
+    return started_ms if type(started_ms) is int else 0
+
+
 def remove_hop_headers(headers):
     """Return the headers of a response without the hop-by-hop headers."""
     dropped = HOP_HEADERS - {"content-length"}
