Say when a stream can't go on at all, and that its caller may begin anew at once

Cause: an origin that may still arrive and one that nobody remembers were the same answer, line and metric.

Evidence: test_stream_is_lost_once_all_who_could_know_it_have_answered and test_caller_of_a_lost_stream_may_begin_anew_at_once failed before.

Change: if all entries that could know it have answered, the code is stream_lost with Retry-After 0, in the log `lost`, and in the metric a value of its own.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -93,6 +93,7 @@
         "no_memory",
         "quarantined",
         "rate_limit",
+        "stream_lost",
         "stream_unknown",
         "stream_version_gone",
         "stopping",
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -47,6 +47,10 @@
         "its caller takes a stream up, and no gateway that was asked knows which "
         "software version began it (event stream.origin)."
     ),
+    "stream_lost": (
+        "its caller takes a stream up, and all gateways that could know which software "
+        "version began it have answered that they don't (event stream.origin)."
+    ),
     "stream_version_gone": (
         "its caller takes a stream up, and no target runs the software version that "
         "began it any more (event stream.origin)."
--- a/pimentowick/gateway/metric.py
+++ b/pimentowick/gateway/metric.py
@@ -301,7 +301,7 @@
         """Count a stream that a caller takes up.
 
         Args:
-            outcome: ``known``, ``unknown`` or ``stream_version_gone``.
+            outcome: ``known``, ``unknown``, ``lost`` or ``stream_version_gone``.
         """
         self._taken_up.inc({"outcome": outcome})
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -34,6 +34,7 @@
 MAX_LOGGED_CHARS = 64
 MAX_LOGGED_PARTS = 16
 STREAM_UNKNOWN = "stream_unknown"
+STREAM_LOST = "stream_lost"
 STREAM_VERSION_GONE = "stream_version_gone"
 STOPPING = "stopping"
 # The news of a stream reaches other entries by then.
@@ -45,6 +46,13 @@
         "It is not known what began this stream. It has to begin anew.",
         retry_after=UNKNOWN_RETRY_S,
     ),
+    STREAM_LOST: verdict.Refusal(
+        503,
+        STREAM_LOST,
+        "No entry remembers what began this stream. It can't go on and has to begin "
+        "anew, which it may at once.",
+        retry_after=0.0,
+    ),
     STREAM_VERSION_GONE: verdict.Refusal(
         503,
         STREAM_VERSION_GONE,
@@ -215,6 +223,7 @@
         )
         # What began the stream, once its caller has an event.
         self._origin = None
+        self._unknown_reason = STREAM_UNKNOWN
         self._service = matched_route.choose_service()
         self._guard = request_guard.RequestGuard(
             relay._crash_guard,
@@ -264,7 +273,7 @@
     async def run(self):
         """Try targets until the request is answered; return the outcome for the log."""
         if self._is_taken_up and not await self._find_origin():
-            return await self._refuse(STREAM_UNKNOWN)
+            return await self._refuse(self._unknown_reason)
         objective_s = self._route.objective_s
         received_at = self._exchange.received_at
         timeout_s = self._deadline_at - received_at
@@ -327,12 +336,17 @@
         if not self._call.first_attempt:
             return False
         key = self._compute_origin_key(self._call.first_attempt)
-        self._origin = await self._origins.find(key, self._call.request_id)
+        self._origin = await self._origins.find(
+            key, self._call.request_id, self._on_stream_lost
+        )
         if self._origin is None:
             return False
         self._service = self._origin.service
         return True
 
+    def _on_stream_lost(self):
+        self._unknown_reason = STREAM_LOST
+
     def _compute_origin_key(self, request_id):
         workspace = None if self._workspace is None else self._workspace.name
         return stream_origins.compute_key(workspace, self._exchange.host, request_id)
--- a/pimentowick/gateway/stream_origins.py
+++ b/pimentowick/gateway/stream_origins.py
@@ -85,19 +85,25 @@
             REPEAT_DELAY_S, self._reporter.send_to, holders, {"origins": {key: row}}
         )
 
-    async def find(self, key, request_id):
+    async def find(self, key, request_id, on_lost=lambda: None):
         """Return the `stream_origin.Origin` of a stream, or None if nobody knows it.
 
         Args:
             key: Key of the stream.
             request_id: Identifier of the request that takes it up, for the log.
+            on_lost: Function called if all entries that could know it have answered
+                that they do not.
         """
         started_at = time.monotonic()
         origin = self._table.get(key, started_at)
         asked = set()
+        is_lost = False
         if origin is None:
-            origin, asked = await self._ask(key, started_at)
-        self._metrics.count_taken_up("unknown" if origin is None else "known")
+            origin, asked, is_lost = await self._ask(key, started_at)
+        if is_lost:
+            on_lost()
+        outcome = "known" if origin is not None else "lost" if is_lost else "unknown"
+        self._metrics.count_taken_up(outcome)
         decision_log.log_request_event(
             "stream.origin",
             request_id,
@@ -105,12 +111,18 @@
             service=None if origin is None else origin.service,
             version=None if origin is None else origin.software_version,
             asked=len(asked),
+            lost=is_lost,
             took_s=time.monotonic() - started_at,
         )
         return origin
 
     async def _ask(self, key, started_at):
-        """Return the origin as told by others, or None, and the entries asked."""
+        """Ask other entries for an origin.
+
+        Returns:
+            The origin or None, the entries asked, and whether all of those that could
+            know it have answered that they do not.
+        """
         query = self._queries.setdefault(key, _Query())
         asked = set()
         sent_at = float("-inf")
@@ -125,17 +137,23 @@
                     self._reporter.send_to(unanswered, {"origin_query": key})
                 await query.wait(sent_at + QUERY_INTERVAL_S - now)
                 origin = self._table.get(key, time.monotonic())
-                if origin is not None or self._is_over(query, entries, started_at):
-                    return origin, asked
+                if origin is not None:
+                    return origin, asked, False
+                if self._is_lost(query, entries):
+                    return None, asked, True
+                if time.monotonic() - started_at >= self._get_timeout_s():
+                    return None, asked, False
         finally:
             if self._queries.get(key) is query:
                 del self._queries[key]
 
-    def _is_over(self, query, entries, started_at):
-        waited_s = time.monotonic() - started_at
-        if not self._reporter.has_heard_peers:
-            return waited_s >= STARTUP_QUERY_TIMEOUT_S
-        return query.unknown_at.issuperset(entries) or waited_s >= QUERY_TIMEOUT_S
+    def _is_lost(self, query, entries):
+        has_heard = self._reporter.has_heard_peers
+        return has_heard and query.unknown_at.issuperset(entries)
+
+    def _get_timeout_s(self):
+        has_heard = self._reporter.has_heard_peers
+        return QUERY_TIMEOUT_S if has_heard else STARTUP_QUERY_TIMEOUT_S
 
     def handle(self, message):
         """Handle a datagram about origins.
--- a/pimentowick/gateway/tests/test_stream_origins.py
+++ b/pimentowick/gateway/tests/test_stream_origins.py
@@ -58,6 +58,9 @@
 
     @property
     def peers(self):
+        return self.list_peers()
+
+    def list_peers(self):
         return [name for name in self._network.alive if name != self.address]
 
     def list_live_peers(self):
@@ -124,6 +127,25 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("silent", [0, 1])
+def test_stream_is_lost_once_all_who_could_know_it_have_answered(silent):
+    # Guards against callers that ask again and again for a stream that can't go on, and
+    # against a final answer while an entry that may know the stream is silent.
+    async def run():
+        network = Network(8)
+        listed = [each.address for each in network.list()[1:]]
+        asking = network.get(0)
+        asking.list_peers = lambda: listed
+        for endpoint in network.list()[1 : 1 + silent]:
+            network.kill(endpoint)
+        lost = []
+        origin = await asking.origins.find(KEY, "r2", lambda: lost.append(KEY))
+        assert origin is None
+        assert len(lost) == 1 - silent
+
+    asyncio.run(run())
+
+
 def test_stream_of_another_workspace_or_host_is_unknown():
     keys = {
         stream_origins.compute_key(workspace, host, "r1")
--- a/pimentowick/gateway/tests/test_stream_versions.py
+++ b/pimentowick/gateway/tests/test_stream_versions.py
@@ -248,6 +248,22 @@
     asyncio.run(check())
 
 
+def test_caller_of_a_lost_stream_may_begin_anew_at_once():
+    # Guards against a time to come back that is of no use: no entry will know more.
+    servers = make_replicas("v1")
+
+    async def check():
+        async with platform_site.open_site(servers, ROUTES, entries=2) as site:
+            reporter = site.gateways[0].load_reporter
+            await wait.wait_for(lambda: reporter.has_heard_peers, WAIT_S, POLL_S)
+            answer = await take_up(site, "a0", "b0", 0)
+            assert answer.status == 503
+            assert answer.decode()["error"]["code"] == "stream_lost"
+            assert float(answer.headers["Retry-After"]) == 0
+
+    asyncio.run(check())
+
+
 def test_stream_whose_version_is_gone_is_refused_at_once():
     # The caller can begin anew while its deadline is still far away.
     servers = make_replicas("v1", "v2")
