Take no origin for that of another stream with the same name

A caller that uses the name of a stream again, while what began the two differs, was taken to mean the first: its second stream would go on at the version of the first one. Now the origin counts as unknown, and the stream begins anew.

Evidence: test_origin_of_a_name_that_is_used_again_is_unknown failed before. By reading, not seen in a play: callers name each attempt anew.

--- a/pimentowick/gateway/policy/stream_origin.py
+++ b/pimentowick/gateway/policy/stream_origin.py
@@ -68,7 +68,10 @@
         return len(self._origins)
 
     def put(self, key, origin, left_s, now):
-        """Remember an origin; the first one of a stream counts.
+        """Remember an origin.
+
+        If a caller has used the name of its stream again, and what began the two
+        differs, it is unknown which of them is meant.
 
         Args:
             key: Key of the stream.
@@ -76,7 +79,10 @@
             left_s: Time until its caller's deadline, in seconds.
             now: Current time.
         """
-        if self.get(key, now) is not None:
+        known, expires_at = self._origins.get(key, (origin, now))
+        if now < expires_at:
+            if known != origin:
+                self._origins[key] = (None, expires_at)
             return
         left_s = min(max(0.0, left_s), MAX_RETENTION_S)
         self._origins[key] = (origin, now + left_s + RETENTION_MARGIN_S)
--- a/pimentowick/gateway/tests/test_stream_origins.py
+++ b/pimentowick/gateway/tests/test_stream_origins.py
@@ -146,6 +146,18 @@
     asyncio.run(run())
 
 
+def test_origin_of_a_name_that_is_used_again_is_unknown():
+    # Guards against a stream that goes on at the version of another one with its name.
+    table = stream_origin.OriginTable()
+    table.put(KEY, ORIGIN, DEADLINE_S, now=0.0)
+    table.put(KEY, ORIGIN, DEADLINE_S, now=1.0)
+    assert table.get(KEY, now=1.0) == ORIGIN
+    table.put(KEY, stream_origin.Origin("chat", "v2"), DEADLINE_S, now=2.0)
+    assert table.get(KEY, now=2.0) is None
+    table.put(KEY, ORIGIN, DEADLINE_S, now=3.0)
+    assert table.get(KEY, now=3.0) is None
+
+
 def test_stream_of_another_workspace_or_host_is_unknown():
     keys = {
         stream_origins.compute_key(workspace, host, "r1")
