Let the soak restart replicas with new versions while gateways are killed

New kinds of faults: release restarts half of the replicas under their identifiers with another version, which register up to a second later; release_under_kill does so while all gateway processes, or all but one, get SIGKILL. Replicas name their version in each event, and callers' texts are judged by it; runs are judged by the version at their time, not the last one.

A fleet whose start fails is closed now; its gateways went on running.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -66,6 +66,7 @@
         request_uris: Path and query of the requests that ran, in order.
         running: Number of requests running now.
         peak_running: Largest number of requests that ran concurrently.
+        names_version: Whether each event names the version in its type.
         holds_last_event: Whether streams wait for `release` before their last event.
         release: Event that a test sets to continue held responses.
         crash_bodies: Bodies of the requests that crash the replica as they begin to
@@ -103,6 +104,7 @@
         self.request_uris = []
         self.running = 0
         self.peak_running = 0
+        self.names_version = False
         self.holds_last_event = False
         self.release = asyncio.Event()
         self.crash_bodies = set()
@@ -330,7 +332,10 @@
                 await self.server.release.wait()
             if self.closed.is_set():
                 return
-            self.write(f"id: {number}\ndata: word {number}\n\n")
+            kind = (
+                f"event: {self.server.version}\n" if self.server.names_version else ""
+            )
+            self.write(f"{kind}id: {number}\ndata: word {number}\n\n")
             await self.flush()
 
 
--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -57,6 +57,42 @@
             await gateway.wait()
             await gateway.start()
 
+    async def _release(self):
+        """Restart replicas with a new version under their identifiers."""
+        released = self._restart_replicas()
+        await asyncio.sleep(self._rng.uniform(0.2, 1.0))
+        self._register(released)
+
+    async def _release_under_kill(self):
+        """Do the same while all gateways, or all but one, are killed at once."""
+        survivors = self._rng.randint(0, 1)
+        for gateway in self._fleet.gateways[survivors:]:
+            gateway.send_signal(signal.SIGKILL)
+        released = self._restart_replicas()
+        for gateway in self._fleet.gateways[survivors:]:
+            await gateway.wait()
+            await gateway.start()
+        for gateway in self._fleet.gateways:
+            await wait.wait_for(
+                lambda gateway=gateway: self._fleet.is_ready(gateway),
+                READY_TIMEOUT_S,
+                READY_POLL_S,
+            )
+        # Callers take their streams up before the replicas register.
+        await asyncio.sleep(self._rng.uniform(0.2, 1.0))
+        self._register(released)
+
+    def _restart_replicas(self):
+        count = len(self._fleet.replicas) // 2
+        released = self._rng.sample(self._fleet.replicas, count)
+        for each in released:
+            each.restart(f"w{len(self.injected)}")
+        return released
+
+    def _register(self, replicas):
+        for each in replicas:
+            self._fleet.register(each)
+
     async def _pause(self):
         gateway = self._choose_gateway()
         gateway.send_signal(signal.SIGSTOP)
@@ -155,6 +191,8 @@
 FAULT_KINDS = {
     "kill": FaultInjector._kill,
     "kill_all": FaultInjector._kill_all,
+    "release": FaultInjector._release,
+    "release_under_kill": FaultInjector._release_under_kill,
     "freeze": FaultInjector._pause,
     "stop": FaultInjector._stop,
     "hang_up": FaultInjector._send_sighup,
--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -112,7 +112,11 @@
         self.store = platform_store.PlatformStore()
         self.replicas = [
             replica.Replica(
-                f"i-{n}", events=12, event_interval_s=0.02, version=f"v{n % 2}"
+                f"i-{n}",
+                events=12,
+                event_interval_s=0.02,
+                version=f"v{n % 2}",
+                started_ms=1 + n,
             )
             for n in range(replicas)
         ]
@@ -126,9 +130,10 @@
         for each in self.replicas:
             # Turns on the decisions for services on shared hosts.
             each.slowdown = self._slowdown
+            each.names_version = True
             await each.start()
             each.on_crash = functools.partial(self._register_again, each)
-            self._register(each)
+            self.register(each)
         routes = [
             platform_site.make_route("/chat/", "stream", resumable=True),
             platform_site.make_route("/draft/", "stream"),
@@ -144,12 +149,13 @@
             await gateway.start()
         await self.wait_ready()
 
-    def _register(self, server):
+    def register(self, server):
+        """Write the registration of a replica to the store."""
         self.store.put("keyed.servers", server.id, server.make_registration("lm"))
 
     def _register_again(self, server, previous_id):
         self.store.put("keyed.servers", previous_id, b"")
-        self._register(server)
+        self.register(server)
 
     async def wait_ready(self):
         """Wait until all gateways report that they are ready."""
--- a/pimentowick/soak/run.py
+++ b/pimentowick/soak/run.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import random
+import re
 
 import orjson
 
@@ -31,6 +32,8 @@
     f"id: {n}\ndata: word {n}\n\n".encode() for n in range(1, EVENTS_PER_RESPONSE + 1)
 ]
 EXPECTED_BODY = b"".join(EXPECTED_EVENTS)
+# The version of the replica that sent an event.
+VERSION_LINE = re.compile(rb"^event: (\S+)\n", re.MULTILINE)
 # What follows the first event.
 EXPECTED_REST = b"".join(EXPECTED_EVENTS[1:])
 EXPECTED_TEXT = "\n".join(f"word {n}" for n in range(1, EVENTS_PER_RESPONSE + 1))
@@ -66,13 +69,15 @@
         self.refused = set()
         self.at_most_once = set()
         self.accepted = {}
+        # Versions of the events that callers got, by the first attempt.
+        self.versions_seen = {}
         self._counter = itertools.count()
         self._stopping = asyncio.Event()
 
     async def run(self, kinds, count):
         callers = []
-        await self.fleet.start()
         try:
+            await self.fleet.start()
             callers = [
                 asyncio.create_task(self._send_requests()) for _ in range(CALLER_COUNT)
             ]
@@ -136,16 +141,22 @@
             response = await self._send("POST", path, b"x", headers)
         except exception.UnavailableError:
             return
-        if response.status == 200 and response.body != EXPECTED_REST:
-            self._add_violation(f"{first_id}: goes on with {response.body[:80]!r}")
+        if response.status == 200:
+            self._check_text(first_id, response.body, EXPECTED_REST)
+
+    def _check_text(self, first_id, body, expected):
+        """Check the text of a response, and that its events are of one version."""
+        versions = {version.decode() for version in VERSION_LINE.findall(body)}
+        if VERSION_LINE.sub(b"", body) != expected:
+            self._add_violation(f"{first_id}: a success with {body[:80]!r}")
+        if len(versions) != 1:
+            self._add_violation(f"{first_id}: one text holds events of {versions}")
+        self.versions_seen.setdefault(first_id, set()).update(versions)
 
     def _check_response(self, request_id, response):
         if response.status == 200:
             self.findings.served += 1
-            if response.body != EXPECTED_BODY:
-                self._add_violation(
-                    f"{request_id}: a success with {response.body[:80]!r}"
-                )
+            self._check_text(request_id, response.body, EXPECTED_BODY)
         elif response.status in (429, 503):
             self.refused.add(request_id)
 
@@ -231,11 +242,14 @@
         """Check that each stream and item went on at the version that began it."""
         began, went_on = {}, {}
         for each in self.fleet.replicas:
+            versions = {name: iter(rows) for name, rows in each.run_versions.items()}
             for headers in each.headers:
-                first_id = headers[REQUEST_ID_HEADER]
-                first_id = headers.get(FIRST_ATTEMPT_HEADER, first_id)
+                request_id = headers[REQUEST_ID_HEADER]
+                first_id = headers.get(FIRST_ATTEMPT_HEADER, request_id)
                 runs = went_on if LAST_EVENT_HEADER in headers else began
-                runs.setdefault(first_id, set()).add(each.version)
+                runs.setdefault(first_id, set()).add(next(versions[request_id]))
+        for first_id, versions in self.versions_seen.items():
+            went_on.setdefault(first_id, set()).update(versions)
         for first_id, versions in went_on.items():
             is_item = any(first_id in names for names in self.accepted.values())
             if not versions <= began.get(first_id, set()):
--- a/pimentowick/soak/tests/test_soak.py
+++ b/pimentowick/soak/tests/test_soak.py
@@ -17,6 +17,16 @@
     assert findings.jobs > 0
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_texts_are_of_one_version_while_replicas_and_gateways_restart(seed, tmp_path):
+    # Guards against texts that are joined from two versions after replicas returned
+    # under their identifiers while gateway processes were killed at once.
+    kinds = ["kill_all", "release", "release_under_kill", "stop"]
+    findings = asyncio.run(run.run_soak(seed, tmp_path, kinds, 8))
+    assert not findings.violations
+    assert findings.served > 0
+
+
 def test_concurrent_soaks_use_distinct_addresses():
     # Guards against address collisions between concurrent runs, whose gateways would
     # receive each other's requests.
