--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -15,6 +15,7 @@
     caller_connections,
     decision_log,
     held_bytes,
+    refusals,
     request_reader,
     route,
     traffic,
@@ -40,14 +41,6 @@
 UNAUTHORIZED = 401
 # Larger bodies are written apart from the headers, so that they are not copied.
 LARGE_BODY_BYTES = 65_536
-# Callers whose requests are not answered in time learn so before the process ends.
-UNFINISHED = "unfinished"
-UNFINISHED_REFUSAL = verdict.Refusal(
-    504,
-    UNFINISHED,
-    "This entry stops before the answer is complete. The request may have run.",
-    verdict.Verdict.MAY_HAVE_RUN,
-)
 
 
 class Exchange:
@@ -426,7 +419,7 @@
         except TimeoutError:
             if not timer.expired():
                 raise
-            raise exception.RefusedError(UNFINISHED_REFUSAL) from None
+            raise exception.RefusedError(refusals.UNFINISHED) from None
         finally:
             self._timers.discard(timer)
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -11,7 +11,7 @@
     admission,
     decision_log,
     delivery,
-    exchange,
+    refusals,
     request_guard,
     response,
     route,
@@ -33,41 +33,6 @@
 # Callers choose the identifiers of their attempts.
 MAX_LOGGED_CHARS = 64
 MAX_LOGGED_PARTS = 16
-STREAM_UNKNOWN = "stream_unknown"
-STREAM_LOST = "stream_lost"
-STREAM_VERSION_GONE = "stream_version_gone"
-STOPPING = "stopping"
-# The news of a stream reaches other entries by then.
-UNKNOWN_RETRY_S = 0.3
-STREAM_REFUSALS = {
-    STREAM_UNKNOWN: verdict.Refusal(
-        503,
-        STREAM_UNKNOWN,
-        "It is not known what began this stream. It has to begin anew.",
-        retry_after=UNKNOWN_RETRY_S,
-    ),
-    STREAM_LOST: verdict.Refusal(
-        503,
-        STREAM_LOST,
-        "No entry remembers what began this stream. It can't go on and has to begin "
-        "anew, which it may at once.",
-        retry_after=0.0,
-    ),
-    STREAM_VERSION_GONE: verdict.Refusal(
-        503,
-        STREAM_VERSION_GONE,
-        "No target runs the software version that began this stream. It has to begin "
-        "anew, which it may at once.",
-        retry_after=0.0,
-    ),
-}
-# Connections of the entry that stops are closed, so that a retry reaches another one.
-STOPPING_REFUSAL = verdict.Refusal(
-    503,
-    STOPPING,
-    "This entry stops and would not finish the request. Send it again; it has not run.",
-    retry_after=0.0,
-)
 # No attempt starts with less time than this before the deadline.
 MIN_ATTEMPT_S = 0.03
 
@@ -223,7 +188,7 @@
         )
         # What began the stream, once its caller has an event.
         self._origin = None
-        self._unknown_reason = STREAM_UNKNOWN
+        self._unknown_reason = refusals.STREAM_UNKNOWN.code
         self._service = matched_route.choose_service()
         self._guard = request_guard.RequestGuard(
             relay._crash_guard,
@@ -295,7 +260,7 @@
             slot_request = self._set_learned_deadlines(slot_request)
         while True:
             if not self._can_be_finished():
-                return await self._refuse(STOPPING)
+                return await self._refuse(refusals.STOPPING.code)
             if await self._guard.is_refused():
                 return await self._refuse(request_guard.QUARANTINED)
             slot = None
@@ -303,8 +268,8 @@
                 slot = await self._acquire_slot(slot_request)
             if slot is None and self._is_version_gone():
                 if self._is_taken_up:
-                    self._metrics.count_taken_up(STREAM_VERSION_GONE)
-                return await self._fail(STREAM_VERSION_GONE)
+                    self._metrics.count_taken_up(refusals.STREAM_VERSION_GONE.code)
+                return await self._fail(refusals.STREAM_VERSION_GONE.code)
             if slot is None:
                 is_refused = self._guard.choose_step() == quarantine.Step.REFUSE
                 reason = request_guard.QUARANTINED if is_refused else "no_place"
@@ -345,7 +310,7 @@
         return True
 
     def _on_stream_lost(self):
-        self._unknown_reason = STREAM_LOST
+        self._unknown_reason = refusals.STREAM_LOST.code
 
     def _compute_origin_key(self, request_id):
         workspace = None if self._workspace is None else self._workspace.name
@@ -729,12 +694,13 @@
         if reason == request_guard.QUARANTINED:
             await self._exchange.refuse(self._guard.make_refusal())
             return reason
-        if reason == STOPPING:
+        if reason == refusals.STOPPING.code:
             self._refusal_inputs = self._describe_stop()
-            await self._exchange.refuse(STOPPING_REFUSAL)
+            await self._exchange.refuse(refusals.STOPPING)
             return reason
-        if reason in STREAM_REFUSALS:
-            await self._exchange.refuse(STREAM_REFUSALS[reason])
+        stream_refusal = refusals.find_for_stream(reason)
+        if stream_refusal is not None:
+            await self._exchange.refuse(stream_refusal)
             return reason
         refusal = verdict.Refusal(
             503,
@@ -801,12 +767,14 @@
             self._exchange.abort()
             return "stopping_midway" if is_stopping else "timeout_midway"
         if not self._sent:
-            return await self._refuse(STOPPING if is_stopping else "timeout_unsent")
+            return await self._refuse(
+                refusals.STOPPING.code if is_stopping else "timeout_unsent"
+            )
         self._status = 504
         if is_stopping:
             self._refusal_inputs = self._describe_stop()
-            await self._exchange.refuse(exchange.UNFINISHED_REFUSAL)
-            return exchange.UNFINISHED
+            await self._exchange.refuse(refusals.UNFINISHED)
+            return refusals.UNFINISHED.code
         await self._exchange.refuse(
             verdict.make_deadline_refusal(verdict.Verdict.MAY_HAVE_RUN)
         )
