Refuse no request during a stop that the load balancer still sends, if it may be finished

Callers saw: since requests on new connections got 503 stopping in the last moments before the listener closes, although they would mostly have been finished.

Cause: the allowance for slow responses (1.5 times the 0.99 quantile) was used for all requests.

Change: a request that arrived while new connections are expected is refused only if it is more likely to be cut than not; later ones as before.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -379,7 +379,8 @@
         )
         listens_until = began_at + BALANCER_REMOVAL_S
         ends_at = began_at + self.settings.stop_grace_s - SHUTDOWN_MARGIN_S
-        self._graceful_stop.begin(began_at, ends_at, listens_until)
+        accepts_until = listens_until + exchange.IDLE_GRACE_S
+        self._graceful_stop.begin(began_at, ends_at, accepts_until)
         self._caller_server.close_after_response()
         self._relay.stop()
         batch = asyncio.create_task(self._stop_batch_work(ends_at))
--- a/pimentowick/gateway/policy/graceful_stop.py
+++ b/pimentowick/gateway/policy/graceful_stop.py
@@ -8,9 +8,12 @@
     elsewhere at once.
 
     How long a response takes is learned for each route. Until enough responses were
-    seen, a request is expected to take as long as its caller and its route allow. One
-    that arrived while the load balancer still chose the entry would then be refused
-    far too often, so that it may start in the first half of the stop.
+    seen, a request is expected to take as long as its caller and its route allow.
+
+    The listener closes early enough for usual requests to be finished. One that arrived
+    before is refused only if it is more likely to be cut than not, and, if nothing is
+    known of its route, not in the first half of the stop: too cautious an estimate
+    would refuse requests that the load balancer still sends here.
 """
 
 import math
@@ -21,6 +24,8 @@
 
 # Share of the responses of a route that take no longer than expected.
 EXPECTED_SHARE = 0.99
+# The same for requests that arrived before the listener closed.
+EARLY_EXPECTED_SHARE = 0.5
 # Allowance for a response that takes longer than nearly all before it.
 DURATION_FACTOR = 1.5
 # Routes come and go with the configuration; the oldest are forgotten beyond this.
@@ -36,7 +41,7 @@
 
     Examples:
         >>> stop = GracefulStop()
-        >>> stop.begin(now=0.0, ends_at=8.0, listens_until=2.5)
+        >>> stop.begin(now=0.0, ends_at=8.0, accepts_until=2.5)
         >>> stop.compute_latest_start("chat", received_at=4.0, deadline_at=9.0)
         3.0
         >>> stop.compute_latest_start("chat", received_at=2.0, deadline_at=9.0)
@@ -45,13 +50,15 @@
         ...     stop.record_duration("chat", 1.0)
         >>> 6.0 < stop.compute_latest_start("chat", 4.0, 9.0) < 6.6
         True
+        >>> 6.6 < stop.compute_latest_start("chat", 2.0, 9.0) < 7.1
+        True
         >>> stop.compute_latest_start("chat", received_at=4.0, deadline_at=7.0)
         7.0
     """
 
     def __init__(self):
         self.ends_at = math.inf
-        self._listens_until = math.inf
+        self._accepts_until = math.inf
         self._half_s = math.inf
         self._durations = {}
 
@@ -60,16 +67,17 @@
         """Whether the entry is being stopped."""
         return self.ends_at < math.inf
 
-    def begin(self, now, ends_at, listens_until):
+    def begin(self, now, ends_at, accepts_until):
         """Record that the entry is being stopped.
 
         Args:
             now: Monotonic time.
             ends_at: Monotonic time at which the last responses are cut.
-            listens_until: Monotonic time at which the listener closes.
+            accepts_until: Monotonic time until which requests on new connections are
+                expected.
         """
         self.ends_at = ends_at
-        self._listens_until = listens_until
+        self._accepts_until = accepts_until
         self._half_s = (ends_at - now) / 2
 
     def record_duration(self, route_name, duration_s):
@@ -97,12 +105,12 @@
 
     def _expect_s(self, route_name, received_at):
         durations = self._durations.get(route_name)
-        expected_s = (
-            math.inf if durations is None else durations.estimate(EXPECTED_SHARE)
-        )
-        if expected_s < math.inf:
-            return DURATION_FACTOR * expected_s
-        return self._half_s if received_at < self._listens_until else math.inf
+        if received_at < self._accepts_until:
+            share, factor, unknown_s = EARLY_EXPECTED_SHARE, 1.0, self._half_s
+        else:
+            share, factor, unknown_s = EXPECTED_SHARE, DURATION_FACTOR, math.inf
+        expected_s = math.inf if durations is None else durations.estimate(share)
+        return factor * expected_s if expected_s < math.inf else unknown_s
 
     def limit_wait(self, wait_s, now):
         """Return how long a long poll may wait, in seconds."""
