--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -440,6 +440,8 @@
 
 def _has_unread_bytes(stream):
     """Return whether bytes of a caller were received that form no request yet."""
+    if stream.closed():
+        return False
     # Tornado has no public way to tell how much is buffered.
     if stream._read_buffer_size:
         return True
