Let the replicas of the soak register again and again

Their targets had broken a connection under them, so that their version was doubted until they registered again, which replicas of the soak never did; on the platform they do every second or so.

--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -59,16 +59,16 @@
 
     async def _release(self):
         """Restart replicas with a new version under their identifiers."""
-        released = self._restart_replicas()
+        self._restart_replicas()
         await asyncio.sleep(self._rng.uniform(0.2, 1.0))
-        self._register(released)
+        self._fleet.silent_replicas.clear()
 
     async def _release_under_kill(self):
         """Do the same while all gateways, or all but one, are killed at once."""
         survivors = self._rng.randint(0, 1)
         for gateway in self._fleet.gateways[survivors:]:
             gateway.send_signal(signal.SIGKILL)
-        released = self._restart_replicas()
+        self._restart_replicas()
         for gateway in self._fleet.gateways[survivors:]:
             await gateway.wait()
             await gateway.start()
@@ -80,18 +80,14 @@
             )
         # Callers take their streams up before the replicas register.
         await asyncio.sleep(self._rng.uniform(0.2, 1.0))
-        self._register(released)
+        self._fleet.silent_replicas.clear()
 
     def _restart_replicas(self):
         count = len(self._fleet.replicas) // 2
         released = self._rng.sample(self._fleet.replicas, count)
+        self._fleet.silent_replicas.update(released)
         for each in released:
             each.restart(f"w{len(self.injected)}")
-        return released
-
-    def _register(self, replicas):
-        for each in replicas:
-            self._fleet.register(each)
 
     async def _pause(self):
         gateway = self._choose_gateway()
--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -17,6 +17,7 @@
 STOP_TIMEOUT_S = 15.0
 READY_POLL_S = 0.05
 GRACE_PERIOD_S = 6
+HEARTBEAT_INTERVAL_S = 0.5
 
 
 def make_ip(number, pid):
@@ -103,6 +104,9 @@
         gateways: Number of gateways.
         replicas: Number of replicas.
         slowdown: Slowdown that replicas report, in percent; None if they report none.
+
+    Attributes:
+        silent_replicas: Replicas that do not register.
     """
 
     def __init__(self, directory, gateways=3, replicas=4, slowdown=None):
@@ -121,6 +125,8 @@
             for n in range(replicas)
         ]
         self.gateways = []
+        self.silent_replicas = set()
+        self._heartbeats = None
         self.client = http_client.Client(max_connections=200)
 
     async def start(self):
@@ -133,7 +139,8 @@
             each.names_version = True
             await each.start()
             each.on_crash = functools.partial(self._register_again, each)
-            self.register(each)
+            self._register(each)
+        self._heartbeats = asyncio.create_task(self._send_heartbeats())
         routes = [
             platform_site.make_route("/chat/", "stream", resumable=True),
             platform_site.make_route("/draft/", "stream"),
@@ -149,13 +156,19 @@
             await gateway.start()
         await self.wait_ready()
 
-    def register(self, server):
-        """Write the registration of a replica to the store."""
+    async def _send_heartbeats(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            for each in self.replicas:
+                if each not in self.silent_replicas:
+                    self._register(each)
+
+    def _register(self, server):
         self.store.put("keyed.servers", server.id, server.make_registration("lm"))
 
     def _register_again(self, server, previous_id):
         self.store.put("keyed.servers", previous_id, b"")
-        self.register(server)
+        self._register(server)
 
     async def wait_ready(self):
         """Wait until all gateways report that they are ready."""
@@ -178,6 +191,8 @@
 
     async def close(self):
         """Stop the fleet."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
         for gateway in self.gateways:
             await gateway.close()
         for each in self.replicas:
