Test an entry that missed a release while it was cut off from the store

Related path of the joined streams: targets of another version join while one entry can't read the store. Streams that began on them through other entries are taken up there. It knows their origin from the others, but its list of targets is of before the release.

Result: no text was joined; the question for the run of a target covers it.

--- a/pimentowick/gateway/tests/test_target_runs.py
+++ b/pimentowick/gateway/tests/test_target_runs.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway.tests import test_stream_versions
+from pimentowick.gateway.tests import test_removed_targets, test_stream_versions
 
 EVENTS = test_stream_versions.EVENTS
 STREAMS = test_stream_versions.STREAMS
@@ -87,6 +87,49 @@
     asyncio.run(check())
 
 
+@pytest.mark.parametrize("keeps_id", [True, False])
+def test_entry_that_missed_a_release_does_not_join_streams(keeps_id):
+    # Guards against texts that are joined at an entry that was cut off from the store
+    # while targets of another version joined, and began streams through other entries.
+    servers = make_replicas("v1", "v1", "v1")
+
+    async def check():
+        async with platform_site.open_site(servers, ROUTES, entries=2) as site:
+            test_removed_targets.cut_off(site.gateways[1])
+            for server in servers[1:]:
+                await release(site, server, "v2", keeps_id)
+            attempts = await begin_streams(site, servers)
+            answers = await asyncio.gather(
+                *(
+                    test_stream_versions.take_up(site, f"a{n}", f"b{n}")
+                    for n in range(STREAMS)
+                )
+            )
+            for number, answer in enumerate(answers):
+                assert answer.status in (200, 503)
+                versions = find_versions(servers, f"a{number}", f"b{number}")
+                assert len(set(versions)) == 1
+                assert len(versions) == 1 + (answer.status == 200)
+            assert any(server.runs for server in servers[1:])
+            for attempt in attempts:
+                attempt.close()
+
+    asyncio.run(check())
+
+
+async def release(site, server, version, keeps_id):
+    """Restart a replica with another version; wait until the first entry knows it."""
+    previous_id = server.id
+    if keeps_id:
+        server.restart(version)
+    else:
+        server.crash()
+        server.version = version
+        site.store.put("keyed.servers", previous_id, b"")
+    site.register_replica(server)
+    await wait_until_listed(site, server, site.gateways[:1])
+
+
 def test_stream_begun_at_a_restarted_target_does_not_go_on_at_its_former_version():
     # Guards against a wrong version of the first event, taken from an old registration.
     servers = make_replicas("v1", "v1")
@@ -112,12 +155,15 @@
     asyncio.run(check())
 
 
-async def wait_until_listed(site, server):
+async def wait_until_listed(site, server, gateways=None):
     run_id = f"{server.id}@{server.started_ms}"
+
+    def is_listed(gateway):
+        listed = gateway.table.by_id.get(server.id)
+        return listed is not None and listed.run_id == run_id
+
     await wait.wait_for(
-        lambda: all(
-            gateway.table.by_id[server.id].run_id == run_id for gateway in site.gateways
-        ),
+        lambda: all(is_listed(gateway) for gateway in gateways or site.gateways),
         test_stream_versions.WAIT_S,
         test_stream_versions.POLL_S,
     )
