Let the soak restart replicas with new versions while a gateway is frozen

Related path of the joined streams: a gateway stands still for some seconds while replicas return with another version, before or after they register. Callers take broken streams up at it, too, once it goes on.

--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -82,6 +82,20 @@
         await asyncio.sleep(self._rng.uniform(0.2, 1.0))
         self._fleet.silent_replicas.clear()
 
+    async def _release_under_freeze(self):
+        """Do the same while a gateway is frozen, so that it misses the restarts."""
+        gateway = self._choose_gateway()
+        gateway.send_signal(signal.SIGSTOP)
+        self._restart_replicas()
+        await asyncio.sleep(self._rng.uniform(0.5, 2.0))
+        if self._rng.random() < 0.5:
+            # The other gateways learn of the restarts before it does.
+            self._fleet.silent_replicas.clear()
+            await asyncio.sleep(self._rng.uniform(0.5, 1.5))
+        gateway.send_signal(signal.SIGCONT)
+        await asyncio.sleep(self._rng.uniform(0.2, 1.0))
+        self._fleet.silent_replicas.clear()
+
     def _restart_replicas(self):
         count = len(self._fleet.replicas) // 2
         released = self._rng.sample(self._fleet.replicas, count)
@@ -189,6 +203,7 @@
     "kill_all": FaultInjector._kill_all,
     "release": FaultInjector._release,
     "release_under_kill": FaultInjector._release_under_kill,
+    "release_under_freeze": FaultInjector._release_under_freeze,
     "freeze": FaultInjector._pause,
     "stop": FaultInjector._stop,
     "hang_up": FaultInjector._send_sighup,
--- a/pimentowick/soak/tests/test_soak.py
+++ b/pimentowick/soak/tests/test_soak.py
@@ -21,7 +21,13 @@
 def test_texts_are_of_one_version_while_replicas_and_gateways_restart(seed, tmp_path):
     # Guards against texts that are joined from two versions after replicas returned
     # under their identifiers while gateway processes were killed at once.
-    kinds = ["kill_all", "release", "release_under_kill", "stop"]
+    kinds = [
+        "kill_all",
+        "release",
+        "release_under_freeze",
+        "release_under_kill",
+        "stop",
+    ]
     findings = asyncio.run(run.run_soak(seed, tmp_path, kinds, 8))
     assert not findings.violations
     assert findings.served > 0
