Let a gateway of the soak that does not exit write its stacks to its log

Nothing told whether it was stalled, waited for a task or hung as the interpreter ended. It is ended by SIGABRT now, upon which Python writes the stacks of its threads.

--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -72,7 +72,11 @@
                 "pimentowick.gateway",
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PIMENTOWICK_NODE_FILE": str(self._settings_path)},
+                env={
+                    **os.environ,
+                    "PIMENTOWICK_NODE_FILE": str(self._settings_path),
+                    "PYTHONFAULTHANDLER": "1",
+                },
             )
 
     def send_signal(self, number):
@@ -81,8 +85,18 @@
             self._process.send_signal(number)
 
     async def wait(self):
-        """Wait for the process to exit and return its exit status."""
-        return await asyncio.wait_for(self._process.wait(), STOP_TIMEOUT_S)
+        """Wait for the process to exit and return its exit status.
+
+        A process that does not exit is ended, and writes its stacks to its log.
+
+        Raises:
+            TimeoutError: It did not exit in time.
+        """
+        try:
+            return await asyncio.wait_for(self._process.wait(), STOP_TIMEOUT_S)
+        except TimeoutError:
+            self.send_signal(signal.SIGABRT)
+            raise
 
     async def close(self):
         """Kill the process."""
