--- a/pimentowick/soak/run.py
+++ b/pimentowick/soak/run.py
@@ -131,6 +131,7 @@
         )
 
     async def _send_online(self, path, headers):
+        """Send an online request; note it if nothing explains why it is unanswered."""
         gateway = self.rng.choice(self.fleet.gateways)
         sent_at = time.monotonic()
         try:
