--- a/conftest.py
+++ b/conftest.py
@@ -23,6 +23,9 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Print the list of known failures."""
+    """Print the list of known failures, and those that occurred in this run."""
     for row in _read_known_failures():
         terminalreporter.write_line(f"KNOWN RED: {row}")
+    for report in terminalreporter.stats.get("xfailed", ()):
+        terminalreporter.write_line(f"FAILED AS LISTED: {report.nodeid}")
+        terminalreporter.write_line(report.longreprtext)
