Take no response with a status outside 200 to 599 for an answer

What callers saw: a target in trouble sent an answer whose status was 000, and its caller got it as an answer ("0 Unknown", with the body of the target). The same with 099, 101, 600 and 999, also after an informational response, on plain and stream routes.

Cause: tornado takes any three digits as a status, and the gateway took what tornado parsed. Only 100 to 199 had a meaning of their own, so that 000 was a final response and 101, for which no request asks, an informational one.

Ruled out: spoilt status lines of another form (one, two or four digits, signs) are rejected by the parser.

Why it works: the head is checked once, where it is received, before anything of it is used. A response that fails the check ends the attempt as incomplete and closes its connection: the request may have run, so it is repeated only where that is allowed, and is answered 502 elsewhere.

--- /dev/null
+++ b/pimentowick/fakes/raw_target.py
@@ -0,0 +1,114 @@
+"""Fake of a target whose responses are written byte for byte by a test."""
+
+import asyncio
+import dataclasses
+import enum
+import socket
+import struct
+
+__all__ = ["Answer", "Ending", "RawTarget"]
+
+LOOPBACK = "127.0.0.1"
+HEADER_PREFIX = "X-Pimentowick-"
+# Linger without waiting: closing the socket resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Ending(enum.Enum):
+    """What happens to the connection after a response."""
+
+    KEEP = enum.auto()
+    """It carries the next request."""
+    CLOSE = enum.auto()
+    """It is closed in order."""
+    RESET = enum.auto()
+    """It is reset."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Bytes that a target sends in response to one request.
+
+    Attributes:
+        data: The bytes; ``{id}`` stands for the identifier of the request.
+        ending: The `Ending` of the connection.
+        is_early: Whether they are sent before the body of the request is read.
+    """
+
+    data: bytes
+    ending: Ending = Ending.CLOSE
+    is_early: bool = False
+
+
+class RawTarget:
+    """A target that sends planned bytes.
+
+    Args:
+        sound: `Answer` to each request for which none is planned.
+
+    Attributes:
+        planned: The `Answer` objects of the next requests, in order.
+        requests: Headers of the requests received, by name in lower case.
+        reports: Number of reports that it has sent.
+        address: ``IP:port`` once started.
+    """
+
+    def __init__(self, sound):
+        self.sound = sound
+        self.planned = []
+        self.requests = []
+        self.reports = 0
+        self.address = None
+        self._server = None
+
+    def make_registration(self, service, **changes):
+        """Return the record with which the target registers itself."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "here",
+            "slots": 8,
+            "state": "ready",
+            **changes,
+        }
+
+    async def start(self):
+        """Start listening and set `address`."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{LOOPBACK}:{port}"
+
+    async def close(self):
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while await self._answer(reader, writer) == Ending.KEEP:
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer):
+        """Answer one request; return the `Ending` of the connection."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+        rows = [line.partition(":") for line in head.split("\r\n")[1:] if line]
+        headers = {name.lower(): value.strip() for name, _, value in rows}
+        size = int(headers.get("content-length", 0))
+        if head.startswith("GET /-/report "):
+            self.reports += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            return Ending.KEEP
+        self.requests.append(headers)
+        answer = self.planned.pop(0) if self.planned else self.sound
+        if not answer.is_early:
+            await reader.readexactly(size)
+        request_id = headers.get(f"{HEADER_PREFIX}request-id".lower(), "")
+        writer.write(answer.data.replace(b"{id}", request_id.encode()))
+        await writer.drain()
+        if answer.ending == Ending.RESET:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        return answer.ending
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -18,7 +18,7 @@
 
 from tornado import http1connection, httputil, iostream
 
-from pimentowick.gateway import decision_log, delivery, target
+from pimentowick.gateway import decision_log, delivery, response_head, target
 from pimentowick.platform import message
 
 __all__ = [
@@ -270,6 +270,7 @@
         is_finished: Whether the response has arrived completely.
         is_framed: Whether the end of the body is known without closing the connection.
         needs_body: Whether the body is of use.
+        fault: Reason code if the head is not that of a response, or None.
         is_caller_gone: Whether the sink's own connection was closed.
     """
 
@@ -286,6 +287,7 @@
         self.is_finished = False
         self.is_framed = True
         self.needs_body = True
+        self.fault = None
         self.is_caller_gone = False
         self._stream = stream
         self._interim_responses = 0
@@ -298,7 +300,7 @@
         return self._stream.is_abandoned
 
     async def headers_received(self, start_line, headers):
-        if 100 <= start_line.code < 200:
+        if response_head.is_interim(start_line.code):
             self._interim_responses += 1
             if self._interim_responses > MAX_INTERIM_RESPONSES:
                 self._stream.abandon()
@@ -306,6 +308,10 @@
             self._stream.expect_head()
             return
         self._stream.end_head()
+        self.fault = response_head.find_fault(start_line)
+        if self.fault is not None:
+            self._stream.abandon()
+            return
         self.status = start_line.code
         self.answer = message.decode_response_headers(start_line.code, headers)
         self.is_framed = (
@@ -580,6 +586,8 @@
 
     def _classify(self, reader):
         answer = reader.answer
+        if reader.fault is not None:
+            return Outcome(End.INCOMPLETE, reader.fault)
         if answer is None:
             reason = "endless_head" if reader.is_stopped else "no_answer"
             return Outcome(End.INCOMPLETE, reason)
