Take no answer for whole because its connection has closed

What callers saw: a target in trouble sent an answer with a damaged head, and its caller got it as a sound and complete answer (200, signed) whose body was not the target's: chunk frames, the rest of the head, the body with the end missing, or nothing. On stream routes frames were passed on as events and the stream ended as complete.

Cause: one class, who says that an answer is complete? If the field that frames the body is lost (a byte of its name changed, the line dropped or joined to another one, an empty line before it), HTTP takes the body to end with its connection, and so did the gateway. But a connection closes in order as well if a process is killed, or if a target gives up.

Ways weighed: (1) as before; (2) trust the announcement and an orderly close: damaged heads of targets that are leaving, and killed targets, still look whole; (3) ask the target whether it lives: shows a killed one, but neither a damaged head nor one that gives up; (4) never take such an answer for whole, and ask another run.

- Neither framing nor announcement: no answer; given up at its head.
- Announced, closed in order: not known to be whole (`unframed`).
A request that may be repeated runs again.
A stream or an item that may be resumed goes on after its last event; if there are no further events, it was whole.
A continuation without framing and without an event counts if the target still answers: one that died would look alike.
- All others: 502, or the caller's stream ends cut, which promises nothing.
These were passed on as whole before.

Events without framing are passed on only if they hold nothing but fields of events: bytes of another framing are none. Such an answer is no failure of its target, and no crash unless it ends before or within an event, as before.

Tests changed: test_stream_that_ends_with_its_connection_is_passed_on_whole asked that an unframed stream counts as whole as its connection closes, which is the fault. In its place two tests: such a stream is passed on whole where its continuation shows that it was, with each event once; and looks cut where it may run once, after all its events. The fakes that leave out framing announce the close, as those of the platform do, so that they still reach what they test (memory and time bounds on bodies without end, crashes after a head).

--- a/pimentowick/fakes/raw_target.py
+++ b/pimentowick/fakes/raw_target.py
@@ -23,6 +23,8 @@
     """It is closed in order."""
     RESET = enum.auto()
     """It is reset."""
+    STOP = enum.auto()
+    """It is closed in order, as the target ends."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,17 +46,18 @@
     """A target that sends planned bytes.
 
     Args:
-        sound: `Answer` to each request for which none is planned.
+        answer: Function from the headers of a request, by name in lower case, to its
+            `Answer` if none is planned.
 
     Attributes:
         planned: The `Answer` objects of the next requests, in order.
-        requests: Headers of the requests received, by name in lower case.
+        requests: Headers of the requests received.
         reports: Number of reports that it has sent.
         address: ``IP:port`` once started.
     """
 
-    def __init__(self, sound):
-        self.sound = sound
+    def __init__(self, answer):
+        self.answer = answer
         self.planned = []
         self.requests = []
         self.reports = 0
@@ -65,6 +68,7 @@
         """Return the record with which the target registers itself."""
         return {
             "service": service,
+            "version": "v1",
             "address": self.address,
             "zone": "here",
             "slots": 8,
@@ -102,10 +106,12 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
             return Ending.KEEP
         self.requests.append(headers)
-        answer = self.planned.pop(0) if self.planned else self.sound
+        answer = self.planned.pop(0) if self.planned else self.answer(headers)
         if not answer.is_early:
             await reader.readexactly(size)
         request_id = headers.get(f"{HEADER_PREFIX}request-id".lower(), "")
+        if answer.ending == Ending.STOP:
+            self._server.close()
         writer.write(answer.data.replace(b"{id}", request_id.encode()))
         await writer.drain()
         if answer.ending == Ending.RESET:
--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -27,7 +27,8 @@
             unsolicited response; ``unsigned`` omits the replica's identifier;
             ``crossed`` first sends a response to another request; ``wrong_order``
             leaves out an event; ``silent`` sends nothing and keeps the connection;
-            ``unframed`` streams with neither a length nor chunks and closes;
+            ``unframed`` streams with neither a length nor chunks, announces that its
+            connection closes, and closes;
             ``endless`` sends bytes that are no event until the caller closes.
         cut_after: Number of events or bytes after which the response is truncated.
         partial_event: Whether it is truncated in the middle of an event.
@@ -290,6 +291,7 @@
             f"{HEADER_PREFIX}Request-Id: {request_id}",
             f"{HEADER_PREFIX}Server-Stamp: {self.server.id}",
             "Content-Type: text/event-stream",
+            "Connection: close",
         ]
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
         numbers = list(range(first, self.server.events + 1))[: behaviour.cut_after]
--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -1,5 +1,8 @@
 """Pool of connections to one target."""
 
+import asyncio
+import contextlib
+import dataclasses
 import time
 
 from tornado import iostream
@@ -97,8 +100,28 @@
                 self._idle.append(connection)
             else:
                 connection.close()
+        if outcome.reason == upstream.UNFRAMED and not outcome.body_bytes:
+            is_alive = await self._is_alive(request.run_check)
+            outcome = dataclasses.replace(outcome, is_target_alive=is_alive)
         return outcome
 
+    async def _is_alive(self, run_check):
+        """Return whether the target answers, and is still the run of a request.
+
+        Args:
+            run_check: The `pimentowick.gateway.target.RunCheck` of the request, or
+                None if any run may have got it.
+        """
+        try:
+            async with asyncio.timeout(upstream.REPORT_TIMEOUT_S):
+                connection = await self._connect()
+                with contextlib.closing(connection):
+                    started_ms = await connection.ask_start()
+        except (OSError, TimeoutError, iostream.StreamClosedError):
+            return False
+        known_ms = 0 if run_check is None else run_check.started_ms
+        return not known_ms or started_ms == known_ms
+
     async def _check_run(self, connection, run_check):
         """Return the `Outcome` if a request must not be sent, or None."""
         try:
--- a/pimentowick/gateway/event_stream.py
+++ b/pimentowick/gateway/event_stream.py
@@ -3,7 +3,7 @@
 import dataclasses
 import re
 
-__all__ = ["Event", "EventSplitter"]
+__all__ = ["Event", "EventSplitter", "has_only"]
 
 MAX_EVENT_BYTES = 1_048_576
 # Blank lines and comments between two events.
@@ -97,6 +97,23 @@
         return not self._buffer.strip()
 
 
+def has_only(raw, names):
+    r"""Return whether all lines of an event are comments or fields with these names.
+
+    Args:
+        raw: Bytes of the event.
+        names: Names of fields, as bytes.
+
+    Examples:
+        >>> has_only(b": comment\nid: 1\ndata: a\n\n", {b"id", b"data"})
+        True
+        >>> has_only(b"1f\r\nid: 1\ndata: a\n\n", {b"id", b"data"})
+        False
+    """
+    fields = [line.partition(b":") for line in raw.splitlines() if line]
+    return all(colon and (not name or name in names) for name, colon, _ in fields)
+
+
 def _parse_event(raw):
     """Return an `Event`, or None if it has neither an identifier nor data."""
     if b"id" not in raw and b"data" not in raw:
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -5,7 +5,13 @@
 import time
 
 from pimentowick import exception, fingerprint
-from pimentowick.gateway import decision_log, event_stream, performance, upstream
+from pimentowick.gateway import (
+    decision_log,
+    event_stream,
+    performance,
+    response_head,
+    upstream,
+)
 from pimentowick.gateway.policy import stream_origin
 from pimentowick.platform import message
 from pimentowick.routing import quarantine
@@ -122,6 +128,7 @@
         self._on_began = on_began
         self._splitter = event_stream.EventSplitter()
         self._received_bytes = 0
+        self._is_framed = True
         self.status = 0
         self.events = 0
         self.event_times = performance.EventTimes()
@@ -131,6 +138,7 @@
     async def on_headers(self, status, headers, answer):
         """Check the response headers; see `upstream.Sink`."""
         self.status = status
+        self._is_framed = response_head.is_framed(status, headers)
         self.last_received_at = time.monotonic()
         if not answer.is_signed or answer.has_encoding:
             self.is_in_order = False
@@ -161,6 +169,12 @@
     def _add_event(self, received_event):
         if received_event.id is None or not self.is_in_order:
             return
+        if not self._is_framed and not event_stream.has_only(
+            received_event.raw, message.EVENT_FIELDS
+        ):
+            # The bytes of another framing, or of the rest of a head.
+            self.is_in_order = False
+            return
         self.is_in_order = self._transcript.add(received_event)
         if self.is_in_order and not self.events:
             self._on_began()
@@ -226,7 +240,10 @@
         request_task.cancel()
         checkpoint_task.cancel()
         await asyncio.gather(checkpoint_task, request_task, return_exceptions=True)
-    return outcome.check_events(sink.events, sink.ends_within_event), sink
+    outcome = outcome.check_events(
+        sink.events, sink.ends_within_event, is_continuation=not begins
+    )
+    return outcome, sink
 
 
 async def _checkpoint_periodically(item_transcript):
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -77,7 +77,11 @@
                 self._outliers.record_outcome(target.id, False)
             return
         if outcome.connected and outcome.status != DEADLINE_STATUS:
-            is_complete = outcome.end == upstream.End.COMPLETE
+            # A response without framing may well be sound.
+            is_complete = (
+                outcome.end == upstream.End.COMPLETE
+                or outcome.reason == upstream.UNFRAMED
+            )
             self._outliers.record_outcome(
                 target.id, is_complete and outcome.status < 500
             )
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -530,7 +530,9 @@
                 self._guard.end_run()
         if sink.forwards_events:
             outcome = outcome.check_events(
-                sink.event_times.count, sink.ends_within_event
+                sink.event_times.count,
+                sink.ends_within_event,
+                is_continuation=resume_after is not None,
             )
         self._metrics.count_responses(outcome)
         if outcome.end == upstream.End.NOT_RUN:
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -2,7 +2,7 @@
 
 import time
 
-from pimentowick.gateway import event_stream, performance, upstream
+from pimentowick.gateway import event_stream, performance, response_head, upstream
 from pimentowick.gateway.policy import memory_budget
 from pimentowick.platform import message
 
@@ -50,6 +50,7 @@
         self.headers = None
         self._clear_buffer()
         self.forwards_events = False
+        self._is_framed = True
         self.out_of_order = False
         self._splitter = event_stream.EventSplitter()
         self.event_times = performance.EventTimes()
@@ -64,6 +65,7 @@
         """Store status and headers; see `upstream.Sink`."""
         self.status = status
         self.headers = headers
+        self._is_framed = response_head.is_framed(status, headers)
         self.forwards_events = (
             self._is_stream
             and status == 200
@@ -123,6 +125,12 @@
         """Record an event; return whether it is in order and may be forwarded."""
         if self.out_of_order:
             return False
+        if not self._is_framed and not event_stream.has_only(
+            received.raw, message.EVENT_FIELDS
+        ):
+            # The bytes of another framing, or of the rest of a head.
+            self.out_of_order = True
+            return False
         if received.id is not None:
             if self._breaks_order(received.id):
                 self.out_of_order = True
--- a/pimentowick/gateway/response_head.py
+++ b/pimentowick/gateway/response_head.py
@@ -1,17 +1,22 @@
 """Validation of the head of a target's response.
 
 Notes:
-    Tornado's parser takes any three digits as a status.
+    Tornado's parser takes any three digits as a status, and takes a body without
+    framing as one that ends with its connection. A damaged head looks like that, too,
+    if the field that frames its body is the damaged one.
 
 References:
     RFC 9110, section 15: Status Codes.
+    RFC 9112, section 6.3: Message Body Length.
 """
 
-__all__ = ["find_fault", "is_final", "is_interim"]
+__all__ = ["announces_close", "find_fault", "is_final", "is_framed", "is_interim"]
 
 SWITCHING_PROTOCOLS = 101
 MIN_FINAL_STATUS = 200
 MAX_STATUS = 599
+# No Content and Not Modified.
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 def is_interim(status):
@@ -50,3 +55,34 @@
     if not is_final(start_line.code):
         return "malformed_status"
     return None
+
+
+def is_framed(status, headers):
+    """Return whether a head tells where its body ends, apart from the connection.
+
+    Args:
+        status: HTTP status.
+        headers: `tornado.httputil.HTTPHeaders`.
+
+    Examples:
+        >>> from tornado import httputil
+        >>> is_framed(200, httputil.HTTPHeaders({"content-length": "0"}))
+        True
+        >>> is_framed(200, httputil.HTTPHeaders()), is_framed(204, {})
+        (False, True)
+    """
+    has_field = "Content-Length" in headers or "Transfer-Encoding" in headers
+    return has_field or status in BODILESS_STATUSES
+
+
+def announces_close(headers):
+    """Return whether a head says that its connection closes after the response.
+
+    Examples:
+        >>> announces_close({"Connection": "Keep-Alive, Close"})
+        True
+        >>> announces_close({"Connection": "closed"}), announces_close({})
+        (False, False)
+    """
+    options = headers.get("Connection", "").lower().split(",")
+    return "close" in (option.strip() for option in options)
--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -1,9 +1,12 @@
 """Targets whose answers are broken: statuses, heads, framing, ends."""
 
 import asyncio
+import base64
 import contextlib
 import dataclasses
+import functools
 
+import orjson
 import pytest
 from tornado import httputil
 
@@ -14,6 +17,9 @@
     platform_site.make_route("/confirm/", "non_idempotent", max_attempts=1),
     platform_site.make_route("/chat/", "stream", resumable=True, max_attempts=3),
     platform_site.make_route("/draft/", "stream", max_attempts=1),
+    platform_site.make_route(
+        "/lot/", "batch", run_target_ms=60_000, retention_s=60, max_attempts=3
+    ),
 ]
 PLAIN_PATHS = ["/fetch/1", "/confirm/1"]
 STREAM_PATHS = ["/chat/1", "/draft/1"]
@@ -37,12 +43,16 @@
     return start + b"\r\n" + fields + body
 
 
-CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunks(EVENTS)
+def make_chunks(events):
+    return b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunks(events)
+
+
 SOUND = {
     "/fetch/": make_answer(),
     "/confirm/": make_answer(),
-    "/chat/": make_answer(body=CHUNKS),
-    "/draft/": make_answer(body=CHUNKS),
+    "/chat/": make_answer(body=make_chunks(EVENTS)),
+    "/draft/": make_answer(body=make_chunks(EVENTS)),
+    "/lot/": make_answer(body=make_chunks(EVENTS)),
 }
 WHOLE_BODY = {
     "/fetch/": BODY,
@@ -52,6 +62,15 @@
 }
 
 
+def answer_soundly(path, headers):
+    """Return the answer of a sound target, from the next event on."""
+    if get_prefix(path) in ("/fetch/", "/confirm/"):
+        return raw_target.Answer(make_answer(), raw_target.Ending.KEEP)
+    rest = EVENTS[int(headers.get("last-event-id", 0)) :]
+    data = make_answer(body=make_chunks(rest))
+    return raw_target.Answer(data, raw_target.Ending.KEEP)
+
+
 def get_prefix(path):
     return path[: path.rindex("/") + 1]
 
@@ -124,9 +143,7 @@
 
     async def run():
         servers = [
-            raw_target.RawTarget(
-                raw_target.Answer(SOUND[get_prefix(path)], raw_target.Ending.KEEP)
-            )
+            raw_target.RawTarget(functools.partial(answer_soundly, path))
             for _ in range(targets)
         ]
         async with contextlib.AsyncExitStack() as stack:
@@ -199,3 +216,155 @@
     # Callers got "0 Unknown" with the body of the target.
     data = SOUND[get_prefix(path)].replace(b"200 OK", status + b" Odd")
     check_broken(path, raw_target.Answer(interim + data, raw_target.Ending.KEEP))
+
+
+CLOSES = b"Connection: close\r\n"
+LENGTH = b"Content-Length: %d" % len(BODY)
+CHUNKED = b"Transfer-Encoding: chunked"
+# By name: how the field that frames the body is lost, from its line and the one before.
+DAMAGES = {
+    "changed name": lambda before, line: before + line.replace(b"n", b"m", 1),
+    "dropped": lambda before, line: before[:-2],
+    "empty line": lambda before, line: before + b"\r\n" + line,
+    "joined": lambda before, line: before[:-2] + line,
+}
+
+
+def damage_framing(data, damage):
+    """Damage the framing of an answer, whose field is the last one of the head."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    start = head.rindex(b"\r\n") + 2
+    return DAMAGES[damage](head[:start], head[start:]) + b"\r\n\r\n" + body
+
+
+@pytest.mark.parametrize("closes", [b"", CLOSES])
+@pytest.mark.parametrize("damage", DAMAGES)
+@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+def test_answer_whose_framing_is_lost_is_not_taken_for_whole(path, damage, closes):
+    # Callers got frames, the rest of the head or a part of the body as a whole answer.
+    sound = SOUND[get_prefix(path)].replace(FIELDS, closes + FIELDS)
+    check_broken(path, raw_target.Answer(damage_framing(sound, damage)))
+
+
+@pytest.mark.parametrize("closes", [b"", CLOSES])
+@pytest.mark.parametrize("size", [0, 10])
+@pytest.mark.parametrize("path", PLAIN_PATHS)
+def test_plain_answer_without_framing_may_be_cut(path, size, closes):
+    # A closed connection does not tell whether the body was complete.
+    data = make_answer(fields=FIELDS + closes, body=b"\r\n" + BODY[:size])
+    check_broken(path, raw_target.Answer(data))
+
+
+@pytest.mark.parametrize("count", [0, 1, 3])
+@pytest.mark.parametrize("path", STREAM_PATHS)
+def test_stream_without_framing_may_be_cut(path, count):
+    # A closed connection does not tell whether there were more events.
+    body = b"\r\n" + b"".join(EVENTS[:count])
+    data = make_answer(fields=FIELDS + CLOSES, body=body)
+    check_broken(path, raw_target.Answer(data))
+
+
+def test_stream_without_framing_is_continued_after_its_last_event():
+    # Running it anew would send its events twice.
+    async def check(site, planned, servers):
+        body = b"\r\n" + b"".join(EVENTS)
+        data = make_answer(fields=FIELDS + CLOSES, body=body)
+        planned.append(raw_target.Answer(data))
+        assert (await send(site, "/chat/1")).is_success
+        sent = [headers for server in servers for headers in server.requests]
+        assert sorted(row.get("last-event-id", "") for row in sent) == ["", "3"]
+
+    run_with(check, "/chat/1")
+
+
+def answer_without_framing(headers):
+    """Return the answer of a target that never frames its streams."""
+    rest = b"".join(EVENTS[int(headers.get("last-event-id", 0)) :])
+    return raw_target.Answer(make_answer(fields=FIELDS + CLOSES, body=b"\r\n" + rest))
+
+
+def test_stream_of_targets_that_never_frame_ends_as_complete():
+    # A target that still lives, and has no further events, has sent all of them.
+    async def check(site, planned, servers):
+        for server in servers:
+            server.answer = answer_without_framing
+        received = await send(site, "/chat/1")
+        assert received.is_success, received
+        assert received.body == b"".join(EVENTS)
+        assert sum(server.reports for server in servers) == 1
+
+    run_with(check, "/chat/1")
+
+
+async def run_item(site):
+    """Run a job of one item; return its result."""
+    item = {
+        "id": "item",
+        "path": "/lot/1",
+        "headers": {},
+        "body": base64.b64encode(b"x").decode(),
+        "tokens": 10,
+    }
+    body = orjson.dumps({"items": [item]})
+    accepted = await send(site, "/lot/new", "job", body)
+    assert accepted.status == 202
+
+    async def read():
+        answer = await site.call("GET", "/-/lots/job?after=0")
+        return answer.decode()["results"] if answer.status == 200 else None
+
+    (result,) = await wait.wait_for(read, WAIT_S, POLL_S)
+    return result["state"], result["text"]
+
+
+TEXT = "word 1\nword 2\nword 3"
+# Answers to an item that are not whole, or not known to be.
+BROKEN_ITEMS = {
+    "status 000": SOUND["/lot/"].replace(b"200 OK", b"000 OK"),
+    "cut": make_answer(fields=FIELDS + CLOSES, body=b"\r\n" + EVENTS[0]),
+    "all events": make_answer(fields=FIELDS + CLOSES, body=b"\r\n" + b"".join(EVENTS)),
+    **{damage: damage_framing(SOUND["/lot/"], damage) for damage in DAMAGES},
+    **{
+        f"{damage}, closes": damage_framing(
+            SOUND["/lot/"].replace(FIELDS, CLOSES + FIELDS), damage
+        )
+        for damage in DAMAGES
+    },
+}
+
+
+@pytest.mark.parametrize("answer", BROKEN_ITEMS)
+def test_item_with_a_broken_answer_is_listed_with_its_whole_text(answer):
+    # It was listed as done with what had arrived.
+    async def check(site, planned, servers):
+        planned.append(raw_target.Answer(BROKEN_ITEMS[answer]))
+        assert await run_item(site) == ("done", TEXT)
+
+    run_with(check, "/lot/1")
+
+
+def test_item_of_targets_that_never_frame_is_listed_as_done():
+    # It would run again and again until it is given up.
+    async def check(site, planned, servers):
+        for server in servers:
+            server.answer = answer_without_framing
+        assert await run_item(site) == ("done", TEXT)
+
+    run_with(check, "/lot/1")
+
+
+@pytest.mark.parametrize("path", ["/chat/1", "/lot/1"])
+def test_target_that_ends_within_a_continuation_has_not_completed_it(path):
+    # Its kernel closes the connection in order. What was sent before is not all.
+    async def check(site, planned, servers):
+        head = make_answer(fields=FIELDS + CLOSES, body=b"\r\n")
+        planned.append(raw_target.Answer(head + EVENTS[0]))
+        planned.append(raw_target.Answer(head, raw_target.Ending.STOP))
+        if path == "/lot/1":
+            assert await run_item(site) == ("done", TEXT)
+            return
+        received = await send(site, path)
+        assert received.is_success, received
+        assert received.body == b"".join(EVENTS)
+
+    run_with(check, path)
--- a/pimentowick/gateway/tests/test_endless_answers.py
+++ b/pimentowick/gateway/tests/test_endless_answers.py
@@ -25,6 +25,8 @@
 BLOCK_BYTES = 32_768
 DRIP_INTERVAL_S = 0.05
 STAMP = "X-Pimentowick-Server-Stamp: s"
+# Without framing, only such a response may be an answer.
+ENDS_WITH_CLOSE = STAMP + "\r\nConnection: close"
 # By name: (status line and headers, whether the head ends, what comes without end).
 # {id} is the identifier of the request.
 ANSWERS = {
@@ -56,22 +58,22 @@
         b"x",
     ),
     "signed": (
-        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + STAMP,
+        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + ENDS_WITH_CLOSE,
         True,
         b"x",
     ),
     "blank lines": (
-        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + STAMP,
+        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + ENDS_WITH_CLOSE,
         True,
         b"\n",
     ),
     "comments": (
-        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + STAMP,
+        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + ENDS_WITH_CLOSE,
         True,
         b":\n\n",
     ),
     "out of order": (
-        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + STAMP,
+        "HTTP/1.1 200 OK\r\nX-Pimentowick-Request-Id: {id}\r\n" + ENDS_WITH_CLOSE,
         True,
         b"id: 7\ndata: x\n\n",
     ),
--- a/pimentowick/gateway/tests/test_online.py
+++ b/pimentowick/gateway/tests/test_online.py
@@ -327,15 +327,40 @@
 
 
 def test_stream_that_ends_with_its_connection_is_passed_on_whole():
-    # It has neither a length nor chunks.
+    # It has neither a length nor chunks, so that only its continuation, which has no
+    # further events, tells that it was whole.
     server = replica.Replica()
-    server.planned_behaviours = [replica.Behaviour("unframed")] * 2
+    server.planned_behaviours = [replica.Behaviour("unframed")]
 
     async def check(site):
-        for number, path in enumerate(("/chat/1", "/draft/1")):
-            answer = await send(site, path, f"r{number}")
-            assert (answer.status, answer.body) == (200, STREAM_BODY)
-        assert sum(server.runs.values()) == 2
+        answer = await send(site, "/chat/1")
+        assert (answer.status, answer.body) == (200, STREAM_BODY)
+        last_events = [headers.get("Last-Event-Id") for headers in server.headers]
+        assert last_events == [None, "3"]
+
+    run_with([server], check)
+
+
+def test_stream_that_ends_with_its_connection_and_runs_once_looks_cut():
+    # Nothing tells whether it was whole. Its events have been passed on.
+    server = replica.Replica()
+    server.planned_behaviours = [replica.Behaviour("unframed")]
+
+    async def check(site):
+        address = site.gateways[0].settings.callers_address
+        stream = site.client.open_stream(
+            "POST",
+            address,
+            "/draft/1",
+            b"hello",
+            {"Host": platform_site.HOST, REQUEST_ID: "r1"},
+        )
+        lines = []
+        with pytest.raises(http_client.TransportError):
+            while received := await stream.read_lines():
+                lines += received
+        assert lines == [line for line in STREAM_BODY.split(b"\n") if line]
+        assert sum(server.runs.values()) == 1
 
     run_with([server], check)
 
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -85,6 +85,9 @@
 CALLER_GONE = "caller_gone"
 # The target has restarted under its old identifier, or may have.
 OTHER_RUN = "other_run"
+# Nothing but the closed connection tells that the response has ended, which also closes
+# if the target crashes.
+UNFRAMED = "unframed"
 # Reasons of incomplete responses whose connection the target closed.
 CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
 
@@ -98,7 +101,9 @@
         reason: Reason code for the log.
         status: HTTP status of the response, or 0 without one.
         connected: Whether a connection to the target was open.
-        is_framed: Whether the response told its end without closing the connection.
+        body_bytes: Size of the body that arrived.
+        is_target_alive: Whether the target was seen alive after an unframed response
+            without a body.
         received: The `delivery.Delivery`, or None if the connection ended first.
     """
 
@@ -106,23 +111,28 @@
     reason: str
     status: int = 0
     connected: bool = True
-    is_framed: bool = True
+    body_bytes: int = 0
+    is_target_alive: bool = False
     received: delivery.Delivery | None = None
 
-    def check_events(self, count, ends_within_event):
+    def check_events(self, count, ends_within_event, is_continuation=False):
         """Return the outcome of an event stream, given what arrived.
 
-        A target that crashes closes a stream whose end is that of its connection, too.
+        An unframed stream may be cut. Whether it was complete shows as it is continued:
+        then there are no further events.
 
         Args:
             count: Number of whole events.
             ends_within_event: Whether part of another one arrived.
+            is_continuation: Whether it goes on after an event of an earlier run.
         """
-        if self.end != End.COMPLETE or self.is_framed or self.status != 200:
+        if self.reason != UNFRAMED or self.status != 200:
             return self
+        if is_continuation and self.is_target_alive:
+            return dataclasses.replace(self, end=End.COMPLETE, reason="answered")
         if count and not ends_within_event:
             return self
-        return dataclasses.replace(self, end=End.INCOMPLETE, reason="cut_short")
+        return dataclasses.replace(self, reason="cut_short")
 
     @property
     def may_be_crash(self):
@@ -269,6 +279,7 @@
         is_stray: Whether the response belongs to another request.
         is_finished: Whether the response has arrived completely.
         is_framed: Whether the end of the body is known without closing the connection.
+        body_bytes: Size of the body that was received.
         needs_body: Whether the body is of use.
         fault: Reason code if the head is not that of a response, or None.
         is_caller_gone: Whether the sink's own connection was closed.
@@ -286,6 +297,7 @@
         self.is_stray = False
         self.is_finished = False
         self.is_framed = True
+        self.body_bytes = 0
         self.needs_body = True
         self.fault = None
         self.is_caller_gone = False
@@ -314,18 +326,19 @@
             return
         self.status = start_line.code
         self.answer = message.decode_response_headers(start_line.code, headers)
-        self.is_framed = (
-            "Content-Length" in headers
-            or "Transfer-Encoding" in headers
-            or start_line.code in (204, 304)
-        )
+        self.is_framed = response_head.is_framed(start_line.code, headers)
         self.naming = delivery.compare_ids(self.answer.request_id, self._request_id)
         self.is_stray = not self._is_own()
+        self.needs_body = self._is_usable() and self._sink.needs_body(start_line.code)
+        is_closing = response_head.announces_close(headers)
+        if self.needs_body and not (self.is_framed or is_closing):
+            self.fault = "missing_framing"
+            self._stream.abandon()
+            return
         if not self.is_stray:
             self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
             await self._sink.on_headers(start_line.code, headers, self.answer)
-        self.needs_body = self._is_usable() and self._sink.needs_body(start_line.code)
         if self.needs_body and not self._sink.can_continue:
             self._stream.abandon()
         is_refusal = self.answer.not_executed or self.answer.is_misdirected
@@ -355,6 +368,7 @@
     async def data_received(self, chunk):
         self._traffic.received += len(chunk)
         self._stream.body_bytes += len(chunk)
+        self.body_bytes += len(chunk)
         if self.is_stopped:
             return
         if not self.needs_body:
@@ -494,11 +508,18 @@
             return True
         if self._started_ms is None:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
-                self._started_ms = await self._ask_start()
+                self._started_ms = await self.ask_start()
         return run_check.compare(self._started_ms)
 
-    async def _ask_start(self):
-        """Ask the target when it was started."""
+    async def ask_start(self):
+        """Ask the target when it was started.
+
+        Returns:
+            Unix time in milliseconds, or 0 if the target does not say.
+
+        Raises:
+            StreamClosedError: The target sent no complete response.
+        """
         self._request_count += 1
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine("GET", message.REPORT_PATH, "HTTP/1.1")
@@ -609,9 +630,11 @@
             return Outcome(End.INCOMPLETE, "unsigned", reader.status)
         if answer.has_encoding:
             return Outcome(End.INCOMPLETE, "encoded", reader.status)
-        return Outcome(
-            End.COMPLETE, "answered", reader.status, is_framed=reader.is_framed
-        )
+        if reader.needs_body and not reader.is_framed:
+            return Outcome(
+                End.INCOMPLETE, UNFRAMED, reader.status, body_bytes=reader.body_bytes
+            )
+        return Outcome(End.COMPLETE, "answered", reader.status)
 
     def is_reusable(self, now):
         """Return whether another request may be sent."""
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -42,6 +42,10 @@
 PROMPT_PREFIX = "X-Pimentowick-Prompt-Prefix"
 MAX_WAIT = "X-Pimentowick-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
+# Fields of events. The last one is a header that a stream may repeat within an event.
+EVENT_FIELDS = frozenset(
+    {b"id", b"data", b"event", b"retry", b"x-pimentowick-weight-versions"}
+)
 RESUMES = "Resumes"
 # What a replica says of itself.
 REPORT_PATH = "/-/report"
