Test malformed heads, framings and cut answers, which reached no caller before

Reported by operators of other systems: names of fields with a blank or a control byte, a part of an answer without a length amid a long upload, and heads that stop in the middle.

--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -28,6 +28,7 @@
 BODY = b"the whole answer of the target"
 EVENTS = [b"id: %d\ndata: word %d\n\n" % (number, number) for number in (1, 2, 3)]
 FIELDS = b"X-Pimentowick-Request-Id: {id}\r\nX-Pimentowick-Server-Stamp: s\r\n"
+UPLOAD_BYTES = 3_000_000
 WAIT_S = 15.0
 POLL_S = 0.01
 
@@ -368,3 +369,102 @@
         assert received.body == b"".join(EVENTS)
 
     run_with(check, path)
+
+
+def change_line(line):
+    """Return a sound plain answer with another line before its framing."""
+    return make_answer(fields=FIELDS + line)
+
+
+def change_framing(framing, body=BODY):
+    return make_answer(body=framing + b"\r\n\r\n" + body)
+
+
+# Answers that the parser rejects, by what is wrong with them.
+MALFORMED_HEADS = {
+    "blank in a name": change_line(b"X Odd: 1\r\n"),
+    "blank after a name": change_line(b"X-Odd : 1\r\n"),
+    "tab in a name": change_line(b"X\tOdd: 1\r\n"),
+    "control byte in a name": change_line(b"X\x01Odd: 1\r\n"),
+    "zero byte in a name": change_line(b"X\x00Odd: 1\r\n"),
+    "DEL in a name": change_line(b"X\x7fOdd: 1\r\n"),
+    "no name": change_line(b": 1\r\n"),
+    "no colon": change_line(b"X-Odd 1\r\n"),
+    "folded line": change_line(b"X-Odd: 1\r\n 2\r\n"),
+    "control byte in a value": change_line(b"X-Odd: \x01\r\n"),
+    "carriage return in a value": change_line(b"X-Odd: a\rb\r\n"),
+    "blank in the name of the framing": change_framing(b"Content-Length : 30"),
+    "no start line": make_answer(start=b"X-Odd: 1"),
+    "four digits": make_answer(start=b"HTTP/1.1 2000 OK"),
+    "two digits": make_answer(start=b"HTTP/1.1 20 OK"),
+    "sign": make_answer(start=b"HTTP/1.1 +20 OK"),
+    "other protocol": make_answer(start=b"HTTP/2.0 200 OK"),
+    "control byte before the status": make_answer(start=b"HTTP/1.1\x01200 OK"),
+}
+MALFORMED_FRAMINGS = {
+    "length that is no number": change_framing(b"Content-Length: many"),
+    "negative length": change_framing(b"Content-Length: -1"),
+    "empty length": change_framing(b"Content-Length:"),
+    "lengths that disagree": change_framing(b"Content-Length: 30\r\nContent-Length: 3"),
+    "length and chunks": change_framing(
+        LENGTH + b"\r\n" + CHUNKED, encode_chunks([BODY])
+    ),
+    "unknown coding": change_framing(b"Transfer-Encoding: gzip, chunked"),
+    "size that is none": change_framing(CHUNKED, b"zz\r\nabc\r\n0\r\n\r\n"),
+    "chunk that is too long": change_framing(CHUNKED, b"2\r\nabc\r\n0\r\n\r\n"),
+    "last chunk without its end": change_framing(CHUNKED, b"3\r\nabc\r\n0\r\nab"),
+}
+# Answers whose connection closes before their end.
+CUT_ANSWERS = {
+    "nothing": b"",
+    "part of the start line": b"HTTP/1.1 20",
+    "start line": b"HTTP/1.1 200 OK\r\n",
+    "part of a field": make_answer()[:60],
+    "no empty line": b"HTTP/1.1 200 OK\r\n" + FIELDS + LENGTH + b"\r\n",
+    "no body": change_framing(LENGTH, b""),
+    "part of the body": change_framing(LENGTH, BODY[:10]),
+    "part of the chunks": change_framing(CHUNKED, b"1e\r\n" + BODY + b"\r\n"),
+    "part of a chunk": change_framing(CHUNKED, b"1e\r\n" + BODY[:9]),
+}
+
+
+@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("answer", MALFORMED_HEADS)
+def test_malformed_head_reaches_no_caller(answer, path):
+    # A line of it would be passed on, or the body would be another one.
+    check_broken(path, raw_target.Answer(MALFORMED_HEADS[answer]))
+
+
+@pytest.mark.parametrize("path", PLAIN_PATHS)
+@pytest.mark.parametrize("answer", MALFORMED_FRAMINGS)
+def test_body_with_malformed_framing_is_not_whole(answer, path):
+    # It is not known which bytes are the body.
+    check_broken(path, raw_target.Answer(MALFORMED_FRAMINGS[answer]))
+
+
+@pytest.mark.parametrize("ending", [raw_target.Ending.CLOSE, raw_target.Ending.RESET])
+@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("answer", CUT_ANSWERS)
+def test_answer_that_stops_before_its_end_is_not_whole(answer, path, ending):
+    # Callers would get a 200 with an empty or short body, framed as whole.
+    check_broken(path, raw_target.Answer(CUT_ANSWERS[answer], ending))
+
+
+@pytest.mark.parametrize("closes", [b"", CLOSES])
+@pytest.mark.parametrize("start", [b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK"])
+@pytest.mark.parametrize("ending", [raw_target.Ending.CLOSE, raw_target.Ending.RESET])
+@pytest.mark.parametrize("path", ONCE_PATHS)
+def test_part_of_an_answer_during_an_upload_is_not_whole(path, ending, start, closes):
+    # A target answers before it has read a long body, sends a part, and closes.
+    events = EVENTS[0] if path == "/draft/1" else BODY[:10]
+    for framing in (b"\r\n", CHUNKED + b"\r\n\r\n1e\r\n"):
+        data = make_answer(start, FIELDS + closes, framing + events)
+        answer = raw_target.Answer(data, ending, is_early=True)
+
+        async def check(site, planned, servers, answer=answer):
+            planned.append(answer)
+            received = await send(site, path, body=bytes(UPLOAD_BYTES))
+            assert not received.is_success, received
+            assert sum(len(server.requests) for server in servers) == 1
+
+        run_with(check, path)
