Suspect no request whose answer is malformed of crashing its target

What callers saw: nothing in the reports; found while looking where else broken answers count. A request whose answers are malformed a few times would be quarantined, and later ones of the same content refused, though its targets live.

Cause: an answer that the parser rejects was logged as `no_answer` or `cut_short`, which count as a connection that the target closed. It is the gateway that closes it there: a connection that the target closes before the end of an answer is told apart (`closed`).

Why it works: these attempts end as `malformed_head` and `malformed_body`, which are failures of the target (outlier detection, and its pause if there was no head), and no crash.

--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -468,3 +468,38 @@
             assert sum(len(server.requests) for server in servers) == 1
 
         run_with(check, path)
+
+
+async def find_suspects(site, path, body):
+    """Return what is suspected to crash targets after one request."""
+    await send(site, path, body=body)
+    return site.gateways[0].crash_guard.build_report().crashes
+
+
+@pytest.mark.parametrize("path", ONCE_PATHS)
+@pytest.mark.parametrize(
+    "answer",
+    [
+        *({**MALFORMED_HEADS, **MALFORMED_FRAMINGS}).values(),
+        make_answer(start=b"HTTP/1.1 000 OK"),
+        damage_framing(make_answer(), "dropped"),
+    ],
+)
+def test_request_with_a_malformed_answer_is_not_suspected_of_a_crash(answer, path):
+    # It would be quarantined after a few of them, though its targets live on.
+    async def check(site, planned, servers):
+        planned.append(raw_target.Answer(answer))
+        assert not await find_suspects(site, path, b"sound")
+
+    run_with(check, path)
+
+
+@pytest.mark.parametrize("path", ONCE_PATHS)
+@pytest.mark.parametrize("answer", ["nothing", "part of a field", "part of a chunk"])
+def test_request_whose_connection_closes_is_suspected_of_a_crash(answer, path):
+    # Otherwise a request that crashes its targets would reach all of them.
+    async def check(site, planned, servers):
+        planned.append(raw_target.Answer(CUT_ANSWERS[answer]))
+        assert await find_suspects(site, path, b"deadly")
+
+    run_with(check, path)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -89,7 +89,7 @@
 # if the target crashes.
 UNFRAMED = "unframed"
 # Reasons of incomplete responses whose connection the target closed.
-CLOSED_REASONS = frozenset({"closed", "cut_short", "no_answer", "reset"})
+CLOSED_REASONS = frozenset({"closed", "cut_short", "reset"})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -610,7 +610,7 @@
         if reader.fault is not None:
             return Outcome(End.INCOMPLETE, reader.fault)
         if answer is None:
-            reason = "endless_head" if reader.is_stopped else "no_answer"
+            reason = "endless_head" if reader.is_stopped else "malformed_head"
             return Outcome(End.INCOMPLETE, reason)
         if reader.is_caller_gone:
             return Outcome(End.INCOMPLETE, CALLER_GONE, reader.status)
@@ -623,7 +623,7 @@
         if reader.is_stopped and reader.needs_body:
             return Outcome(End.INCOMPLETE, "endless_body", reader.status)
         if not reader.is_finished and not reader.is_stopped:
-            return Outcome(End.INCOMPLETE, "cut_short", reader.status)
+            return Outcome(End.INCOMPLETE, "malformed_body", reader.status)
         if not reader.is_framed and self.stream.error is not None:
             return Outcome(End.INCOMPLETE, "reset", reader.status)
         if not answer.is_signed:
