Take no head that contradicts its framing for an answer, nor an empty signature

Cause: tornado reads the framing by its fields alone, and the presence of the stamp was taken for a signature.

Why it works: both are checked where the head is received, before anything of it is used.

--- a/pimentowick/gateway/response_head.py
+++ b/pimentowick/gateway/response_head.py
@@ -13,6 +13,10 @@
 __all__ = ["announces_close", "find_fault", "is_final", "is_framed", "is_interim"]
 
 SWITCHING_PROTOCOLS = 101
+# It has no content, but unlike 204 it says so with a length.
+RESET_CONTENT = 205
+# It has no chunks.
+OLD_VERSION = "HTTP/1.0"
 MIN_FINAL_STATUS = 200
 MAX_STATUS = 599
 # No Content and Not Modified.
@@ -41,19 +45,27 @@
     return MIN_FINAL_STATUS <= status <= MAX_STATUS
 
 
-def find_fault(start_line):
+def find_fault(start_line, headers):
     """Return a reason code if a head is not that of a final response, or None.
 
     Args:
         start_line: `tornado.httputil.ResponseStartLine`.
+        headers: `tornado.httputil.HTTPHeaders`.
 
     Examples:
         >>> from tornado import httputil
-        >>> find_fault(httputil.parse_response_start_line("HTTP/1.1 000 OK"))
+        >>> find_fault(httputil.ResponseStartLine("HTTP/1.1", 0, "OK"), {})
         'malformed_status'
+        >>> line = httputil.ResponseStartLine("HTTP/1.0", 200, "OK")
+        >>> find_fault(line, httputil.HTTPHeaders({"transfer-encoding": "chunked"}))
+        'malformed_framing'
     """
     if not is_final(start_line.code):
         return "malformed_status"
+    if start_line.version == OLD_VERSION and "Transfer-Encoding" in headers:
+        return "malformed_framing"
+    if start_line.code == RESET_CONTENT and headers.get("Content-Length") != "0":
+        return "malformed_framing"
     return None
 
 
--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -173,6 +173,13 @@
         await site.close()
 
 
+def assert_whole(received, path):
+    assert received.is_success, received
+    assert received.status == 200
+    assert received.body == WHOLE_BODY[get_prefix(path)]
+    assert received.headers["X-Pimentowick-Server-Stamp"] == "s"
+
+
 def check_broken(path, *answers):
     """Check what a caller gets of a request whose first answers are broken.
 
@@ -188,12 +195,9 @@
             assert received.status in (200, 502), received
             assert sum(len(server.requests) for server in servers) == 1
         else:
-            assert received.is_success, received
-            assert received.body == WHOLE_BODY[get_prefix(path)]
+            assert_whole(received, path)
         planned.clear()
-        received = await send(site, path, "r2")
-        assert received.is_success, received
-        assert received.body == WHOLE_BODY[get_prefix(path)]
+        assert_whole(await send(site, path, "r2"), path)
 
     run_with(check, path)
 
@@ -202,10 +206,7 @@
 def test_sound_answer_is_passed_on(path):
     # Otherwise the other tests of this file could not fail.
     async def check(site, planned, servers):
-        received = await send(site, path)
-        assert received.is_success, received
-        assert received.body == WHOLE_BODY[get_prefix(path)]
-        assert received.headers["X-Pimentowick-Server-Stamp"] == "s"
+        assert_whole(await send(site, path), path)
 
     run_with(check, path)
 
@@ -426,6 +427,42 @@
     "part of the chunks": change_framing(CHUNKED, b"1e\r\n" + BODY + b"\r\n"),
     "part of a chunk": change_framing(CHUNKED, b"1e\r\n" + BODY[:9]),
 }
+# Answers whose head contradicts itself or the body that follows.
+CONTRADICTIONS = {
+    "chunks of an old version": (b"1.1 200 OK", b"1.0 200 OK", CHUNKED),
+    "no content, with a length": (b"200 OK", b"205 Reset Content", LENGTH),
+    "no content, with chunks": (b"200 OK", b"205 Reset Content", CHUNKED),
+    "empty signature": (b"Stamp: s", b"Stamp: ", LENGTH),
+    "blank signature": (b"Stamp: s", b"Stamp:  \t", LENGTH),
+}
+
+
+@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("answer", CONTRADICTIONS)
+def test_head_that_contradicts_its_body_reaches_no_caller(answer, path):
+    # A body where there is none, frames of another version, a signature of nobody.
+    changed, replacement, framing = CONTRADICTIONS[answer]
+    chunks = [BODY] if path in PLAIN_PATHS else EVENTS
+    body = b"".join(chunks)
+    if framing == CHUNKED:
+        body = encode_chunks(chunks)
+    else:
+        framing = b"Content-Length: %d" % len(body)
+    data = change_framing(framing, body).replace(changed, replacement)
+    check_broken(path, raw_target.Answer(data, raw_target.Ending.KEEP))
+
+
+@pytest.mark.parametrize("path", PLAIN_PATHS)
+def test_answer_without_content_is_passed_on(path):
+    # The checks of its framing must not reject a sound one.
+    async def check(site, planned, servers):
+        head = make_answer(start=b"HTTP/1.1 205 Reset Content", body=b"")
+        data = head + b"Content-Length: 0\r\n\r\n"
+        planned.append(raw_target.Answer(data, raw_target.Ending.KEEP))
+        received = await send(site, path)
+        assert (received.status, received.body, received.is_whole) == (205, b"", True)
+
+    run_with(check, path)
 
 
 @pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -320,7 +320,7 @@
             self._stream.expect_head()
             return
         self._stream.end_head()
-        self.fault = response_head.find_fault(start_line)
+        self.fault = response_head.find_fault(start_line, headers)
         if self.fault is not None:
             self._stream.abandon()
             return
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -126,7 +126,7 @@
 
     Attributes:
         request_id: Identifier of the request that it answers, or "".
-        is_signed: Whether the target's stamp is present.
+        is_signed: Whether the target's stamp is present, and not empty.
         not_executed: Whether the target states that the request did not run.
         is_misdirected: Whether the address now belongs to another target.
         load: The `target.ReportedLoad`, or None.
@@ -320,7 +320,7 @@
     keep_alive = re.search(r"timeout=(\d+)", headers.get("Keep-Alive", ""))
     return ResponseHeaders(
         request_id=headers.get(REQUEST_ID, ""),
-        is_signed=SERVER_STAMP in headers,
+        is_signed=bool(headers.get(SERVER_STAMP)),
         not_executed=NOT_EXECUTED in headers or status == STATUS_MISDIRECTED,
         is_misdirected=status == STATUS_MISDIRECTED,
         load=_decode_load(headers.get(SERVER_LOAD)),
