Use no registration whose address or identifier can't be that of a target

Cause: the address was split at its colon and used as it was. Opening a connection to it raised errors that no failed connection raises (OverflowError, UnicodeError).

Ruled out, each with a test that passed before: deep nesting (to 100,000), numbers of 400 and 5,000 digits, NaN, other types and bytes that are no JSON. The gateway neither ended nor stopped following the list, at its start or later.

Evidence: 39 of the 80 cases of test_odd_entries.py failed before, none now.

Why it works: an address is parsed where the entry is decoded (IPv4 of one host, port 1 to 65,535), the number of slots and the lengths of names are bounded there, and what fails names no target. It is logged once for each value of an entry, not at each heartbeat.

The fake store wrote the length of a key in characters, so that keys beyond ASCII were cut.

--- a/pimentowick/fakes/platform_store.py
+++ b/pimentowick/fakes/platform_store.py
@@ -107,7 +107,8 @@
     def put(self, topic, key, value, part=0):
         """Append a keyed record, as the operator or a target does."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        content = bytes([len(key)]) + key.encode() + data
+        name = key.encode()
+        content = bytes([len(name)]) + name + data
         return self.get_partition(topic, part).append([content])
 
     def count_bytes(self):
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -80,6 +80,8 @@
         self._on_change = on_change
         self._on_alive = on_alive
         self._missing_since = {}
+        # Hashes of the malformed values, by key.
+        self._malformed = {}
         self._peer_contact = store_outage.PeerContact()
         # Time of the last complete read before an outage that may have removed records.
         self._complete_until = None
@@ -95,6 +97,8 @@
     def reset(self, records):
         """Apply the newest record of each key."""
         listed = {record.key for record in records if record.value}
+        for key in self._malformed.keys() - listed:
+            del self._malformed[key]
         for record in records:
             self._update(record)
         for target_id in list(self._table.by_id):
@@ -113,8 +117,9 @@
         registration = None
         if record.value:
             registration = operator.decode_target(record.key, record.value)
-            if registration is None:
-                decision_log.log_event("target.garbled", target=record.key)
+            self._log_if_malformed(record, registration)
+        else:
+            self._malformed.pop(record.key, None)
         if registration is None:
             if record.key in self._table.by_id:
                 self._mark_missing(record.key)
@@ -134,6 +139,16 @@
         self._on_change()
         return registration
 
+    def _log_if_malformed(self, record, registration):
+        """Log a record that is no registration, once for each of its values."""
+        if registration is not None:
+            self._malformed.pop(record.key, None)
+            return
+        digest = hash(record.value)
+        if self._malformed.get(record.key) != digest:
+            self._malformed[record.key] = digest
+            decision_log.log_event("target.garbled", target=record.key)
+
     def on_read_failed(self):
         """Remember from when on records may have expired unseen."""
         if self._complete_until is None:
--- /dev/null
+++ b/pimentowick/gateway/tests/test_odd_entries.py
@@ -0,0 +1,169 @@
+"""Entries of other writers in the topics of the store that gateways follow."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from pimentowick.fakes import platform_site, replica, wait
+from pimentowick.gateway import decision_log
+from pimentowick.platform import operator
+
+ROUTES = [
+    platform_site.make_route("/confirm/", "non_idempotent", max_attempts=1),
+    platform_site.make_route("/chat/", "stream", resumable=True),
+]
+REQUESTS = 12
+WAIT_S = 15.0
+POLL_S = 0.01
+SOUND = {
+    "service": platform_site.SERVICE,
+    "address": "127.0.0.1:1",
+    "zone": "here",
+    "slots": 8,
+    "state": "ready",
+}
+
+
+def make_entry(**changes):
+    return orjson.dumps({**SOUND, **changes})
+
+
+def nest(depth):
+    return b"[" * depth + b"]" * depth
+
+
+# Values that name no target to use.
+ODD_VALUES = {
+    "no bytes of JSON": b"\xff\xfe",
+    "no JSON": b"{",
+    "no object": b"[]",
+    "null": b"null",
+    "number": b"7",
+    "deep nesting": nest(100_000),
+    "deep nesting in a field": b'{"service":' + nest(100_000) + b"}",
+    "number of 400 digits": make_entry().replace(b"8", b"8" * 400),
+    "number of 5,000 digits": make_entry().replace(b"8", b"8" * 5_000),
+    "not a number": make_entry().replace(b"8", b"NaN"),
+    "large exponent": make_entry().replace(b"8", b"1e999"),
+    "many slots": make_entry(slots=2**62),
+    "no slots": make_entry(slots=0),
+    "negative slots": make_entry(slots=-1),
+    "unknown state": make_entry(state="odd"),
+    "service of another type": make_entry(service=["lm"]),
+    "long service": make_entry(service="x" * 100_000),
+    "long failure domain": make_entry(zone="x" * 100_000),
+    "start of another type": make_entry(born="today"),
+    "address of another type": make_entry(address=8144),
+    "no address": make_entry(address=""),
+    "no port": make_entry(address="127.0.0.1"),
+    "empty port": make_entry(address="127.0.0.1:"),
+    "port 0": make_entry(address="127.0.0.1:0"),
+    "port out of range": make_entry(address="127.0.0.1:65536"),
+    "large port": make_entry(address="127.0.0.1:" + "9" * 400),
+    "negative port": make_entry(address="127.0.0.1:-1"),
+    "port with a sign": make_entry(address="127.0.0.1:+80"),
+    "port of other digits": make_entry(address="127.0.0.1:\uff18\uff10"),
+    "name of a host": make_entry(address="target:80"),
+    "long name of a host": make_entry(address="x" * 100_000 + ":80"),
+    "host with a zero byte": make_entry(address="127.0.0.1\0:80"),
+    "any address": make_entry(address="0.0.0.0:1"),
+    "address of a group": make_entry(address="224.0.0.1:80"),
+    "broadcast address": make_entry(address="255.255.255.255:80"),
+    "version 6": make_entry(address="[::1]:80"),
+}
+# Identifiers that no header may hold.
+ODD_KEYS = ["i-\r\nX-Odd: 1", "i 1", "i-\0", "i-é", ""]
+
+
+async def send_all(site, first=0):
+    """Send requests one after the other; return their statuses."""
+    statuses = []
+    for number in range(first, first + REQUESTS):
+        path = "/chat/1" if number % 2 else "/confirm/1"
+        answer = await site.call(
+            "POST",
+            path,
+            b"hello",
+            X_Pimentowick_Request_Id=f"r{number}",
+            X_Pimentowick_Deadline_Ms="4000",
+        )
+        statuses.append(answer.status)
+    return statuses
+
+
+async def check_followed(site, later):
+    """Check that requests are served, and that the list is still followed."""
+    assert await send_all(site) == [200] * REQUESTS
+    gateway = site.gateways[0]
+    assert gateway.table.by_id.keys() == {"i-1"}
+    await later.start()
+    site.register_replica(later)
+    await wait.wait_for(lambda: later.id in gateway.table.by_id, WAIT_S, POLL_S)
+    site.store.put(operator.TARGETS_TOPIC, "i-1", b"")
+    await wait.wait_for(lambda: "i-1" not in gateway.table.by_id, WAIT_S, POLL_S)
+    assert await send_all(site, REQUESTS) == [200] * REQUESTS
+
+
+def run_with(entries, is_early):
+    """Check a gateway whose list holds entries, before it starts or later."""
+
+    async def run():
+        later = replica.Replica("i-2")
+        site = platform_site.Site([replica.Replica("i-1")], ROUTES)
+        try:
+            if is_early:
+                for key, value in entries:
+                    site.store.put(operator.TARGETS_TOPIC, key, value)
+            await site.start()
+            if not is_early:
+                for key, value in entries:
+                    site.store.put(operator.TARGETS_TOPIC, key, value)
+                await site.gateways[0]._targets.feed.refresh()
+            await check_followed(site, later)
+        finally:
+            await later.close()
+            await site.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_early", [True, False])
+@pytest.mark.parametrize("value", ODD_VALUES)
+def test_odd_entry_among_the_targets_names_none(value, is_early):
+    # Callers got 500 when it was chosen, though a sound target stood beside it.
+    run_with([("odd", ODD_VALUES[value])], is_early)
+
+
+@pytest.mark.parametrize("key", ODD_KEYS)
+def test_target_whose_identifier_fits_in_no_header_is_not_used(key):
+    # The request to it could not be written, which callers saw as 500.
+    run_with([(key, make_entry())], is_early=True)
+
+
+@pytest.mark.parametrize("is_early", [True, False])
+def test_all_odd_entries_together_leave_the_list_usable(is_early):
+    # Each of them is skipped without those beside it.
+    entries = [(f"odd{n}", value) for n, value in enumerate(ODD_VALUES.values())]
+    run_with(entries + [(key, make_entry()) for key in ODD_KEYS], is_early)
+
+
+def test_odd_entry_is_logged_once(monkeypatch):
+    # Each heartbeat of its writer, and each new snapshot, would be a line.
+    logged = []
+    monkeypatch.setattr(
+        decision_log, "log_event", lambda event, **fields: logged.append(event)
+    )
+
+    async def run():
+        async with platform_site.open_site([replica.Replica("i-1")], ROUTES) as site:
+            feed = site.gateways[0]._targets.feed
+            for _ in range(3):
+                site.store.put(operator.TARGETS_TOPIC, "odd", b"{")
+                await feed.refresh()
+            assert logged.count("target.garbled") == 1
+            site.store.put(operator.TARGETS_TOPIC, "odd", b"[")
+            await feed.refresh()
+            assert logged.count("target.garbled") == 2
+
+    asyncio.run(run())
--- a/pimentowick/platform/operator.py
+++ b/pimentowick/platform/operator.py
@@ -5,11 +5,13 @@
     targets, so malformed registrations are ignored.
 """
 
+import re
+
 import orjson
 import pydantic
 
 from pimentowick import exception
-from pimentowick.gateway import route, target, workspace
+from pimentowick.gateway import address, route, target, workspace
 from pimentowick.platform import store
 
 __all__ = [
@@ -25,6 +27,11 @@
 TARGETS_TOPIC = store.make_topic_name("servers")
 # Bounds what entries remember of each stream.
 MAX_VERSION_CHARS = 64
+MAX_NAME_CHARS = 256
+# Far more requests than one process runs at once.
+MAX_SLOTS = 65_536
+# Requests name their target in a header.
+TARGET_ID = re.compile(r"[!-~]+")
 KINDS = {
     "idempotent": route.Kind.IDEMPOTENT,
     "non_idempotent": route.Kind.ONCE,
@@ -88,10 +95,10 @@
 class _Registration(pydantic.BaseModel):
     """Registration of a target; `slots` is its maximum number of running requests."""
 
-    service: str
+    service: str = pydantic.Field(max_length=MAX_NAME_CHARS)
     address: str
-    zone: str = ""
-    slots: int = 1
+    zone: str = pydantic.Field("", max_length=MAX_NAME_CHARS)
+    slots: int = pydantic.Field(1, ge=1, le=MAX_SLOTS)
     state: str = "ready"
     born: int = 0
     # Version of its software. Other writers may leave it out or use another type.
@@ -175,16 +182,15 @@
     """
     try:
         data = _Registration.model_validate(orjson.loads(value))
-        host, _, port = data.address.rpartition(":")
-        port = int(port)
+        ip, port = address.parse(data.address)
     except ValueError:
         return None
-    if data.state not in ("ready", "draining") or not host or data.slots < 1:
+    if not TARGET_ID.fullmatch(key) or data.state not in ("ready", "draining"):
         return None
     return target.Registration(
         id=key,
         service=data.service,
-        ip=host,
+        ip=ip,
         port=port,
         failure_domain=data.zone,
         slots=data.slots,
