Reject responses that libcurl takes for complete although their heads are cut or unframed

What callers saw, in other systems: a 200 with an empty or short body, framed as whole, after a target had stopped in the middle of its head and closed.

Cause: libcurl ends a transfer in success as the connection closes, unless the head has told a length or chunks: a head that stops after its status line is a 200 without a body. It also takes statuses of 101 and from 600 on, "HTTP/1.1 2000", HTTP/2.0 over plain TCP, a length together with chunks, and chunks of HTTP/1.0. For the store a list without its end follows.

What held: malformed names and values, lengths, chunk sizes and cut bodies. Lines that libcurl joins (folding) are still allowed.

Why it works: the lines of the head are checked as libcurl passes them on, by the same code that checks the heads of targets, and the transfer ends there. No response counts before the line that ends its head. All peers of this client frame their responses. Fields that follow a body in chunks changed those of the head before; they are ignored now.

--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -1,7 +1,7 @@
 """HTTP client with at-most-once requests, and streams of JSON lines.
 
 All requests of the package to other processes are sent by `Client`, which extends
-tornado's curl client in three ways:
+tornado's curl client in four ways:
 
 - It records whether any byte of a request may have been sent, so that an error states
   whether the peer may have executed the request.
@@ -9,6 +9,8 @@
   the first byte of the response, as the peer may have executed it already.
 - After a timeout it stops reusing the open connections to that peer, since a fault that
   breaks one connection usually breaks the others as well.
+- It rejects responses that libcurl takes for complete although nothing says so: those
+  whose head is cut, or whose body has neither a length nor chunks.
 """
 
 import asyncio
@@ -18,9 +20,9 @@
 
 import orjson
 import pycurl
-from tornado import curl_httpclient, httpclient
+from tornado import curl_httpclient, httpclient, httputil
 
-from pimentowick import exception, verdict
+from pimentowick import exception, response_head, verdict
 
 __all__ = ["Client", "Response", "Stream", "TransportError"]
 
@@ -81,11 +83,45 @@
 
 
 class _TransferState:
-    """Send state of one request, updated by libcurl's callbacks."""
+    """State of one request, updated by libcurl's callbacks.
+
+    Attributes:
+        sent: Whether any byte of the request may have been sent.
+        aborted: Whether the request has been aborted.
+        has_head: Whether the head of the final response is complete.
+        fault: Reason code if it is not that of a response, or None.
+    """
 
     def __init__(self):
         self.sent = False
         self.aborted = False
+        self.has_head = False
+        self.fault = None
+        self._start_line = None
+
+    def read_head_line(self, headers, data):
+        """Add a line of the head to `headers`; return whether the head may be valid."""
+        line = data.decode("latin1").rstrip("\r\n")
+        try:
+            if not self.has_head:
+                self._read_head_line(headers, line)
+        except httputil.HTTPInputError:
+            self.fault = "malformed_head"
+        return self.fault is None
+
+    def _read_head_line(self, headers, line):
+        if line.startswith("HTTP/"):
+            headers.clear()
+            # The blank before an empty reason phrase is often left out.
+            line += " " * (line.count(" ") == 1)
+            self._start_line = httputil.parse_response_start_line(line)
+        elif line:
+            headers.parse_line(line)
+        elif not response_head.is_interim(self._start_line.code):
+            self.has_head = True
+            self.fault = response_head.find_fault(self._start_line, headers)
+            if not response_head.is_framed(self._start_line.code, headers):
+                self.fault = self.fault or "missing_framing"
 
     def allow_send(self, *addresses):
         """Allow libcurl to send the request, but only once."""
@@ -115,6 +151,12 @@
         super().initialize(max_clients=0, **settings)
         self._handle_limit = max_clients
 
+    def _curl_header_callback(self, headers, header_callback, header_line_bytes):
+        # Tornado calls it later, with lines that it has not checked. libcurl ends a
+        # transfer unless all bytes are taken.
+        is_valid = header_callback(headers, header_line_bytes)
+        return len(header_line_bytes) if is_valid else 0
+
     def _process_queue(self):
         handles_needed = min(len(self._requests), self._handle_limit)
         while (
@@ -252,8 +294,17 @@
         finally:
             if not task.done():
                 self._abort(transfer, request)
+        self._check_head(transfer, address)
         return Response(response.code, response.body, response.headers)
 
+    def _check_head(self, transfer, address):
+        """Raise a `TransportError` if the head of a response was cut."""
+        if not transfer.has_head:
+            raise TransportError(
+                f"The head of the answer from {address} broke off.",
+                transfer.get_verdict(),
+            )
+
     def _send(self, request):
         task = asyncio.ensure_future(self._curl.fetch(request, raise_error=False))
         # Retrieve the exception of an aborted request, which is not awaited.
@@ -340,6 +391,7 @@
             request_timeout=max(timeout_s, 0.001),
             follow_redirects=False,
             decompress_response=False,
+            header_callback=transfer.read_head_line,
             prepare_curl_callback=configure,
         )
 
@@ -347,7 +399,7 @@
         error_code = getattr(error, "errno", None)
         timed_out = transfer.sent and error_code == pycurl.E_OPERATION_TIMEDOUT
         return TransportError(
-            f"No answer from {address}: {error}.",
+            f"No answer from {address}: {transfer.fault or error}.",
             transfer.get_verdict(),
             timed_out=timed_out,
         )
@@ -489,6 +541,7 @@
         if error is not None:
             raise self._client._make_error(self.transfer, self.address, error)
         response = self.task.result()
+        self._client._check_head(self.transfer, self.address)
         return Response(response.code, b"".join(self._chunks), response.headers)
 
     def _take_lines(self):
@@ -505,6 +558,7 @@
         if error is not None:
             raise self._client._make_error(self.transfer, self.address, error)
         self.status = self.task.result().code
+        self._client._check_head(self.transfer, self.address)
         remainder, self._partial_line = self._partial_line, b""
         if remainder and self.status == 200:
             raise TransportError(
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -4,12 +4,11 @@
 import dataclasses
 import time
 
-from pimentowick import exception, fingerprint
+from pimentowick import exception, fingerprint, response_head
 from pimentowick.gateway import (
     decision_log,
     event_stream,
     performance,
-    response_head,
     upstream,
 )
 from pimentowick.gateway.policy import stream_origin
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -2,7 +2,8 @@
 
 import time
 
-from pimentowick.gateway import event_stream, performance, response_head, upstream
+from pimentowick import response_head
+from pimentowick.gateway import event_stream, performance, upstream
 from pimentowick.gateway.policy import memory_budget
 from pimentowick.platform import message
 
--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -10,7 +10,7 @@
 import pytest
 from tornado import httputil
 
-from pimentowick.fakes import platform_site, raw_target, wait
+from pimentowick.fakes import broken_answers, platform_site, raw_target, wait
 
 ROUTES = [
     platform_site.make_route("/fetch/", "idempotent", max_attempts=2),
@@ -25,50 +25,38 @@
 STREAM_PATHS = ["/chat/1", "/draft/1"]
 # Requests that run once, so that a broken answer can't be replaced.
 ONCE_PATHS = ["/confirm/1", "/draft/1"]
-BODY = b"the whole answer of the target"
-EVENTS = [b"id: %d\ndata: word %d\n\n" % (number, number) for number in (1, 2, 3)]
-FIELDS = b"X-Pimentowick-Request-Id: {id}\r\nX-Pimentowick-Server-Stamp: s\r\n"
 UPLOAD_BYTES = 3_000_000
 WAIT_S = 15.0
 POLL_S = 0.01
 
 
-def encode_chunks(chunks):
-    return b"".join(b"%x\r\n%s\r\n" % (len(row), row) for row in [*chunks, b""])
-
-
-def make_answer(start=b"HTTP/1.1 200 OK", fields=FIELDS, body=None):
-    """Return the bytes of an answer; by default a sound one of a plain route."""
-    if body is None:
-        body = b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
-    return start + b"\r\n" + fields + body
-
-
-def make_chunks(events):
-    return b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunks(events)
-
-
 SOUND = {
-    "/fetch/": make_answer(),
-    "/confirm/": make_answer(),
-    "/chat/": make_answer(body=make_chunks(EVENTS)),
-    "/draft/": make_answer(body=make_chunks(EVENTS)),
-    "/lot/": make_answer(body=make_chunks(EVENTS)),
+    "/fetch/": broken_answers.make_answer(),
+    "/confirm/": broken_answers.make_answer(),
+    "/chat/": broken_answers.make_answer(
+        body=broken_answers.make_chunks(broken_answers.EVENTS)
+    ),
+    "/draft/": broken_answers.make_answer(
+        body=broken_answers.make_chunks(broken_answers.EVENTS)
+    ),
+    "/lot/": broken_answers.make_answer(
+        body=broken_answers.make_chunks(broken_answers.EVENTS)
+    ),
 }
 WHOLE_BODY = {
-    "/fetch/": BODY,
-    "/confirm/": BODY,
-    "/chat/": b"".join(EVENTS),
-    "/draft/": b"".join(EVENTS),
+    "/fetch/": broken_answers.BODY,
+    "/confirm/": broken_answers.BODY,
+    "/chat/": b"".join(broken_answers.EVENTS),
+    "/draft/": b"".join(broken_answers.EVENTS),
 }
 
 
 def answer_soundly(path, headers):
     """Return the answer of a sound target, from the next event on."""
     if get_prefix(path) in ("/fetch/", "/confirm/"):
-        return raw_target.Answer(make_answer(), raw_target.Ending.KEEP)
-    rest = EVENTS[int(headers.get("last-event-id", 0)) :]
-    data = make_answer(body=make_chunks(rest))
+        return raw_target.Answer(broken_answers.make_answer(), raw_target.Ending.KEEP)
+    rest = broken_answers.EVENTS[int(headers.get("last-event-id", 0)) :]
+    data = broken_answers.make_answer(body=broken_answers.make_chunks(rest))
     return raw_target.Answer(data, raw_target.Ending.KEEP)
 
 
@@ -212,7 +200,7 @@
 
 
 @pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
-@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("status", broken_answers.STATUSES)
 @pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
 def test_status_outside_the_protocol_reaches_no_caller(path, status, interim):
     # Callers got "0 Unknown" with the body of the target.
@@ -220,40 +208,25 @@
     check_broken(path, raw_target.Answer(interim + data, raw_target.Ending.KEEP))
 
 
-CLOSES = b"Connection: close\r\n"
-LENGTH = b"Content-Length: %d" % len(BODY)
-CHUNKED = b"Transfer-Encoding: chunked"
-# By name: how the field that frames the body is lost, from its line and the one before.
-DAMAGES = {
-    "changed name": lambda before, line: before + line.replace(b"n", b"m", 1),
-    "dropped": lambda before, line: before[:-2],
-    "empty line": lambda before, line: before + b"\r\n" + line,
-    "joined": lambda before, line: before[:-2] + line,
-}
-
-
-def damage_framing(data, damage):
-    """Damage the framing of an answer, whose field is the last one of the head."""
-    head, _, body = data.partition(b"\r\n\r\n")
-    start = head.rindex(b"\r\n") + 2
-    return DAMAGES[damage](head[:start], head[start:]) + b"\r\n\r\n" + body
-
-
-@pytest.mark.parametrize("closes", [b"", CLOSES])
-@pytest.mark.parametrize("damage", DAMAGES)
+@pytest.mark.parametrize("closes", [b"", broken_answers.CLOSES])
+@pytest.mark.parametrize("damage", broken_answers.DAMAGES)
 @pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
 def test_answer_whose_framing_is_lost_is_not_taken_for_whole(path, damage, closes):
     # Callers got frames, the rest of the head or a part of the body as a whole answer.
-    sound = SOUND[get_prefix(path)].replace(FIELDS, closes + FIELDS)
-    check_broken(path, raw_target.Answer(damage_framing(sound, damage)))
+    sound = SOUND[get_prefix(path)].replace(
+        broken_answers.FIELDS, closes + broken_answers.FIELDS
+    )
+    check_broken(path, raw_target.Answer(broken_answers.damage_framing(sound, damage)))
 
 
-@pytest.mark.parametrize("closes", [b"", CLOSES])
+@pytest.mark.parametrize("closes", [b"", broken_answers.CLOSES])
 @pytest.mark.parametrize("size", [0, 10])
 @pytest.mark.parametrize("path", PLAIN_PATHS)
 def test_plain_answer_without_framing_may_be_cut(path, size, closes):
     # A closed connection does not tell whether the body was complete.
-    data = make_answer(fields=FIELDS + closes, body=b"\r\n" + BODY[:size])
+    data = broken_answers.make_answer(
+        fields=broken_answers.FIELDS + closes, body=b"\r\n" + broken_answers.BODY[:size]
+    )
     check_broken(path, raw_target.Answer(data))
 
 
@@ -261,16 +234,20 @@
 @pytest.mark.parametrize("path", STREAM_PATHS)
 def test_stream_without_framing_may_be_cut(path, count):
     # A closed connection does not tell whether there were more events.
-    body = b"\r\n" + b"".join(EVENTS[:count])
-    data = make_answer(fields=FIELDS + CLOSES, body=body)
+    body = b"\r\n" + b"".join(broken_answers.EVENTS[:count])
+    data = broken_answers.make_answer(
+        fields=broken_answers.FIELDS + broken_answers.CLOSES, body=body
+    )
     check_broken(path, raw_target.Answer(data))
 
 
 def test_stream_without_framing_is_continued_after_its_last_event():
     # Running it anew would send its events twice.
     async def check(site, planned, servers):
-        body = b"\r\n" + b"".join(EVENTS)
-        data = make_answer(fields=FIELDS + CLOSES, body=body)
+        body = b"\r\n" + b"".join(broken_answers.EVENTS)
+        data = broken_answers.make_answer(
+            fields=broken_answers.FIELDS + broken_answers.CLOSES, body=body
+        )
         planned.append(raw_target.Answer(data))
         assert (await send(site, "/chat/1")).is_success
         sent = [headers for server in servers for headers in server.requests]
@@ -281,8 +258,12 @@
 
 def answer_without_framing(headers):
     """Return the answer of a target that never frames its streams."""
-    rest = b"".join(EVENTS[int(headers.get("last-event-id", 0)) :])
-    return raw_target.Answer(make_answer(fields=FIELDS + CLOSES, body=b"\r\n" + rest))
+    rest = b"".join(broken_answers.EVENTS[int(headers.get("last-event-id", 0)) :])
+    return raw_target.Answer(
+        broken_answers.make_answer(
+            fields=broken_answers.FIELDS + broken_answers.CLOSES, body=b"\r\n" + rest
+        )
+    )
 
 
 def test_stream_of_targets_that_never_frame_ends_as_complete():
@@ -292,7 +273,7 @@
             server.answer = answer_without_framing
         received = await send(site, "/chat/1")
         assert received.is_success, received
-        assert received.body == b"".join(EVENTS)
+        assert received.body == b"".join(broken_answers.EVENTS)
         assert sum(server.reports for server in servers) == 1
 
     run_with(check, "/chat/1")
@@ -323,14 +304,26 @@
 # Answers to an item that are not whole, or not known to be.
 BROKEN_ITEMS = {
     "status 000": SOUND["/lot/"].replace(b"200 OK", b"000 OK"),
-    "cut": make_answer(fields=FIELDS + CLOSES, body=b"\r\n" + EVENTS[0]),
-    "all events": make_answer(fields=FIELDS + CLOSES, body=b"\r\n" + b"".join(EVENTS)),
-    **{damage: damage_framing(SOUND["/lot/"], damage) for damage in DAMAGES},
+    "cut": broken_answers.make_answer(
+        fields=broken_answers.FIELDS + broken_answers.CLOSES,
+        body=b"\r\n" + broken_answers.EVENTS[0],
+    ),
+    "all events": broken_answers.make_answer(
+        fields=broken_answers.FIELDS + broken_answers.CLOSES,
+        body=b"\r\n" + b"".join(broken_answers.EVENTS),
+    ),
     **{
-        f"{damage}, closes": damage_framing(
-            SOUND["/lot/"].replace(FIELDS, CLOSES + FIELDS), damage
+        damage: broken_answers.damage_framing(SOUND["/lot/"], damage)
+        for damage in broken_answers.DAMAGES
+    },
+    **{
+        f"{damage}, closes": broken_answers.damage_framing(
+            SOUND["/lot/"].replace(
+                broken_answers.FIELDS, broken_answers.CLOSES + broken_answers.FIELDS
+            ),
+            damage,
         )
-        for damage in DAMAGES
+        for damage in broken_answers.DAMAGES
     },
 }
 
@@ -359,81 +352,36 @@
 def test_target_that_ends_within_a_continuation_has_not_completed_it(path):
     # Its kernel closes the connection in order. What was sent before is not all.
     async def check(site, planned, servers):
-        head = make_answer(fields=FIELDS + CLOSES, body=b"\r\n")
-        planned.append(raw_target.Answer(head + EVENTS[0]))
+        head = broken_answers.make_answer(
+            fields=broken_answers.FIELDS + broken_answers.CLOSES, body=b"\r\n"
+        )
+        planned.append(raw_target.Answer(head + broken_answers.EVENTS[0]))
         planned.append(raw_target.Answer(head, raw_target.Ending.STOP))
         if path == "/lot/1":
             assert await run_item(site) == ("done", TEXT)
             return
         received = await send(site, path)
         assert received.is_success, received
-        assert received.body == b"".join(EVENTS)
+        assert received.body == b"".join(broken_answers.EVENTS)
 
     run_with(check, path)
 
 
-def change_line(line):
-    """Return a sound plain answer with another line before its framing."""
-    return make_answer(fields=FIELDS + line)
-
-
-def change_framing(framing, body=BODY):
-    return make_answer(body=framing + b"\r\n\r\n" + body)
-
-
-# Answers that the parser rejects, by what is wrong with them.
-MALFORMED_HEADS = {
-    "blank in a name": change_line(b"X Odd: 1\r\n"),
-    "blank after a name": change_line(b"X-Odd : 1\r\n"),
-    "tab in a name": change_line(b"X\tOdd: 1\r\n"),
-    "control byte in a name": change_line(b"X\x01Odd: 1\r\n"),
-    "zero byte in a name": change_line(b"X\x00Odd: 1\r\n"),
-    "DEL in a name": change_line(b"X\x7fOdd: 1\r\n"),
-    "no name": change_line(b": 1\r\n"),
-    "no colon": change_line(b"X-Odd 1\r\n"),
-    "folded line": change_line(b"X-Odd: 1\r\n 2\r\n"),
-    "control byte in a value": change_line(b"X-Odd: \x01\r\n"),
-    "carriage return in a value": change_line(b"X-Odd: a\rb\r\n"),
-    "blank in the name of the framing": change_framing(b"Content-Length : 30"),
-    "no start line": make_answer(start=b"X-Odd: 1"),
-    "four digits": make_answer(start=b"HTTP/1.1 2000 OK"),
-    "two digits": make_answer(start=b"HTTP/1.1 20 OK"),
-    "sign": make_answer(start=b"HTTP/1.1 +20 OK"),
-    "other protocol": make_answer(start=b"HTTP/2.0 200 OK"),
-    "control byte before the status": make_answer(start=b"HTTP/1.1\x01200 OK"),
-}
-MALFORMED_FRAMINGS = {
-    "length that is no number": change_framing(b"Content-Length: many"),
-    "negative length": change_framing(b"Content-Length: -1"),
-    "empty length": change_framing(b"Content-Length:"),
-    "lengths that disagree": change_framing(b"Content-Length: 30\r\nContent-Length: 3"),
-    "length and chunks": change_framing(
-        LENGTH + b"\r\n" + CHUNKED, encode_chunks([BODY])
-    ),
-    "unknown coding": change_framing(b"Transfer-Encoding: gzip, chunked"),
-    "size that is none": change_framing(CHUNKED, b"zz\r\nabc\r\n0\r\n\r\n"),
-    "chunk that is too long": change_framing(CHUNKED, b"2\r\nabc\r\n0\r\n\r\n"),
-    "last chunk without its end": change_framing(CHUNKED, b"3\r\nabc\r\n0\r\nab"),
-}
-# Answers whose connection closes before their end.
-CUT_ANSWERS = {
-    "nothing": b"",
-    "part of the start line": b"HTTP/1.1 20",
-    "start line": b"HTTP/1.1 200 OK\r\n",
-    "part of a field": make_answer()[:60],
-    "no empty line": b"HTTP/1.1 200 OK\r\n" + FIELDS + LENGTH + b"\r\n",
-    "no body": change_framing(LENGTH, b""),
-    "part of the body": change_framing(LENGTH, BODY[:10]),
-    "part of the chunks": change_framing(CHUNKED, b"1e\r\n" + BODY + b"\r\n"),
-    "part of a chunk": change_framing(CHUNKED, b"1e\r\n" + BODY[:9]),
-}
 # Answers whose head contradicts itself or the body that follows.
 CONTRADICTIONS = {
-    "chunks of an old version": (b"1.1 200 OK", b"1.0 200 OK", CHUNKED),
-    "no content, with a length": (b"200 OK", b"205 Reset Content", LENGTH),
-    "no content, with chunks": (b"200 OK", b"205 Reset Content", CHUNKED),
-    "empty signature": (b"Stamp: s", b"Stamp: ", LENGTH),
-    "blank signature": (b"Stamp: s", b"Stamp:  \t", LENGTH),
+    "chunks of an old version": (b"1.1 200 OK", b"1.0 200 OK", broken_answers.CHUNKED),
+    "no content, with a length": (
+        b"200 OK",
+        b"205 Reset Content",
+        broken_answers.LENGTH,
+    ),
+    "no content, with chunks": (
+        b"200 OK",
+        b"205 Reset Content",
+        broken_answers.CHUNKED,
+    ),
+    "empty signature": (b"Stamp: s", b"Stamp: ", broken_answers.LENGTH),
+    "blank signature": (b"Stamp: s", b"Stamp:  \t", broken_answers.LENGTH),
 }
 
 
@@ -442,13 +390,13 @@
 def test_head_that_contradicts_its_body_reaches_no_caller(answer, path):
     # A body where there is none, frames of another version, a signature of nobody.
     changed, replacement, framing = CONTRADICTIONS[answer]
-    chunks = [BODY] if path in PLAIN_PATHS else EVENTS
+    chunks = [broken_answers.BODY] if path in PLAIN_PATHS else broken_answers.EVENTS
     body = b"".join(chunks)
-    if framing == CHUNKED:
-        body = encode_chunks(chunks)
+    if framing == broken_answers.CHUNKED:
+        body = broken_answers.encode_chunks(chunks)
     else:
         framing = b"Content-Length: %d" % len(body)
-    data = change_framing(framing, body).replace(changed, replacement)
+    data = broken_answers.change_framing(framing, body).replace(changed, replacement)
     check_broken(path, raw_target.Answer(data, raw_target.Ending.KEEP))
 
 
@@ -456,7 +404,7 @@
 def test_answer_without_content_is_passed_on(path):
     # The checks of its framing must not reject a sound one.
     async def check(site, planned, servers):
-        head = make_answer(start=b"HTTP/1.1 205 Reset Content", body=b"")
+        head = broken_answers.make_answer(start=b"HTTP/1.1 205 Reset Content", body=b"")
         data = head + b"Content-Length: 0\r\n\r\n"
         planned.append(raw_target.Answer(data, raw_target.Ending.KEEP))
         received = await send(site, path)
@@ -466,36 +414,40 @@
 
 
 @pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
-@pytest.mark.parametrize("answer", MALFORMED_HEADS)
+@pytest.mark.parametrize("answer", broken_answers.MALFORMED_HEADS)
 def test_malformed_head_reaches_no_caller(answer, path):
     # A line of it would be passed on, or the body would be another one.
-    check_broken(path, raw_target.Answer(MALFORMED_HEADS[answer]))
+    check_broken(path, raw_target.Answer(broken_answers.MALFORMED_HEADS[answer]))
 
 
 @pytest.mark.parametrize("path", PLAIN_PATHS)
-@pytest.mark.parametrize("answer", MALFORMED_FRAMINGS)
+@pytest.mark.parametrize("answer", broken_answers.MALFORMED_FRAMINGS)
 def test_body_with_malformed_framing_is_not_whole(answer, path):
     # It is not known which bytes are the body.
-    check_broken(path, raw_target.Answer(MALFORMED_FRAMINGS[answer]))
+    check_broken(path, raw_target.Answer(broken_answers.MALFORMED_FRAMINGS[answer]))
 
 
 @pytest.mark.parametrize("ending", [raw_target.Ending.CLOSE, raw_target.Ending.RESET])
 @pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
-@pytest.mark.parametrize("answer", CUT_ANSWERS)
+@pytest.mark.parametrize("answer", broken_answers.CUT_ANSWERS)
 def test_answer_that_stops_before_its_end_is_not_whole(answer, path, ending):
     # Callers would get a 200 with an empty or short body, framed as whole.
-    check_broken(path, raw_target.Answer(CUT_ANSWERS[answer], ending))
+    check_broken(path, raw_target.Answer(broken_answers.CUT_ANSWERS[answer], ending))
 
 
-@pytest.mark.parametrize("closes", [b"", CLOSES])
+@pytest.mark.parametrize("closes", [b"", broken_answers.CLOSES])
 @pytest.mark.parametrize("start", [b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK"])
 @pytest.mark.parametrize("ending", [raw_target.Ending.CLOSE, raw_target.Ending.RESET])
 @pytest.mark.parametrize("path", ONCE_PATHS)
 def test_part_of_an_answer_during_an_upload_is_not_whole(path, ending, start, closes):
     # A target answers before it has read a long body, sends a part, and closes.
-    events = EVENTS[0] if path == "/draft/1" else BODY[:10]
-    for framing in (b"\r\n", CHUNKED + b"\r\n\r\n1e\r\n"):
-        data = make_answer(start, FIELDS + closes, framing + events)
+    events = (
+        broken_answers.EVENTS[0] if path == "/draft/1" else broken_answers.BODY[:10]
+    )
+    for framing in (b"\r\n", broken_answers.CHUNKED + b"\r\n\r\n1e\r\n"):
+        data = broken_answers.make_answer(
+            start, broken_answers.FIELDS + closes, framing + events
+        )
         answer = raw_target.Answer(data, ending, is_early=True)
 
         async def check(site, planned, servers, answer=answer):
@@ -517,9 +469,11 @@
 @pytest.mark.parametrize(
     "answer",
     [
-        *({**MALFORMED_HEADS, **MALFORMED_FRAMINGS}).values(),
-        make_answer(start=b"HTTP/1.1 000 OK"),
-        damage_framing(make_answer(), "dropped"),
+        *(
+            {**broken_answers.MALFORMED_HEADS, **broken_answers.MALFORMED_FRAMINGS}
+        ).values(),
+        broken_answers.make_answer(start=b"HTTP/1.1 000 OK"),
+        broken_answers.damage_framing(broken_answers.make_answer(), "dropped"),
     ],
 )
 def test_request_with_a_malformed_answer_is_not_suspected_of_a_crash(answer, path):
@@ -536,7 +490,7 @@
 def test_request_whose_connection_closes_is_suspected_of_a_crash(answer, path):
     # Otherwise a request that crashes its targets would reach all of them.
     async def check(site, planned, servers):
-        planned.append(raw_target.Answer(CUT_ANSWERS[answer]))
+        planned.append(raw_target.Answer(broken_answers.CUT_ANSWERS[answer]))
         assert await find_suspects(site, path, b"deadly")
 
     run_with(check, path)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -18,7 +18,8 @@
 
 from tornado import http1connection, httputil, iostream
 
-from pimentowick.gateway import decision_log, delivery, response_head, target
+from pimentowick import response_head
+from pimentowick.gateway import decision_log, delivery, target
 from pimentowick.platform import message
 
 __all__ = [
--- a/pimentowick/gateway/response_head.py
+++ b/pimentowick/response_head.py
@@ -1,4 +1,4 @@
-"""Validation of the head of a target's response.
+"""Validation of the head of an HTTP response.
 
 Notes:
     Tornado's parser takes any three digits as a status, and takes a body without
@@ -62,7 +62,10 @@
     """
     if not is_final(start_line.code):
         return "malformed_status"
-    if start_line.version == OLD_VERSION and "Transfer-Encoding" in headers:
+    is_chunked = "Transfer-Encoding" in headers
+    if is_chunked and start_line.version == OLD_VERSION:
+        return "malformed_framing"
+    if is_chunked and "Content-Length" in headers:
         return "malformed_framing"
     if start_line.code == RESET_CONTENT and headers.get("Content-Length") != "0":
         return "malformed_framing"
