Treat malformed and cut responses of the store as errors of the store

What callers saw: nothing in the reports; found while looking where else answers are read. A page of the log that ends within a record was taken with the part of the record that it held, and reading went on behind it: the record would be lost to that gateway. Responses that are no JSON, or whose fields have other types, raised errors that the readers of topics do not expect, which ended them until the supervisor started them again.

Cause: the length of each record was not compared with what was there, and the decoded JSON was used as it was. Also, a key cut by its own length was used, and a value in base64 was decoded without the bytes that are none.

Why it works: these responses raise UnknownOutcomeError, after which topics are read again from the same offset; a malformed row or record of another writer is skipped alone.

--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -8,7 +8,6 @@
 """
 
 import base64
-import binascii
 import collections
 import dataclasses
 import struct
@@ -120,6 +119,8 @@
     if not content:
         return None
     size = 1 + content[0]
+    if len(content) < size:
+        return None
     try:
         key = content[1:size].decode()
     except UnicodeDecodeError:
@@ -128,12 +129,19 @@
 
 
 def _decode_page(body, offset):
+    """Decode a `Page` that starts at an offset.
+
+    Raises:
+        UnknownOutcomeError: It ends within a record.
+    """
     end, _ = PAGE_HEADER.unpack_from(body)
     at = PAGE_HEADER.size
     records = []
-    while at + RECORD_LENGTH.size <= len(body):
-        (size,) = RECORD_LENGTH.unpack_from(body, at)
+    while at < len(body):
+        size = int.from_bytes(body[at : at + RECORD_LENGTH.size])
         at += RECORD_LENGTH.size
+        if at + size > len(body):
+            raise UnknownOutcomeError(f"Malformed page: record {offset} is cut.")
         record = _decode_record(body[at : at + size], offset)
         if record is not None:
             records.append(record)
@@ -291,13 +299,10 @@
             if response.status == 404:
                 return
             self._check(response)
-            data = response.decode()
-            rows = [_decode_row(row) for row in data["items"]]
-            records = [record for record in rows if record is not None]
-            yield Page(records, data["end"], data["end"])
-            if not data.get("has_more") or not data["items"]:
+            records, end, after = _decode_newest(response)
+            yield Page(records, end, end)
+            if after is None:
                 return
-            after = data["items"][-1]["key"]
 
     async def join(self, group, member, topic, lease_s, generation):
         """Join or renew membership of a group; return the `PartitionAssignment`."""
@@ -310,9 +315,12 @@
         }
         response = await self._call("POST", "/-/log-join", body=data)
         self._check(response)
-        assignment = response.decode()
-        parts = frozenset(row[1] for row in assignment["parts"])
-        return PartitionAssignment(assignment["generation"], parts)
+        data = _decode_object(response)
+        try:
+            parts = frozenset(int(row[1]) for row in data["parts"])
+            return PartitionAssignment(int(data["generation"]), parts)
+        except (LookupError, TypeError, ValueError) as error:
+            raise _make_malformed_error(error) from error
 
     async def leave(self, group, member):
         """Leave a group, which releases all its partitions immediately."""
@@ -363,17 +371,55 @@
         raise UnknownOutcomeError(f"The store answered with status {response.status}.")
 
 
+def _make_malformed_error(why):
+    return UnknownOutcomeError(f"The store's response is malformed: {why}.")
+
+
+def _decode_object(response):
+    """Return the JSON object of a response."""
+    try:
+        data = response.decode()
+    except exception.ValidationError as error:
+        raise _make_malformed_error(error) from error
+    if not isinstance(data, dict):
+        raise _make_malformed_error("not an object")
+    return data
+
+
 def _read_integer(response, name):
-    value = response.decode().get(name)
-    if not isinstance(value, int):
-        raise UnknownOutcomeError(f"The store's response has no integer {name}.")
+    value = _decode_object(response).get(name)
+    if type(value) is not int:
+        raise _make_malformed_error(f"no integer {name}")
     return value
 
 
+def _decode_newest(response):
+    """Decode a page of ``log-newest``.
+
+    Returns:
+        The `KeyedRecord` objects, the end offset, and the key after which the next
+        page begins, or None.
+    """
+    data = _decode_object(response)
+    end = _read_integer(response, "end")
+    rows = data.get("items")
+    if not isinstance(rows, list):
+        raise _make_malformed_error("no list of items")
+    decoded = [_decode_row(row) for row in rows]
+    after = None
+    if rows and data.get("has_more"):
+        after = rows[-1].get("key") if isinstance(rows[-1], dict) else None
+        if not isinstance(after, str):
+            raise _make_malformed_error("the last item has no key")
+    return [record for record in decoded if record is not None], end, after
+
+
 def _decode_row(row):
     """Decode a row of ``log-newest`` into a `KeyedRecord`; None if malformed."""
     try:
-        value = base64.b64decode(row["value"] or "")
-        return KeyedRecord(row["key"], value, row["offset"])
-    except (KeyError, TypeError, binascii.Error):
+        value = base64.b64decode(row["value"] or "", validate=True)
+        record = KeyedRecord(row["key"], value, row["offset"])
+    except (LookupError, TypeError, ValueError):
         return None
+    is_valid = isinstance(record.key, str) and type(record.offset) is int
+    return record if is_valid else None
