Take no malformed address from the list of entries or from a datagram

A record among those of the entries, or one datagram, with a port out of range or a name instead of an address: the gateway's socket for load reports was closed for good ("Fatal write error on datagram transport"), or the task that sends them ended with each report for 20 s. The other gateways then count it as gone, and it no longer hears of preemption, quotas, quarantines and origins of streams.

Cause: an address was split at its colon and passed to the socket with the next report.

Evidence: 9 of the 29 cases of test_odd_record_among_the_entries_silences_none and test_odd_datagram_silences_no_entry failed before, none now. Other types, deep nesting and numbers that are too large were rejected before as well; these tests are kept.

Why it works: addresses are parsed where they are received, by the code that parses those of registrations (endpoint.py, a better name for the module than address), and what is malformed is logged and left out.

--- a/pimentowick/gateway/address.py
+++ b/pimentowick/gateway/endpoint.py
@@ -1,4 +1,4 @@
-"""Addresses of hosts and targets, as ``IP:port``."""
+"""Endpoints of entries and targets: an IP address and a port, as ``IP:port``."""
 
 import ipaddress
 
@@ -10,7 +10,7 @@
 
 
 def parse(text):
-    """Return the IP address and the port of an address to which one may connect.
+    """Return the IP address and the port of an endpoint to which one may connect.
 
     Raises:
         ValueError: It is not an IPv4 address of one host and a port.
@@ -29,7 +29,7 @@
         odd
     """
     if len(text) > MAX_CHARS:
-        raise ValueError("An address is too long.")
+        raise ValueError("An endpoint is too long.")
     ip, _, port = text.rpartition(":")
     parsed = ipaddress.IPv4Address(ip)
     if parsed.is_unspecified or parsed.is_multicast or parsed.is_reserved:
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -1,6 +1,7 @@
 """Followers of the store's topics: configuration, targets and other entries."""
 
 import asyncio
+import math
 import time
 
 import orjson
@@ -243,10 +244,11 @@
         try:
             data = orjson.loads(record.value)
             domain, link_mbps = str(data["failure_domain"]), float(data["link_mbps"])
-        except (ValueError, TypeError, KeyError) as error:
+            if not math.isfinite(link_mbps):
+                raise ValueError("The capacity of its link is not finite.")
+            self._load_reporter.add_member(record.key, domain, link_mbps)
+        except (ValueError, OverflowError, TypeError, LookupError) as error:
             decision_log.log_event("entry.garbled", entry=record.key, why=str(error))
-            return
-        self._load_reporter.add_member(record.key, domain, link_mbps)
 
     def on_caught_up(self):
         """Report that all entries listed in the store are known."""
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -21,7 +21,12 @@
 
 import orjson
 
-from pimentowick.gateway import decision_log, performance, slow_target_monitor
+from pimentowick.gateway import (
+    decision_log,
+    endpoint,
+    performance,
+    slow_target_monitor,
+)
 from pimentowick.gateway.policy import report_relay
 from pimentowick.routing import quarantine
 
@@ -163,18 +168,27 @@
             self._transport = None
 
     def add_member(self, address, failure_domain, link_mbps):
-        """Add another entry that is listed in the store."""
-        self._relay.add(address, failure_domain, link_mbps)
+        """Add another entry that is listed in the store.
+
+        Raises:
+            ValueError: The address is malformed.
+        """
         self.add(address)
+        self._relay.add(address, failure_domain, link_mbps)
 
     def on_members_listed(self):
         """Record that all entries listed in the store have been added."""
         self._are_members_listed = True
 
     def add(self, address):
-        """Add another entry by its address; known ones are ignored."""
+        """Add another entry by its address; known ones are ignored.
+
+        Raises:
+            ValueError: The address is malformed.
+        """
         if address == self.address or address in self.peers:
             return
+        endpoint.parse(address)
         self.peers[address] = Peer(address, last_heard_at=time.monotonic())
 
     def remove(self, address):
@@ -391,6 +405,7 @@
         """Apply a received datagram; see `asyncio.DatagramProtocol`."""
         try:
             message = orjson.loads(data)
+            endpoint.parse(message["from"] if "from" in message else message["sender"])
             reports = message.get("reports")
             if ORIGIN_FIELDS & message.keys():
                 self.handle_origins(message)
@@ -399,7 +414,13 @@
                 changed = self._apply_report(message)
             else:
                 changed = self._apply_bundle(message, reports)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except (
+            ValueError,
+            OverflowError,
+            TypeError,
+            LookupError,
+            AttributeError,
+        ) as error:
             decision_log.log_event("neighbour.garbled", sender=addr[0], why=str(error))
             return
         if changed:
--- a/pimentowick/gateway/tests/test_odd_entries.py
+++ b/pimentowick/gateway/tests/test_odd_entries.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway import decision_log
+from pimentowick.gateway import daemon, decision_log
 from pimentowick.platform import operator
 
 ROUTES = [
@@ -167,3 +167,86 @@
             assert logged.count("target.garbled") == 2
 
     asyncio.run(run())
+
+
+ENTRY = orjson.dumps({"failure_domain": "here", "link_mbps": 100.0})
+# Keys and values of records that name no entry.
+ODD_ENTRIES = {
+    "no address": ("odd", ENTRY),
+    "no port": ("127.0.0.1", ENTRY),
+    "port out of range": ("127.0.0.1:70000", ENTRY),
+    "name of a host": ("entry:80", ENTRY),
+    "no JSON": ("127.0.0.1:9", b"{"),
+    "no object": ("127.0.0.1:9", b"7"),
+    "list": ("127.0.0.1:9", b"[]"),
+    "deep nesting": ("127.0.0.1:9", nest(100_000)),
+    "no fields": ("127.0.0.1:9", b"{}"),
+    "number of 400 digits": ("127.0.0.1:9", ENTRY.replace(b"100.0", b"9" * 400)),
+    "large exponent": ("127.0.0.1:9", ENTRY.replace(b"100.0", b"1e999")),
+    "link of another type": ("127.0.0.1:9", ENTRY.replace(b"100.0", b'"nan"')),
+}
+
+
+async def check_peers(site):
+    """Check that both entries hear each other, from now on."""
+    for gateway in site.gateways:
+        since = asyncio.get_running_loop().time()
+        other = next(each for each in site.gateways if each is not gateway)
+        peers = gateway.load_reporter.peers
+        await wait.wait_for(
+            lambda peers=peers, key=other.load_reporter.address, since=since: (
+                key in peers and peers[key].last_heard_at > since
+            ),
+            WAIT_S,
+            POLL_S,
+        )
+        assert peers.keys() == {other.load_reporter.address}
+
+
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+def test_odd_record_among_the_entries_silences_none(name):
+    # The task that reports the load ended with each report to it.
+    async def run():
+        async with platform_site.open_site(routes=ROUTES, entries=2) as site:
+            key, value = ODD_ENTRIES[name]
+            site.store.put(daemon.ENTRIES_TOPIC, key, value)
+            for gateway in site.gateways:
+                await gateway._feeds["entries"].refresh()
+            await check_peers(site)
+
+    asyncio.run(run())
+
+
+# Datagrams that are no report of an entry.
+ODD_DATAGRAMS = [
+    b"",
+    b"\xff",
+    b"7",
+    b"[]",
+    b"{}",
+    nest(10_000),
+    b'{"from":7,"number":1}',
+    b'{"from":"odd","number":1}',
+    b'{"from":"127.0.0.1:70000","number":1}',
+    b'{"from":"127.0.0.1:9","number":"x"}',
+    b'{"from":"127.0.0.1:9","number":1,"loads":{"i":[1e999,1]}}',
+    b'{"from":"127.0.0.1:9","number":1,"loads":7}',
+    b'{"sender":"odd","reports":[],"asks":true}',
+    b'{"sender":"127.0.0.1:9","reports":7}',
+    b'{"sender":"127.0.0.1:9","reports":[7]}',
+    b'{"from":"127.0.0.1:70000","origin_query":"x"}',
+    b'{"from":"127.0.0.1:9","origins":{"x":[1]}}',
+]
+
+
+@pytest.mark.parametrize("datagram", ODD_DATAGRAMS)
+def test_odd_datagram_silences_no_entry(datagram):
+    # One with another address ended the task that reports the load, for 20 s.
+    async def run():
+        async with platform_site.open_site(routes=ROUTES, entries=2) as site:
+            for gateway in site.gateways:
+                gateway.load_reporter.datagram_received(datagram, ("127.0.0.1", 9))
+                gateway.load_reporter.remove("127.0.0.1:9")
+            await check_peers(site)
+
+    asyncio.run(run())
--- a/pimentowick/platform/operator.py
+++ b/pimentowick/platform/operator.py
@@ -11,7 +11,7 @@
 import pydantic
 
 from pimentowick import exception
-from pimentowick.gateway import address, route, target, workspace
+from pimentowick.gateway import endpoint, route, target, workspace
 from pimentowick.platform import store
 
 __all__ = [
@@ -182,7 +182,7 @@
     """
     try:
         data = _Registration.model_validate(orjson.loads(value))
-        ip, port = address.parse(data.address)
+        ip, port = endpoint.parse(data.address)
     except ValueError:
         return None
     if not TARGET_ID.fullmatch(key) or data.state not in ("ready", "draining"):
