Skip a malformed record among the jobs without those that follow it

Cause: a record that could not be decoded raised an error in the reader of its topic. The supervisor starts it again, and it meets the same record.

Evidence: 24 of the 26 cases of test_odd_record_among_the_jobs_stops_no_other failed before, at the start of a gateway and while it runs; none now.

Why it works: such a record is logged and left out, as those of the targets and entries are. A result is counted once it has been decoded, so that a malformed one does not stand for it.

--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -12,12 +12,13 @@
     that start from a snapshot.
 """
 
+import contextlib
 import dataclasses
 import time
 
 import orjson
 
-from pimentowick.gateway import content
+from pimentowick.gateway import content, decision_log
 
 __all__ = ["Item", "Job", "JobOutcome", "JobTable", "Result"]
 
@@ -87,9 +88,10 @@
             self.failures.setdefault(int(number), set()).add(name)
         elif kind == "i" and int(number) not in self._with_result:
             data = orjson.loads(value)
-            self._with_result.add(int(number))
             text = content.Reference.decode(data["text"]) if data["text"] else None
-            self.rows.append((int(number), data["done"], text))
+            row = (int(number), data["done"], text)
+            self._with_result.add(int(number))
+            self.rows.append(row)
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -207,7 +209,8 @@
         if not value:
             self._delete_job(job_id)
         elif job_id not in self.jobs:
-            self._add_job(job_id, orjson.loads(value), received_at)
+            with _skip_malformed(key):
+                self._add_job(job_id, orjson.loads(value), received_at)
 
     def apply_outcome(self, key, value):
         """Apply one outcome record; an empty value is a tombstone."""
@@ -219,7 +222,9 @@
             if job_id not in self.jobs:
                 self._outcomes.pop(job_id, None)
             return
-        self._outcomes.setdefault(job_id, JobOutcome()).apply(key, kind, tail, value)
+        with _skip_malformed(key):
+            outcome = self._outcomes.setdefault(job_id, JobOutcome())
+            outcome.apply(key, kind, tail, value)
         if job_id in self.jobs:
             self._update_open(self.jobs[job_id])
 
@@ -261,6 +266,15 @@
         )
 
 
+@contextlib.contextmanager
+def _skip_malformed(key):
+    """Skip a malformed record, without those that follow it."""
+    try:
+        yield
+    except (ValueError, TypeError, LookupError, AttributeError) as error:
+        decision_log.log_event("batch.garbled", record=key, why=str(error))
+
+
 def _make_item(fields):
     return Item(
         fields["id"],
--- a/pimentowick/gateway/tests/test_odd_entries.py
+++ b/pimentowick/gateway/tests/test_odd_entries.py
@@ -12,6 +12,7 @@
 ROUTES = [
     platform_site.make_route("/confirm/", "non_idempotent", max_attempts=1),
     platform_site.make_route("/chat/", "stream", resumable=True),
+    platform_site.make_route("/lot/", "batch", run_target_ms=60_000, retention_s=60),
 ]
 REQUESTS = 12
 WAIT_S = 15.0
@@ -250,3 +251,66 @@
             await check_peers(site)
 
     asyncio.run(run())
+
+
+# Records that are no job and no outcome of one.
+ODD_RECORDS = {
+    "job, no JSON": (daemon.JOBS_TOPIC, "j/odd", b"{"),
+    "job, no object": (daemon.JOBS_TOPIC, "j/odd", b"7"),
+    "job, list": (daemon.JOBS_TOPIC, "j/odd", b"[]"),
+    "job, deep nesting": (daemon.JOBS_TOPIC, "j/odd", nest(100_000)),
+    "job, no fields": (daemon.JOBS_TOPIC, "j/odd", b"{}"),
+    "job, items of another type": (
+        daemon.JOBS_TOPIC,
+        "j/odd",
+        b'{"host":"h","path":"/","submitted_s":1,"items":[7]}',
+    ),
+    "unknown kind": (daemon.JOBS_TOPIC, "odd", b"7"),
+    "result, no number": (daemon.OUTCOMES_TOPIC, "i/odd/x/1", b"{}"),
+    "result, no JSON": (daemon.OUTCOMES_TOPIC, "i/odd/0/1", b"{"),
+    "result, no fields": (daemon.OUTCOMES_TOPIC, "i/odd/0/1", b"{}"),
+    "result, list": (daemon.OUTCOMES_TOPIC, "i/odd/0/1", b"[]"),
+    "result, text of another type": (
+        daemon.OUTCOMES_TOPIC,
+        "i/odd/0/1",
+        b'{"done":true,"text":[1]}',
+    ),
+    "failure, no number": (daemon.OUTCOMES_TOPIC, "f/odd", b"1"),
+}
+
+
+async def run_job(site):
+    """Run a job of one item until its result is listed."""
+    item = {"id": "item", "path": "/lot/1", "body": "eA=="}
+    answer = await site.call(
+        "POST",
+        "/lot/new",
+        orjson.dumps({"items": [item]}),
+        X_Pimentowick_Request_Id="job",
+    )
+    assert answer.status == 202
+
+    async def is_listed():
+        page = await site.call("GET", "/-/lots/job?after=0")
+        return page.status == 200 and page.decode()["results"]
+
+    await wait.wait_for(is_listed, WAIT_S, POLL_S)
+
+
+@pytest.mark.parametrize("is_early", [True, False])
+@pytest.mark.parametrize("name", ODD_RECORDS)
+def test_odd_record_among_the_jobs_stops_no_other(name, is_early):
+    # The readers of the topic ended with it, again and again.
+    async def run():
+        site = platform_site.Site([replica.Replica("i-1")], ROUTES)
+        try:
+            if is_early:
+                site.store.put(*ODD_RECORDS[name])
+            await site.start()
+            if not is_early:
+                site.store.put(*ODD_RECORDS[name])
+            await run_job(site)
+        finally:
+            await site.close()
+
+    asyncio.run(run())
