--- a/pimentowick/gateway/tests/test_odd_entries.py
+++ b/pimentowick/gateway/tests/test_odd_entries.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway import daemon, decision_log
+from pimentowick.gateway import crash_guard, daemon, decision_log
 from pimentowick.platform import operator
 
 ROUTES = [
@@ -314,3 +314,54 @@
             await site.close()
 
     asyncio.run(run())
+
+
+# Values of the configuration, and of a quarantined request, that are none.
+ODD_DOCUMENTS = [
+    b"\xff",
+    b"{",
+    b"7",
+    b"[]",
+    b"{}",
+    nest(100_000),
+    b'{"version":' + b"9" * 400 + b',"routes":[]}',
+    b'{"version":1e999,"routes":[]}',
+    b'{"version":"x","routes":[]}',
+    b'{"version":99,"routes":[7]}',
+    b'{"version":99,"routes":[{"host":7,"path_prefix":"/","kind":"stream"}]}',
+    b'{"version":99,"routes":[],"tenants":[{"name":""}]}',
+    b'{"version":99,"routes":[],"limits":{"max_header_bytes":"x"}}',
+    b'{"crashes":7,"voided":[],"trials":0,"cancelled":0}',
+    b'{"crashes":[],"voided":[],"trials":1e999,"cancelled":0}',
+    b'{"crashes":[],"voided":[],"trials":0,"cancelled":0,"sets":[7]}',
+]
+
+
+@pytest.mark.parametrize(
+    ("topic", "key"),
+    [
+        (operator.CONFIGURATION_TOPIC, operator.CONFIGURATION_KEY),
+        (operator.CONFIGURATION_TOPIC, "odd"),
+        (daemon.ENTRIES_TOPIC, crash_guard.KEY_PREFIX + "odd"),
+    ],
+)
+@pytest.mark.parametrize("value", ODD_DOCUMENTS)
+def test_odd_document_changes_nothing(topic, key, value):
+    # The last configuration holds, and the reader of the topic goes on.
+    async def run():
+        async with platform_site.open_site(routes=ROUTES, entries=2) as site:
+            site.store.put(topic, key, value)
+            for gateway in site.gateways:
+                await gateway._feeds["configuration"].refresh()
+                await gateway._feeds["entries"].refresh()
+                assert gateway.configuration.current.version == 1
+            await check_peers(site)
+            site.publish(ROUTES)
+            for gateway in site.gateways:
+                await wait.wait_for(
+                    lambda gateway=gateway: gateway.configuration.current.version == 2,
+                    WAIT_S,
+                    POLL_S,
+                )
+
+    asyncio.run(run())
