Skip malformed rows of the host list without the others

One row of the host list with missing fields, other types or a port out of range ended the reader of the list (KeyError, TypeError), or named a host to which no connection can be opened.

Cause: the rows were used as they were decoded, and errors of the decoder are not those that the reader expects.

Why it works: addresses are parsed by the code that parses those of registrations, which moves up as pimentowick/endpoint.py; a row that fails is left out and counted in the log, and a response that is no list counts as one that did not come, upon which the last known hosts hold.

--- a/pimentowick/external/hosts.py
+++ b/pimentowick/external/hosts.py
@@ -3,7 +3,9 @@
 import abc
 import dataclasses
 
-from pimentowick import exception
+from loguru import logger
+
+from pimentowick import endpoint, exception
 
 __all__ = ["Host", "HostList", "HttpHostList"]
 
@@ -52,6 +54,7 @@
         self._client = client
         self._etag = None
         self._hosts = []
+        self._malformed = 0
 
     async def read(self):
         """Return a list of `Host`; see `HostList.read`."""
@@ -65,16 +68,44 @@
             raise exception.UnavailableError(
                 f"The host list answered {response.status}."
             )
-        self._hosts = [_parse_host(row) for row in response.decode()["hosts"]]
+        self._hosts = self._parse_hosts(_decode_rows(response))
         self._etag = response.headers.get("Etag")
         return self._hosts
 
+    def _parse_hosts(self, rows):
+        """Return the hosts of the well-formed rows; log how many others there are."""
+        parsed = [_parse_host(row) for row in rows]
+        found = [host for host in parsed if host is not None]
+        malformed = len(parsed) - len(found)
+        if malformed != self._malformed:
+            logger.warning("The host list has {} malformed rows.", malformed)
+        self._malformed = malformed
+        return found
+
+
+def _decode_rows(response):
+    """Return the rows of a response.
+
+    Raises:
+        UnavailableError: It is malformed.
+    """
+    try:
+        rows = response.decode()["hosts"]
+    except (exception.ValidationError, LookupError, TypeError) as error:
+        raise exception.UnavailableError("The host list is malformed.") from error
+    if not isinstance(rows, list):
+        raise exception.UnavailableError("The host list is malformed.")
+    return rows
+
 
 def _parse_host(row):
-    return Host(
-        name=row["host"],
-        role=row["role"],
-        address=row["address"],
-        failure_domain=row["failure_domain"],
-        leaving=row["state"] != "live",
-    )
+    """Return the `Host` of a row, or None if it is malformed."""
+    try:
+        names = [row[name] for name in ("host", "role", "address", "failure_domain")]
+        endpoint.parse(row["address"])
+        is_leaving = row["state"] != "live"
+    except (LookupError, TypeError, ValueError):
+        return None
+    if not all(isinstance(name, str) for name in names):
+        return None
+    return Host(*names, is_leaving)
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -21,12 +21,8 @@
 
 import orjson
 
-from pimentowick.gateway import (
-    decision_log,
-    endpoint,
-    performance,
-    slow_target_monitor,
-)
+from pimentowick import endpoint
+from pimentowick.gateway import decision_log, performance, slow_target_monitor
 from pimentowick.gateway.policy import report_relay
 from pimentowick.routing import quarantine
 
--- a/pimentowick/platform/operator.py
+++ b/pimentowick/platform/operator.py
@@ -10,8 +10,8 @@
 import orjson
 import pydantic
 
-from pimentowick import exception
-from pimentowick.gateway import endpoint, route, target, workspace
+from pimentowick import endpoint, exception
+from pimentowick.gateway import route, target, workspace
 from pimentowick.platform import store
 
 __all__ = [
