Let no response leave a gateway that is none of the protocol

Evidence: the 10 cases of test_response_that_is_none_leaves_no_server failed before (a status of 0, 99, 101 or 600, malformed names and values of fields, a framing of the sender's own); callers get 500 now, which says that the request may have run.

Why it works: status and fields are checked before anything is written.

--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -10,7 +10,7 @@
 from loguru import logger
 from tornado import httputil, iostream, netutil
 
-from pimentowick import exception, verdict
+from pimentowick import exception, response_head, verdict
 from pimentowick.gateway import (
     caller_connections,
     decision_log,
@@ -103,7 +103,12 @@
         return self._connection.stream._total_write_done_index
 
     async def start(self, status, headers, chunk=None):
-        """Send status and headers of the response, and optionally part of its body."""
+        """Send status and headers of the response, and optionally part of its body.
+
+        Raises:
+            ValueError: They are not those of a response.
+        """
+        _check_response(status, headers)
         self.started = True
         if self._server.is_closing():
             headers["Connection"] = "close"
@@ -438,6 +443,20 @@
             await exchange.refuse(refusal)
 
 
+def _check_response(status, headers):
+    """Raise a `ValueError` if a status or a field is not one of the protocol."""
+    if not response_head.is_final(status):
+        raise ValueError(f"{status} is not the status of a final response.")
+    if "Transfer-Encoding" in headers:
+        raise ValueError("The server chooses the framing.")
+    checked = httputil.HTTPHeaders()
+    try:
+        for name, value in headers.get_all():
+            checked.add(name, value)
+    except httputil.HTTPInputError as error:
+        raise ValueError(str(error)) from error
+
+
 def _has_unread_bytes(stream):
     """Return whether bytes of a caller were received that form no request yet."""
     if stream.closed():
--- a/pimentowick/gateway/tests/test_exchange.py
+++ b/pimentowick/gateway/tests/test_exchange.py
@@ -208,3 +208,41 @@
         assert handled[0].headers["X-Other"] == "y; z"
 
     run_server(check)
+
+
+@pytest.mark.parametrize(
+    ("status", "name", "value"),
+    [
+        (0, "X-Odd", "1"),
+        (99, "X-Odd", "1"),
+        (101, "X-Odd", "1"),
+        (600, "X-Odd", "1"),
+        (200, "X Odd", "1"),
+        (200, "", "1"),
+        (200, "X-Odd\x01", "1"),
+        (200, "X-Odd", "1\r\nX-Other: 1"),
+        (200, "X-Odd", "\x00"),
+        (200, "Transfer-Encoding", "chunked"),
+    ],
+)
+def test_response_that_is_none_leaves_no_server(status, name, value):
+    # Callers would get what a reader of answers has missed.
+    async def run():
+        address = f"127.0.0.1:{platform_site.find_free_port()}"
+
+        async def answer(request):
+            headers = httputil.HTTPHeaders()
+            headers[name] = value
+            await request.answer(status, headers, request.body)
+
+        server = exchange.Server(address, answer)
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server._port)
+        writer.write(REQUEST)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+        assert head.startswith(b"HTTP/1.1 500 ")
+        assert b"Odd" not in head
+        writer.close()
+        await server.close()
+
+    asyncio.run(run())
