Take no broken report of a target for its report

What callers saw: nothing in the reports. Before a stream goes on, a target is asked which run of it answers at its address. A report with a status of 000 or 600 confirmed the run that it named, so that the stream went on at a target in trouble.

Cause: only the body of a report was looked at.

Cut and unframed reports were not decoded before either; they count as none now.

Why it works: the head is checked by the code that checks those of answers. Without a report the request is not sent there, which is known not to have run.

--- a/pimentowick/fakes/raw_target.py
+++ b/pimentowick/fakes/raw_target.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 
-__all__ = ["Answer", "Ending", "RawTarget"]
+__all__ = ["Answer", "Ending", "RawTarget", "make_report"]
 
 LOOPBACK = "127.0.0.1"
 HEADER_PREFIX = "X-Pimentowick-"
@@ -42,6 +42,11 @@
     is_early: bool = False
 
 
+def make_report(body):
+    """Return the bytes of a sound report."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 class RawTarget:
     """A target that sends planned bytes.
 
@@ -52,6 +57,7 @@
     Attributes:
         planned: The `Answer` objects of the next requests, in order.
         requests: Headers of the requests received.
+        report: `Answer` to each request for its report.
         reports: Number of reports that it has sent.
         address: ``IP:port`` once started.
     """
@@ -60,6 +66,7 @@
         self.answer = answer
         self.planned = []
         self.requests = []
+        self.report = Answer(make_report(b"{}"), Ending.KEEP)
         self.reports = 0
         self.address = None
         self._server = None
@@ -103,8 +110,8 @@
         size = int(headers.get("content-length", 0))
         if head.startswith("GET /-/report "):
             self.reports += 1
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-            return Ending.KEEP
+            writer.write(self.report.data)
+            return self.report.ending
         self.requests.append(headers)
         answer = self.planned.pop(0) if self.planned else self.answer(headers)
         if not answer.is_early:
--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -11,6 +11,7 @@
 from tornado import httputil
 
 from pimentowick.fakes import broken_answers, platform_site, raw_target, wait
+from pimentowick.gateway import connection_pool, target, upstream
 
 ROUTES = [
     platform_site.make_route("/fetch/", "idempotent", max_attempts=2),
@@ -494,3 +495,49 @@
         assert await find_suspects(site, path, b"deadly")
 
     run_with(check, path)
+
+
+REPORT = raw_target.make_report(b'{"born":5}')
+BROKEN_REPORTS = {
+    "status 000": REPORT.replace(b"200 OK", b"000 OK"),
+    "status 600": REPORT.replace(b"200 OK", b"600 OK"),
+    "no framing": REPORT.replace(b"Content-Length: 10\r\n", b""),
+    "no framing, closes": REPORT.replace(b"Content-Length: 10", b"Connection: close"),
+    "blank in a name": REPORT.replace(b"Content-", b"Content "),
+    "cut head": REPORT[:30],
+    "cut body": REPORT[:-2],
+}
+
+
+@pytest.mark.parametrize("name", [*BROKEN_REPORTS, "sound"])
+def test_broken_report_confirms_no_run_of_a_target(name):
+    # A stream would go on at a run of which nothing is known.
+    async def run():
+        server = raw_target.RawTarget(functools.partial(answer_soundly, "/fetch/1"))
+        data = BROKEN_REPORTS.get(name, REPORT)
+        server.report = raw_target.Answer(data)
+        if name == "sound":
+            server.report = raw_target.Answer(data, raw_target.Ending.KEEP)
+        await server.start()
+        ip, _, port = server.address.rpartition(":")
+        pool = connection_pool.Pool(ip, int(port))
+        check = target.RunCheck(5, "v1", is_required=True)
+        headers = httputil.HTTPHeaders({"X-Pimentowick-Request-Id": "r1"})
+        request = upstream.Request("r1", "POST", "/x", headers, b"", run_check=check)
+        outcome = await pool.send(request, IgnoringSink())
+        is_sound = name == "sound"
+        assert check.is_confirmed == is_sound
+        assert (outcome.end == upstream.End.NOT_RUN) != is_sound
+        assert bool(server.requests) == is_sound
+        pool.close()
+        await server.close()
+
+    asyncio.run(run())
+
+
+class IgnoringSink(upstream.Sink):
+    async def on_headers(self, status, headers, answer):
+        pass
+
+    async def on_chunk(self, chunk):
+        pass
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -417,6 +417,10 @@
 
     def headers_received(self, start_line, headers):
         self._stream.end_head()
+        is_framed = response_head.is_framed(start_line.code, headers)
+        if not is_framed or response_head.find_fault(start_line, headers):
+            self._stream.abandon()
+            return
         answer = message.decode_response_headers(start_line.code, headers)
         self.is_reusable = not answer.closes_connection
 
