Take no answer for whole if other bytes than a response follow it

What callers saw, in a test that damages a sound answer at one place of its head: with its empty line doubled, a caller got that line and the body without its last two bytes as the whole answer. A digit lost from the length did the same with the start of the body.

Cause: the body was read as its length said, and what the target had sent behind it was only looked at to close the connection.

Ways weighed: (1) as before, since a faulty target may send further bytes after a complete answer; (2) take any byte behind an answer for a sign that it ends elsewhere; (3) the same, unless these bytes begin a response: a second answer belongs to no request, and says nothing of the first.

Why it works: what has been received by then is compared with the start of a response. Bytes that come later are not seen; they still close the connection, as before.

--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -53,6 +53,8 @@
 UNUSED_BODY_TIMEOUT_S = 0.1
 # From the first byte of a head to its end.
 HEAD_TIMEOUT_S = 1.0
+# A target may send another response, which belongs to no request.
+RESPONSE_START = b"HTTP/"
 # Informational responses (1xx) before the expected one.
 MAX_INTERIM_RESPONSES = 8
 # Responses to earlier requests that are discarded before the expected one.
@@ -250,15 +252,24 @@
 
     def has_unread_bytes(self):
         """Return whether unread bytes are available, or the peer has closed."""
-        if self._read_buffer_size:
-            return True
+        return bool(self._read_buffer_size) or self._peek(1) is not None
+
+    def has_foreign_bytes(self):
+        """Return whether bytes that begin no response follow the last one."""
+        # Tornado has no public way to look at what is buffered.
+        data = bytes(self._read_buffer[: len(RESPONSE_START)])
+        if not data and not self.closed():
+            data = self._peek(len(RESPONSE_START)) or b""
+        return not RESPONSE_START.startswith(data)
+
+    def _peek(self, size):
+        """Return bytes that are not read yet: b"" at the end, None for none so far."""
         try:
-            self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return self.socket.recv(size, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
-        return True
+            return b""
 
 
 class _Reader(httputil.HTTPMessageDelegate):
@@ -635,6 +646,8 @@
             return Outcome(End.INCOMPLETE, "unsigned", reader.status)
         if answer.has_encoding:
             return Outcome(End.INCOMPLETE, "encoded", reader.status)
+        if reader.needs_body and reader.is_framed and self.stream.has_foreign_bytes():
+            return Outcome(End.INCOMPLETE, "excess_bytes", reader.status)
         if reader.needs_body and not reader.is_framed:
             return Outcome(
                 End.INCOMPLETE, UNFRAMED, reader.status, body_bytes=reader.body_bytes
