Take no continuation without framing for the end of a stream

That it lives does not show that it had sent all: it is again a closed connection that would tell.

Evidence: test_continuation_that_is_cut_before_an_event_does_not_complete, where a target lives on, closes in order, resets or ends. The item is listed as done after three such runs.

--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -46,6 +46,8 @@
         task: The `asyncio.Task` while running, else None.
         is_held: Whether it waits because it is quarantined.
         connections: Numbers of the connections that carried it.
+        confirmations: Number of consecutive continuations that ended, without framing,
+            before any event.
     """
 
     job: object
@@ -60,6 +62,7 @@
     task: object = None
     is_held: bool = False
     connections: set = dataclasses.field(default_factory=set)
+    confirmations: int = 0
     _fingerprint: str = ""
     _parts: tuple | None = None
 
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -45,6 +45,8 @@
 # Interval at which a quarantined item is checked again.
 QUARANTINE_CHECK_S = 0.5
 MAX_LOGGED_PARTS = 16
+# Continuations without an event that show the end of an item without framing.
+CONFIRMING_RUNS = 3
 # Tolerates clock skew between hosts, so that no item is abandoned early.
 CLOCK_SKEW_MARGIN_S = 5.0
 
@@ -653,7 +655,8 @@
         return [run.fingerprint]
 
     async def _handle_outcome(self, run, outcome, sink):
-        if outcome.end == upstream.End.COMPLETE and outcome.status == 200:
+        is_complete = outcome.end == upstream.End.COMPLETE and outcome.status == 200
+        if is_complete or _is_confirmed(run, outcome, sink):
             if sink.is_complete() and run.transcript.last_event is not None:
                 run.service_time.record_item(run.transcript.count_events())
                 run.is_complete = True
@@ -682,3 +685,18 @@
             outcome=reason,
             failures=run.transcript.failures,
         )
+
+
+def _is_confirmed(run, outcome, sink):
+    """Return whether enough runs of an item have found no event after its last one.
+
+    Targets that never frame their responses do not tell the end of an item otherwise.
+    """
+    if outcome.end == upstream.End.NOT_RUN:
+        return False
+    has_ended = outcome.reason == upstream.UNFRAMED and outcome.is_target_alive
+    if not has_ended or sink.events:
+        run.confirmations = 0
+        return False
+    run.confirmations += 1
+    return run.confirmations >= CONFIRMING_RUNS
--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -11,7 +11,7 @@
 from tornado import httputil
 
 from pimentowick.fakes import broken_answers, platform_site, raw_target, wait
-from pimentowick.gateway import connection_pool, target, upstream
+from pimentowick.gateway import connection_pool, runner, target, upstream
 
 ROUTES = [
     platform_site.make_route("/fetch/", "idempotent", max_attempts=2),
@@ -267,15 +267,14 @@
     )
 
 
-def test_stream_of_targets_that_never_frame_ends_as_complete():
-    # A target that still lives, and has no further events, has sent all of them.
+def test_stream_of_targets_that_never_frame_looks_cut_after_its_events():
+    # That a continuation has no events, and no end either, does not show a whole one.
     async def check(site, planned, servers):
         for server in servers:
             server.answer = answer_without_framing
         received = await send(site, "/chat/1")
-        assert received.is_success, received
+        assert not received.is_whole, received
         assert received.body == b"".join(broken_answers.EVENTS)
-        assert sum(server.reports for server in servers) == 1
 
     run_with(check, "/chat/1")
 
@@ -345,19 +344,25 @@
         for server in servers:
             server.answer = answer_without_framing
         assert await run_item(site) == ("done", TEXT)
+        runs = sum(len(server.requests) for server in servers)
+        assert runs == 1 + runner.CONFIRMING_RUNS
+        assert sum(server.reports for server in servers) == runner.CONFIRMING_RUNS
 
     run_with(check, "/lot/1")
 
 
+@pytest.mark.parametrize(
+    "ending", [raw_target.Ending.CLOSE, raw_target.Ending.RESET, raw_target.Ending.STOP]
+)
 @pytest.mark.parametrize("path", ["/chat/1", "/lot/1"])
-def test_target_that_ends_within_a_continuation_has_not_completed_it(path):
-    # Its kernel closes the connection in order. What was sent before is not all.
+def test_continuation_that_is_cut_before_an_event_does_not_complete(path, ending):
+    # If the target ends, its kernel closes the connection in order, too.
     async def check(site, planned, servers):
         head = broken_answers.make_answer(
             fields=broken_answers.FIELDS + broken_answers.CLOSES, body=b"\r\n"
         )
         planned.append(raw_target.Answer(head + broken_answers.EVENTS[0]))
-        planned.append(raw_target.Answer(head, raw_target.Ending.STOP))
+        planned.append(raw_target.Answer(head, ending))
         if path == "/lot/1":
             assert await run_item(site) == ("done", TEXT)
             return
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -121,8 +121,8 @@
     def check_events(self, count, ends_within_event, is_continuation=False):
         """Return the outcome of an event stream, given what arrived.
 
-        An unframed stream may be cut. Whether it was complete shows as it is continued:
-        then there are no further events.
+        The end of an unframed stream may be that of its target, unless it had sent a
+        whole event, or was seen alive after a continuation without one.
 
         Args:
             count: Number of whole events.
@@ -131,9 +131,8 @@
         """
         if self.reason != UNFRAMED or self.status != 200:
             return self
-        if is_continuation and self.is_target_alive:
-            return dataclasses.replace(self, end=End.COMPLETE, reason="answered")
-        if count and not ends_within_event:
+        has_survived = count or (is_continuation and self.is_target_alive)
+        if has_survived and not ends_within_event:
             return self
         return dataclasses.replace(self, reason="cut_short")
 
