Let the soak's targets send broken answers of all kinds

The fault break_answers plans, besides what it planned, an unframed answer that ends after any event and four of the broken answers of the catalogs, as bytes, at each target. They are drawn from a generator of their own, so that the kinds of a seed stay.

--- a/pimentowick/fakes/broken_answers.py
+++ b/pimentowick/fakes/broken_answers.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "BODY",
+    "BROKEN_STREAMS",
     "CHUNKED",
     "CLOSES",
     "CUT_ANSWERS",
@@ -139,3 +140,20 @@
     "part of the chunks": change_framing(CHUNKED, b"1e\r\n" + BODY + b"\r\n"),
     "part of a chunk": change_framing(CHUNKED, b"1e\r\n" + BODY[:9]),
 }
+_STREAM = make_answer(body=make_chunks(EVENTS))
+_CLOSING_STREAM = make_answer(fields=CLOSES + FIELDS, body=make_chunks(EVENTS))
+# Streams whose statuses or framings are broken.
+BROKEN_STREAMS = {
+    **{
+        f"status {status.decode()}": _STREAM.replace(b"200 OK", status + b" Odd")
+        for status in STATUSES
+    },
+    **{f"framing, {damage}": damage_framing(_STREAM, damage) for damage in DAMAGES},
+    **{
+        f"framing, {damage}, closes": damage_framing(_CLOSING_STREAM, damage)
+        for damage in DAMAGES
+    },
+    "chunks of an old version": _STREAM.replace(b"1.1 200", b"1.0 200"),
+    "no content, with chunks": _STREAM.replace(b"200 OK", b"205 Reset Content"),
+    "empty signature": _STREAM.replace(b"Stamp: s", b"Stamp: "),
+}
--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -29,7 +29,10 @@
             leaves out an event; ``silent`` sends nothing and keeps the connection;
             ``unframed`` streams with neither a length nor chunks, announces that its
             connection closes, and closes;
-            ``endless`` sends bytes that are no event until the caller closes.
+            ``endless`` sends bytes that are no event until the caller closes; ``raw``
+            sends `data` and closes.
+        data: Bytes of a ``raw`` answer, with ``{id}`` for the identifier of the
+            request.
         cut_after: Number of events or bytes after which the response is truncated.
         partial_event: Whether it is truncated in the middle of an event.
         awaits_release: Whether it is truncated, refused, or preceded by a late refusal
@@ -39,6 +42,7 @@
     """
 
     kind: str = "answer"
+    data: bytes = b""
     cut_after: int | None = None
     partial_event: bool = False
     awaits_release: bool = False
@@ -252,6 +256,12 @@
         if behaviour.kind == "endless":
             await self._respond_endless(request_id)
             return
+        if behaviour.kind == "raw":
+            stream = self.detach()
+            with contextlib.suppress(iostream.StreamClosedError):
+                await stream.write(behaviour.data.replace(b"{id}", request_id.encode()))
+            stream.close()
+            return
         if behaviour.kind == "silent":
             await self.wait_for_disconnect()
         if behaviour.kind == "crossed":
@@ -295,7 +305,7 @@
         ]
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
         numbers = list(range(first, self.server.events + 1))[: behaviour.cut_after]
-        events = [f"id: {number}\ndata: word {number}\n\n" for number in numbers]
+        events = [self._make_event(number) for number in numbers]
         if behaviour.partial_event:
             events.append(f"id: {numbers[-1] + 1}\nda")
         stream = self.detach()
@@ -315,6 +325,10 @@
                 await stream.write(b"x" * ENDLESS_BLOCK_BYTES)
                 await asyncio.sleep(0)
 
+    def _make_event(self, number):
+        kind = f"event: {self.server.version}\n" if self.server.names_version else ""
+        return f"{kind}id: {number}\ndata: word {number}\n\n"
+
     async def _stream_events(self, behaviour):
         self.set_header("Content-Type", "text/event-stream")
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
@@ -334,10 +348,7 @@
                 await self.server.release.wait()
             if self.closed.is_set():
                 return
-            kind = (
-                f"event: {self.server.version}\n" if self.server.names_version else ""
-            )
-            self.write(f"{kind}id: {number}\ndata: word {number}\n\n")
+            self.write(self._make_event(number))
             await self.flush()
 
 
--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -2,10 +2,17 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 
 from pimentowick import exception
-from pimentowick.fakes import faults, platform_site, replica, wait
+from pimentowick.fakes import (
+    broken_answers,
+    faults,
+    platform_site,
+    replica,
+    wait,
+)
 
 __all__ = ["FAULT_KINDS", "PLANNED_KINDS", "FaultInjector"]
 
@@ -14,6 +21,15 @@
 READY_POLL_S = 0.05
 PART_REQUESTS = 24
 PART_INTERVAL_S = 0.1
+# Answers that no caller may get as whole ones.
+BROKEN_ANSWERS = [
+    *broken_answers.MALFORMED_HEADS.values(),
+    *broken_answers.MALFORMED_FRAMINGS.values(),
+    *broken_answers.CUT_ANSWERS.values(),
+    *broken_answers.BROKEN_STREAMS.values(),
+]
+# Of each replica and fault.
+BROKEN_ANSWER_COUNT = 4
 # Five crashes, and three requests that come later.
 MAX_PART_CRASHES = 8
 
@@ -33,6 +49,9 @@
     def __init__(self, fleet, rng):
         self._fleet = fleet
         self._rng = rng
+        # Draws of their own, so that a seed keeps its faults.
+        self._answer_rng = random.Random()
+        self._answer_rng.setstate(rng.getstate())
         self.injected = []
         self.violations = []
 
@@ -163,8 +182,17 @@
                 replica.Behaviour(late_refusal="unnamed"),
                 replica.Behaviour(late_refusal="copy"),
                 replica.Behaviour("crossed"),
+                *self._draw_broken_answers(),
             ]
 
+    def _draw_broken_answers(self):
+        cut_after = self._answer_rng.randint(0, 12)
+        drawn = self._answer_rng.sample(BROKEN_ANSWERS, BROKEN_ANSWER_COUNT)
+        return [
+            replica.Behaviour("unframed", cut_after=cut_after),
+            *(replica.Behaviour("raw", data=data) for data in drawn),
+        ]
+
     async def _crash_under_part(self):
         """Send new requests with one part under which each replica crashes."""
         part = f"bad{len(self.injected)}"
--- a/pimentowick/tests/test_client_broken_answers.py
+++ b/pimentowick/tests/test_client_broken_answers.py
@@ -19,16 +19,7 @@
     **broken_answers.MALFORMED_HEADS,
     **broken_answers.MALFORMED_FRAMINGS,
     **broken_answers.CUT_ANSWERS,
-    **{
-        f"status {status.decode()}": STREAM.replace(b"200 OK", status + b" Odd")
-        for status in broken_answers.STATUSES
-    },
-    **{
-        f"framing, {damage}": broken_answers.damage_framing(STREAM, damage)
-        for damage in broken_answers.DAMAGES
-    },
-    "chunks of an old version": STREAM.replace(b"1.1 200", b"1.0 200"),
-    "no content, with chunks": STREAM.replace(b"200 OK", b"205 Reset Content"),
+    **broken_answers.BROKEN_STREAMS,
     "no framing": UNFRAMED,
     "interim, then status 000": b"HTTP/1.1 100 Continue\r\n\r\n"
     + STREAM.replace(b"200 OK", b"000 Odd"),
@@ -36,6 +27,8 @@
 }
 # libcurl joins the lines, as HTTP allows.
 del BROKEN["folded line"]
+# Peers of this client sign nothing.
+del BROKEN["empty signature"]
 
 
 async def fetch(http, address):
