--- a/pimentowick/gateway/tests/test_odd_entries.py
+++ b/pimentowick/gateway/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Entries of other writers in the topics of the store that gateways follow."""
 
 import asyncio
+import urllib.parse
 
 import orjson
 import pytest
@@ -279,19 +280,20 @@
 }
 
 
-async def run_job(site):
+async def run_job(site, job_id="job"):
     """Run a job of one item until its result is listed."""
     item = {"id": "item", "path": "/lot/1", "body": "eA=="}
     answer = await site.call(
         "POST",
         "/lot/new",
         orjson.dumps({"items": [item]}),
-        X_Pimentowick_Request_Id="job",
+        X_Pimentowick_Request_Id=job_id,
     )
     assert answer.status == 202
+    path = f"/-/lots/{urllib.parse.quote(job_id, safe='')}?after=0"
 
     async def is_listed():
-        page = await site.call("GET", "/-/lots/job?after=0")
+        page = await site.call("GET", path)
         return page.status == 200 and page.decode()["results"]
 
     await wait.wait_for(is_listed, WAIT_S, POLL_S)
@@ -316,6 +318,15 @@
     asyncio.run(run())
 
 
+def test_job_whose_identifier_has_a_slash_is_listed():
+    # Its outcomes are taken for those of another job, and reads of it answered 404.
+    async def run():
+        async with platform_site.open_site(routes=ROUTES) as site:
+            await run_job(site, "leon/sala-a")
+
+    asyncio.run(run())
+
+
 # Values of the configuration, and of a quarantined request, that are none.
 ODD_DOCUMENTS = [
     b"\xff",
