Let entries name each other by host in datagrams, as their tests do

The tests stay as they are. A datagram needs a port from 1 to 65,535 now, which is what closed the socket; the list of entries, which other writers may reach, needs an IP address as before.

--- a/pimentowick/endpoint.py
+++ b/pimentowick/endpoint.py
@@ -2,11 +2,29 @@
 
 import ipaddress
 
-__all__ = ["parse"]
+__all__ = ["parse", "split"]
 
 MAX_PORT = 65_535
-# Four numbers of three digits, three dots, a colon and five digits.
-MAX_CHARS = 21
+MAX_PORT_DIGITS = 5
+# Four numbers of three digits, and three dots.
+MAX_IP_CHARS = 15
+
+
+def split(text):
+    """Return the host and the port of an endpoint.
+
+    Raises:
+        ValueError: It has no port from 1 to 65,535.
+
+    Examples:
+        >>> split("entry-a:7660")
+        ('entry-a', 7660)
+    """
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not host or not is_number or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"An endpoint has no port from 1 to {MAX_PORT}.")
+    return host, int(port)
 
 
 def parse(text):
@@ -28,12 +46,10 @@
         odd
         odd
     """
-    if len(text) > MAX_CHARS:
-        raise ValueError("An endpoint is too long.")
-    ip, _, port = text.rpartition(":")
+    ip, port = split(text)
+    if len(ip) > MAX_IP_CHARS:
+        raise ValueError("An IP address is too long.")
     parsed = ipaddress.IPv4Address(ip)
     if parsed.is_unspecified or parsed.is_multicast or parsed.is_reserved:
         raise ValueError(f"{ip} is not the address of one host.")
-    if not (port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT):
-        raise ValueError(f"The port of {ip} is not one from 1 to {MAX_PORT}.")
-    return ip, int(port)
+    return ip, port
--- a/pimentowick/external/hosts.py
+++ b/pimentowick/external/hosts.py
@@ -102,10 +102,10 @@
     """Return the `Host` of a row, or None if it is malformed."""
     try:
         names = [row[name] for name in ("host", "role", "address", "failure_domain")]
-        endpoint.parse(row["address"])
         is_leaving = row["state"] != "live"
+        if not all(isinstance(name, str) for name in names):
+            return None
+        endpoint.parse(row["address"])
     except (LookupError, TypeError, ValueError):
         return None
-    if not all(isinstance(name, str) for name in names):
-        return None
     return Host(*names, is_leaving)
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from pimentowick import exception
+from pimentowick import endpoint, exception
 from pimentowick.gateway import crash_guard, decision_log, feed, route
 from pimentowick.gateway.policy import store_outage
 from pimentowick.platform import operator
@@ -244,6 +244,8 @@
         try:
             data = orjson.loads(record.value)
             domain, link_mbps = str(data["failure_domain"]), float(data["link_mbps"])
+            # Names of hosts would be looked up with each report.
+            endpoint.parse(record.key)
             if not math.isfinite(link_mbps):
                 raise ValueError("The capacity of its link is not finite.")
             self._load_reporter.add_member(record.key, domain, link_mbps)
--- a/pimentowick/gateway/load_report.py
+++ b/pimentowick/gateway/load_report.py
@@ -184,7 +184,7 @@
         """
         if address == self.address or address in self.peers:
             return
-        endpoint.parse(address)
+        endpoint.split(address)
         self.peers[address] = Peer(address, last_heard_at=time.monotonic())
 
     def remove(self, address):
@@ -375,8 +375,7 @@
             decision_log.log_event("neighbour.not_told", bytes=len(packet))
             return
         for address in addresses:
-            ip, _, port = address.rpartition(":")
-            self._transport.sendto(packet, (ip, int(port)))
+            self._transport.sendto(packet, endpoint.split(address))
 
     async def run_relay(self):
         """Forward reports while this entry is a relay, until cancelled."""
@@ -401,7 +400,7 @@
         """Apply a received datagram; see `asyncio.DatagramProtocol`."""
         try:
             message = orjson.loads(data)
-            endpoint.parse(message["from"] if "from" in message else message["sender"])
+            endpoint.split(message["from"] if "from" in message else message["sender"])
             reports = message.get("reports")
             if ORIGIN_FIELDS & message.keys():
                 self.handle_origins(message)
