--- a/pimentowick/gateway/tests/test_damaged_answers.py
+++ b/pimentowick/gateway/tests/test_damaged_answers.py
@@ -67,7 +67,7 @@
         self.body += chunk
 
 
-async def receive(data):
+async def receive(data, method="GET"):
     """Return the outcome of a request, and the body that came with it."""
     server = raw_target.RawTarget(lambda headers: raw_target.Answer(data))
     await server.start()
@@ -75,7 +75,7 @@
     pool = connection_pool.Pool(ip, int(port))
     headers = httputil.HTTPHeaders({"X-Pimentowick-Request-Id": "r1"})
     sink = CollectingSink()
-    request = upstream.Request("r1", "GET", "/x", headers, b"")
+    request = upstream.Request("r1", method, "/x", headers, b"")
     outcome = await pool.send(request, sink)
     pool.close()
     await server.close()
@@ -125,3 +125,12 @@
     outcome, body = asyncio.run(receive(data + LENGTH))
     assert is_success(outcome)
     assert body == BODY
+
+
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 30\r\n"])
+def test_answer_to_a_request_for_the_head_needs_no_framing(framing):
+    # It has no body, whatever its head says.
+    data = broken_answers.make_answer(body=framing + b"\r\n")
+    outcome, body = asyncio.run(receive(data, "HEAD"))
+    assert is_success(outcome)
+    assert body == b""
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -275,7 +275,7 @@
     """Passes a response to a sink if it belongs to the request.
 
     Args:
-        request_id: Identifier of the request.
+        request: The `Request`.
         sink: The `Sink`.
         on_load: Function called with the load that came with the response, or None.
         counted: The `traffic.Traffic` that counts the body.
@@ -296,8 +296,8 @@
         is_caller_gone: Whether the sink's own connection was closed.
     """
 
-    def __init__(self, request_id, sink, on_load, counted, stream, is_first):
-        self._request_id = request_id
+    def __init__(self, request, sink, on_load, counted, stream, is_first):
+        self._request = request
         self._is_first = is_first
         self._sink = sink
         self._on_load = on_load
@@ -337,8 +337,12 @@
             return
         self.status = start_line.code
         self.answer = message.decode_response_headers(start_line.code, headers)
-        self.is_framed = response_head.is_framed(start_line.code, headers)
-        self.naming = delivery.compare_ids(self.answer.request_id, self._request_id)
+        self.is_framed = response_head.is_framed(
+            start_line.code, headers, self._request.method
+        )
+        self.naming = delivery.compare_ids(
+            self.answer.request_id, self._request.request_id
+        )
         self.is_stray = not self._is_own()
         self.needs_body = self._is_usable() and self._sink.needs_body(start_line.code)
         is_closing = response_head.announces_close(headers)
@@ -602,7 +606,7 @@
             StreamClosedError: The target closed the connection.
         """
         reader = _Reader(
-            request.request_id,
+            request,
             sink,
             self._on_load,
             self._traffic,
--- a/pimentowick/response_head.py
+++ b/pimentowick/response_head.py
@@ -72,22 +72,23 @@
     return None
 
 
-def is_framed(status, headers):
+def is_framed(status, headers, method=""):
     """Return whether a head tells where its body ends, apart from the connection.
 
     Args:
         status: HTTP status.
         headers: `tornado.httputil.HTTPHeaders`.
+        method: Method of the request.
 
     Examples:
         >>> from tornado import httputil
         >>> is_framed(200, httputil.HTTPHeaders({"content-length": "0"}))
         True
-        >>> is_framed(200, httputil.HTTPHeaders()), is_framed(204, {})
-        (False, True)
+        >>> is_framed(200, {}), is_framed(204, {}), is_framed(200, {}, "HEAD")
+        (False, True, True)
     """
     has_field = "Content-Length" in headers or "Transfer-Encoding" in headers
-    return has_field or status in BODILESS_STATUSES
+    return has_field or status in BODILESS_STATUSES or method == "HEAD"
 
 
 def announces_close(headers):
