Ask in one place whether a head announces the end of its connection

The check for reuse looked for the letters of "close" anywhere in the field; it takes the options of the field now, as the check for an answer without framing does. No test changed.

--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -345,8 +345,8 @@
         )
         self.is_stray = not self._is_own()
         self.needs_body = self._is_usable() and self._sink.needs_body(start_line.code)
-        is_closing = response_head.announces_close(headers)
-        if self.needs_body and not (self.is_framed or is_closing):
+        has_end = self.is_framed or self.answer.closes_connection
+        if self.needs_body and not has_end:
             self.fault = "missing_framing"
             self._stream.abandon()
             return
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -10,7 +10,7 @@
 import pydantic
 from tornado import httputil
 
-from pimentowick import exception
+from pimentowick import exception, response_head
 from pimentowick.gateway import job, target
 from pimentowick.gateway.policy import request_cost
 
@@ -325,7 +325,7 @@
         is_misdirected=status == STATUS_MISDIRECTED,
         load=_decode_load(headers.get(SERVER_LOAD)),
         has_encoding=headers.get("Content-Encoding", "identity") != "identity",
-        closes_connection="close" in headers.get("Connection", "").lower(),
+        closes_connection=response_head.announces_close(headers),
         idle_s=float(keep_alive.group(1)) if keep_alive else None,
     )
 
