Log each way in which accepted work can leave a gateway unanswered

Change: batch.forgotten, batch.results_missing, batch.body_unknown, caller.unanswered, item.waiting; batch.unsure tells contents that are missing from a store that is away. No decision changes.

Each line has a test; they failed before, as there was no such line.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -547,10 +547,11 @@
             decision_log.log_event("gateway.not_withdrawn", why=str(error))
 
     async def _clean_up(self):
-        """Remove missing targets and expired jobs periodically, until cancelled."""
+        """Remove missing targets and expired jobs, and log waits, until cancelled."""
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self._targets.remove_missing_targets()
+            self.runner.log_long_waits()
             await self._retention.remove_expired_jobs()
 
     async def _answer_readiness(self, request):
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -178,6 +178,12 @@
         if self.finished:
             self._connection.finish()
 
+    @property
+    def is_caller_connected(self):
+        """Whether the caller's connection is open."""
+        stream = self._connection.stream
+        return stream is not None and not stream.closed()
+
     def disconnect(self):
         """Close the connection as if the caller had closed it."""
         self._connection.stream.close()
@@ -385,6 +391,7 @@
     async def serve(self, exchange):
         """Answer one request; refuse it or abort the response on an error."""
         self.active_requests += 1
+        cause = "unfinished"
         try:
             if exchange.limit_refusal is not None:
                 raise exception.RefusedError(exchange.limit_refusal)
@@ -392,7 +399,10 @@
             exchange.release_body()
             await exchange.wait_until_read()
         except iostream.StreamClosedError:
-            pass
+            cause = "stream_closed"
+        except asyncio.CancelledError:
+            cause = "cancelled"
+            raise
         except exception.RefusedError as error:
             await self._refuse_or_abort(exchange, error.refusal)
         except Exception:
@@ -411,6 +421,7 @@
             if exchange.sent_refusal is not None:
                 self._on_refused(exchange)
             if not exchange.finished:
+                _log_unanswered(exchange, cause)
                 exchange.abort()
             self.held.close(exchange)
 
@@ -437,12 +448,29 @@
 
     async def _refuse_or_abort(self, exchange, refusal):
         if exchange.started:
+            _log_unanswered(exchange, refusal.code)
             exchange.abort()
             return
         with contextlib.suppress(iostream.StreamClosedError):
             await exchange.refuse(refusal)
 
 
+def _log_unanswered(exchange, cause):
+    """Log that a connection is closed without a complete response.
+
+    A caller that has left closed the connection itself.
+    """
+    if exchange.is_caller_connected:
+        decision_log.log_request_event(
+            "caller.unanswered",
+            exchange.request_id,
+            outcome=cause,
+            path=exchange.path,
+            is_started=exchange.started,
+            took_s=time.monotonic() - exchange.received_at,
+        )
+
+
 def _check_response(status, headers):
     """Raise a `ValueError` if a status or a field is not one of the protocol."""
     if not response_head.is_final(status):
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -48,6 +48,7 @@
         connections: Numbers of the connections that carried it.
         confirmations: Number of consecutive continuations that ended, without framing,
             before any event.
+        waits_since: Monotonic time since which it has been queued.
     """
 
     job: object
@@ -63,6 +64,7 @@
     is_held: bool = False
     connections: set = dataclasses.field(default_factory=set)
     confirmations: int = 0
+    waits_since: float = dataclasses.field(default_factory=time.monotonic)
     _fingerprint: str = ""
     _parts: tuple | None = None
 
--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -56,7 +56,12 @@
         "began it any more (event stream.origin)."
     ),
 }
-CALLER_EVENTS = ("caller.unidentified", "caller.over_quota", "caller.no_memory")
+CALLER_EVENTS = (
+    "caller.unidentified",
+    "caller.over_quota",
+    "caller.no_memory",
+    "caller.unanswered",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -254,6 +259,11 @@
 def _explain_caller(line):
     """Explain why a request was refused because of its key or its workspace."""
     data = line.data
+    if line.event == "caller.unanswered":
+        return (
+            f"Gateway {line.process} closed its connection after {data['took_s']:.3f} "
+            f"s without a complete response ({data.get('outcome')})."
+        )
     version_text = f"version {data.get('configuration')} of the configuration"
     age_s = data.get("age_s")
     if age_s is not None:
@@ -395,6 +405,13 @@
         "item.delayed": f"It was delayed by a storage error: {last.get('why')}",
     }
     end = ends.get(last_event)
+    if last_event == "item.waiting":
+        end = (
+            f"It has waited for {last['waited_s']:.1f} s ({last.get('outcome')}): "
+            f"{last['usable']} of {last['targets']} targets of {last['service']} are "
+            f"usable, with {last['slots']} slots, {last['online']} online requests "
+            f"and {last['batch']} items."
+        )
     if last_event == "item.quarantined":
         end = (
             f"It waits: targets {', '.join(last['crashed'])} crashed under it, and "
--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -184,7 +184,7 @@
         for job_id in [
             job_id for job_id in self.jobs if f"j/{job_id}" not in live_keys
         ]:
-            self._delete_job(job_id)
+            self._delete_job(job_id, "not_in_snapshot")
         for record in records:
             self._apply_job(record.key, record.value, float("-inf"))
 
@@ -194,7 +194,16 @@
         for record in records:
             self.apply_outcome(record.key, record.value)
         for job in self.jobs.values():
+            known = len(job.outcome.rows)
             job.outcome = self._outcomes.setdefault(job.id, JobOutcome())
+            if len(job.outcome.rows) < known:
+                decision_log.log_request_event(
+                    "batch.results_missing",
+                    job.id,
+                    outcome="not_in_snapshot",
+                    results=len(job.outcome.rows),
+                    known=known,
+                )
             self._update_open(job)
 
     def apply_job(self, key, value):
@@ -207,7 +216,7 @@
         if kind != "j":
             return
         if not value:
-            self._delete_job(job_id)
+            self._delete_job(job_id, "deleted")
         elif job_id not in self.jobs:
             with _skip_malformed(key):
                 self._add_job(job_id, orjson.loads(value), received_at)
@@ -244,8 +253,17 @@
         self.jobs[job_id] = job
         self._update_open(job)
 
-    def _delete_job(self, job_id):
-        self.jobs.pop(job_id, None)
+    def _delete_job(self, job_id, reason):
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            decision_log.log_request_event(
+                "batch.forgotten",
+                job_id,
+                outcome=reason,
+                is_open=job.is_open,
+                results=len(job.outcome.rows),
+                items=len(job.items),
+            )
         self.open_jobs.pop(job_id, None)
         self._outcomes.pop(job_id, None)
 
--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -6,7 +6,7 @@
 from tornado import httputil
 
 from pimentowick import exception, verdict
-from pimentowick.gateway import decision_log, ledger, record, workspace
+from pimentowick.gateway import content, decision_log, ledger, record, workspace
 from pimentowick.platform import message
 
 __all__ = ["JobApi"]
@@ -198,21 +198,27 @@
         try:
             return await contents.read(job_id, references)
         except exception.LogError as error:
-            _log_decision("batch.unsure", job_id, "contents_away", why=str(error))
+            is_missing = isinstance(error, content.MissingError)
+            outcome = "contents_missing" if is_missing else "contents_away"
+            _log_decision("batch.unsure", job_id, outcome, why=str(error))
             raise exception.RefusedError(_make_unavailable()) from error
 
     async def read_body(self, exchange, job_id):
         """Answer with the body of an item that has no result yet."""
         job = await self._find(job_id, exchange.host)
         item_id = exchange.query.get("id", "")
+        outcome = "unknown_item"
         for number, item in enumerate(job.items):
-            if item.id == item_id and not job.outcome.has_result(number):
+            if item.id == item_id and job.outcome.has_result(number):
+                outcome = "item_has_result"
+            elif item.id == item_id:
                 contents_by_name = await self._read_contents(job_id, [item.body])
                 headers = httputil.HTTPHeaders(
                     {"Content-Type": "application/octet-stream"}
                 )
                 await exchange.answer(200, headers, contents_by_name[item.body.name])
                 return
+        _log_decision("batch.body_unknown", job_id, outcome, item=item_id)
         raise _make_unknown_error()
 
     async def cancel(self, exchange, job_id):
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -14,6 +14,7 @@
     route_removal,
     transcript,
     upstream,
+    waiting_items,
 )
 from pimentowick.gateway.policy import (
     batch_queue,
@@ -119,6 +120,11 @@
         """Return the `execution.Run` objects, both queued and running."""
         return list(self._runs.values())
 
+    def log_long_waits(self):
+        """Log the items that have waited for long, and why."""
+        now = time.monotonic()
+        waiting_items.log_long_waits(self.list_runs(), self._table, now)
+
     def set_partitions(self, partitions):
         """Run the items of these partitions, and stop all other runs."""
         self._prefetcher.update_partitions(self.owned_partitions, partitions)
@@ -496,6 +502,7 @@
         if run.target is not None:
             run.target.batch -= 1
             run.target = None
+            run.waits_since = time.monotonic()
             self._on_change()
 
     def _cancel(self, run):
