Take the identifier of a job from a key whole, whatever it holds

Cause: identifiers chosen by callers are joined into keys with a separator, and keys were split at the first one, so that outcomes went to another job; the path of a read was not decoded. Its class: a name that others choose is told from what follows it by a character that it may hold. The same cause elsewhere: contents were chosen by prefix, so that deleting job 'a' deleted those of 'a/b' as well; '%' and '#' in an identifier.

Change: keys are split from the end, where the number of parts is fixed, in one place (record.py), and the path is percent-decoded. Keys of other identifiers are as before, so that records of earlier versions are read.

Whether the users' identifiers hold such characters isn't known: theirs in the examples are hexadecimal, so that this is not shown to be their case.

--- a/pimentowick/gateway/content.py
+++ b/pimentowick/gateway/content.py
@@ -19,7 +19,7 @@
 import zlib
 
 from pimentowick import exception
-from pimentowick.gateway import hedging
+from pimentowick.gateway import hedging, record
 from pimentowick.platform import store as platform_store
 
 __all__ = ["Contents", "MissingError", "Reference"]
@@ -194,7 +194,9 @@
             topic, partition, _make_key(job_id, "", None)
         )
         records = [
-            platform_store.KeyedRecord(record.key, b"") for record in newest_records
+            platform_store.KeyedRecord(newest.key, b"")
+            for newest in newest_records
+            if _find_name(job_id, newest.key)
         ]
         if records:
             await self._store.append(topic, partition, records, None)
@@ -299,14 +301,26 @@
     return f"{job_id}/{name}" if index is None else f"{job_id}/{name}#{index:05d}"
 
 
+def _find_name(job_id, key):
+    """Return the name of a content by its key, or "" if it belongs to another job.
+
+    The identifier of another job may begin with that of this one and a separator.
+    """
+    try:
+        owner, name = record.split_content_name(key.rpartition("#")[0])
+    except ValueError:
+        return ""
+    return name if owner == job_id else ""
+
+
 def _join_chunks(job_id, records):
     """Join the chunks of each name; return bytes by name."""
     chunks = {}
-    prefix = _make_key(job_id, "", None)
-    for record in records:
-        if record.value and record.key.startswith(prefix):
-            name, _, index = record.key[len(prefix) :].rpartition("#")
-            chunks.setdefault(name, {})[int(index)] = record.value[1:]
+    for chunk in records:
+        name = _find_name(job_id, chunk.key)
+        if chunk.value and name:
+            index = int(chunk.key.rpartition("#")[2])
+            chunks.setdefault(name, {})[index] = chunk.value[1:]
     return {
         name: b"".join(values[index] for index in sorted(values))
         for name, values in chunks.items()
--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from pimentowick.gateway import content, decision_log
+from pimentowick.gateway import content, decision_log, record
 
 __all__ = ["Item", "Job", "JobOutcome", "JobTable", "Result"]
 
@@ -180,19 +180,19 @@
 
     def reset_jobs(self, records):
         """Replace the accepted jobs by a snapshot of the newest records."""
-        live_keys = {record.key for record in records if record.value}
+        live_keys = {newest.key for newest in records if newest.value}
         for job_id in [
             job_id for job_id in self.jobs if f"j/{job_id}" not in live_keys
         ]:
             self._delete_job(job_id, "not_in_snapshot")
-        for record in records:
-            self._apply_job(record.key, record.value, float("-inf"))
+        for newest in records:
+            self._apply_job(newest.key, newest.value, float("-inf"))
 
     def reset_outcomes(self, records):
         """Replace the outcomes by a snapshot of the newest records."""
         self._outcomes = {}
-        for record in records:
-            self.apply_outcome(record.key, record.value)
+        for newest in records:
+            self.apply_outcome(newest.key, newest.value)
         for job in self.jobs.values():
             known = len(job.outcome.rows)
             job.outcome = self._outcomes.setdefault(job.id, JobOutcome())
@@ -224,18 +224,16 @@
     def apply_outcome(self, key, value):
         """Apply one outcome record; an empty value is a tombstone."""
         self.version += 1
-        kind, _, rest = key.partition("/")
-        job_id, _, tail = rest.partition("/")
-        if not value:
-            # Outcome records are deleted after their job.
-            if job_id not in self.jobs:
-                self._outcomes.pop(job_id, None)
-            return
         with _skip_malformed(key):
-            outcome = self._outcomes.setdefault(job_id, JobOutcome())
-            outcome.apply(key, kind, tail, value)
-        if job_id in self.jobs:
-            self._update_open(self.jobs[job_id])
+            kind, job_id, tail = record.split_outcome_key(key)
+            if value:
+                outcome = self._outcomes.setdefault(job_id, JobOutcome())
+                outcome.apply(key, kind, tail, value)
+            elif job_id not in self.jobs:
+                # Outcome records are deleted after their job.
+                self._outcomes.pop(job_id, None)
+            if value and job_id in self.jobs:
+                self._update_open(self.jobs[job_id])
 
     def _add_job(self, job_id, data, received_at):
         outcome = self._outcomes.setdefault(job_id, JobOutcome())
--- a/pimentowick/gateway/record.py
+++ b/pimentowick/gateway/record.py
@@ -14,6 +14,8 @@
     "name_body",
     "name_checkpoint",
     "name_text",
+    "split_content_name",
+    "split_outcome_key",
 ]
 
 
@@ -89,6 +91,40 @@
     return store.KeyedRecord(f"e/{job_id}", b"1")
 
 
+def split_outcome_key(key):
+    """Return (kind, job, tail) of the key of an outcome record.
+
+    Callers choose the identifiers of jobs, which may hold separators. What follows them
+    in a key has a fixed number of parts without any.
+
+    Raises:
+        ValueError: It is not the key of an outcome record.
+
+    Examples:
+        >>> split_outcome_key("i/hall/7c41/0/w"), split_outcome_key("e/hall/7c41")
+        (('i', 'hall/7c41', '0/w'), ('e', 'hall/7c41', ''))
+    """
+    kind, _, rest = key.partition("/")
+    if kind == "e":
+        return kind, rest, ""
+    job_id, number, name = rest.rsplit("/", 2)
+    return kind, job_id, f"{number}/{name}"
+
+
+def split_content_name(name):
+    """Return (job, name) of a content whose name is prefixed with that of its job.
+
+    Raises:
+        ValueError: It is not such a name.
+
+    Examples:
+        >>> split_content_name("hall/7c41/b/0/w")
+        ('hall/7c41', 'b/0/w')
+    """
+    job_id, kind, number, writer = name.rsplit("/", 3)
+    return job_id, f"{kind}/{number}/{writer}"
+
+
 def make_tombstone(key):
     """Return the record that deletes a key."""
     return store.KeyedRecord(key, b"")
--- a/pimentowick/gateway/tests/test_odd_entries.py
+++ b/pimentowick/gateway/tests/test_odd_entries.py
@@ -327,6 +327,29 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("odd_id", ["leon/sala-a", "leon/b/0", "leon/", "50%", "a#b"])
+def test_jobs_whose_identifiers_begin_alike_are_kept_apart(odd_id):
+    # The contents and outcomes of one were taken for, or deleted with, the other's.
+    async def run():
+        async with platform_site.open_site(routes=ROUTES) as site:
+            await run_job(site, "leon")
+            await run_job(site, odd_id)
+            (gateway,) = site.gateways
+            contents = gateway.storage.contents
+            jobs = gateway.storage.job_table.jobs
+            for name in ("leon", odd_id):
+                (result,) = jobs[name].results
+                assert set(await contents.read_all(name)) == {result.text.name}
+            await gateway.storage.remove(jobs["leon"])
+            path = f"/-/lots/{urllib.parse.quote(odd_id, safe='')}?after=0"
+            await wait.wait_for(lambda: "leon" not in jobs, WAIT_S, POLL_S)
+            contents._cache.clear()
+            page = await site.call("GET", path)
+            assert page.status == 200 and len(page.decode()["results"]) == 1
+
+    asyncio.run(run())
+
+
 # Values of the configuration, and of a quarantined request, that are none.
 ODD_DOCUMENTS = [
     b"\xff",
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import re
+import urllib.parse
 
 import orjson
 import pydantic
@@ -65,7 +66,7 @@
     "expect",
     "content-length",
 }
-JOB_PATH = re.compile(r"^/-/(lots|items)/([^/?]+)$")
+JOB_PATH = re.compile(r"^/-/(lots|items)/(.+)$")
 MAX_ITEMS_PER_JOB = 200
 # Parts of a prompt that are considered; more are left out in the middle.
 MAX_PARTS = 128
@@ -424,12 +425,15 @@
         (<JobOperation.READ: 'read'>, '7c41')
         >>> find_job_operation("PUT", "/-/items/7c41")
         (<JobOperation.UNKNOWN: 'unknown'>, '7c41')
+        >>> find_job_operation("GET", "/-/lots/hall%2F7c41")
+        (<JobOperation.READ: 'read'>, 'hall/7c41')
     """
     match = JOB_PATH.match(path)
     if match is None:
         return None
-    collection, job_id = match.groups()
-    return JOB_OPERATIONS.get((method, collection), JobOperation.UNKNOWN), job_id
+    collection, quoted_id = match.groups()
+    operation = JOB_OPERATIONS.get((method, collection), JobOperation.UNKNOWN)
+    return operation, urllib.parse.unquote(quoted_id)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
