Answer a request whose head was read as its idle connection is closed

Cause: a connection counted as idle until the coroutine that reads its request ran, an iteration of the event loop after the bytes had left the kernel and the buffer. Timers and the listener run in between. The check before a close asked the kernel and the buffer alone; a body, which stays in the buffer, hid this. Its class: a decision on a state that is known an iteration late.

Change: tornado's stream is asked whether it still waits for a head (reading()), before idle connections are closed and before they count as spare.

Looked at as well: the entry of the first deployment closes in a coroutine, which runs after those that read; slow heads are closed by a coroutine, too. Whether it is the users' case isn't known.

--- a/pimentowick/gateway/caller_connections.py
+++ b/pimentowick/gateway/caller_connections.py
@@ -10,7 +10,7 @@
 from pimentowick.gateway import decision_log, descriptors
 from pimentowick.gateway.policy import connection_limit, connection_shedding
 
-__all__ = ["AcceptingServer", "CallerConnections"]
+__all__ = ["AcceptingServer", "CallerConnections", "has_arrived"]
 
 # Connections accepted in one iteration of the event loop. Further ones wait in the
 # kernel, so that a flood of them does not hold up requests and readiness checks.
@@ -23,6 +23,18 @@
 MIN_LOG_INTERVAL_S = 1.0
 
 
+def has_arrived(stream):
+    """Return whether a request has arrived on an idle connection.
+
+    The head of a request that was read has left the buffer, and reaches the server in
+    the next iteration of the event loop.
+
+    Args:
+        stream: The `tornado.iostream.IOStream` of the connection.
+    """
+    return not (stream.closed() or stream.reading())
+
+
 class AcceptingServer(web.DrainingServer):
     """HTTP server that goes on when descriptors are exhausted.
 
@@ -153,6 +165,7 @@
             return False
         if not self.limit.is_near(len(self._states)):
             return True
+        self._mark_arrived()
         decision = self.limit.decide(
             address, self._states.values(), time.monotonic(), self._get_idle_timeout()
         )
@@ -185,11 +198,18 @@
 
     def close_spare(self):
         """Close the connection that is least likely to be used again."""
+        self._mark_arrived()
         spare = connection_limit.find_spare(
             self._states.values(), time.monotonic(), self._get_idle_timeout()
         )
         self._close(spare)
 
+    def _mark_arrived(self):
+        """Mark the connections as busy on which a request has arrived."""
+        for state in self._states.values():
+            if state.idle_since is not None and has_arrived(state.key.stream):
+                state.idle_since = None
+
     def _close(self, state):
         if state is None:
             return
--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -319,7 +319,7 @@
         """Close a connection unless a request has arrived on it or is arriving."""
         if connection not in self._idle:
             return
-        if _has_unread_bytes(connection.stream):
+        if _may_hold_request(connection.stream):
             self._close_if_idle_later(connection)
             return
         connection.stream.close()
@@ -485,10 +485,12 @@
         raise ValueError(str(error)) from error
 
 
-def _has_unread_bytes(stream):
-    """Return whether bytes of a caller were received that form no request yet."""
+def _may_hold_request(stream):
+    """Return whether bytes of a request have arrived on an idle connection."""
     if stream.closed():
         return False
+    if caller_connections.has_arrived(stream):
+        return True
     # Tornado has no public way to tell how much is buffered.
     if stream._read_buffer_size:
         return True
--- a/pimentowick/gateway/tests/test_connection_limit.py
+++ b/pimentowick/gateway/tests/test_connection_limit.py
@@ -211,6 +211,24 @@
     run_with(check)
 
 
+def test_connection_whose_request_was_just_read_is_not_closed(monkeypatch):
+    # It was closed without an answer for a new one in the same iteration of the loop.
+    monkeypatch.setattr(connection_limit, "UNUSED_S", 0.0)
+
+    async def check(server):
+        server.connections.limit.max_connections = 1
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(("127.0.0.1", server._port)) as caller:
+            caller.setblocking(False)
+            await wait.wait_for(lambda: server._idle, WAIT_S, POLL_S)
+            caller.send(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+            with socket.create_connection(("127.0.0.1", server._port)):
+                data = await asyncio.wait_for(loop.sock_recv(caller, 4096), WAIT_S)
+        assert data.startswith(b"HTTP/1.1 200 ")
+
+    run_with(check)
+
+
 @pytest.mark.parametrize("has_idle", [False, True])
 def test_target_is_not_blamed_if_no_descriptor_can_be_had(monkeypatch, has_idle):
     # Guards against targets that are paused because this entry has no descriptor.
--- a/pimentowick/gateway/tests/test_exchange.py
+++ b/pimentowick/gateway/tests/test_exchange.py
@@ -1,5 +1,6 @@
 import asyncio
 import socket
+import time
 
 import pytest
 from tornado import httputil
@@ -75,6 +76,35 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("sent", [REQUEST, b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"])
+def test_request_that_arrives_during_a_stall_of_a_stopping_process_is_answered(sent):
+    # Its bytes are read in the iteration of the event loop in which the timer ends that
+    # closes idle connections; the connection was closed without an answer.
+    async def run():
+        address = f"127.0.0.1:{platform_site.find_free_port()}"
+
+        async def answer(request):
+            await request.answer(200, httputil.HTTPHeaders(), request.body)
+
+        server = exchange.Server(address, answer)
+        await server.start()
+        loop = asyncio.get_running_loop()
+        sock = socket.create_connection(("127.0.0.1", server._port))
+        sock.setblocking(False)
+        await wait.wait_for(lambda: server._idle, 5, 0.005)
+        stopping = asyncio.create_task(server.stop_listening())
+        await asyncio.sleep(0)
+        sock.send(sent)
+        time.sleep(2 * exchange.IDLE_GRACE_S)
+        data = await asyncio.wait_for(loop.sock_recv(sock, 4096), 10)
+        assert data.startswith(b"HTTP/1.1 200 ")
+        await stopping
+        sock.close()
+        await server.close()
+
+    asyncio.run(run())
+
+
 def test_connections_without_a_request_are_closed():
     async def run():
         address = f"127.0.0.1:{platform_site.find_free_port()}"
