--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from pimentowick.gateway import content, decision_log
+from pimentowick.gateway import content, decision_log, record
 
 __all__ = ["Item", "Job", "JobOutcome", "JobTable", "Result"]
 
@@ -180,21 +180,30 @@
 
     def reset_jobs(self, records):
         """Replace the accepted jobs by a snapshot of the newest records."""
-        live_keys = {record.key for record in records if record.value}
+        live_keys = {newest.key for newest in records if newest.value}
         for job_id in [
             job_id for job_id in self.jobs if f"j/{job_id}" not in live_keys
         ]:
-            self._delete_job(job_id)
-        for record in records:
-            self._apply_job(record.key, record.value, float("-inf"))
+            self._delete_job(job_id, "not_in_snapshot")
+        for newest in records:
+            self._apply_job(newest.key, newest.value, float("-inf"))
 
     def reset_outcomes(self, records):
         """Replace the outcomes by a snapshot of the newest records."""
         self._outcomes = {}
-        for record in records:
-            self.apply_outcome(record.key, record.value)
+        for newest in records:
+            self.apply_outcome(newest.key, newest.value)
         for job in self.jobs.values():
+            known = len(job.outcome.rows)
             job.outcome = self._outcomes.setdefault(job.id, JobOutcome())
+            if len(job.outcome.rows) < known:
+                decision_log.log_request_event(
+                    "batch.results_missing",
+                    job.id,
+                    outcome="not_in_snapshot",
+                    results=len(job.outcome.rows),
+                    known=known,
+                )
             self._update_open(job)
 
     def apply_job(self, key, value):
@@ -207,7 +216,7 @@
         if kind != "j":
             return
         if not value:
-            self._delete_job(job_id)
+            self._delete_job(job_id, "deleted")
         elif job_id not in self.jobs:
             with _skip_malformed(key):
                 self._add_job(job_id, orjson.loads(value), received_at)
@@ -215,18 +224,16 @@
     def apply_outcome(self, key, value):
         """Apply one outcome record; an empty value is a tombstone."""
         self.version += 1
-        kind, _, rest = key.partition("/")
-        job_id, _, tail = rest.partition("/")
-        if not value:
-            # Outcome records are deleted after their job.
-            if job_id not in self.jobs:
-                self._outcomes.pop(job_id, None)
-            return
         with _skip_malformed(key):
-            outcome = self._outcomes.setdefault(job_id, JobOutcome())
-            outcome.apply(key, kind, tail, value)
-        if job_id in self.jobs:
-            self._update_open(self.jobs[job_id])
+            kind, job_id, tail = record.split_outcome_key(key)
+            if value:
+                outcome = self._outcomes.setdefault(job_id, JobOutcome())
+                outcome.apply(key, kind, tail, value)
+            elif job_id not in self.jobs:
+                # Outcome records are deleted after their job.
+                self._outcomes.pop(job_id, None)
+            if value and job_id in self.jobs:
+                self._update_open(self.jobs[job_id])
 
     def _add_job(self, job_id, data, received_at):
         outcome = self._outcomes.setdefault(job_id, JobOutcome())
@@ -244,8 +251,17 @@
         self.jobs[job_id] = job
         self._update_open(job)
 
-    def _delete_job(self, job_id):
-        self.jobs.pop(job_id, None)
+    def _delete_job(self, job_id, reason):
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            decision_log.log_request_event(
+                "batch.forgotten",
+                job_id,
+                outcome=reason,
+                is_open=job.is_open,
+                results=len(job.outcome.rows),
+                items=len(job.items),
+            )
         self.open_jobs.pop(job_id, None)
         self._outcomes.pop(job_id, None)
 
