Report a crash while a waiting request is being refused

What callers saw: found by reading; a request that lost its target could be answered 500 `internal`, or its stream broken off, instead of going on at another target. The error was not its own: it was raised as the request reported the crash.

Cause: a crash cancels the requests that wait for a slot and must not run any more, by rescheduling their timeouts. Between that and the end of such a request its timeout is expiring; the next report of a crash, or of another entry, rescheduled it again, which is a RuntimeError ("Cannot change state of expiring Timeout"). It ended whoever reported, and the requests behind it in the list were not refused.

A timeout is now forgotten as it is rescheduled, so that it is rescheduled once.

--- a/pimentowick/routing/crash_guard.py
+++ b/pimentowick/routing/crash_guard.py
@@ -92,7 +92,7 @@
             try:
                 yield
             finally:
-                del self._interruptible[timeout]
+                self._interruptible.pop(timeout, None)
 
     async def start_trial(self, names, request_id, is_deferred=False):
         """Count a trial of a request, for each of its names that is quarantined.
@@ -208,9 +208,15 @@
     def _notify_changed(self):
         self._changed.set()
         self._changed = asyncio.Event()
-        for timeout, names in self._interruptible.items():
-            if self.choose_step(names) == quarantine.Step.REFUSE:
-                timeout.reschedule(asyncio.get_running_loop().time())
+        refused = [
+            timeout
+            for timeout, names in self._interruptible.items()
+            if self.choose_step(names) == quarantine.Step.REFUSE
+        ]
+        for timeout in refused:
+            # A timeout can't be rescheduled once it has expired.
+            del self._interruptible[timeout]
+            timeout.reschedule(asyncio.get_running_loop().time())
 
 
 class CrashIdentifier:
