Ask a target for its start without its closed socket

What callers saw: nothing that was reported; found by reading. If a target closes a connection between its opening and the question when it was started, the question raised an AttributeError (`'NoneType' object has no attribute 'getpeername'`) instead of the StreamClosedError that its callers handle. A request would be answered 500 `internal` instead of being sent to another target, and a run of an item would fail with it.

Cause: the Host field was taken from the socket, which a closed stream has no more.

Evidence: the new test, which closes the stream, failed with that error before. With real sockets it was not seen in 400 connections that a target reset as it accepted them (398 failed while connecting, 2 at the question, as they should).

The connection keeps the address that it was opened to, so that a closed stream is found by the read, which raises StreamClosedError.

--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -456,6 +456,7 @@
 
     Args:
         stream: The open stream.
+        address: IP address and TCP port of the target.
         on_load: Function called with the load that comes with each response.
         counted: The `traffic.Traffic` that counts the bodies.
 
@@ -466,13 +467,14 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, stream, on_load, counted):
+    def __init__(self, stream, address, on_load, counted):
         self.number = next(self._numbers)
         self._opened_at = time.monotonic()
         self._request_count = 0
         # When the target was started, 0 if it does not say, None if it was not asked.
         self._started_ms = None
         self.stream = stream
+        self._address = address
         self._on_load = on_load
         self._traffic = counted
         self.idle_until = 0.0
@@ -542,8 +544,8 @@
         self._request_count += 1
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine("GET", message.REPORT_PATH, "HTTP/1.1")
-        host, port = self.stream.socket.getpeername()
-        headers = httputil.HTTPHeaders({"Host": f"{host}:{port}"})
+        ip, port = self._address
+        headers = httputil.HTTPHeaders({"Host": f"{ip}:{port}"})
         http.write_headers(start_line, headers)
         http.finish()
         reader = _ReportReader(self.stream)
@@ -688,7 +690,7 @@
         with contextlib.suppress(OSError):
             stream.close()
         raise
-    return Connection(stream, on_load, counted)
+    return Connection(stream, address, on_load, counted)
 
 
 def _set_options(sock):
