Let a request end that is cancelled while its caller does not read

What callers saw: one caller that reads a stream slowly and leaves made a gateway run its request at every other target that it may have, and count each of these sound targets as failing, so that other callers got fewer of them. The same at a deadline and at the end of a stop: instead of the end of the request, its time-out was taken for a malformed response of the target.

Cause: the events of a target are passed to the caller within a method that tornado calls. Tornado logs whatever leaves such a method, a cancellation too, and ends the response as if it were malformed; the cancellation is lost. It hits requests whose write to the caller waits: without a limit on memory as soon as the kernel takes no more, with one when the caller's share is used up.

Evidence: the new test failed before ("DID NOT RAISE CancelledError").

The cancellation is kept, the connection closed, and the cancellation raised again where the response was asked for. It is the one place where such a method waits; the others return at once.

--- a/pimentowick/gateway/tests/test_upstream.py
+++ b/pimentowick/gateway/tests/test_upstream.py
@@ -4,9 +4,9 @@
 import contextlib
 
 import pytest
-from tornado import iostream
+from tornado import httputil, iostream
 
-from pimentowick.gateway import traffic, upstream
+from pimentowick.gateway import connection_pool, traffic, upstream
 
 WAIT_S = 20.0
 RESPONSE = (
@@ -15,6 +15,26 @@
 )
 
 
+class WaitingSink(upstream.Sink):
+    """Takes no chunk of the body, as the sink of a caller that does not read."""
+
+    def __init__(self):
+        self.is_waiting = asyncio.Event()
+
+    async def on_headers(self, status, headers, answer):
+        """Discard the headers."""
+
+    async def on_chunk(self, chunk):
+        """Wait until cancelled."""
+        self.is_waiting.set()
+        await asyncio.Event().wait()
+
+
+def make_request(run_check=None):
+    headers = httputil.HTTPHeaders({"Host": "h"})
+    return upstream.Request("r", "GET", "/x", headers, b"", run_check=run_check)
+
+
 @contextlib.asynccontextmanager
 async def open_target():
     """Run a target that answers each request; return its address."""
@@ -32,6 +52,23 @@
         server.close()
 
 
+def test_cancellation_ends_a_request_whose_caller_does_not_read():
+    # Guards against a response that is taken for a broken one of its target, and sent
+    # for once more, as its caller leaves or its time is up while a write to it waits.
+    async def run():
+        async with open_target() as (ip, port):
+            pool = connection_pool.Pool(ip, port)
+            sink = WaitingSink()
+            sending = asyncio.create_task(pool.send(make_request(), sink))
+            await sink.is_waiting.wait()
+            sending.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await sending
+            assert pool.open == 0
+
+    asyncio.run(asyncio.wait_for(run(), WAIT_S))
+
+
 def test_request_is_not_run_if_its_target_closed_the_connection_before_it_is_asked():
     # Guards against an unexpected error, instead of another attempt, as a target closes
     # a connection that was just opened.
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -294,6 +294,7 @@
         needs_body: Whether the body is of use.
         fault: Reason code if the head is not that of a response, or None.
         is_caller_gone: Whether the sink's own connection was closed.
+        cancellation: The `asyncio.CancelledError` of a method of the sink, or None.
     """
 
     def __init__(self, request, sink, on_load, counted, stream, is_first):
@@ -312,6 +313,7 @@
         self.needs_body = True
         self.fault = None
         self.is_caller_gone = False
+        self.cancellation = None
         self._stream = stream
         self._interim_responses = 0
         self._unused_bytes = 0
@@ -353,7 +355,9 @@
         if not self.is_stray:
             self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
-            await self._sink.on_headers(start_line.code, headers, self.answer)
+            await self._pass_on(
+                self._sink.on_headers(start_line.code, headers, self.answer)
+            )
         if self.needs_body and not self._sink.can_continue:
             self._stream.abandon()
         is_refusal = self.answer.not_executed or self.answer.is_misdirected
@@ -391,13 +395,24 @@
             if self._unused_bytes > MAX_UNUSED_BYTES:
                 self._stream.abandon()
             return
+        await self._pass_on(self._sink.on_chunk(chunk))
+        if not self._sink.can_continue:
+            self._stream.abandon()
+
+    async def _pass_on(self, handling):
+        """Wait until the sink has handled part of the response.
+
+        Args:
+            handling: Coroutine of a method of the sink.
+        """
         try:
-            await self._sink.on_chunk(chunk)
+            await handling
         except iostream.StreamClosedError:
             self.is_caller_gone = True
             self._stream.abandon()
-            return
-        if not self._sink.can_continue:
+        except asyncio.CancelledError as error:
+            # Tornado would log it and go on as if the response were malformed.
+            self.cancellation = error
             self._stream.abandon()
 
     def finish(self):
@@ -606,6 +621,7 @@
 
         Raises:
             StreamClosedError: The target closed the connection.
+            CancelledError: The request was cancelled.
         """
         reader = _Reader(
             request,
@@ -624,6 +640,8 @@
         finally:
             self.stream.end_head()
             reader.close()
+        if reader.cancellation is not None:
+            raise reader.cancellation
         return reader
 
     def _classify(self, reader):
