Write no two texts of an item under one name

A text that had been recorded could be answered 503 for good, or with other bytes.

An entry wrote the text of an item under a name of its own run of the item. If recording the result failed and the item began anew, at another software version, the new text took the same name. The record of the first result may still land, seconds after its append went unanswered, and is then the result that counts: its reference holds the size of the first text, while the newest record of the name holds the second one. Once the log is truncated, contents are read by name, and the listed text is missing.

Each text that is written has a name of its own now, as bodies and checkpoints have. The test lets the first record land late and truncates the log; before, it failed with MissingError (content r/0/... is missing or incomplete). Found by reading, not in a run of processes.

--- a/pimentowick/gateway/tests/test_transcript.py
+++ b/pimentowick/gateway/tests/test_transcript.py
@@ -3,6 +3,7 @@
 import orjson
 import pytest
 
+from pimentowick import exception
 from pimentowick.fakes import faults, wait
 from pimentowick.gateway import content, event_stream, job, record, transcript
 from pimentowick.gateway.tests import writer
@@ -155,6 +156,37 @@
     run_with(check)
 
 
+def test_text_written_anew_does_not_replace_the_text_of_a_late_result():
+    # The result of the first text is recorded late, after the item has begun anew at
+    # another software version; the log is truncated, so that texts are read by name.
+    async def check(fake_store, one, other):
+        await one.accept()
+        item_transcript = await one.open_transcript()
+        add_events(item_transcript, "a", 1, 2)
+        outcomes = one.storage.outcomes
+        put = outcomes.put
+        late_builds = []
+
+        async def lose_contact(build, timeout_s):
+            late_builds.append(build())
+            raise exception.LogError("no answer")
+
+        outcomes.put = lose_contact
+        with pytest.raises(exception.LogError):
+            await item_transcript.finish(5)
+        (late_records,) = late_builds
+        item_transcript.restart()
+        add_events(item_transcript, "b", 1, 3)
+        await one.store.append(writer.OUTCOMES, 0, late_records, None)
+        outcomes.put = put
+        await item_transcript.finish(5)
+        for partition in fake_store.partitions.values():
+            partition.trim(partition.end)
+        assert await other.read_text() == ["a1", "a2"]
+
+    run_with(check)
+
+
 def test_checkpoint_with_a_missing_predecessor_is_ignored():
     # Checkpoints may be deleted while another entry reads them page by page.
     checkpoints = {
--- a/pimentowick/gateway/transcript.py
+++ b/pimentowick/gateway/transcript.py
@@ -41,7 +41,6 @@
     def __init__(self, storage, job, number):
         self._storage = storage
         self._job = job
-        self._run_id = uuid.uuid4().hex
         self._checkpoints = []
         self._recorded_count = 0
         self.item = job.items[number]
@@ -147,7 +146,8 @@
         """
         if not self.needs_run:
             return
-        name = record.name_text(self.number, self._run_id)
+        # The record of an earlier text may still land, and refers to it by name.
+        name = record.name_text(self.number, uuid.uuid4().hex)
         text = "\n".join(self.texts).encode()
         references = await self._storage.contents.put(
             self._job.id, {name: text}, timeout_s
