Keep the body of an item that has no result

The body of an item could be deleted though the item had still to run: reads of it are then answered 503 for good, and the item never runs.

The run went on as though it had been, and deleted body and checkpoints. The same holds while the job is not in the table for a moment.

They are deleted now only if the job in the table needs no run of the item. The test replaces the job before the item is given up; before, it failed since the body was gone (KeyError b/0/w) with no result listed. Found by reading; no run of processes has shown a job replaced in a table.

--- a/pimentowick/gateway/tests/test_transcript.py
+++ b/pimentowick/gateway/tests/test_transcript.py
@@ -187,6 +187,24 @@
     run_with(check)
 
 
+def test_body_is_kept_while_the_item_has_no_result():
+    # The job in the table is replaced as a snapshot is read; nothing is recorded for
+    # the item of the previous one, which then still has to run.
+    async def check(fake_store, one, other):
+        await one.accept()
+        item_transcript = await one.open_transcript()
+        table = one.storage.job_table
+        current = table.jobs["j"]
+        table.reset_jobs([])
+        await item_transcript.abandon(5)
+        await other.storage.refresh()
+        assert not other.storage.job_table.jobs["j"].results
+        read = other.storage.contents.read_all("j")
+        assert (await read)[current.items[0].body.name] == b"body"
+
+    run_with(check)
+
+
 def test_checkpoint_with_a_missing_predecessor_is_ignored():
     # Checkpoints may be deleted while another entry reads them page by page.
     checkpoints = {
--- a/pimentowick/gateway/transcript.py
+++ b/pimentowick/gateway/transcript.py
@@ -176,7 +176,10 @@
         await self._storage.outcomes.put(build, timeout_s)
 
     async def _delete_unneeded(self):
-        """Delete the body and the checkpoints of an item that has a result."""
+        """Delete the body and the checkpoints of an item that need not run any more."""
+        current_job = self._storage.job_table.jobs.get(self._job.id)
+        if current_job is None or current_job.needs_run(self.number):
+            return
         try:
             references = [self.item.body, *self._checkpoints, *self._discarded]
             await self._storage.contents.delete(self._job.id, references)
