Refuse no job by its quota that another entry has accepted

A caller who submitted a job again, at another entry and a moment after its 202 or after an answer that was lost, could be answered 429: a promise that the job does not run, though it was accepted and ran.

The entry checked the quota against its table before it knew of the other entry's acceptance. The table lacks what the last reads of the store have not brought, half a second as a rule (the pause after a read) and seconds while reads are slow, and the job itself may be what fills the quota by then. A table that is behind also still counts items that have ended. Only a job that the quota lets pass reached the append, whose condition would have shown the newer records.

Before a refusal by the quota the accepted jobs are read to their end now, unless a read that began after the submission has reached it, and the job is accepted if it is among them. Concurrent refusals share a read. If the store doesn't answer, the call is refused as when the store is away.

--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -1,5 +1,6 @@
 """HTTP interface of batch jobs: submit, read, cancel."""
 
+import asyncio
 import time
 import uuid
 
@@ -37,6 +38,7 @@
         self._graceful_stop = graceful_stop
         self._storage = storage
         self._is_cut_off = is_cut_off
+        self._reading_jobs = asyncio.Lock()
 
     async def submit(self, exchange, route, call, caller_workspace):
         """Accept or refuse a job.
@@ -82,13 +84,51 @@
         await exchange.answer(202, httputil.HTTPHeaders())
 
     async def _accept(self, exchange, route, job_id, workspace_name, items, bodies):
+        """Record a job unless it is already accepted.
+
+        Raises:
+            RefusedError: The job exceeds the quota, and no entry has accepted it.
+            LogError: The job may not be recorded.
+        """
+        began_at = time.monotonic()
+        deadline = began_at + SUBMIT_TIMEOUT_S
+        try:
+            await self._record(
+                exchange, route, job_id, workspace_name, items, bodies, deadline
+            )
+        except exception.RefusedError:
+            # Another entry may have accepted it, which the local state lacks.
+            if not await self._is_accepted(job_id, began_at):
+                raise
+
+    async def _is_accepted(self, job_id, began_at):
+        """Return whether any entry had accepted a job when this submission began.
+
+        Raises:
+            LogError: The store did not answer before the timeout.
+        """
+        jobs_feed = self._storage.accepted.feed
+        try:
+            async with asyncio.timeout(began_at + SUBMIT_TIMEOUT_S - time.monotonic()):
+                # Concurrent submissions share a read.
+                async with self._reading_jobs:
+                    if jobs_feed.fresh_at < began_at:
+                        await jobs_feed.refresh()
+        except TimeoutError:
+            raise exception.LogError(
+                "The accepted jobs were not read before the timeout."
+            ) from None
+        return job_id in self._storage.job_table.jobs
+
+    async def _record(
+        self, exchange, route, job_id, workspace_name, items, bodies, deadline
+    ):
         """Write the bodies of a job, then its record.
 
         Raises:
-            RefusedError: The job exceeds the quota.
+            RefusedError: The job exceeds the quota by the local state.
             LogError: The job may not be recorded.
         """
-        deadline = time.monotonic() + SUBMIT_TIMEOUT_S
         storage = self._storage
         # The quota check needs the unfinished items of all jobs.
         await storage.load(SUBMIT_TIMEOUT_S)
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -158,6 +158,25 @@
     run_with([replica.Replica()], check)
 
 
+def test_accepted_job_is_not_refused_by_the_quota_that_it_fills():
+    # The caller submits the job again, at an entry that has not read the first
+    # submission yet and still counts the items of a cancelled job.
+    async def check(site):
+        site.replicas[0].event_interval_s = 5.0
+        assert (await submit(site, make_body(9, tokens=100), "before")).status == 202
+        other = site.gateways[1]
+        jobs = other.storage.job_table.jobs
+        await wait.wait_for(lambda: "before" in jobs, 10, 0.01)
+        for name in ("ownership", "take over", "feed jobs", "feed outcomes"):
+            other._supervisor.stop_child(name)
+        assert (await site.call("DELETE", "/-/lots/before")).status == 200
+        assert (await submit(site, make_body(9, tokens=100))).status == 202
+        assert "job1" not in jobs
+        assert (await submit(site, make_body(9, tokens=100), entry=1)).status == 202
+
+    run_with([replica.Replica()], check, entries=2)
+
+
 def test_interrupted_run_resumes_after_its_last_event():
     # A target crashes in the middle of an event. The item resumes after the last whole
     # event, and no event is duplicated or lost.
