Confirm an accepted job that is submitted again after its route was removed

A caller who submitted an accepted job again, after a new configuration had removed its route, got 404 at every entry, though the job could still be read, ended and its bodies asked for, and its items wait for ten seconds for a route.

The route was looked up before the job was, and a path without a route was refused. In order, with two entries in one process: the job is accepted, both entries have a configuration without the route, three POSTs of the job: 404, 404, 404; a read of the job and one of a body then: 200 and 200.

A POST without a route is now answered 202 if its identifier is that of a job that this entry knows, under the same host and workspace; nothing is recorded or run. Others are refused as before. The table of jobs is asked as it is, without reading the store, so that probes of unknown routes cost no calls: an entry that has not read the job yet, half a second as a rule, still answers 404.

--- a/pimentowick/gateway/dispatch.py
+++ b/pimentowick/gateway/dispatch.py
@@ -56,7 +56,12 @@
             caller_workspace = await self._identify(request, call, is_public)
             await self._serve_job(request, call, caller_workspace, *job_call)
             return
-        matched_route = self._find_route(current, request, call)
+        try:
+            matched_route = self._find_route(current, request, call)
+        except exception.RefusedError:
+            if not await self._confirm_job(current, request, call):
+                raise
+            return
         caller_workspace = await self._identify(request, call, matched_route.is_public)
         if self._configuration.current is not current:
             # Authentication may have refreshed the configuration.
@@ -74,6 +79,21 @@
         request.workspace = None if caller_workspace is None else caller_workspace.name
         return caller_workspace
 
+    async def _confirm_job(self, current, request, call):
+        """Answer a repeated submission of a job whose route has been removed.
+
+        Returns:
+            Whether the request was one.
+        """
+        if request.method != "POST" or not call.request_id:
+            return False
+        caller_workspace = None
+        if current.workspaces is not None and call.key:
+            caller_workspace = current.workspaces.find(call.key)
+        name = None if caller_workspace is None else caller_workspace.name
+        job_id = workspace.scope_job_id(name, call.request_id)
+        return await self._job_api.confirm(request, job_id)
+
     def _find_route(self, current, request, call):
         matched_route = current.find(request.host, request.path)
         if matched_route is None:
--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -83,6 +83,15 @@
         )
         await exchange.answer(202, httputil.HTTPHeaders())
 
+    async def confirm(self, exchange, job_id):
+        """Accept a job again if it is known; return whether it is."""
+        job = self._storage.job_table.jobs.get(job_id)
+        if job is None or job.host != exchange.host:
+            return False
+        _log_decision("batch.accepted", job_id, "repeated", items=len(job.items))
+        await exchange.answer(202, httputil.HTTPHeaders())
+        return True
+
     async def _accept(self, exchange, route, job_id, workspace_name, items, bodies):
         """Record a job unless it is already accepted.
 
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -373,6 +373,29 @@
     run_with([replica.Replica()], check)
 
 
+def test_accepted_job_is_confirmed_after_its_route_is_removed():
+    # The caller submits the job again; a 404 would tell it that the job is lost.
+    async def check(site):
+        site.replicas[0].event_interval_s = 5.0
+        assert (await submit(site, make_body(2))).status == 202
+        site.publish([route for route in ROUTES if route is not BATCH])
+        for gateway in site.gateways:
+            await wait.wait_for(
+                lambda gateway=gateway: len(gateway.configuration.current.routes) == 1,
+                10,
+                0.01,
+            )
+            jobs = gateway.storage.job_table.jobs
+            await wait.wait_for(lambda jobs=jobs: "job1" in jobs, 10, 0.01)
+        for entry in range(2):
+            again = await submit(site, make_body(2), entry=entry)
+            assert again.status == 202
+            other = await submit(site, make_body(2), "job2", entry=entry)
+            assert other.status == 404
+
+    run_with([replica.Replica()], check, entries=2)
+
+
 def test_jobs_run_after_their_route_is_restored():
     async def check(site):
         site.publish([route for route in ROUTES if route is not BATCH])
