Append no more outcomes at once than the store takes in a call

Results, failures and ends of jobs could stop being recorded at an entry for good, so that items stay unlisted and an end is not acknowledged.

The outcomes that wait are appended together. If their records exceed the store's limit of a call, the append fails, is tried again with the same ones and those that came meanwhile, and fails again. Changes leave the queue only at their timeout and come back with the next attempt of their items. The items of removed routes are recorded at once, and results pile up while the store is away.

The log takes the oldest outcomes that fit, as the log of accepted jobs does. The fake store refuses calls above the limit. Found by reading.

--- a/pimentowick/fakes/platform_store.py
+++ b/pimentowick/fakes/platform_store.py
@@ -15,6 +15,7 @@
 READ_HEADER = struct.Struct(">QQ")
 PAGE_ITEMS = 500
 MAX_STORED_BYTES = 400_000_000
+MAX_CALL_BYTES = 2_097_152
 MAX_PRODUCER_APPENDS = 5
 
 
@@ -69,6 +70,7 @@
             seconds later; their conditions are checked at that time.
         delayed_topic: Topic to which `append_delay_s` is limited; None for all.
         capacity_bytes: Total size of all records from which on appends get 507.
+        call_bytes: Total size of the records of an append above which it gets 413.
         calls: Number of requests by path.
         partitions: Partitions by topic and number.
         groups: Consumer groups by name.
@@ -80,6 +82,7 @@
         self.append_delay_s = None
         self.delayed_topic = None
         self.capacity_bytes = MAX_STORED_BYTES
+        self.call_bytes = MAX_CALL_BYTES
         self.calls = collections.Counter()
         self.partitions = {}
         self.groups = {}
@@ -183,6 +186,8 @@
     def _append(self):
         partition = self.find_partition()
         contents = list(_split_records(self.request.body))
+        if sum(map(len, contents)) > self.server.call_bytes:
+            return 413, {"error": "too large"}
         if self.server.count_bytes() >= self.server.capacity_bytes:
             return 507, {"error": "full"}
         rejection = self._check_producer(partition)
--- a/pimentowick/gateway/job_storage.py
+++ b/pimentowick/gateway/job_storage.py
@@ -33,7 +33,12 @@
             store, jobs_topic, self.job_table, pause_s, wait_s, settings.call_bytes
         )
         self.outcomes = outcome_log.OutcomeLog(
-            store, outcomes_topic, self.job_table, pause_s, wait_s
+            store,
+            outcomes_topic,
+            self.job_table,
+            pause_s,
+            wait_s,
+            settings.call_bytes,
         )
         self.contents = content.Contents(
             store, settings.parts, settings.record_bytes, settings.call_bytes
--- a/pimentowick/gateway/outcome_log.py
+++ b/pimentowick/gateway/outcome_log.py
@@ -19,6 +19,8 @@
 
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
+# Leaves room for record framing within the store's limit of a call.
+MAX_CALL_SHARE = 0.9
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -43,13 +45,15 @@
         job_table: The `pimentowick.gateway.job.JobTable` that the records update.
         pause_s: Pause after a read that returned records, in seconds.
         wait_s: Maximum duration of a long poll, in seconds.
+        call_bytes: Maximum size of one append, in bytes.
 
     Attributes:
         feed: The `feed.Feed` that keeps the table up to date.
     """
 
-    def __init__(self, store, topic, job_table, pause_s, wait_s):
+    def __init__(self, store, topic, job_table, pause_s, wait_s, call_bytes):
         self._store = store
+        self._call_bytes = call_bytes * MAX_CALL_SHARE
         self._job_table = job_table
         self.feed = feed.Feed(store, topic, 0, self, pause_s, wait_s)
         self._pending = []
@@ -121,7 +125,7 @@
                 backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
     async def _append_batch(self):
-        batch = list(self._pending)
+        batch = self._choose_batch()
         await hedging.hedge(lambda: self._append(batch))
         for change in batch:
             if change in self._pending:
@@ -129,6 +133,20 @@
             if not change.future.done():
                 change.future.set_result(None)
 
+    def _choose_batch(self):
+        """Return the oldest pending changes that fit into one append, at least one."""
+        batch = []
+        size_bytes = 0
+        for change in self._pending:
+            size_bytes += sum(
+                len(new_record.key) + len(new_record.value)
+                for new_record in change.build()
+            )
+            if batch and size_bytes > self._call_bytes:
+                break
+            batch.append(change)
+        return batch
+
     async def _append(self, batch):
         """Append the records of unapplied changes, with new keys on each call."""
         records = [new_record for change in batch for new_record in change.build()]
--- a/pimentowick/gateway/tests/test_job_storage.py
+++ b/pimentowick/gateway/tests/test_job_storage.py
@@ -3,8 +3,8 @@
 import pytest
 
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import content, event_stream, job, record
-from pimentowick.gateway.tests import test_job_api, test_transcript
+from pimentowick.gateway import content, event_stream, job, record, transcript
+from pimentowick.gateway.tests import test_job_api, test_transcript, writer
 
 BODY_BYTES = 20_000
 JOBS = 6
@@ -218,6 +218,31 @@
     test_transcript.run_with(check)
 
 
+def test_many_results_at_once_do_not_exceed_an_append():
+    # Of the items of jobs whose route was removed, or that ended during an outage. An
+    # append that is too large would fail again and again, and all results with it.
+    count = 2 * writer.CALL_BYTES // 100
+
+    async def check(fake_store, one, other):
+        fake_store.call_bytes = writer.CALL_BYTES
+        await wait.wait_for(lambda: one.storage.is_loaded, 5, 0.005)
+        items = [
+            job.Item(f"i{n}", "/p", {}, 7, content.Reference("b/0/w", 0, 1, 4))
+            for n in range(count)
+        ]
+        job_record = record.make_job("j", "h", "/p/", 0.0, items)
+        one.storage.job_table.apply_job(job_record.key, job_record.value)
+        accepted_job = one.storage.job_table.jobs["j"]
+        transcripts = [
+            transcript.Transcript(one.storage, accepted_job, number)
+            for number in range(count)
+        ]
+        await asyncio.gather(*(each.abandon(20) for each in transcripts))
+        assert len(accepted_job.results) == count
+
+    test_transcript.run_with(check)
+
+
 async def cancel(task):
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
