Do not shut out a target for good after one 421

Accepted items were neither done nor dead with all replicas idle, and requests of other callers got 503.

Cause: each 421 was taken for a sign that another target has the address, and paused the target without end; only a changed registration ended the pause, and that of a sound target doesn't change. Its class: a state that is entered on one observation and left only on an event that need not come.

Change: a 421 to a request with the caller's own condition says nothing of the target (`condition_not_met`), so that one caller can't take targets from others. An item with such a condition waits longer after each time, up to 2 s, instead of coming ten times a second. After any other 421 the target is held until its registration is received again a second later or more; a gone target has no more heartbeats, so that its address gets nothing.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -22,6 +22,7 @@
 
     Attributes:
         kind: ``answer`` responds normally; ``refuse`` rejects the request as not run;
+            ``misdirect`` does so as if the replica were another one;
             ``fail`` responds 500 and ``impossible`` 422; ``vanish`` runs the request
             and closes the connection without a response; ``extra`` sends a second,
             unsolicited response; ``unsigned`` omits the replica's identifier;
@@ -64,7 +65,11 @@
     Attributes:
         planned_behaviours: `Behaviour` of each of the next requests; later ones are
             answered normally.
-        requests: Number of requests received, without those for another identifier.
+        weights: Version of its weights. A request that expects another one is rejected
+            with 421.
+        unmet_conditions: Number of requests that expected other weights.
+        requests: Number of requests received, without those for another identifier or
+            other weights.
         runs: Number of runs by request identifier.
         run_versions: Version of its software in each of these runs.
         headers: Headers of the requests that ran, in order.
@@ -101,6 +106,8 @@
         self.slots = slots
         self.version = version
         self.started_ms = started_ms
+        self.weights = "1"
+        self.unmet_conditions = 0
         self.planned_behaviours = []
         self.requests = 0
         self.runs = collections.Counter()
@@ -183,12 +190,22 @@
         if expected != replica.id:
             self._refuse(421)
             return
+        expected_weights = self.request.headers.get(
+            HEADER_PREFIX + "Expect-Version", replica.weights
+        )
+        if expected_weights != replica.weights:
+            replica.unmet_conditions += 1
+            self._refuse(421)
+            return
         behaviour = (
             replica.planned_behaviours.pop(0)
             if replica.planned_behaviours
             else Behaviour()
         )
         replica.requests += 1
+        if behaviour.kind == "misdirect":
+            self._refuse(421)
+            return
         if behaviour.kind == "refuse":
             if behaviour.awaits_release:
                 await replica.release.wait()
--- a/pimentowick/gateway/follower.py
+++ b/pimentowick/gateway/follower.py
@@ -83,6 +83,8 @@
         self._missing_since = {}
         # Hashes of the malformed values, by key.
         self._malformed = {}
+        # Offsets of the newest records, by key.
+        self._offsets = {}
         self._peer_contact = store_outage.PeerContact()
         # Time of the last complete read before an outage that may have removed records.
         self._complete_until = None
@@ -100,6 +102,8 @@
         listed = {record.key for record in records if record.value}
         for key in self._malformed.keys() - listed:
             del self._malformed[key]
+        for key in self._offsets.keys() - listed:
+            del self._offsets[key]
         for record in records:
             self._update(record)
         for target_id in list(self._table.by_id):
@@ -116,10 +120,13 @@
     def _update(self, record):
         """Update a target; return its `target.Registration`, if it is listed."""
         registration = None
+        is_new = record.offset > self._offsets.get(record.key, -1)
         if record.value:
+            self._offsets[record.key] = record.offset
             registration = operator.decode_target(record.key, record.value)
             self._log_if_malformed(record, registration)
         else:
+            self._offsets.pop(record.key, None)
             self._malformed.pop(record.key, None)
         if registration is None:
             if record.key in self._table.by_id:
@@ -127,7 +134,7 @@
             return None
         self._missing_since.pop(record.key, None)
         known = self._table.by_id.get(record.key)
-        self._table.put(registration)
+        self._table.put(registration, is_new)
         if known is None or known.registration.is_draining != registration.is_draining:
             decision_log.log_event(
                 "target.listed",
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -17,6 +17,10 @@
 HEADERS_TIMEOUT_S = 1.0
 # A timeout reported by the target itself is not evidence of a failure.
 DEADLINE_STATUS = 504
+# Outcomes that say nothing of the target.
+NEUTRAL_REASONS = frozenset(
+    {upstream.NO_DESCRIPTOR, upstream.CALLER_GONE, upstream.CONDITION_NOT_MET}
+)
 
 
 class Health:
@@ -58,15 +62,14 @@
             outcome: The `upstream.Outcome`.
             seemed_free: Whether most of its slots seemed to be free.
         """
-        if outcome.reason in (upstream.NO_DESCRIPTOR, upstream.CALLER_GONE):
+        if outcome.reason in NEUTRAL_REASONS:
             return
         now = time.monotonic()
         if outcome.reason == upstream.OTHER_RUN:
             target.record_break(now)
             return
-        if outcome.reason == "misdirected":
-            # Another target now has this address; the registry will list it.
-            target.paused_until = float("inf")
+        if outcome.reason == upstream.MISDIRECTED:
+            target.hold(now)
             decision_log.log_event(
                 "target.paused", target=target.id, why=outcome.reason
             )
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -678,7 +678,8 @@
             run.failures = 0
         run.failures += 1
         backoff_s = INITIAL_BACKOFF_S * 2 ** (run.failures - 1)
-        if outcome.end == upstream.End.NOT_RUN:
+        is_unmet = outcome.reason == upstream.CONDITION_NOT_MET
+        if outcome.end == upstream.End.NOT_RUN and not is_unmet:
             backoff_s = UNREACHABLE_BACKOFF_S
             run.failures = 0
         run.not_before = time.monotonic() + min(backoff_s, MAX_BACKOFF_S)
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -8,7 +8,8 @@
 
 __all__ = ["Registration", "ReportedLoad", "RunCheck", "Target", "TargetTable"]
 
-# A registration that arrives sooner after a broken connection may be older than that.
+# A registration that arrives sooner after a broken connection, or after a response that
+# the target is another one, may be older than that.
 CONFIRMATION_DELAY_S = 1.0
 
 
@@ -106,7 +107,8 @@
         peers_online: Online requests of other entries, by their latest reports.
         peers_batch: Batch items of other entries, by their latest reports.
         is_removed: Whether it is no longer listed.
-        paused_until: Monotonic time until which it gets no new work.
+        paused_until: Monotonic time until which it gets no new work; infinite until its
+            registration is received again.
         failures: Number of consecutive failed connections.
         ejected: Whether outlier detection has ejected it.
         is_slow: Whether it gets no new work for a while because it works far too
@@ -143,6 +145,7 @@
         self.reported_at = float("-inf")
         self._released_at = []
         self._broken_at = float("-inf")
+        self._held_at = float("-inf")
 
     def acquire_online(self):
         """Count an online request of this entry."""
@@ -227,10 +230,21 @@
         """Record that the target may have restarted, as after a broken connection."""
         self._broken_at = now
 
+    def hold(self, now):
+        """Give it no new work until its registration is received again.
+
+        Another target may have its address.
+        """
+        self.paused_until = math.inf
+        self._held_at = now
+
     def confirm(self, now):
         """Record that its registration was received again."""
         if now - self._broken_at >= CONFIRMATION_DELAY_S:
             self._broken_at = float("-inf")
+        is_held = self.paused_until == math.inf
+        if is_held and now - self._held_at >= CONFIRMATION_DELAY_S:
+            self.paused_until = 0.0
 
     @property
     def software_version(self):
@@ -291,8 +305,14 @@
         self._on_removed = on_removed
         self._on_added = on_added
 
-    def put(self, registration):
-        """Add a target, or update its registration."""
+    def put(self, registration, is_new=True):
+        """Add a target, or update its registration.
+
+        Args:
+            registration: The `Registration`.
+            is_new: Whether the target has registered again. The same record may also
+                be read twice.
+        """
         known = self.by_id.get(registration.id)
         if known is not None and not _is_same(known.registration, registration):
             self.remove(registration.id)
@@ -301,7 +321,8 @@
             if known.registration != registration:
                 known.paused_until = 0.0
             known.registration = registration
-            known.confirm(time.monotonic())
+            if is_new:
+                known.confirm(time.monotonic())
             return
         target = Target(registration)
         self.by_id[registration.id] = target
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -82,6 +82,10 @@
 
 
 REFUSED = "target_refused"
+# Another target may have the address now.
+MISDIRECTED = "misdirected"
+# The target does not meet a condition that the caller set.
+CONDITION_NOT_MET = "condition_not_met"
 # No descriptor could be had for a connection; the target is not to blame.
 NO_DESCRIPTOR = "no_descriptor"
 # The caller's connection was closed; the target is not to blame.
@@ -512,7 +516,8 @@
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
         reader, received = await self._read_own(http, request, sink, received)
-        outcome = dataclasses.replace(self._classify(reader), received=received)
+        outcome = self._classify(request, reader)
+        outcome = dataclasses.replace(outcome, received=received)
         reusable = (
             reader.is_finished
             and reader.is_framed
@@ -644,7 +649,7 @@
             raise reader.cancellation
         return reader
 
-    def _classify(self, reader):
+    def _classify(self, request, reader):
         answer = reader.answer
         if reader.fault is not None:
             return Outcome(End.INCOMPLETE, reader.fault)
@@ -656,7 +661,9 @@
         if reader.is_stray:
             return Outcome(End.INCOMPLETE, "answer_to_another_request", reader.status)
         if answer.is_misdirected:
-            return Outcome(End.NOT_RUN, "misdirected", reader.status)
+            is_conditional = message.expects_version(request.headers)
+            reason = CONDITION_NOT_MET if is_conditional else MISDIRECTED
+            return Outcome(End.NOT_RUN, reason, reader.status)
         if answer.not_executed:
             return Outcome(End.NOT_RUN, REFUSED, reader.status)
         if reader.is_stopped and reader.needs_body:
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -28,6 +28,7 @@
     "encode_item_headers",
     "encode_request_headers",
     "encode_results",
+    "expects_version",
     "find_job_operation",
     "remove_hop_headers",
 ]
@@ -35,6 +36,8 @@
 REQUEST_ID = "X-Pimentowick-Request-Id"
 DEADLINE = "X-Pimentowick-Deadline-Ms"
 EXPECT_INSTANCE = "X-Pimentowick-Expect-Instance"
+# A condition that callers set; other versions of a target reject the request.
+EXPECT_VERSION = "X-Pimentowick-Expect-Version"
 NOT_EXECUTED = "X-Pimentowick-Not-Executed"
 SERVER_STAMP = "X-Pimentowick-Server-Stamp"
 SERVER_LOAD = "X-Pimentowick-Server-Load"
@@ -129,7 +132,8 @@
         request_id: Identifier of the request that it answers, or "".
         is_signed: Whether the target's stamp is present, and not empty.
         not_executed: Whether the target states that the request did not run.
-        is_misdirected: Whether the address now belongs to another target.
+        is_misdirected: Whether the target is not the expected one. The reason may also
+            be a condition of the caller (see `expects_version`).
         load: The `target.ReportedLoad`, or None.
         has_encoding: Whether the body has a content encoding that was not requested.
         closes_connection: Whether the target closes the connection after the response.
@@ -316,6 +320,25 @@
     )
 
 
+def expects_version(headers):
+    """Return whether a caller sends a request on condition of a target's version.
+
+    Some servers treat underscores in header names as dashes.
+
+    Args:
+        headers: `tornado.httputil.HTTPHeaders` of the request.
+
+    Examples:
+        >>> expects_version(httputil.HTTPHeaders({"x_pimentowick-expect-version": "2"}))
+        True
+        >>> expects_version(httputil.HTTPHeaders({EXPECT_INSTANCE: "i-1"}))
+        False
+    """
+    return any(
+        name.lower().replace("_", "-") == EXPECT_VERSION.lower() for name in headers
+    )
+
+
 def decode_response_headers(status, headers):
     """Decode status and headers of a target's response into `ResponseHeaders`."""
     keep_alive = re.search(r"timeout=(\d+)", headers.get("Keep-Alive", ""))
