Refuse items that cannot be sent, and pause after a run that raises an error

What callers saw: a job with an item whose header, identifier or path holds a line break, NUL, a space or characters that no header can carry was answered 202. The item never ran and was neither done nor dead until its retention ended, 65 s later. Its owner started it again in each scheduling pass, some fifty times a second, with two log lines and a traceback each.

Cause: the submission was checked for its types only. Building the head of the request raised HTTPInputError or UnicodeEncodeError in the task of the run, which handles errors of the store alone, and the run was started again without a pause.

Why the fix works: an item is accepted only if the head of its request can be built.

--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -4,6 +4,8 @@
 import collections
 import time
 
+from loguru import logger
+
 from pimentowick import exception
 from pimentowick.gateway import (
     decision_log,
@@ -486,10 +488,11 @@
             try:
                 await coroutine
             except exception.LogError as error:
-                run.not_before = time.monotonic() + INITIAL_BACKOFF_S
-                decision_log.log_request_event(
-                    "item.delayed", run.item.id, why=str(error)
-                )
+                self._delay(run, INITIAL_BACKOFF_S, error)
+            except Exception as error:
+                logger.exception("Unhandled error while running an item.")
+                run.failures += 1
+                self._delay(run, _compute_backoff_s(run.failures), error)
             finally:
                 if run.task is asyncio.current_task():
                     self._release_slot(run)
@@ -498,6 +501,11 @@
 
         run.task = asyncio.create_task(guard())
 
+    def _delay(self, run, pause_s, error):
+        """Start an item again after a pause."""
+        run.not_before = time.monotonic() + pause_s
+        decision_log.log_request_event("item.delayed", run.item.id, why=str(error))
+
     def _release_slot(self, run):
         if run.target is not None:
             run.target.batch -= 1
@@ -677,12 +685,12 @@
         if sink.events:
             run.failures = 0
         run.failures += 1
-        backoff_s = INITIAL_BACKOFF_S * 2 ** (run.failures - 1)
+        backoff_s = _compute_backoff_s(run.failures)
         is_unmet = outcome.reason == upstream.CONDITION_NOT_MET
         if outcome.end == upstream.End.NOT_RUN and not is_unmet:
             backoff_s = UNREACHABLE_BACKOFF_S
             run.failures = 0
-        run.not_before = time.monotonic() + min(backoff_s, MAX_BACKOFF_S)
+        run.not_before = time.monotonic() + backoff_s
 
     async def _record_abandoned(self, run, reason):
         await run.transcript.abandon(RECORD_TIMEOUT_S)
@@ -695,6 +703,10 @@
         )
 
 
+def _compute_backoff_s(failures):
+    return min(INITIAL_BACKOFF_S * 2 ** (failures - 1), MAX_BACKOFF_S)
+
+
 def _is_confirmed(run, outcome, sink):
     """Return whether enough runs of an item have found no event after its last one.
 
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -70,6 +70,8 @@
     "content-length",
 }
 JOB_PATH = re.compile(r"^/-/(lots|items)/(.+)$")
+# Without the characters that end a request line.
+ITEM_PATH = re.compile(r"/[^\x00-\x20\x7f]*")
 MAX_ITEMS_PER_JOB = 200
 # Parts of a prompt that are considered; more are left out in the middle.
 MAX_PARTS = 128
@@ -432,7 +434,9 @@
     try:
         data = _Submission.model_validate(orjson.loads(body))
         bodies = [base64.b64decode(row.body, validate=True) for row in data.items]
-    except (ValueError, binascii.Error) as error:
+        for row in data.items:
+            _check_item(row)
+    except (ValueError, binascii.Error, httputil.HTTPInputError) as error:
         raise exception.ValidationError(f"Batch job: {error}") from error
     items = [job.Item(row.id, row.path, row.headers, row.tokens) for row in data.items]
     if len({item.id for item in items}) < len(items):
@@ -440,6 +444,18 @@
     return items, bodies
 
 
+def _check_item(row):
+    """Raise an error if an item cannot be sent to a target."""
+    if not row.id:
+        raise ValueError("an item has no identifier")
+    if ITEM_PATH.fullmatch(row.path) is None:
+        raise ValueError(f"{row.path!r} is not the path of a request")
+    headers = httputil.HTTPHeaders()
+    for name, value in [*row.headers.items(), (REQUEST_ID, row.id)]:
+        headers.add(name, value)
+        value.encode("latin-1")
+
+
 def find_job_operation(method, path):
     """Return the `JobOperation` and job id of a request, or None for other paths.
 
