Accept no job whose identifier is missing, or too long for the keys of its records

What callers saw: jobs without an identifier were accepted as one. The second was answered 202, like a repeated submission of the first, and none of its items ran or could be read. An identifier of more than 210 bytes was answered 500, after which callers come again, and "Unhandled error" was logged.

Cause: nothing checked the identifier, which names a job in all keys of its records. The length of a key takes one byte.

Why the fix works: the submission is refused with 400 before anything is written. The limit follows from the longest key, that of a content, so that an accepted job fits into all the others.

--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -52,6 +52,10 @@
         """
         workspace_name = None if caller_workspace is None else caller_workspace.name
         job_id = workspace.scope_job_id(workspace_name, call.request_id)
+        if not call.request_id or len(job_id.encode()) > record.MAX_JOB_ID_BYTES:
+            _log_decision("batch.refused", job_id, "bad_identifier")
+            await exchange.refuse(_make_bad_identifier())
+            return
         if job_id not in self._storage.job_table.jobs and self._is_cut_off():
             await self._refuse_cut_off(exchange, job_id)
             return
@@ -352,6 +356,12 @@
     )
 
 
+def _make_bad_identifier():
+    return verdict.Refusal(
+        400, "bad_identifier", "The job has no identifier, or one that is too long."
+    )
+
+
 def _make_unavailable(retry_after=RETRY_AFTER_S):
     return verdict.Refusal(
         503,
--- a/pimentowick/gateway/record.py
+++ b/pimentowick/gateway/record.py
@@ -5,6 +5,7 @@
 from pimentowick.platform import store
 
 __all__ = [
+    "MAX_JOB_ID_BYTES",
     "make_cancellation",
     "make_failure",
     "make_job",
@@ -18,6 +19,10 @@
     "split_outcome_key",
 ]
 
+# The longest keys are those of contents: the job, a kind, the number of the item, a
+# writer and the number of the chunk.
+MAX_JOB_ID_BYTES = store.MAX_KEY_BYTES - len("/b/199/" + 32 * "w" + "#00000")
+
 
 def name_body(number, writer):
     """Return the name of an item's body among the contents of its job.
--- a/pimentowick/gateway/tests/test_odd_submissions.py
+++ b/pimentowick/gateway/tests/test_odd_submissions.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pimentowick.fakes import replica, wait
+from pimentowick.gateway import record
 from pimentowick.gateway.tests import test_job_api
 
 WAIT_S = 20.0
@@ -22,6 +23,17 @@
     test_job_api.run_with([replica.Replica()], check)
 
 
+async def run_sound_job(site):
+    answer = await test_job_api.submit(site, test_job_api.make_body(1), "sound")
+    assert answer.status == 202
+
+    async def is_listed():
+        status, data = await test_job_api.read(site, job_id="sound")
+        return status == 200 and data["results"]
+
+    await wait.wait_for(is_listed, WAIT_S, POLL_S)
+
+
 ODD_ITEMS = {
     "line break in a header": {"headers": {"X-A": "a\r\nX-B: b"}},
     "NUL in a header": {"headers": {"X-A": "a\0b"}},
@@ -68,3 +80,28 @@
         assert run.not_before > 0
 
     run_with(check)
+
+
+def test_job_without_an_identifier_is_not_accepted():
+    # The second one was answered 202, as if it were the first, and never ran.
+    async def check(site):
+        for item_id in ("one", "two"):
+            body = orjson.dumps({"items": [make_item(id=item_id)]})
+            answer = await site.call("POST", "/lot/new", body)
+            assert answer.status == 400
+
+    run_with(check)
+
+
+@pytest.mark.parametrize("size", [210, 211, 255, 256, 4_000])
+def test_identifier_that_fits_in_no_key_is_refused(size):
+    # The answer was a 500 of an error in the code, after which callers come again.
+    async def check(site):
+        body = test_job_api.make_body(200, tokens=1)
+        answer = await test_job_api.submit(site, body, "j" * size)
+        fits = size <= record.MAX_JOB_ID_BYTES
+        assert answer.status == (202 if fits else 400)
+        if fits:
+            await run_sound_job(site)
+
+    run_with(check)
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -17,6 +17,7 @@
 from pimentowick import client, exception
 
 __all__ = [
+    "MAX_KEY_BYTES",
     "KeyedRecord",
     "OffsetConflictError",
     "Page",
@@ -29,6 +30,8 @@
 
 RECORD_LENGTH = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
+# The length of a key takes one byte.
+MAX_KEY_BYTES = 255
 MAX_CONNECTIONS = 24
 # Exceeds a page of records or of newest values in base64.
 MAX_ANSWER_BYTES = 8_388_608
