Declare the type of the bodies that the client sends

What callers saw: in a deployment of processes with the fake store, jobs with 360,000 bytes or more of random bodies were answered 503 for ever, at each gateway; "The store answered with status 400" was logged.

Cause: libcurl declares a body without a type to be that of a form. A server that goes by it, as tornado does, takes the records of an append for the fields of a form and rejects more than 1,000 of them, which is what random bytes come to. Whether the platform's store goes by it isn't known.

Why the fix works: bytes are declared to be bytes, and data to be JSON.

--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -368,6 +368,9 @@
         new_connection,
         stream=None,
     ):
+        headers = dict(headers or {})
+        if body is not None:
+            _add_content_type(headers, body)
         if body is not None and not isinstance(body, bytes):
             body = orjson.dumps(body)
         if body is None and method in ("POST", "PUT", "PATCH"):
@@ -386,7 +389,7 @@
             f"{scheme}://{address}{path}",
             method=method,
             body=body,
-            headers=dict(headers or {}),
+            headers=headers,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=max(timeout_s, 0.001),
             follow_redirects=False,
@@ -405,6 +408,15 @@
         )
 
 
+def _add_content_type(headers, body):
+    """Add the type of a body, which libcurl would declare to be that of a form."""
+    if not any(name.lower() == "content-type" for name in headers):
+        is_bytes = isinstance(body, bytes)
+        headers["Content-Type"] = (
+            "application/octet-stream" if is_bytes else "application/json"
+        )
+
+
 def _apply_options(curl, transfer, new_connection, retired_at):
     # Handles are reused, so every option is set for every request.
     curl.setopt(pycurl.NOPROXY, "*")
--- a/pimentowick/platform/tests/test_store.py
+++ b/pimentowick/platform/tests/test_store.py
@@ -69,3 +69,13 @@
             await client.append("keyed.t", 0, [store.KeyedRecord("k", b"x")], 5)
 
     run_with(check)
+
+
+def test_records_are_not_declared_to_be_a_form():
+    # A server that reads bodies by their declared type rejected an append with many
+    # ampersands, so that a job with such bodies was never accepted.
+    async def check(fake_store, client):
+        record = store.KeyedRecord("k", b"&" * 2_000)
+        assert await client.append("keyed.t", 0, [record], None) == 5
+
+    run_with(check)
