Store a content that exceeds an append in several of them

What callers saw: a job with one body beyond the size of an append (2,097,152 bytes on the sheets; a submission may have 4 MB) would be answered 503 for ever, and a text of that size would never be listed, its item running again and again, as a store that keeps to its limit rejects such an append. Seen in a test with the size alone, not with the platform's store.

Cause: contents were divided into appends whole, so that one of them could be larger than an append may be.

Evidence: the test failed before, with an append of 3,072,168 bytes.

Why the fix works: contents are divided by records, each of which fits. Records that aren't consecutive in the log are found by their keys, as those of which the log no longer holds the offsets.

--- a/pimentowick/gateway/content.py
+++ b/pimentowick/gateway/content.py
@@ -132,14 +132,14 @@
         references = {}
         deadline = time.monotonic() + timeout_s
         for batch in self._split_batches(job_id, contents):
-            records = [record for group in batch.values() for record in group]
+            records = [chunk for _, chunk in batch]
             end = await self._append(job_id, records, deadline)
-            offset = end - len(records)
-            for name, group in batch.items():
-                references[name] = Reference(
-                    name, offset, len(group), len(contents[name])
-                )
-                offset += len(group)
+            for offset, (name, _) in enumerate(batch, end - len(records)):
+                if name not in references:
+                    value = contents[name]
+                    references[name] = Reference(
+                        name, offset, self._count_chunks(value), len(value)
+                    )
         return references
 
     async def _append(self, job_id, records, deadline):
@@ -162,15 +162,23 @@
             backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
     def _split_batches(self, job_id, contents):
-        """Return the records by name, split into appends within the size limit."""
-        batches = [{}]
+        """Return pairs of name and record, split into appends within the size limit.
+
+        Only a content that exceeds the limit by itself is split. Its records may not be
+        consecutive and are then read by their keys.
+        """
+        batches = [[]]
         size = 0
         for name, value in contents.items():
-            if batches[-1] and size + len(value) > self._call_bytes:
-                batches.append({})
-                size = 0
-            batches[-1][name] = self._make_records(job_id, name, value)
-            size += len(value)
+            records = self._make_records(job_id, name, value)
+            needed = len(value)
+            for chunk in records:
+                if batches[-1] and size + needed > self._call_bytes:
+                    batches.append([])
+                    size = 0
+                batches[-1].append((name, chunk))
+                size += len(chunk.value)
+                needed = len(chunk.value)
         return batches
 
     def _make_records(self, job_id, name, value):
--- a/pimentowick/gateway/tests/test_odd_submissions.py
+++ b/pimentowick/gateway/tests/test_odd_submissions.py
@@ -127,3 +127,29 @@
         assert answer.status == 202
 
     run_with(check)
+
+
+def test_large_item_is_stored_in_several_appends():
+    # A body or a text beyond the size of an append was never stored: the job was
+    # answered 503, or its item ran again and again.
+    async def check(site):
+        (gateway,) = site.gateways
+        contents = gateway.storage.contents
+        appends = []
+        append = contents._store.append
+
+        async def record_append(topic, part, records, at):
+            appends.append(sum(len(row.key) + len(row.value) for row in records))
+            return await append(topic, part, records, at)
+
+        contents._store.append = record_append
+        value = bytes(range(256)) * 12_000
+        written = await contents.put("j", {"b/0/w": value, "b/1/w": b"x"}, 5)
+        assert max(appends) < gateway.settings.call_bytes
+        read = await contents.read("j", list(written.values()), cache=False)
+        assert read == {"b/0/w": value, "b/1/w": b"x"}
+        for partition in site.store.partitions.values():
+            partition.trim(partition.end)
+        assert await contents.read("j", list(written.values()), cache=False) == read
+
+    run_with(check)
