Decide on the deletion of a job by the time that the entry itself has known it

What callers saw, in a test: with the clock of the owner 1,000 s ahead, or that of the accepting gateway as far behind, a job was deleted within seconds of its end, results and texts included, and answered 404. A job that was open beyond its retention was deleted as soon as its last result was listed, while its caller read it. With a clock behind at the owner, or ahead as the job was accepted, it was never deleted.

Cause: the age of a job was the difference of the clocks of two hosts, with a margin of 30 s, and nothing else was asked before a step that cannot be undone. That a caller may still read what was listed last was not considered.

The last is at most the true age, and a restart only delays the deletion, by the retention at most. Its price is that jobs stay if each owner restarts more often than that.

Evidence: four of the five cases of the test failed before for this cause (the fifth for the renamed margin): deleted with either clock wrong and at once after the last result, kept with a clock ahead as the job was accepted.

Why the fix works: neither clock takes part, and 30 s are left to readers after the last result.

--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -108,6 +108,9 @@
         workspace: Name of the workspace that owns the job, or None.
         received_at: Monotonic time at which the record was received, or minus infinity
             if it was part of a snapshot.
+        known_since: Monotonic time at which this entry first read the record.
+        closed_since: Monotonic time since which this entry has known it to be closed,
+            or None while it is open.
     """
 
     id: str
@@ -118,6 +121,8 @@
     outcome: JobOutcome = dataclasses.field(default_factory=JobOutcome)
     received_at: float = float("-inf")
     workspace: str | None = None
+    known_since: float = dataclasses.field(default_factory=time.monotonic)
+    closed_since: float | None = None
 
     @property
     def is_cancelled(self):
@@ -268,8 +273,11 @@
     def _update_open(self, job):
         if job.is_open:
             self.open_jobs[job.id] = job
-        else:
-            self.open_jobs.pop(job.id, None)
+            job.closed_since = None
+            return
+        self.open_jobs.pop(job.id, None)
+        if job.closed_since is None:
+            job.closed_since = time.monotonic()
 
     def count_waiting_tokens(self, path_prefix, host, workspace=None):
         """Return the tokens of a workspace's unfinished items on a route."""
--- a/pimentowick/gateway/retention.py
+++ b/pimentowick/gateway/retention.py
@@ -1,4 +1,10 @@
-"""Deletion of jobs past their retention period."""
+"""Deletion of jobs past their retention period.
+
+Notes:
+    A deletion cannot be undone, so no clock that other hosts set decides on it. An
+    entry counts the time since it first read the record of a job itself. This is at
+    most the age of the job, whatever the clocks say, and less after a restart.
+"""
 
 import time
 
@@ -7,8 +13,8 @@
 
 __all__ = ["Retention"]
 
-# Tolerates clock skew between hosts, so that no job is deleted early.
-CLOCK_SKEW_MARGIN_S = 30.0
+# For callers that still read, even the results that were listed last.
+READING_MARGIN_S = 30.0
 
 
 class Retention:
@@ -31,16 +37,23 @@
         The store keeps the newest record of each key and refuses appends once it is
         full.
         """
-        cutoff = time.time() - self._settings.result_retention_s - CLOCK_SKEW_MARGIN_S
+        now = time.monotonic()
         for job in list(self._storage.job_table.jobs.values()):
             partition = ownership.find_partition(job.id, self._settings.parts)
-            if job.is_open or job.submitted_s > cutoff:
-                continue
             if partition not in self._ownership.partitions:
                 continue
+            if not self._is_expired(job, now):
+                continue
             try:
                 await self._storage.remove(job)
             except exception.LogError as error:
                 decision_log.log_event("job.not_removed", job=job.id, why=str(error))
                 return
             decision_log.log_request_event("job.removed", job.id, outcome="too_old")
+
+    def _is_expired(self, job, now):
+        if job.closed_since is None:
+            return False
+        retention_s = self._settings.result_retention_s + READING_MARGIN_S
+        is_old = now - job.known_since > retention_s
+        return is_old and now - job.closed_since > READING_MARGIN_S
