Give items up by the time since their job arrived, where it arrived at this entry

What callers saw, in a test: with the clock of an entry 1,000 s ahead, all items of its partitions that waited for a slot were listed as dead at once; with a clock behind they were never given up and their jobs stayed open. Results can't be taken back.

Cause: as in the deletion of jobs, the clock of the owner was compared with that of the accepting gateway.

Evidence: both cases of the test failed before. `_start_ready` gave the item up in the first pass after the step of the clock; with the clock behind, no result came within 20 s for a retention of 0.5 s.

Why the fix works: an entry that read the record of a job from the log counts from then on, by its steady clock.

--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -22,6 +22,9 @@
 
 __all__ = ["Item", "Job", "JobOutcome", "JobTable", "Result"]
 
+# Tolerates clock skew between hosts, so that no item is abandoned early.
+CLOCK_SKEW_MARGIN_S = 5.0
+
 
 @dataclasses.dataclass(slots=True)
 class Item:
@@ -154,6 +157,19 @@
         """Return the number of failed runs of an item."""
         return len(self.outcome.failures.get(number, ()))
 
+    def compute_min_age_s(self, now, unix_now):
+        """Return a lower bound of the time since the job was accepted, in seconds.
+
+        Only for a job of a snapshot, after a restart, are the clocks of hosts compared.
+
+        Args:
+            now: Monotonic time, in seconds.
+            unix_now: Unix time, in seconds.
+        """
+        if self.received_at > float("-inf"):
+            return now - self.received_at
+        return unix_now - self.submitted_s - CLOCK_SKEW_MARGIN_S
+
     def count_waiting_tokens(self):
         """Return the total tokens of the items without a result."""
         if self.is_cancelled:
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -50,8 +50,6 @@
 MAX_LOGGED_PARTS = 16
 # Continuations without an event that show the end of an item without framing.
 CONFIRMING_RUNS = 3
-# Tolerates clock skew between hosts, so that no item is abandoned early.
-CLOCK_SKEW_MARGIN_S = 5.0
 
 
 class Runner:
@@ -350,8 +348,8 @@
         ]
         ready = []
         for run in batch_queue.order_items(waiting, unix_now):
-            abandon_at = run.job.submitted_s + run.route.abandon_after_s
-            if unix_now > abandon_at + CLOCK_SKEW_MARGIN_S:
+            age_s = run.job.compute_min_age_s(now, unix_now)
+            if age_s > run.route.abandon_after_s:
                 self._spawn(run, self._record_abandoned(run, "abandoned"))
             elif run.transcript.failures >= run.route.max_attempts:
                 self._spawn(run, self._record_abandoned(run, "failed"))
--- a/pimentowick/gateway/tests/test_retention.py
+++ b/pimentowick/gateway/tests/test_retention.py
@@ -1,12 +1,13 @@
 """Deletion of closed jobs, and what clocks must not decide alone."""
 
+import asyncio
 import time
 
 import pytest
 
 from pimentowick.fakes import platform_site, wait
 from pimentowick.gateway import content, job, ownership, record, retention
-from pimentowick.gateway.tests import writer
+from pimentowick.gateway.tests import test_job_api, writer
 
 JOB = "j"
 PARTS = 8
@@ -99,3 +100,51 @@
         assert not fake_store.get_partition(writer.OUTCOMES, 0).newest
 
     run_with(check)
+
+
+async def start_waiting_item(site):
+    """Submit an item that no target may run; return its run."""
+    (gateway,) = site.gateways
+    (target,) = gateway.table.list_targets("lm")
+    target.paused_until = float("inf")
+    answer = await test_job_api.submit(site, test_job_api.make_body(1))
+    assert answer.status == 202
+
+    def find_run():
+        runs = gateway.runner.list_runs()
+        return runs if runs and runs[0].transcript.body is not None else None
+
+    (run,) = await wait.wait_for(find_run, 10, 0.01)
+    return run
+
+
+def run_site_with(check, abandon_after_s):
+    route = test_job_api.BATCH | {"retention_s": abandon_after_s}
+
+    async def run():
+        async with platform_site.open_site(routes=[route]) as site:
+            await check(site)
+
+    asyncio.run(run())
+
+
+def test_wrong_clock_gives_up_no_item(monkeypatch):
+    # An item that waits for a slot was listed as dead as soon as a clock was wrong.
+    async def check(site):
+        run = await start_waiting_item(site)
+        shift_clock(monkeypatch, LARGE_SKEW_S)
+        site.gateways[0].runner._start_ready()
+        assert run.task is None
+
+    run_site_with(check, 60)
+
+
+def test_item_is_given_up_although_the_clock_is_behind(monkeypatch):
+    # A job was open for as long as the clock was behind.
+    async def check(site):
+        await start_waiting_item(site)
+        shift_clock(monkeypatch, -LARGE_SKEW_S)
+        (row,) = await test_job_api.read_all(site, 1)
+        assert row["state"] == "dead"
+
+    run_site_with(check, 0.5)
