Find a job under each form of its host under which its route is found

What callers saw: a job that was submitted with another letter case or port in the Host header than its reads have was answered 404 by all gateways, its bodies and its end too, and it was not counted in the quota of its route.

Cause: routes are found in any letter case and with any port, but a job kept the header of its submission, to which reads and the quota were compared exactly.

Why the fix works: a job is recorded under the host of its route, which its items are sent with too, and one function decides whether a header names a host.

--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -7,7 +7,14 @@
 from tornado import httputil
 
 from pimentowick import exception, verdict
-from pimentowick.gateway import content, decision_log, ledger, record, workspace
+from pimentowick.gateway import (
+    content,
+    decision_log,
+    ledger,
+    record,
+    route,
+    workspace,
+)
 from pimentowick.platform import message, store
 
 __all__ = ["JobApi"]
@@ -67,7 +74,9 @@
             return
         tokens = sum(item.tokens for item in items)
         try:
-            await self._accept(exchange, route, job_id, workspace_name, items, bodies)
+            await self._accept(
+                route, exchange.path, job_id, workspace_name, items, bodies
+            )
         except exception.RefusedError as error:
             _log_decision("batch.refused", job_id, error.refusal.code, tokens=tokens)
             await exchange.refuse(error.refusal)
@@ -90,24 +99,25 @@
     async def confirm(self, exchange, job_id):
         """Accept a job again if it is known; return whether it is."""
         job = self._storage.job_table.jobs.get(job_id)
-        if job is None or job.host != exchange.host:
+        if job is None or not route.is_same_host(job.host, exchange.host):
             return False
         _log_decision("batch.accepted", job_id, "repeated", items=len(job.items))
         await exchange.answer(202, httputil.HTTPHeaders())
         return True
 
-    async def _accept(self, exchange, route, job_id, workspace_name, items, bodies):
+    async def _accept(self, route, path, job_id, workspace_name, items, bodies):
         """Record a job unless it is already accepted.
 
         Raises:
-            RefusedError: The job exceeds the quota, and no entry has accepted it.
+            RefusedError: The job exceeds the quota or the size of a record, and no
+                entry has accepted it.
             LogError: The job may not be recorded.
         """
         began_at = time.monotonic()
         deadline = began_at + SUBMIT_TIMEOUT_S
         try:
             await self._record(
-                exchange, route, job_id, workspace_name, items, bodies, deadline
+                route, path, job_id, workspace_name, items, bodies, deadline
             )
         except exception.RefusedError:
             # Another entry may have accepted it, which the local state lacks.
@@ -134,13 +144,13 @@
         return job_id in self._storage.job_table.jobs
 
     async def _record(
-        self, exchange, route, job_id, workspace_name, items, bodies, deadline
+        self, route, path, job_id, workspace_name, items, bodies, deadline
     ):
         """Write the bodies of a job, then its record.
 
         Raises:
-            RefusedError: The job exceeds the quota or the size of a record, and no
-                entry has accepted it.
+            RefusedError: The job exceeds the quota, by the local state, or the size of
+                a record.
             LogError: The job may not be recorded.
         """
         storage = self._storage
@@ -149,7 +159,7 @@
         if job_id in storage.job_table.jobs:
             return
         tokens = sum(item.tokens for item in items)
-        self._check_quota(route, exchange.host, workspace_name, tokens)
+        self._check_quota(route, workspace_name, tokens)
         writer = uuid.uuid4().hex
         contents_by_name = {
             record.name_body(n, writer): body for n, body in enumerate(bodies)
@@ -159,7 +169,7 @@
             for name, item in zip(contents_by_name, items, strict=True):
                 item.body = references[name]
             return record.make_job(
-                job_id, exchange.host, exchange.path, time.time(), items, workspace_name
+                job_id, route.host, path, time.time(), items, workspace_name
             )
 
         estimated = storage.contents.estimate_references(contents_by_name)
@@ -172,7 +182,7 @@
         def build(job_table):
             if job_id in job_table.jobs:
                 return []
-            self._check_quota(route, exchange.host, workspace_name, tokens)
+            self._check_quota(route, workspace_name, tokens)
             return [job_record]
 
         try:
@@ -212,12 +222,12 @@
             why = f"The paths and headers take {size} bytes of at most {limit}."
             raise exception.RefusedError(verdict.Refusal(413, "too_large", why))
 
-    def _check_quota(self, route, host, workspace_name, tokens):
+    def _check_quota(self, route, workspace_name, tokens):
         """Raise `RefusedError` if a job exceeds the token quota of its route."""
         if not route.max_waiting_tokens:
             return
         waiting = self._storage.job_table.count_waiting_tokens(
-            route.path_prefix, host, workspace_name
+            route.path_prefix, route.host, workspace_name
         )
         if waiting + tokens > route.max_waiting_tokens:
             refusal = verdict.Refusal(
@@ -339,7 +349,7 @@
                 _log_decision("batch.unsure", job_id, "store_away", why=str(error))
                 raise exception.RefusedError(_make_unavailable()) from error
             job = storage.job_table.jobs.get(job_id)
-        if job is None or job.host != host:
+        if job is None or not route.is_same_host(job.host, host):
             _log_decision(
                 "batch.unknown", job_id, "not_found", age_s=storage.get_staleness_s()
             )
--- a/pimentowick/gateway/route.py
+++ b/pimentowick/gateway/route.py
@@ -4,7 +4,20 @@
 import enum
 import random
 
-__all__ = ["Configuration", "Kind", "Limits", "Route"]
+__all__ = ["Configuration", "Kind", "Limits", "Route", "is_same_host"]
+
+
+def is_same_host(name, host):
+    """Return whether a Host header names a host, in any letter case and with any port.
+
+    Examples:
+        >>> is_same_host("desk.example", "Desk.Example:80")
+        True
+        >>> is_same_host("desk.example", "other.example")
+        False
+    """
+    name, host = name.lower(), host.lower()
+    return name in (host, host.partition(":")[0])
 
 
 class Kind(enum.StrEnum):
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -257,6 +257,45 @@
     run_with([replica.Replica()], check)
 
 
+@pytest.mark.parametrize("submitted_as", ["desk.example", "Desk.Example:8080"])
+@pytest.mark.parametrize("read_as", ["desk.example", "DESK.example", "desk.example:80"])
+def test_job_is_found_under_each_form_of_its_host(submitted_as, read_as):
+    # A route is found whatever the letter case and the port are, but its job was not.
+    server = replica.Replica()
+
+    async def check(site):
+        answer = await site.call(
+            "POST",
+            "/lot/new",
+            make_body(1),
+            X_Pimentowick_Request_Id="job1",
+            Host=submitted_as,
+        )
+        assert answer.status == 202
+        answer = await site.call("GET", "/-/lots/job1", Host=read_as)
+        assert answer.status == 200
+        await read_all(site, 1)
+        assert server.headers[-1]["Host"] == platform_site.HOST
+
+    run_with([server], check)
+
+
+def test_quota_counts_jobs_under_each_form_of_their_host():
+    async def check(site):
+        site.replicas[0].event_interval_s = 5.0
+        assert (await submit(site, make_body(9, tokens=100))).status == 202
+        answer = await site.call(
+            "POST",
+            "/lot/new",
+            make_body(2, tokens=100),
+            X_Pimentowick_Request_Id="job2",
+            Host="DESK.example",
+        )
+        assert answer.status == 429
+
+    run_with([replica.Replica()], check)
+
+
 def test_unknown_job_is_503_while_the_store_is_unavailable():
     # Another entry may have accepted the job during the outage.
     async def check(site):
