Give up an item past its retention although its body cannot be read

What callers saw, in a test: an item whose body is missing in the store was neither run nor listed as dead, and its job stayed open for good. `item.delayed` was logged five times a second.

Cause: only runs with a body were looked at for being given up, so that a missing body was a state that nothing ended.

Evidence: the test failed before: no result within 20 s for a retention of 0.5 s.

Why the fix works: all runs that wait are looked at, and a body is required only of those that are to be started.

--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -342,9 +342,7 @@
         waiting = [
             run
             for run in self._runs.values()
-            if run.task is None
-            and run.not_before <= now
-            and run.transcript.body is not None
+            if run.task is None and run.not_before <= now
         ]
         ready = []
         for run in batch_queue.order_items(waiting, unix_now):
@@ -353,7 +351,7 @@
                 self._spawn(run, self._record_abandoned(run, "abandoned"))
             elif run.transcript.failures >= run.route.max_attempts:
                 self._spawn(run, self._record_abandoned(run, "failed"))
-            else:
+            elif run.transcript.body is not None:
                 ready.append(run)
         self._publish_pending(ready, unix_now)
         if ready and now >= self._next_start_at:
--- a/pimentowick/gateway/tests/test_retention.py
+++ b/pimentowick/gateway/tests/test_retention.py
@@ -148,3 +148,18 @@
         assert row["state"] == "dead"
 
     run_site_with(check, 0.5)
+
+
+def test_item_whose_body_is_missing_is_given_up():
+    # It was neither run nor given up, and its job stayed open for good.
+    async def check(site):
+        run = await start_waiting_item(site)
+        (gateway,) = site.gateways
+        contents = gateway.storage.contents
+        await contents.delete(run.job.id, [run.item.body])
+        gateway.runner.set_partitions(frozenset())
+        gateway.runner.set_partitions(frozenset(range(PARTS)))
+        (row,) = await test_job_api.read_all(site, 1)
+        assert row["state"] == "dead"
+
+    run_site_with(check, 0.5)
