Send an item whose header values have space around them

What callers would see: an item with space around the value of a header could not be sent, as the error left the run, and is refused since items that cannot be sent are.

Cause: the parts of an item were first checked as its request was written. Space around a value is no part of it, so that it is removed as the submission is decoded.

--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -434,26 +434,31 @@
     try:
         data = _Submission.model_validate(orjson.loads(body))
         bodies = [base64.b64decode(row.body, validate=True) for row in data.items]
-        for row in data.items:
-            _check_item(row)
+        items = [_decode_item(row) for row in data.items]
     except (ValueError, binascii.Error, httputil.HTTPInputError) as error:
         raise exception.ValidationError(f"Batch job: {error}") from error
-    items = [job.Item(row.id, row.path, row.headers, row.tokens) for row in data.items]
     if len({item.id for item in items}) < len(items):
         raise exception.ValidationError("Batch job: an item stands twice.")
     return items, bodies
 
 
-def _check_item(row):
-    """Raise an error if an item cannot be sent to a target."""
+def _decode_item(row):
+    """Return the `pimentowick.gateway.job.Item` of a row.
+
+    Raises:
+        ValueError, HTTPInputError: It cannot be sent to a target.
+    """
     if not row.id:
         raise ValueError("an item has no identifier")
     if ITEM_PATH.fullmatch(row.path) is None:
         raise ValueError(f"{row.path!r} is not the path of a request")
-    headers = httputil.HTTPHeaders()
-    for name, value in [*row.headers.items(), (REQUEST_ID, row.id)]:
-        headers.add(name, value)
+    # Space around the value of a header is no part of it.
+    headers = {name: value.strip(" \t") for name, value in row.headers.items()}
+    checked = httputil.HTTPHeaders()
+    for name, value in [*headers.items(), (REQUEST_ID, row.id)]:
+        checked.add(name, value)
         value.encode("latin-1")
+    return job.Item(row.id, row.path, headers, row.tokens)
 
 
 def find_job_operation(method, path):
