Read the contents of a job until its items have them

Cause: the reader of a job ended with any error but the log's, and nothing started it again as long as the table of jobs stayed as it was; a checkpoint of another form was such an error, and took the other items of its job with it. A read that had ended was also taken for one in progress until its callback had run. Its class: a task whose end is not looked at by those who wait for what it brings.

Change: the reader logs any error and tries again; checkpoints are checked as they are decoded, and a malformed one is left out; a task that is done is none in progress.

Evidence: the 8 cases of test_malformed_checkpoint_..., and test_contents_are_read_again_... and test_read_that_has_just_ended_... failed before and pass.

--- a/pimentowick/gateway/prefetch.py
+++ b/pimentowick/gateway/prefetch.py
@@ -43,12 +43,17 @@
 
     def start_reading(self, job, partition):
         """Start to read the contents of a job unless a read is in progress."""
-        if job.id in self._tasks:
+        task = self._tasks.get(job.id)
+        if task is not None and not task.done():
             return
         is_new = self._owned_since.get(partition, float("inf")) < job.received_at
         task = asyncio.create_task(self._read(job, is_new))
         self._tasks[job.id] = task
-        task.add_done_callback(lambda _: self._tasks.pop(job.id, None))
+        task.add_done_callback(lambda done: self._on_done(job.id, done))
+
+    def _on_done(self, job_id, task):
+        if self._tasks.get(job_id) is task:
+            del self._tasks[job_id]
 
     async def _read(self, job, is_new):
         backoff_s = INITIAL_BACKOFF_S
@@ -58,6 +63,11 @@
                 return
             except exception.LogError as error:
                 decision_log.log_request_event("batch.not_read", job.id, why=str(error))
+            except Exception as error:
+                # The items of the job are still owed.
+                decision_log.log_request_event(
+                    "batch.not_read", job.id, why=repr(error)
+                )
             await asyncio.sleep(backoff_s)
             backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
             is_new = False
--- a/pimentowick/gateway/tests/test_stuck_items.py
+++ b/pimentowick/gateway/tests/test_stuck_items.py
@@ -4,9 +4,10 @@
 import base64
 
 import orjson
+import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway import execution
+from pimentowick.gateway import content, execution, prefetch, record, transcript
 from pimentowick.gateway.tests import test_job_api
 
 ROUTE = platform_site.make_route(
@@ -84,3 +85,100 @@
         assert attempts[1] > attempts[0]
 
     run_with(check)
+
+
+def test_item_without_its_body_is_given_up_like_any_other(monkeypatch):
+    # Guards against an item that stays open for good since its body can't be had.
+    async def fail(*args, **kwargs):
+        raise content.MissingError("gone")
+
+    monkeypatch.setattr(prefetch.ContentPrefetcher, "_read_once", fail)
+
+    async def check(site):
+        assert (await submit(site)).status == 202
+        await wait_for_state(site, "dead")
+
+    run_with(check, route={**ROUTE, "retention_s": 1})
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"[]",
+        b"7",
+        b"{}",
+        b'{"after": null, "texts": 1, "last": "1"}',
+        b'{"after": null, "texts": ["a"], "last": null}',
+        b'{"after": [], "texts": ["a"], "last": "1"}',
+        b'{"after": null, "texts": [1], "last": "1"}',
+        b'{"after": null, "texts": ["a"], "last": "1", "origin": ["s"]}',
+    ],
+)
+def test_malformed_checkpoint_does_not_keep_an_item_from_running(value):
+    # Guards against one piece of text that ends the reading of a whole job.
+    good = orjson.dumps({"after": None, "texts": ["a"], "last": "1", "origin": None})
+    contents = {
+        record.name_checkpoint(0, "bad"): value,
+        record.name_checkpoint(0, "good"): good,
+    }
+    found = transcript.find_longest_text(contents, 0)
+    assert found[1:3] == (["a"], "1")
+
+
+def test_contents_are_read_again_after_an_unexpected_error():
+    # Guards against a reader that has died, while its job waits for another change.
+    async def run():
+        read = asyncio.Event()
+        attempts = []
+
+        class Contents:
+            async def read_all(self, job_id):
+                return {}
+
+        def on_read(job_id, contents):
+            attempts.append(job_id)
+            if len(attempts) == 1:
+                raise KeyError("texts")
+            read.set()
+
+        class Job:
+            id = "job1"
+            is_open = True
+            received_at = 0.0
+
+        prefetcher = prefetch.ContentPrefetcher(Contents(), on_read)
+        prefetcher.start_reading(Job(), 0)
+        await asyncio.wait_for(read.wait(), WAIT_S)
+        await prefetcher.close()
+
+    asyncio.run(run())
+
+
+def test_read_that_has_just_ended_is_not_taken_for_one_in_progress():
+    # Guards against a run that was made as the read of its job ended, and whose body
+    # nobody reads.
+    async def run():
+        reads = asyncio.Queue()
+
+        class Contents:
+            async def read_all(self, job_id):
+                return {}
+
+        class Job:
+            id = "job1"
+            is_open = True
+            received_at = 0.0
+
+        def on_read(job_id, contents):
+            reads.put_nowait(job_id)
+            if reads.qsize() == 1:
+                # Runs after the task has ended, and before its callbacks.
+                loop = asyncio.get_running_loop()
+                loop.call_soon(prefetcher.start_reading, Job(), 0)
+
+        prefetcher = prefetch.ContentPrefetcher(Contents(), on_read)
+        prefetcher.start_reading(Job(), 0)
+        await wait.wait_for(lambda: reads.qsize() == 2, WAIT_S, POLL_S)
+        await prefetcher.close()
+
+    asyncio.run(run())
--- a/pimentowick/gateway/transcript.py
+++ b/pimentowick/gateway/transcript.py
@@ -233,16 +233,16 @@
     for name, value in contents.items():
         if name.startswith(prefix):
             try:
-                checkpoints[name] = orjson.loads(value)
-            except ValueError:
-                decision_log.log_event("item.piece_garbled", piece=name)
+                checkpoints[name] = _decode_checkpoint(value)
+            except (ValueError, TypeError, LookupError) as error:
+                decision_log.log_event("item.piece_garbled", piece=name, why=str(error))
     best, best_rank = ([], [], None, None), (False, 0)
     for name, checkpoint in checkpoints.items():
         chain = _build_chain(checkpoints, name)
         if chain is None:
             continue
         texts = [text for link in chain for text in checkpoints[link]["texts"]]
-        origin = _decode_origin(checkpoint.get("origin"))
+        origin = checkpoint["origin"]
         rank = (can_continue(origin), len(texts))
         if texts and rank > best_rank:
             best, best_rank = (chain, texts, checkpoint["last"], origin), rank
@@ -252,8 +252,22 @@
     return references, *best[1:]
 
 
-def _decode_origin(row):
-    return None if row is None else stream_origin.Origin(*row)
+def _decode_checkpoint(value):
+    """Return the fields of a checkpoint, with its `stream_origin.Origin` or None.
+
+    Raises:
+        ValueError, TypeError or LookupError: It is malformed.
+    """
+    fields = orjson.loads(value)
+    after, texts, last = fields["after"], fields["texts"], fields["last"]
+    names = [last] if after is None else [last, after]
+    if not isinstance(texts, list):
+        raise TypeError("The texts are no list.")
+    if not all(isinstance(each, str) for each in (*names, *texts)):
+        raise TypeError("A text or a name is no string.")
+    row = fields.get("origin")
+    origin = None if row is None else stream_origin.Origin(*row)
+    return {"after": after, "texts": texts, "last": last, "origin": origin}
 
 
 def _build_chain(checkpoints, name):
