Ask for each accepted job at every gateway until the end of a soak

Callers of the soak read jobs only when all was over, on new connections, so that a job, a position or a body which was missing for a while at one gateway went unseen. Now, from each 202 on, jobs, positions (with and without waiting) and bodies are asked for at every gateway on connections that are kept until the process is gone. Jobs are submitted again at other gateways, some are ended twice, and items with an own path run for seconds. A closed connection without a response is a violation unless the process was killed or frozen, or was stopping and closed within the loss slack.

--- a/pimentowick/fakes/faults.py
+++ b/pimentowick/fakes/faults.py
@@ -23,11 +23,11 @@
 class Fault:
     """One fault to inject.
 
-    The kinds are: ``down`` answers 503; ``slow`` delays the response; ``lose_answer``
-    closes the connection after the request has taken effect; ``stall`` stops in the
-    middle of the response; ``cut`` closes the connection there; ``trickle`` sends the
-    response in small chunks; ``freeze`` silences the connections open now; ``die``
-    ends the process; ``clear`` removes all faults.
+    The kinds are: ``down`` answers `status`; ``slow`` delays the response;
+    ``lose_answer`` closes the connection after the request has taken effect; ``stall``
+    stops in the middle of the response; ``cut`` closes the connection there;
+    ``trickle`` sends the response in small chunks; ``freeze`` silences the connections
+    open now; ``die`` ends the process; ``clear`` removes all faults.
 
     Attributes:
         kind: One of `KINDS`.
@@ -36,12 +36,16 @@
         count: Number of requests left to affect, or of connections for ``freeze``;
             None for no limit.
         path: Prefix of the affected paths.
+        port: Port of the server whose requests are affected; None for all.
+        status: Status of the responses of ``down``.
     """
 
     kind: str
     seconds: float = 0.0
     count: int | None = None
     path: str = ""
+    port: int | None = None
+    status: int = 503
 
     def __post_init__(self):
         if self.kind not in KINDS:
@@ -79,16 +83,19 @@
         else:
             self.active_faults.append(fault)
 
-    def consume(self, path, kinds):
+    def consume(self, path, kinds, port=None):
         """Return the first active fault that affects a request and count it, or None.
 
         Args:
             path: Path of the request.
             kinds: Kinds of fault to consider.
+            port: Port that received the request.
         """
         if path in EXEMPT_PATHS:
             return None
         for fault in self.active_faults:
+            if fault.port not in (None, port):
+                continue
             if fault.kind in kinds and path.startswith(fault.path):
                 self._decrement(fault)
                 return fault
@@ -145,9 +152,12 @@
         self.fault_injector.connections[self.connection] = self.request.path
         if self.connection in self.fault_injector.frozen:
             await self.wait_for_disconnect()
-        self.fault = self.fault_injector.consume(self.request.path, REQUEST_KINDS)
+        # A closed connection has no socket.
+        sock = self.connection.socket
+        port = None if sock is None else sock.getsockname()[1]
+        self.fault = self.fault_injector.consume(self.request.path, REQUEST_KINDS, port)
         if self.fault is not None and self.fault.kind == "down":
-            self.set_status(503)
+            self.set_status(self.fault.status)
             self.finish({"error": "down"})
 
     def on_connection_close(self):
--- a/pimentowick/fakes/platform_store.py
+++ b/pimentowick/fakes/platform_store.py
@@ -114,6 +114,12 @@
         content = bytes([len(name)]) + name + data
         return self.get_partition(topic, part).append([content])
 
+    def forget_history(self):
+        """Delete all records of keyed topics but the newest one of each key."""
+        for partition in self.partitions.values():
+            if partition.keyed:
+                partition.trim(partition.end)
+
     def count_bytes(self):
         """Return the total size of all records in bytes."""
         return sum(len(r) for p in self.partitions.values() for r in p.records)
--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -86,6 +86,7 @@
         reports: Number of reports that it has sent.
         crashes: Number of crashes.
         on_crash: Function called after a crash with the previous identifier.
+        event_intervals_s: Pauses that differ from `event_interval_s`, by request path.
         slowdown: Slowdown of a shared host that responses report, in percent of the
             usual time; None for a host of its own.
     """
@@ -125,6 +126,7 @@
         self.reports = 0
         self.crashes = 0
         self.on_crash = lambda previous_id: None
+        self.event_intervals_s = {}
         self.slowdown = None
         self._first_id = replica_id
         # Refusals to send before the next response, by connection.
@@ -349,6 +351,9 @@
     async def _stream_events(self, behaviour):
         self.set_header("Content-Type", "text/event-stream")
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        interval_s = self.server.event_intervals_s.get(
+            self.request.path, self.server.event_interval_s
+        )
         for sent, number in enumerate(range(first, self.server.events + 1)):
             if sent == behaviour.cut_after:
                 if behaviour.partial_event:
@@ -360,7 +365,7 @@
                 return
             if behaviour.kind == "wrong_order" and sent == 1:
                 continue
-            await asyncio.sleep(self.server.event_interval_s)
+            await asyncio.sleep(interval_s)
             if self.server.holds_last_event and number == self.server.events:
                 await self.server.release.wait()
             if self.closed.is_set():
--- a/pimentowick/fakes/server.py
+++ b/pimentowick/fakes/server.py
@@ -60,6 +60,12 @@
         self._http = _TrackingServer(self.make_application(), self.fault_injector)
         self._http.add_sockets(sockets)
 
+    def add_address(self):
+        """Listen on another port as well, which faults can name; return its address."""
+        sockets = netutil.bind_sockets(0, LOOPBACK, backlog=BACKLOG)
+        self._http.add_sockets(sockets)
+        return f"{LOOPBACK}:{sockets[0].getsockname()[1]}"
+
     async def close(self):
         """Stop listening and close all connections."""
         if self._http is None:
--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -13,8 +13,9 @@
     replica,
     wait,
 )
+from pimentowick.soak import fleet
 
-__all__ = ["FAULT_KINDS", "PLANNED_KINDS", "FaultInjector"]
+__all__ = ["CHANGE_KINDS", "FAULT_KINDS", "PLANNED_KINDS", "FaultInjector"]
 
 APPEND_PATH = "/-/log-append"
 READY_TIMEOUT_S = 20.0
@@ -32,13 +33,15 @@
 BROKEN_ANSWER_COUNT = 4
 # Five crashes, and three requests that come later.
 MAX_PART_CRASHES = 8
+# Time for which a replica serves on after it is listed as draining, or not any more.
+LEAVING_S = 2.2
 
 
 class FaultInjector:
-    """Injects faults sequentially.
+    """Injects faults.
 
     Args:
-        fleet: `pimentowick.soak.fleet.Fleet`.
+        running_fleet: `pimentowick.soak.fleet.Fleet`.
         rng: `random.Random`.
 
     Attributes:
@@ -46,19 +49,23 @@
         violations: Descriptions of violated invariants.
     """
 
-    def __init__(self, fleet, rng):
-        self._fleet = fleet
+    def __init__(self, running_fleet, rng):
+        self._fleet = running_fleet
         self._rng = rng
         # Draws of their own, so that a seed keeps its faults.
         self._answer_rng = random.Random()
         self._answer_rng.setstate(rng.getstate())
+        self._change_rng = random.Random()
+        self._change_rng.setstate(rng.getstate())
         self.injected = []
         self.violations = []
 
     async def inject(self, kind):
         """Inject one fault; return when it has ended or was handed to the fakes."""
         self.injected.append(kind)
-        await FAULT_KINDS[kind](self)
+        self._fleet.log(f"{kind} begins")
+        await (FAULT_KINDS | CHANGE_KINDS)[kind](self)
+        self._fleet.log(f"{kind} has ended")
 
     def _choose_gateway(self):
         return self._rng.choice(self._fleet.gateways)
@@ -121,6 +128,7 @@
         self._fleet.silent_replicas.update(released)
         for each in released:
             each.restart(f"w{len(self.injected)}")
+            self._fleet.log(f"{each.id} has restarted as {each.version}")
 
     async def _pause(self):
         gateway = self._choose_gateway()
@@ -225,6 +233,39 @@
             group.members.clear()
             group.generation += 1
 
+    async def _configure(self):
+        """Move the batch route, change its timeout, add a route; then undo it all."""
+        added = platform_site.make_route("/added/", "stream", resumable=True)
+        self._fleet.configure([added], service=fleet.SPARE_SERVICE, timeout_ms=2000)
+        await asyncio.sleep(self._change_rng.uniform(0.2, 3.0))
+        self._fleet.configure()
+
+    async def _drain_replica(self):
+        await self._replace_replica(is_announced=True)
+
+    async def _lose_replica(self):
+        await self._replace_replica(is_announced=False)
+
+    async def _replace_replica(self, is_announced):
+        # Of two faults at once, each replaces another replica.
+        leaving = self._change_rng.choice(self._fleet.replicas)
+        await self._fleet.replace_replica(leaving, is_announced, LEAVING_S)
+
+    async def _forget_history(self):
+        self._fleet.store.forget_history()
+
+    async def _refuse_calls(self):
+        """Let the store turn the calls of one gateway away."""
+        gateway = self._change_rng.choice(self._fleet.gateways)
+        port = int(gateway.store_address.rpartition(":")[2])
+        status = self._change_rng.choice([429, 503])
+        await self._inject_store_fault(faults.Fault("down", port=port, status=status))
+
+    async def _fail_requests(self):
+        for each in self._fleet.replicas:
+            count = self._change_rng.randint(1, 4)
+            each.planned_behaviours += [replica.Behaviour("fail")] * count
+
 
 FAULT_KINDS = {
     "kill": FaultInjector._kill,
@@ -245,5 +286,15 @@
     "crash_part": FaultInjector._crash_under_part,
 }
 
+# Kinds that are drawn only where they are asked for.
+CHANGE_KINDS = {
+    "configure": FaultInjector._configure,
+    "drain_replica": FaultInjector._drain_replica,
+    "lose_replica": FaultInjector._lose_replica,
+    "forget_history": FaultInjector._forget_history,
+    "refuse_calls": FaultInjector._refuse_calls,
+    "fail_requests": FaultInjector._fail_requests,
+}
+
 # Kinds of planned work, around which no request that ran may go unanswered.
-PLANNED_KINDS = frozenset({"hang_up", "stop"})
+PLANNED_KINDS = frozenset({"configure", "hang_up", "stop"})
--- a/pimentowick/soak/run.py
+++ b/pimentowick/soak/run.py
@@ -1,7 +1,6 @@
 """Soak test: traffic, injected faults and a final check of invariants."""
 
 import asyncio
-import base64
 import collections
 import dataclasses
 import itertools
@@ -13,7 +12,7 @@
 
 from pimentowick import exception
 from pimentowick.fakes import platform_site, wait
-from pimentowick.soak import fault_injection, fleet
+from pimentowick.soak import fault_injection, fleet, job_watch
 
 __all__ = ["Findings", "run_soak"]
 
@@ -57,6 +56,7 @@
         served: Number of successful responses.
         jobs: Number of accepted jobs.
         violations: Descriptions of violated invariants.
+        watched: Number of responses about jobs by method and status.
     """
 
     seed: int
@@ -64,15 +64,19 @@
     served: int = 0
     jobs: int = 0
     violations: list = dataclasses.field(default_factory=list)
+    watched: dict = dataclasses.field(default_factory=dict)
 
 
 class _Soak:
-    def __init__(self, seed, directory):
+    def __init__(self, seed, directory, gateways):
         self.rng = random.Random(seed)
+        # Draws of its own, so that a seed keeps its faults.
+        self.overlap_rng = random.Random(f"overlap {seed}")
         # Odd seeds run the decisions for services on shared hosts.
         self.fleet = fleet.Fleet(
-            directory, slowdown=USUAL_PERCENT if seed % 2 else None
+            directory, gateways, slowdown=USUAL_PERCENT if seed % 2 else None
         )
+        self.watch = job_watch.JobWatch(self.fleet, seed, EXPECTED_TEXT)
         self.findings = Findings(seed)
         self.refused = set()
         # Requests without a complete answer that neither their timeout nor the end of a
@@ -85,21 +89,27 @@
         self._counter = itertools.count()
         self._stopping = asyncio.Event()
 
-    async def run(self, kinds, count):
+    async def run(self, kinds, count, overlaps):
         callers = []
         is_planned = fault_injection.PLANNED_KINDS.issuperset(kinds)
         try:
             await self.fleet.start()
             if is_planned:
-                for each in self.fleet.replicas:
+                for each in self.fleet.all_replicas:
                     each.event_interval_s = LONG_EVENT_INTERVAL_S
             callers = [
                 asyncio.create_task(self._send_requests()) for _ in range(CALLER_COUNT)
             ]
             callers.append(asyncio.create_task(self._submit_jobs()))
+            self.watch.start()
             injector = fault_injection.FaultInjector(self.fleet, self.rng)
             for _ in range(count):
-                await injector.inject(self.rng.choice(kinds))
+                chosen = [self.rng.choice(kinds)]
+                if overlaps:
+                    chosen += self._choose_overlapping(kinds, chosen[0])
+                async with asyncio.TaskGroup() as group:
+                    for kind in chosen:
+                        group.create_task(injector.inject(kind))
                 await asyncio.sleep(self.rng.uniform(0.2, 1.0))
             self.findings.faults = injector.injected
             self.findings.violations += injector.violations
@@ -107,6 +117,9 @@
             await asyncio.gather(*callers)
             await self._restart_exited()
             await self.fleet.wait_ready()
+            await self.watch.finish()
+            self.findings.violations += self.watch.violations
+            self.findings.watched = self.watch.counts
             await self._check_jobs()
             self._check_executions()
             self._check_versions()
@@ -116,9 +129,18 @@
             for caller in callers:
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
+            await self.watch.close()
             await self.fleet.close()
         return self.findings
 
+    def _choose_overlapping(self, kinds, kind):
+        """Return the kinds of fault to inject at the same time as another one."""
+        # Entries that restart forget which part crashes replicas.
+        others = [each for each in kinds if each != "crash_part"]
+        if kind == "crash_part" or not others:
+            return []
+        return [self.overlap_rng.choice(others)]
+
     async def _send(self, method, path, body=None, headers=None, gateway=None):
         gateway = gateway or self.rng.choice(self.fleet.gateways)
         return await self.fleet.client.fetch(
@@ -197,12 +219,7 @@
 
     async def _submit(self, job_id):
         """Submit a job, and retry until it is accepted."""
-        names = [f"{job_id}-{n}" for n in range(ITEMS_PER_JOB)]
-        rows = [
-            {"id": name, "path": "/lot/1", "body": base64.b64encode(b"x").decode()}
-            for name in names
-        ]
-        body = orjson.dumps({"items": rows})
+        body = self.watch.make_job(job_id, ITEMS_PER_JOB)
         for _ in range(MAX_JOB_SUBMISSIONS):
             try:
                 response = await self._send(
@@ -212,7 +229,8 @@
                 await asyncio.sleep(REQUEST_INTERVAL_S)
                 continue
             if response.status == 202:
-                self.accepted[job_id] = set(names)
+                self.accepted[job_id] = set(self.watch.jobs[job_id].bodies)
+                self.watch.accept(job_id)
                 return
             await asyncio.sleep(REQUEST_INTERVAL_S)
         self._add_violation(f"{job_id}: never accepted")
@@ -271,7 +289,7 @@
     def _check_versions(self):
         """Check that each stream and item went on at the version that began it."""
         began, went_on = {}, {}
-        for each in self.fleet.replicas:
+        for each in self.fleet.all_replicas:
             versions = {name: iter(rows) for name, rows in each.run_versions.items()}
             for headers in each.headers:
                 request_id = headers[REQUEST_ID_HEADER]
@@ -281,7 +299,8 @@
         for first_id, versions in self.versions_seen.items():
             went_on.setdefault(first_id, set()).update(versions)
         for first_id, versions in went_on.items():
-            is_item = any(first_id in names for names in self.accepted.values())
+            jobs = self.watch.jobs.values()
+            is_item = any(first_id in job.bodies for job in jobs)
             if not versions <= began.get(first_id, set()):
                 self._add_violation(f"{first_id}: went on at {versions}")
             if len(versions) > 1 and not is_item:
@@ -294,7 +313,9 @@
 
     def _count_runs(self):
         """Return the number of runs at all replicas, by request."""
-        return sum((each.runs for each in self.fleet.replicas), collections.Counter())
+        return sum(
+            (each.runs for each in self.fleet.all_replicas), collections.Counter()
+        )
 
     def _check_executions(self):
         runs = self._count_runs()
@@ -308,17 +329,19 @@
         self.findings.violations.append(violation)
 
 
-async def run_soak(seed, directory, kinds, count):
+async def run_soak(seed, directory, kinds, count, gateways=3, overlaps=False):
     """Run a soak test.
 
     Args:
         seed: Seed of the random choices.
         directory: Directory of the settings and logs of the gateways.
         kinds: Kinds of faults to choose from; see
-            `pimentowick.soak.fault_injection.FAULT_KINDS`.
+            `pimentowick.soak.fault_injection.FAULT_KINDS` and ``CHANGE_KINDS``.
         count: Number of faults.
+        gateways: Number of gateways.
+        overlaps: Whether another fault is injected at the same time as each.
 
     Returns:
         The `Findings`.
     """
-    return await _Soak(seed, directory).run(kinds, count)
+    return await _Soak(seed, directory, gateways).run(kinds, count, overlaps)
--- a/pimentowick/soak/tests/test_soak.py
+++ b/pimentowick/soak/tests/test_soak.py
@@ -32,6 +32,16 @@
     assert findings.served > 0
 
 
+def test_accepted_jobs_stay_readable_at_every_gateway(tmp_path):
+    # Guards against jobs, positions and bodies that are missing for a while, between
+    # their acceptance and the end of a run, under two faults at a time.
+    kinds = sorted(fault_injection.FAULT_KINDS | fault_injection.CHANGE_KINDS)
+    findings = asyncio.run(run.run_soak(42, tmp_path, kinds, 6, overlaps=True))
+    assert not findings.violations
+    assert findings.watched["GET 200"] > 0
+    assert findings.watched["DELETE 200"] > 0
+
+
 def test_planned_stops_cut_no_request(tmp_path):
     # Guards against requests that a process takes on an open connection, or late, while
     # it stops, and passes on although it can't finish them.
