--- a/pimentowick/gateway/history.py
+++ b/pimentowick/gateway/history.py
@@ -402,7 +402,7 @@
     last_event, last = id_lines[-1].event, id_lines[-1].data
     ends = {
         "item.given_up": f"It was given up ({last.get('outcome')}).",
-        "item.delayed": f"It was delayed by a storage error: {last.get('why')}",
+        "item.delayed": f"It was delayed by an error: {last.get('why')}",
     }
     end = ends.get(last_event)
     if last_event == "item.waiting":
