Answer HEAD requests that are refused

What callers saw: a HEAD request that a gateway refuses, for whatever reason (no slot, unknown route or job, a stop, a target that was lost after it ran), got no answer; its connection was closed.

Cause: a refusal has a body. The server knows that the response to HEAD has none, takes the body for an error ("Tried to write more data than Content-Length") and closes the connection; the head counts as sent by then, so that no other answer follows.

The exchange sends no body in response to HEAD, whatever the handler writes. The length of what was left out stays in the head.

--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -92,6 +92,11 @@
         """Identifier of the request, or ""."""
         return self.headers.get(message.REQUEST_ID, "")
 
+    @property
+    def _has_no_body(self):
+        """Whether the response consists of its head alone."""
+        return self.method == "HEAD"
+
     def count_unread(self):
         """Return how many bytes were written that the kernel has not taken yet."""
         stream = self._connection.stream
@@ -110,6 +115,8 @@
         """
         _check_response(status, headers)
         self.started = True
+        if self._has_no_body:
+            chunk = None
         if self._server.is_closing():
             headers["Connection"] = "close"
         reason = REASON_PHRASES.get(status) or httputil.responses.get(status, "Unknown")
@@ -128,6 +135,8 @@
 
     async def write(self, chunk):
         """Send part of the response body."""
+        if self._has_no_body:
+            return
         self._server.traffic.sent += len(chunk)
         await self._pass_on(self._connection.write(chunk))
 
--- a/pimentowick/gateway/tests/test_exchange.py
+++ b/pimentowick/gateway/tests/test_exchange.py
@@ -5,8 +5,9 @@
 import pytest
 from tornado import httputil
 
+from pimentowick import exception
 from pimentowick.fakes import platform_site, wait
-from pimentowick.gateway import exchange, route
+from pimentowick.gateway import exchange, refusals, route
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -105,6 +106,38 @@
     asyncio.run(run())
 
 
+def test_head_requests_are_answered_without_a_body():
+    # Guards against a connection that is closed without an answer, as the response to
+    # a HEAD request has a body.
+    async def run():
+        address = f"127.0.0.1:{platform_site.find_free_port()}"
+
+        async def answer(request):
+            if request.path == "/refused":
+                raise exception.RefusedError(refusals.STOPPING)
+            await request.start(200, httputil.HTTPHeaders(), b"first")
+            await request.write(b"second")
+            request.finish()
+
+        server = exchange.Server(address, answer)
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server._port)
+        for path, status in (("/refused", 503), ("/streamed", 200), ("/refused", 503)):
+            writer.write(f"HEAD {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+            async with asyncio.timeout(10):
+                first_line = await reader.readline()
+                assert first_line.startswith(b"HTTP/1.1 %d " % status)
+                while await reader.readline() != b"\r\n":
+                    pass
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            assert await reader.read() == b""
+        writer.close()
+        await server.close()
+
+    asyncio.run(run())
+
+
 def test_connections_without_a_request_are_closed():
     async def run():
         address = f"127.0.0.1:{platform_site.find_free_port()}"
