Take a deadline or a wait that is no finite number for none

What callers saw: with `X-Pimentowick-Deadline-Ms: nan` an answer of 500 `internal`. With `X-Pimentowick-Wait-Ms: nan` a read of results waited without end instead of a second at most.

Cause: `float` reads these words, and each comparison with the number is false. The timer of the wait is set to that time, and a heap of timers that holds it is not in order any more, so that timers of other requests could be late (by reading; not seen).

A number that is not finite counts as malformed, as other words do.

--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -4,6 +4,7 @@
 import binascii
 import dataclasses
 import enum
+import math
 import re
 import urllib.parse
 
@@ -153,10 +154,12 @@
 
 
 def _read_number(headers, name):
+    """Return the finite number in a header, or None."""
     try:
-        return float(headers.get(name, ""))
+        number = float(headers.get(name, ""))
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def decode_request_headers(headers):
