Begin an item anew if no target confirms which run it is

Timeline (test, before): events 1 and 2 at i-0 (v1); i-0 goes, i-1 (v1) beats on; the item is offered to i-1, refused by the entry as `other_run`; the version of i-1 counts as uncertain until its next registration; then it is offered and refused again, for 20 s and on, while `has_version` says that v1 is there, so that the text is not begun anew.

Cause: what decides that a text may wait for its version (the registration) is not what decides that it may go on there (the report), and nothing ends their disagreement.

Change: once three targets have not confirmed their run, the text is discarded and the item begins at any run, unasked if need be. A text never goes on at an unconfirmed run, as before; the count ends with the first confirmed event.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -84,6 +84,8 @@
         crash_parts: Parts of prompts whose requests do the same.
         sends_head: Whether it sends the head of an unframed stream before it crashes.
         reports: Number of reports that it has sent.
+        reports_start: Whether its reports say when it was started.
+        reports_in_time: Whether it sends its reports before the caller gives up.
         crashes: Number of crashes.
         on_crash: Function called after a crash with the previous identifier.
         event_intervals_s: Pauses that differ from `event_interval_s`, by request path.
@@ -124,6 +126,8 @@
         self.crash_parts = set()
         self.sends_head = False
         self.reports = 0
+        self.reports_start = True
+        self.reports_in_time = True
         self.crashes = 0
         self.on_crash = lambda previous_id: None
         self.event_intervals_s = {}
@@ -180,7 +184,10 @@
 class _ReportHandler(faults.Handler):
     async def get(self):
         self.server.reports += 1
-        self.write({"num_running": self.server.running, **self.server.describe_run()})
+        if not self.server.reports_in_time:
+            await self.wait_for_disconnect()
+        run = self.server.describe_run() if self.server.reports_start else {}
+        self.write({"num_running": self.server.running, **run})
 
 
 class _Handler(faults.Handler):
--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -128,7 +128,7 @@
             if await connection.check_run(run_check):
                 return None
         except (OSError, TimeoutError, iostream.StreamClosedError) as error:
-            reason = f"report_{type(error).__name__}"
+            reason = upstream.REPORT_FAILED + type(error).__name__
             return upstream.Outcome(upstream.End.NOT_RUN, reason, connected=False)
         except BaseException:
             connection.close()
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -15,7 +15,7 @@
 from pimentowick.platform import message
 from pimentowick.routing import quarantine
 
-__all__ = ["Run", "Sink", "save_final", "send"]
+__all__ = ["MAX_UNCONFIRMED", "Run", "Sink", "save_final", "send"]
 
 METHOD = "POST"
 # Bounds the generated text that is lost when another entry takes over.
@@ -24,6 +24,9 @@
 CHECKPOINT_TIMEOUT_S = 2.0
 # The target aborts the run after this time, for example if the entry crashes.
 MAX_RUN_S = 30.0
+# A text is begun anew, at any run of a target, once this many targets did not confirm
+# which run they are.
+MAX_UNCONFIRMED = 3
 # A run that receives no event for this long is aborted.
 IDLE_TIMEOUT_S = 4.0
 
@@ -42,6 +45,8 @@
         is_complete: Whether the text is complete and only its result is unrecorded.
         not_before: Monotonic time before which the item is not started.
         failures: Number of consecutive runs without an event.
+        unconfirmed: Number of times that no target confirmed which run it is, since one
+            has.
         target: The `pimentowick.gateway.target.Target` while running, else None.
         task: The `asyncio.Task` while running, else None.
         is_held: Whether it waits because it is quarantined.
@@ -59,6 +64,7 @@
     is_complete: bool = False
     not_before: float = 0.0
     failures: int = 0
+    unconfirmed: int = 0
     target: object = None
     task: object = None
     is_held: bool = False
@@ -209,7 +215,10 @@
     """
     item_transcript = run.transcript
     begins = item_transcript.last_event is None
-    run_check = target.make_run_check(is_required=not begins)
+    run_check = target.make_run_check(
+        is_required=not begins,
+        is_asked=run.unconfirmed < MAX_UNCONFIRMED or not begins,
+    )
 
     def on_first_event():
         if begins:
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -430,7 +430,9 @@
         origin = run.transcript.origin
         if run.transcript.last_event is None:
             return
-        if self._can_continue(origin) and origin.service == run.service:
+        is_confirmable = run.unconfirmed < execution.MAX_UNCONFIRMED
+        is_same_service = origin is not None and origin.service == run.service
+        if is_confirmable and is_same_service and self._can_continue(origin):
             return
         self._metrics.count_item("restarted")
         decision_log.log_request_event(
@@ -440,6 +442,7 @@
             service=run.service,
             began_at=None if origin is None else origin.service,
             version=None if origin is None else origin.software_version,
+            unconfirmed=run.unconfirmed,
             events=run.transcript.count_events(),
         )
         run.transcript.restart()
@@ -678,8 +681,13 @@
             return
         if outcome.end == upstream.End.COMPLETE and outcome.status == 500:
             await run.transcript.record_failure(RECORD_TIMEOUT_S)
+        if outcome.is_unconfirmed:
+            run.unconfirmed += 1
         if sink.events:
             run.failures = 0
+            origin = run.transcript.origin
+            if origin is not None and origin.software_version is not None:
+                run.unconfirmed = 0
         run.failures += 1
         backoff_s = _compute_backoff_s(run.failures)
         is_unmet = outcome.reason == upstream.CONDITION_NOT_MET
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -53,6 +53,7 @@
             identifier alone names the run.
         software_version: Version of its software, as registered.
         is_required: Whether no other run may get the request.
+        is_asked: Whether the target is asked which run it is.
         is_confirmed: Whether the registered run gets the request.
     """
 
@@ -60,6 +61,7 @@
     software_version: str | None
     is_required: bool
     is_confirmed: bool = False
+    is_asked: bool = True
 
     def compare(self, started_ms):
         """Compare the run with that at the other end of a connection.
@@ -212,11 +214,12 @@
             return self.id
         return f"{self.id}@{self.registration.started_ms}"
 
-    def make_run_check(self, is_required):
+    def make_run_check(self, is_required, is_asked=True):
         """Return the `RunCheck` of a request.
 
         Args:
             is_required: Whether no other run than the registered one may get it.
+            is_asked: Whether the target is asked which run it is.
         """
         registration = self.registration
         return RunCheck(
@@ -224,6 +227,7 @@
             registration.software_version,
             is_required,
             is_confirmed=not registration.started_ms,
+            is_asked=is_asked and registration.started_ms > 0,
         )
 
     def record_break(self, now):
--- a/pimentowick/gateway/tests/test_stuck_items.py
+++ b/pimentowick/gateway/tests/test_stuck_items.py
@@ -7,7 +7,14 @@
 import pytest
 
 from pimentowick.fakes import platform_site, replica, wait
-from pimentowick.gateway import content, execution, prefetch, record, transcript
+from pimentowick.gateway import (
+    content,
+    execution,
+    prefetch,
+    record,
+    target,
+    transcript,
+)
 from pimentowick.gateway.tests import test_job_api
 
 ROUTE = platform_site.make_route(
@@ -182,3 +189,55 @@
         await prefetcher.close()
 
     asyncio.run(run())
+
+
+async def beat(site, servers):
+    """Register replicas again and again, as they do."""
+    while True:
+        for server in servers:
+            site.register_replica(server)
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("fault", ["reports_start", "reports_in_time"])
+@pytest.mark.parametrize("has_begun", [False, True])
+def test_item_is_done_by_targets_whose_run_is_never_confirmed(
+    fault, has_begun, monkeypatch
+):
+    # Guards against a text that waits for a target of its version which is listed and
+    # idle, and never gets it, as its reports don't say when it was started.
+    monkeypatch.setattr(target, "CONFIRMATION_DELAY_S", 0.2)
+    first, second = servers = [
+        replica.Replica(f"i-{number}", started_ms=1000 + number) for number in range(2)
+    ]
+    first.holds_last_event = True
+    setattr(second, fault, False)
+
+    async def check(site):
+        if has_begun:
+            # Only the first one is listed as the item begins.
+            site.store.put("keyed.servers", second.id, b"")
+            table = site.gateways[0].table
+            await wait.wait_for(lambda: second.id not in table.by_id, WAIT_S, POLL_S)
+            assert (await submit(site)).status == 202
+            (run,) = await wait.wait_for(
+                lambda: [
+                    run
+                    for run in site.gateways[0].runner.list_runs()
+                    if run.transcript.count_events() == 2
+                ],
+                WAIT_S,
+                POLL_S,
+            )
+            assert run.transcript.origin.software_version == "v1"
+        site.store.put("keyed.servers", first.id, b"")
+        await first.close()
+        beats = asyncio.create_task(beat(site, [second]))
+        try:
+            if not has_begun:
+                assert (await submit(site)).status == 202
+            await wait_for_state(site, "done")
+        finally:
+            beats.cancel()
+
+    run_with(check, servers)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -92,6 +92,8 @@
 CALLER_GONE = "caller_gone"
 # The target has restarted under its old identifier, or may have.
 OTHER_RUN = "other_run"
+# Beginning of the reasons for which the target did not say when it was started.
+REPORT_FAILED = "report_"
 # Nothing but the closed connection tells that the response has ended, which also closes
 # if the target crashes.
 UNFRAMED = "unframed"
@@ -150,6 +152,12 @@
         """Whether the expected target received the request and rejected it."""
         return self.end == End.NOT_RUN and self.reason == REFUSED
 
+    @property
+    def is_unconfirmed(self):
+        """Whether it was not sent, as it is uncertain which run would have got it."""
+        is_late = self.reason.startswith(REPORT_FAILED)
+        return self.end == End.NOT_RUN and (is_late or self.reason == OTHER_RUN)
+
     @property
     def is_survival(self):
         """Whether the target ran the request without a crash.
@@ -545,7 +553,7 @@
             StreamClosedError: The target closed the connection.
             TimeoutError: It did not answer in time.
         """
-        if run_check is None or not run_check.started_ms:
+        if run_check is None or not run_check.is_asked:
             return True
         if self._started_ms is None:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
