Run items at the only slot of a service

Cause: the share of slots that is left to online requests is rounded up, which is all of them if there is one; the same for the only slot of the version of a text. Its class: a reserve without the bound that something is left.

Change: the reserve is smaller than the number of slots. With two slots or more all is as before.

Evidence: test_item_runs_at_the_only_slot_of_its_service (with shared hosts and without) and test_text_goes_on_at_the_only_slot_of_its_version failed before and pass.

--- a/pimentowick/gateway/policy/target_choice.py
+++ b/pimentowick/gateway/policy/target_choice.py
@@ -50,7 +50,9 @@
 def count_batch_capacity(targets, now):
     """Return how many more batch items all targets together can run."""
     usable = [target for target in targets if target.is_usable(now)]
-    headroom = math.ceil(HEADROOM_SHARE * sum(target.slots for target in usable))
+    slots = sum(target.slots for target in usable)
+    # An only slot is not left unused for good.
+    headroom = min(math.ceil(HEADROOM_SHARE * slots), max(0, slots - 1))
     return max(0, sum(max(0, _count_unused(t)) for t in usable) - headroom)
 
 
--- a/pimentowick/gateway/tests/test_stuck_items.py
+++ b/pimentowick/gateway/tests/test_stuck_items.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 
 import orjson
 import pytest
@@ -15,6 +16,7 @@
     target,
     transcript,
 )
+from pimentowick.gateway.policy import target_choice
 from pimentowick.gateway.tests import test_job_api
 
 ROUTE = platform_site.make_route(
@@ -241,3 +243,32 @@
             beats.cancel()
 
     run_with(check, servers)
+
+
+@pytest.mark.parametrize("has_shared_hosts", [False, True])
+def test_item_runs_at_the_only_slot_of_its_service(has_shared_hosts):
+    # Guards against unused slots for online requests that are all there are.
+    server = replica.Replica(slots=1)
+    server.slowdown = 100 if has_shared_hosts else None
+
+    async def check(site):
+        if has_shared_hosts:
+            site.gateways[0].table.record_shared_hosts(platform_site.SERVICE)
+        assert (await submit(site)).status == 202
+        await wait_for_state(site, "done")
+
+    run_with(check, [server])
+
+
+def test_text_goes_on_at_the_only_slot_of_its_version():
+    # Guards against the same among the targets that may go on with a text.
+    table = target.TargetTable()
+    registration = target.Registration("t", "s", "127.0.0.1", 1, "a", 1)
+    table.put(registration)
+    targets = table.list_targets("s")
+    for size, capacity in ((1, 1), (2, 1), (8, 7), (50, 47)):
+        table.put(dataclasses.replace(registration, slots=size))
+        assert target_choice.count_batch_capacity(targets, 0.0) == capacity
+    assert target_choice.count_batch_capacity([], 0.0) == 0
+    targets[0].online = 49
+    assert target_choice.count_batch_capacity(targets, 0.0) == 0
