Bound the exponent of each backoff, whatever the number of failures

What callers would see (by tests of the parts): once connections to a listed target have failed 1,024 times in a row, each further request that is sent there ends with an OverflowError, as does each outcome of an item that has failed so often. Eight requests at a time and a pause of 4 s make that nine minutes with a target that can't be reached.

Cause: the delay was bounded after the power had been computed: 2 to the number of failures is an integer of any size, and its product with a float is not.

Change: policy/backoff.py bounds the exponent, for targets, items and slow targets. The same cause elsewhere: the ejection of agents (membership/fleet.py), bounded there, by reading; the other delays are doubled one at a time.

Evidence: test_target_that_is_unreachable_for_long_... and test_item_that_fails_for_long_... failed before and pass.

--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -4,6 +4,7 @@
 import time
 
 from pimentowick.gateway import decision_log, upstream
+from pimentowick.gateway.policy import backoff
 
 __all__ = ["Health"]
 
@@ -94,7 +95,7 @@
             target.failures = 0
             return
         target.failures += 1
-        pause = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** (target.failures - 1))
+        pause = backoff.compute_delay(MIN_BACKOFF_S, MAX_BACKOFF_S, target.failures)
         target.paused_until = max(target.paused_until, now + pause)
         decision_log.log_event(
             "target.paused",
--- a/pimentowick/gateway/policy/slow_target.py
+++ b/pimentowick/gateway/policy/slow_target.py
@@ -25,6 +25,8 @@
 import math
 import statistics
 
+from pimentowick.gateway.policy import backoff
+
 __all__ = ["Observation", "SlowTargets"]
 
 # A target less slow than this is worth its share of the requests.
@@ -135,7 +137,7 @@
     def _rest(self, key, now):
         record = self._records.get(key)
         count = 1 if record is None else record.count + 1
-        rest_s = min(MAX_TIME_S, BASE_TIME_S * 2 ** (count - 1))
+        rest_s = backoff.compute_delay(BASE_TIME_S, MAX_TIME_S, count)
         self._records[key] = _Record(now + rest_s, count)
 
     def _record_returns(self, observations, now):
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -19,6 +19,7 @@
     waiting_items,
 )
 from pimentowick.gateway.policy import (
+    backoff,
     batch_queue,
     delay_choice,
     preemption,
@@ -708,7 +709,7 @@
 
 
 def _compute_backoff_s(failures):
-    return min(INITIAL_BACKOFF_S * 2 ** (failures - 1), MAX_BACKOFF_S)
+    return backoff.compute_delay(INITIAL_BACKOFF_S, MAX_BACKOFF_S, failures)
 
 
 def _is_confirmed(run, outcome, sink):
--- a/pimentowick/gateway/tests/test_stuck_items.py
+++ b/pimentowick/gateway/tests/test_stuck_items.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import dataclasses
+import time
 
 import orjson
 import pytest
@@ -11,12 +12,14 @@
 from pimentowick.gateway import (
     content,
     execution,
+    health,
     prefetch,
     record,
     target,
     transcript,
+    upstream,
 )
-from pimentowick.gateway.policy import target_choice
+from pimentowick.gateway.policy import outlier_detection, target_choice
 from pimentowick.gateway.tests import test_job_api
 
 ROUTE = platform_site.make_route(
@@ -272,3 +275,47 @@
     assert target_choice.count_batch_capacity([], 0.0) == 0
     targets[0].online = 49
     assert target_choice.count_batch_capacity(targets, 0.0) == 0
+
+
+def make_unreachable():
+    return upstream.Outcome(upstream.End.NOT_RUN, "connect_OSError", connected=False)
+
+
+def test_target_that_is_unreachable_for_long_is_paused_like_before():
+    # Guards against a pause that is computed from a count without bound.
+    table = target.TargetTable()
+    table.put(target.Registration("t", "s", "127.0.0.1", 1, "a", 8))
+    (listed,) = table.list_targets("s")
+    listed.failures = 5000
+    checks = health.Health(outlier_detection.OutlierDetection("a"))
+    checks.observe_outcome(listed, make_unreachable())
+    pause_s = listed.paused_until - time.monotonic()
+    assert 0 < pause_s <= health.MAX_BACKOFF_S
+
+
+def test_item_that_fails_for_long_goes_on_waiting_like_before(monkeypatch):
+    # Guards against the same for an item.
+    server = replica.Replica()
+    server.planned_behaviours = [replica.Behaviour("vanish")]
+    errors = []
+
+    async def check(site):
+        item_runner = site.gateways[0].runner
+        handle_outcome = item_runner._handle_outcome
+
+        async def handle_late_failure(run, *args):
+            if not run.failures:
+                run.failures = 5000
+            try:
+                await handle_outcome(run, *args)
+            except OverflowError as error:
+                errors.append(error)
+                raise
+
+        monkeypatch.setattr(item_runner, "_handle_outcome", handle_late_failure)
+        assert (await submit(site)).status == 202
+        await wait_for_state(site, "done")
+        assert server.requests == 2
+        assert not errors
+
+    run_with(check, [server])
--- a/pimentowick/membership/fleet.py
+++ b/pimentowick/membership/fleet.py
@@ -35,6 +35,8 @@
 """The same in the peer's own heartbeat intervals, which may be longer."""
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 10.0
+# Further doublings exceed the longest ejection.
+MAX_DOUBLINGS = 32
 DISCOVERY_BATCH_SIZE = 8
 DISCOVERY_POLL_S = 60.0
 REDISCOVERY_S = 3600.0
@@ -560,7 +562,8 @@
         if not all(pool.can_eject(peer, now) for pool in pools):
             return
         self.ejections += 1
-        duration_s = min(MIN_EJECTION_S * 2 ** (peer.failures - 1), MAX_EJECTION_S)
+        doublings = min(peer.failures - 1, MAX_DOUBLINGS)
+        duration_s = min(MIN_EJECTION_S * 2**doublings, MAX_EJECTION_S)
         peer.ejected_until = now + duration_s * random.uniform(0.8, 1.2)
         for pool in pools:
             pool.record_ejection(peer, peer.ejected_until)
