--- a/pimentowick/fakes/platform_store.py
+++ b/pimentowick/fakes/platform_store.py
@@ -71,6 +71,8 @@
         delayed_topic: Topic to which `append_delay_s` is limited; None for all.
         capacity_bytes: Total size of all records from which on appends get 507.
         call_bytes: Total size of the records of an append above which it gets 413.
+        page_items: Number of newest records in a page.
+        read_records: Number of records that a read returns at most; None for all.
         calls: Number of requests by path.
         partitions: Partitions by topic and number.
         groups: Consumer groups by name.
@@ -83,6 +85,8 @@
         self.delayed_topic = None
         self.capacity_bytes = MAX_STORED_BYTES
         self.call_bytes = MAX_CALL_BYTES
+        self.page_items = PAGE_ITEMS
+        self.read_records = None
         self.calls = collections.Counter()
         self.partitions = {}
         self.groups = {}
@@ -266,6 +270,7 @@
             except TimeoutError:
                 break
         contents = partition.records[start - partition.first :]
+        contents = contents[: self.server.read_records]
         body = READ_HEADER.pack(partition.end, partition.first)
         for content in contents:
             body += LENGTH_PREFIX.pack(len(content)) + content
@@ -286,12 +291,12 @@
                 "value": base64.b64encode(partition.newest[key][0]).decode(),
                 "offset": partition.newest[key][1],
             }
-            for key in keys[:PAGE_ITEMS]
+            for key in keys[: self.server.page_items]
         ]
         await self.respond(
             {
                 "items": items,
-                "has_more": len(keys) > PAGE_ITEMS,
+                "has_more": len(keys) > self.server.page_items,
                 "end": partition.end,
             }
         )
--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -20,6 +20,8 @@
 READY_POLL_S = 0.05
 GRACE_PERIOD_S = 6
 HEARTBEAT_INTERVAL_S = 0.5
+PAGE_ITEMS = 40
+READ_RECORDS = 20
 SERVICE = "lm"
 SPARE_SERVICE = "spare"
 # Items with this path run for a few seconds.
@@ -170,6 +172,9 @@
         self._slowdown = slowdown
         self._gateway_count = gateways
         self.store = platform_store.PlatformStore()
+        # Snapshots and reads take several calls.
+        self.store.page_items = PAGE_ITEMS
+        self.store.read_records = READ_RECORDS
         self.replicas = [_make_replica(n, f"v{n % 2}") for n in range(replicas)]
         self.spare = _make_replica(replicas, "v0")
         self.former_replicas = []
