Let the test of expired jobs age them by what an entry has known

It now sets the two times that decide. What it asserts is unchanged: no record of the job is left in the store.

--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -314,7 +314,7 @@
             await wait_true(lambda: any(job.results for job in jobs.values()))
             await wait_true(lambda: not gateway.runner._background_tasks)
             for job in jobs.values():
-                job.submitted_s = 0.0
+                job.known_since = job.closed_since = float("-inf")
             await gateway._retention.remove_expired_jobs()
             newest = [
                 key
