Limit a page of results by the size of its encoded texts

What callers saw, in a test: a page of three texts of 250,000 quotation marks had 1,500,152 bytes, where a page may have 1 MB.

Cause: the page was chosen by the sizes of the texts as they are stored. Quotation marks, backslashes and line feeds take two bytes in JSON, other control characters six.

Why the fix works: the texts are measured as they are encoded, and what doesn't fit comes with the next page. One result is listed in any case.

--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -263,7 +263,7 @@
             for row in rows
         ]
         await exchange.answer_json(
-            message.encode_results(len(job.items), after, listed)
+            message.encode_results(len(job.items), after, _limit_page(listed))
         )
 
     async def _read_contents(self, job_id, references):
@@ -369,6 +369,16 @@
     return rows
 
 
+def _limit_page(listed):
+    """Return the listed results whose encoded texts fit, at least one."""
+    size = 0
+    for count, result in enumerate(listed):
+        size += message.measure_text(result.text)
+        if count and size > MAX_RESULTS_BYTES:
+            return listed[:count]
+    return listed
+
+
 def _read_position(text):
     try:
         return max(0, int(text))
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -7,7 +7,7 @@
 
 from pimentowick import exception
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import daemon, route_removal, runner
+from pimentowick.gateway import daemon, record, route_removal, runner
 
 BATCH = platform_site.make_route(
     "/lot/",
@@ -296,6 +296,34 @@
     run_with([replica.Replica()], check)
 
 
+def test_page_of_texts_that_grow_as_they_are_encoded_is_limited():
+    # Quotation marks take two bytes in JSON; a page had nearly twice its maximum size.
+    async def check(site):
+        (gateway,) = site.gateways
+        (target,) = gateway.table.list_targets("lm")
+        target.paused_until = float("inf")
+        assert (await submit(site, make_body(4))).status == 202
+        storage = gateway.storage
+        job = storage.job_table.jobs["job1"]
+        texts = {record.name_text(number, "w"): b'"' * 250_000 for number in range(4)}
+        written = await storage.contents.put("job1", texts, 5)
+        results = [
+            record.make_result("job1", number, "w", True, text)
+            for number, text in enumerate(written.values())
+        ]
+        await storage.outcomes.put(lambda: [] if job.results else results, 5)
+        after = 0
+        while after < 4:
+            answer = await site.call("GET", f"/-/lots/job1?after={after}")
+            assert len(answer.body) <= 1_000_000
+            page = orjson.loads(answer.body)
+            assert page["next"] == after + len(page["results"]) > after
+            assert {row["text"] for row in page["results"]} == {'"' * 250_000}
+            after = page["next"]
+
+    run_with([replica.Replica()], check)
+
+
 def test_unknown_job_is_503_while_the_store_is_unavailable():
     # Another entry may have accepted the job during the outage.
     async def check(site):
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -31,6 +31,7 @@
     "encode_results",
     "expects_version",
     "find_job_operation",
+    "measure_text",
     "remove_hop_headers",
 ]
 
@@ -503,3 +504,13 @@
         for result in results
     ]
     return orjson.dumps({"total": total, "next": after + len(results), "results": rows})
+
+
+def measure_text(text):
+    """Return the size of the text of a result in the body that lists it, in bytes.
+
+    Examples:
+        >>> measure_text("one"), measure_text('"')
+        (5, 4)
+    """
+    return len(orjson.dumps(text))
