Write a log line whatever value it holds

What callers saw: a job whose items name more tokens than 64 bits hold in sum got 500 `internal`. By reading: it was answered so after it had been accepted, as the line that says so could not be written, and each time it came again.

Cause: JSON as written here holds no integer beyond 64 bits, no key but text and no lone surrogate. Such a value raised an error in whoever logged it.

A value that JSON can't hold is written as text; the others stay as they are.

--- a/pimentowick/gateway/decision_log.py
+++ b/pimentowick/gateway/decision_log.py
@@ -128,8 +128,30 @@
     data = {"time": round(time.time(), 3), "event": event}
     for name, value in fields.items():
         data[name] = round(value, 4) if isinstance(value, float) else value
-    line = orjson.dumps(data, default=str).decode()
-    logger.bind(line=line).log(level, "")
+    logger.bind(line=_encode(data)).log(level, "")
+
+
+def _encode(data):
+    """Return the JSON of a line; values that JSON can't hold are written as text."""
+    try:
+        return orjson.dumps(data, default=str).decode()
+    except TypeError:
+        texts = {name: _make_encodable(value) for name, value in data.items()}
+        return orjson.dumps(texts, default=str).decode()
+
+
+def _make_encodable(value):
+    """Return a value or, if JSON can't hold it, its text.
+
+    Examples:
+        >>> _make_encodable(5), _make_encodable(2**64)
+        (5, '18446744073709551616')
+    """
+    try:
+        orjson.dumps(value, default=str)
+    except TypeError:
+        return ascii(value)
+    return value
 
 
 def log_request_event(event, request_id, **fields):
