Don't let a text wait for its version while other targets are idle

Timeline (test, before): events 1 and 2 at i-0 (v1); i-1 (v2) is listed; i-0 is closed and stays listed; the item is offered to i-0 again and again, or to none, for 20 s and on.

Cause: a text waits as long as a target of its version is listed, whether that target can get work or not. Its class is that of the unconfirmed runs: what decides that it waits is not what decides that it is sent.

Change: once no target of its version has taken it for 5 s while its service had unused slots, the text is discarded and the item begins anew. Without unused slots it waits as before. What it costs under load, in texts that are generated twice, is not measured.

Evidence: both cases of test_text_does_not_wait_for_its_version_... failed before and pass.

--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -47,6 +47,8 @@
         failures: Number of consecutive runs without an event.
         unconfirmed: Number of times that no target confirmed which run it is, since one
             has.
+        blocked_since: Monotonic time since which no target that may continue its text
+            took it while others had unused slots, or None.
         target: The `pimentowick.gateway.target.Target` while running, else None.
         task: The `asyncio.Task` while running, else None.
         is_held: Whether it waits because it is quarantined.
@@ -65,6 +67,7 @@
     not_before: float = 0.0
     failures: int = 0
     unconfirmed: int = 0
+    blocked_since: float | None = None
     target: object = None
     task: object = None
     is_held: bool = False
@@ -74,6 +77,11 @@
     _fingerprint: str = ""
     _parts: tuple | None = None
 
+    def record_block(self, now):
+        """Record that no target took it which may continue its text."""
+        if self.blocked_since is None and self.transcript.last_event is not None:
+            self.blocked_since = now
+
     @property
     def fingerprint(self):
         """Fingerprint of the item, whose body must be loaded."""
@@ -221,6 +229,7 @@
     )
 
     def on_first_event():
+        run.blocked_since = None
         if begins:
             item_transcript.origin = stream_origin.Origin(
                 run.service, run_check.confirmed_version
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -51,6 +51,9 @@
 MAX_LOGGED_PARTS = 16
 # Continuations without an event that show the end of an item without framing.
 CONFIRMING_RUNS = 3
+# Longer than a target is paused after a failed connection. The targets of a version may
+# all be unreachable, or rest, for longer than an item may wait.
+MAX_VERSION_WAIT_S = 5.0
 
 
 class Runner:
@@ -407,10 +410,11 @@
         for run in ready:
             if not startable[run.service] or self._hold_quarantined(run, now):
                 continue
-            self._restart_if_version_is_gone(run)
+            self._restart_if_version_is_gone(run, now)
             target = self._choose_target(run, now)
             if target is None and run.transcript.last_event is not None:
                 # Targets of other versions may have room for the items behind it.
+                run.record_block(now)
                 continue
             if target is None:
                 startable[run.service] = 0
@@ -426,14 +430,18 @@
             return False
         return self._table.has_version(origin.service, origin.software_version)
 
-    def _restart_if_version_is_gone(self, run):
+    def _restart_if_version_is_gone(self, run, now):
         """Discard the text of an item that no target may continue."""
         origin = run.transcript.origin
         if run.transcript.last_event is None:
             return
-        is_confirmable = run.unconfirmed < execution.MAX_UNCONFIRMED
+        blocked_s = 0.0 if run.blocked_since is None else now - run.blocked_since
+        is_patient = (
+            run.unconfirmed < execution.MAX_UNCONFIRMED
+            and blocked_s < MAX_VERSION_WAIT_S
+        )
         is_same_service = origin is not None and origin.service == run.service
-        if is_confirmable and is_same_service and self._can_continue(origin):
+        if is_patient and is_same_service and self._can_continue(origin):
             return
         self._metrics.count_item("restarted")
         decision_log.log_request_event(
@@ -444,9 +452,11 @@
             began_at=None if origin is None else origin.service,
             version=None if origin is None else origin.software_version,
             unconfirmed=run.unconfirmed,
+            blocked_s=blocked_s,
             events=run.transcript.count_events(),
         )
         run.transcript.restart()
+        run.blocked_since = None
 
     def _choose_target(self, run, now):
         version = None
@@ -684,6 +694,8 @@
             await run.transcript.record_failure(RECORD_TIMEOUT_S)
         if outcome.is_unconfirmed:
             run.unconfirmed += 1
+        if outcome.end == upstream.End.NOT_RUN:
+            run.record_block(time.monotonic())
         if sink.events:
             run.failures = 0
             origin = run.transcript.origin
--- a/pimentowick/gateway/tests/test_stuck_items.py
+++ b/pimentowick/gateway/tests/test_stuck_items.py
@@ -15,6 +15,7 @@
     health,
     prefetch,
     record,
+    runner,
     target,
     transcript,
     upstream,
@@ -319,3 +320,45 @@
         assert not errors
 
     run_with(check, [server])
+
+
+@pytest.mark.parametrize("fault", ["unreachable", "resting"])
+def test_text_does_not_wait_for_its_version_while_other_targets_are_idle(
+    fault, monkeypatch
+):
+    # Guards against an item whose version runs only at a target that is listed and gets
+    # no work, as in a release.
+    monkeypatch.setattr(runner, "MAX_VERSION_WAIT_S", 0.5, raising=False)
+    first, second = servers = [
+        replica.Replica("i-0", version="v1"),
+        replica.Replica("i-1", version="v2"),
+    ]
+    first.holds_last_event = True
+
+    async def check(site):
+        (gateway,) = site.gateways
+        site.store.put("keyed.servers", second.id, b"")
+        await wait.wait_for(
+            lambda: second.id not in gateway.table.by_id, WAIT_S, POLL_S
+        )
+        assert (await submit(site)).status == 202
+        await wait.wait_for(
+            lambda: [
+                run
+                for run in gateway.runner.list_runs()
+                if run.transcript.count_events() == 2
+            ],
+            WAIT_S,
+            POLL_S,
+        )
+        site.register_replica(second)
+        await wait.wait_for(lambda: second.id in gateway.table.by_id, WAIT_S, POLL_S)
+        if fault == "unreachable":
+            await first.close()
+        else:
+            gateway.table.by_id[first.id].paused_until = time.monotonic() + 600
+            first.crash()
+        await wait_for_state(site, "done")
+        assert second.runs == {"job1-0": 1}
+
+    run_with(check, servers)
