Complete a deletion that stopped before the outcomes of the job

What callers saw, in tests: nothing at first. If a gateway ended, or the store was away, after the record of a job was deleted and before its outcomes were, these stayed in the store for good, and in the memory of each gateway that started later.

Cause: the last step of a deletion was repeated only while the job was still in the table, and a job that left the table took its outcomes along, although the two partitions are read independently.

Why the fix works: outcomes stay in the table until their own records are deleted. The owner deletes those that have been known for the retention if the store itself, asked then, has no record of their job, in any form. Outcomes are written after their job, so that none is of a job still to come.

--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -20,7 +20,7 @@
 
 from pimentowick.gateway import content, decision_log, record
 
-__all__ = ["Item", "Job", "JobOutcome", "JobTable", "Result"]
+__all__ = ["Item", "Job", "JobOutcome", "JobTable", "Orphan", "Result"]
 
 # Tolerates clock skew between hosts, so that no item is abandoned early.
 CLOCK_SKEW_MARGIN_S = 5.0
@@ -69,12 +69,14 @@
         failures: Sets of identifiers of failed runs, by item number.
         is_cancelled: Whether a caller has cancelled the job.
         keys: Keys of all outcome records.
+        known_since: Monotonic time at which this entry first read one of them.
     """
 
     rows: list = dataclasses.field(default_factory=list)
     failures: dict = dataclasses.field(default_factory=dict)
     is_cancelled: bool = False
     keys: list = dataclasses.field(default_factory=list)
+    known_since: float = dataclasses.field(default_factory=time.monotonic)
     _with_result: set = dataclasses.field(default_factory=set)
 
     def has_result(self, number):
@@ -97,6 +99,19 @@
             self.rows.append(row)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orphan:
+    """Outcome records of a job that is not in the table.
+
+    Attributes:
+        job_id: Identifier of the job.
+        outcome: The `JobOutcome`.
+    """
+
+    job_id: str
+    outcome: JobOutcome
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class Job:
     """One accepted batch job.
@@ -250,12 +265,34 @@
             if value:
                 outcome = self._outcomes.setdefault(job_id, JobOutcome())
                 outcome.apply(key, kind, tail, value)
-            elif job_id not in self.jobs:
-                # Outcome records are deleted after their job.
-                self._outcomes.pop(job_id, None)
+            else:
+                self._delete_outcome(job_id, key)
             if value and job_id in self.jobs:
                 self._update_open(self.jobs[job_id])
 
+    def _delete_outcome(self, job_id, key):
+        outcome = self._outcomes.get(job_id)
+        if outcome is not None:
+            outcome.keys[:] = [known for known in outcome.keys if known != key]
+        self._drop_empty_outcome(job_id)
+
+    def _drop_empty_outcome(self, job_id):
+        """Drop the outcome of a deleted job once all of its records are deleted, too.
+
+        The two partitions are independent, so that either may come first.
+        """
+        outcome = self._outcomes.get(job_id)
+        if job_id not in self.jobs and outcome is not None and not outcome.keys:
+            del self._outcomes[job_id]
+
+    def list_orphans(self):
+        """Return the `Orphan` objects, of deleted jobs or of jobs not read yet."""
+        return [
+            Orphan(job_id, outcome)
+            for job_id, outcome in self._outcomes.items()
+            if job_id not in self.jobs and outcome.keys
+        ]
+
     def _add_job(self, job_id, data, received_at):
         outcome = self._outcomes.setdefault(job_id, JobOutcome())
         items = [_make_item(row) for row in data["items"]]
@@ -284,7 +321,7 @@
                 items=len(job.items),
             )
         self.open_jobs.pop(job_id, None)
-        self._outcomes.pop(job_id, None)
+        self._drop_empty_outcome(job_id)
 
     def _update_open(self, job):
         if job.is_open:
--- a/pimentowick/gateway/job_storage.py
+++ b/pimentowick/gateway/job_storage.py
@@ -4,7 +4,14 @@
 import time
 
 from pimentowick import exception
-from pimentowick.gateway import content, job, ledger, outcome_log
+from pimentowick.gateway import (
+    content,
+    decision_log,
+    job,
+    ledger,
+    outcome_log,
+    record,
+)
 
 __all__ = ["JobStorage"]
 
@@ -95,6 +102,25 @@
         await self.accepted.delete(job.id)
         await self.outcomes.delete(list(job.outcome.keys))
 
+    async def remove_orphans(self, orphans):
+        """Delete the outcomes of deleted jobs, left by a deletion that stopped halfway.
+
+        An outcome is written after its job, so that a job without a record was deleted.
+
+        Args:
+            orphans: The `job.Orphan` objects.
+
+        Raises:
+            LogError: Some may not be deleted.
+        """
+        keys = await self.accepted.read_keys()
+        for orphan in orphans:
+            if record.make_job_tombstone(orphan.job_id).key not in keys:
+                await self.outcomes.delete(list(orphan.outcome.keys))
+                decision_log.log_request_event(
+                    "job.outcomes_removed", orphan.job_id, outcome="orphaned"
+                )
+
     def get_staleness_s(self):
         """Return the age of the local state, in seconds."""
         return time.monotonic() - min(
--- a/pimentowick/gateway/ledger.py
+++ b/pimentowick/gateway/ledger.py
@@ -100,6 +100,15 @@
         """Whether the partition has been read to its end at least once."""
         return self.feed.end is not None
 
+    async def read_keys(self):
+        """Return the keys of all records in the store, whatever their values.
+
+        Raises:
+            LogError: The store did not answer.
+        """
+        page = await self.store.read_newest(self.feed.topic, self.feed.partition)
+        return {newest.key for newest in page.records}
+
     async def delete(self, job_id):
         """Delete the record of a job.
 
--- a/pimentowick/gateway/retention.py
+++ b/pimentowick/gateway/retention.py
@@ -39,10 +39,7 @@
         """
         now = time.monotonic()
         for job in list(self._storage.job_table.jobs.values()):
-            partition = ownership.find_partition(job.id, self._settings.parts)
-            if partition not in self._ownership.partitions:
-                continue
-            if not self._is_expired(job, now):
+            if not self._owns(job.id) or not self._is_expired(job, now):
                 continue
             try:
                 await self._storage.remove(job)
@@ -50,6 +47,26 @@
                 decision_log.log_event("job.not_removed", job=job.id, why=str(error))
                 return
             decision_log.log_request_event("job.removed", job.id, outcome="too_old")
+        await self._remove_orphans(now)
+
+    async def _remove_orphans(self, now):
+        retention_s = self._settings.result_retention_s + READING_MARGIN_S
+        orphans = [
+            orphan
+            for orphan in self._storage.job_table.list_orphans()
+            if self._owns(orphan.job_id)
+            and now - orphan.outcome.known_since > retention_s
+        ]
+        if not orphans:
+            return
+        try:
+            await self._storage.remove_orphans(orphans)
+        except exception.LogError as error:
+            decision_log.log_event("job.not_removed", why=str(error))
+
+    def _owns(self, job_id):
+        partition = ownership.find_partition(job_id, self._settings.parts)
+        return partition in self._ownership.partitions
 
     def _is_expired(self, job, now):
         if job.closed_since is None:
--- a/pimentowick/gateway/tests/test_retention.py
+++ b/pimentowick/gateway/tests/test_retention.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pimentowick import exception
 from pimentowick.fakes import platform_site, wait
 from pimentowick.gateway import content, job, ownership, record, retention
 from pimentowick.gateway.tests import test_job_api, writer
@@ -102,6 +103,73 @@
     run_with(check)
 
 
+@pytest.mark.parametrize("step", ["contents", "accepted", "outcomes"])
+def test_deletion_that_stops_halfway_is_completed(monkeypatch, step):
+    # The outcomes of a deleted job stayed in the store for good, and in the memory of
+    # each entry that started later.
+    monkeypatch.setattr(retention, "READING_MARGIN_S", 0.05)
+
+    async def check(fake_store, entry):
+        await entry.accept(time.time())
+        await entry.close_job()
+        log = getattr(entry.storage, step)
+        name = "delete_all" if step == "contents" else "delete"
+        delete = getattr(log, name)
+        failures = []
+
+        async def fail_once(*arguments):
+            if not failures:
+                failures.append(arguments)
+                raise exception.LogError
+            await delete(*arguments)
+
+        setattr(log, name, fail_once)
+
+        async def is_deleted():
+            await entry.delete_expired(0.0)
+            partitions = fake_store.partitions.values()
+            return not any(partition.newest for partition in partitions)
+
+        await wait.wait_for(is_deleted, 10, 0.02)
+        assert failures
+        await entry.accept(time.time())
+        assert entry.storage.job_table.jobs[JOB].is_open
+
+    run_with(check)
+
+
+def test_job_that_is_read_again_has_its_results():
+    # A job that a snapshot lacked began without results once it was read again, so that
+    # positions that had been read were empty and its items ran again.
+    body = content.Reference("b/0/w", 0, 1, 4)
+    made = record.make_job(JOB, "h", "/p/", 0.0, [job.Item("i", "/p", {}, 7, body)])
+    result = record.make_result(JOB, 0, "w", False, None)
+    table = job.JobTable()
+    table.apply_job(made.key, made.value)
+    table.apply_outcome(result.key, result.value)
+    table.reset_jobs([])
+    table.apply_job(made.key, made.value)
+    assert [row.id for row in table.jobs[JOB].results] == ["i"]
+    assert not table.open_jobs
+
+
+def test_outcomes_of_a_job_that_cannot_be_decoded_are_kept(monkeypatch):
+    # An entry of a later version may have written it in another form.
+    monkeypatch.setattr(retention, "READING_MARGIN_S", 0.05)
+
+    async def check(fake_store, entry):
+        fake_store.put(writer.TOPIC, f"j/{JOB}", b"{}")
+        fake_store.put(writer.OUTCOMES, f"e/{JOB}", b"1")
+        table = entry.storage.job_table
+        await wait.wait_for(table.list_orphans, 10, 0.01)
+        (orphan,) = table.list_orphans()
+        orphan.outcome.known_since = float("-inf")
+        await entry.delete_expired(0.0)
+        assert fake_store.get_partition(writer.OUTCOMES, 0).newest
+
+    run_with(check)
+
+
 async def start_waiting_item(site):
     """Submit an item that no target may run; return its run."""
     (gateway,) = site.gateways
