Count no request for a restarted fake target that its previous run got

The fake had read the request before the restart closed the connection, and its handler ran after it, so that the run was entered under the new version. A handler whose connection is closed enters no run any more; the check stays as it is.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -193,6 +193,9 @@
 class _Handler(faults.Handler):
     async def post(self):
         replica = self.server
+        if self.connection.closed():
+            # A run of the replica that has ended got the request, and not this one.
+            return
         expected = self.request.headers.get(
             HEADER_PREFIX + "Expect-Instance", replica.id
         )
