Let no two test processes share a block of ports

In a run of the whole test command beside four other runs of parts of it, 20 of 2,337 tests failed with 'Address already in use'. Blocks of ports were chosen by the process id modulo 200, so that processes of different runs shared one, and a port that was seen free was taken before the server of the test was bound.

A process claims its block with a socket on its first port, and takes the next block if it is claimed.

--- a/pimentowick/fakes/platform_site.py
+++ b/pimentowick/fakes/platform_site.py
@@ -22,17 +22,30 @@
 POLL_S = 0.01
 LOOPBACK = "127.0.0.1"
 # Below the range of ephemeral ports of Linux (from 32,768 by default). Test processes
-# that run in parallel use different blocks.
+# that run in parallel claim different blocks.
 MIN_PORT = 12_000
 PORTS_PER_BLOCK = 100
 PORT_BLOCKS = 200
 
 
+def _claim_block():
+    """Return the socket that claims a block of ports, bound to the first of them."""
+    for offset in range(PORT_BLOCKS):
+        block = (os.getpid() + offset) % PORT_BLOCKS
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with contextlib.suppress(OSError):
+            claim.bind((LOOPBACK, MIN_PORT + block * PORTS_PER_BLOCK))
+            return claim
+        claim.close()
+    raise OSError(f"none of the {PORT_BLOCKS} blocks of ports is free")
+
+
 def _cycle_ports():
     """Cycle through the ports of this process's block."""
-    first = MIN_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
-    while True:
-        yield from range(first, first + PORTS_PER_BLOCK)
+    with _claim_block() as claim:
+        first = claim.getsockname()[1]
+        while True:
+            yield from range(first + 1, first + PORTS_PER_BLOCK)
 
 
 _ports = _cycle_ports()
