--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -22,6 +22,8 @@
 HEARTBEAT_INTERVAL_S = 0.5
 PAGE_ITEMS = 40
 READ_RECORDS = 20
+# No item may be given up because of its age.
+RETENTION_S = 600
 SERVICE = "lm"
 SPARE_SERVICE = "spare"
 # Items with this path run for a few seconds.
@@ -208,7 +210,12 @@
             added_routes: Routes beyond the usual ones.
             batch_changes: Fields of the batch route that differ.
         """
-        batch_fields = {"run_target_ms": 20_000, "max_attempts": 50, **batch_changes}
+        batch_fields = {
+            "run_target_ms": 20_000,
+            "max_attempts": 50,
+            "retention_s": RETENTION_S,
+            **batch_changes,
+        }
         routes = [
             platform_site.make_route("/chat/", "stream", resumable=True),
             platform_site.make_route("/draft/", "stream"),
