Confirm a known job before its submission is checked

Cause: identifier and items were checked before the job was looked for, so that what was accepted was judged by rules for what is new, as with its route.

Change: a job in the table is confirmed first.

--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -59,11 +59,15 @@
         """
         workspace_name = None if caller_workspace is None else caller_workspace.name
         job_id = workspace.scope_job_id(workspace_name, call.request_id)
+        if call.request_id and job_id in self._storage.job_table.jobs:
+            # What is accepted stays so, whatever would be accepted now.
+            await self._confirm(exchange, job_id)
+            return
         if not call.request_id or len(job_id.encode()) > record.MAX_JOB_ID_BYTES:
             _log_decision("batch.refused", job_id, "bad_identifier")
             await exchange.refuse(_make_bad_identifier())
             return
-        if job_id not in self._storage.job_table.jobs and self._is_cut_off():
+        if self._is_cut_off():
             await self._refuse_cut_off(exchange, job_id)
             return
         try:
@@ -101,9 +105,14 @@
         job = self._storage.job_table.jobs.get(job_id)
         if job is None or not route.is_same_host(job.host, exchange.host):
             return False
+        await self._confirm(exchange, job_id)
+        return True
+
+    async def _confirm(self, exchange, job_id):
+        """Answer a repeated submission of a job that this entry knows."""
+        job = self._storage.job_table.jobs[job_id]
         _log_decision("batch.accepted", job_id, "repeated", items=len(job.items))
         await exchange.answer(202, httputil.HTTPHeaders())
-        return True
 
     async def _accept(self, route, path, job_id, workspace_name, items, bodies):
         """Record a job unless it is already accepted.
--- a/pimentowick/gateway/tests/test_odd_submissions.py
+++ b/pimentowick/gateway/tests/test_odd_submissions.py
@@ -153,3 +153,17 @@
         assert await contents.read("j", list(written.values()), cache=False) == read
 
     run_with(check)
+
+
+def test_known_job_is_confirmed_though_it_would_not_be_accepted_now():
+    # Guards against a job that an entry of an earlier release has accepted, and that is
+    # turned away with a 400 each time that it comes again.
+    async def check(site):
+        answer = await test_job_api.submit(
+            site, orjson.dumps({"items": [make_item()]}), "job1"
+        )
+        assert answer.status == 202
+        again = orjson.dumps({"items": [make_item(path="/lot/a b")]})
+        assert (await test_job_api.submit(site, again, "job1")).status == 202
+
+    run_with(check)
