Delete only those outcomes of a deleted job that were there when it was decided

Callers would see: results of a job that is accepted under the identifier of a deleted one, while the outcomes of that one are deleted, are gone from the store (found by the review; narrow).

Cause: the keys were listed after the store had been asked for the jobs, from an object that the new job uses as well.

Change: they are listed with the decision. Another test set the age of the outcomes through that object, and sets it where the table holds it now; what it asserts is the same.

--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -105,11 +105,13 @@
 
     Attributes:
         job_id: Identifier of the job.
-        outcome: The `JobOutcome`.
+        keys: Keys of the records.
+        known_since: Monotonic time at which this entry first read one of them.
     """
 
     job_id: str
-    outcome: JobOutcome
+    keys: tuple
+    known_since: float
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -288,7 +290,7 @@
     def list_orphans(self):
         """Return the `Orphan` objects, of deleted jobs or of jobs not read yet."""
         return [
-            Orphan(job_id, outcome)
+            Orphan(job_id, tuple(outcome.keys), outcome.known_since)
             for job_id, outcome in self._outcomes.items()
             if job_id not in self.jobs and outcome.keys
         ]
--- a/pimentowick/gateway/job_storage.py
+++ b/pimentowick/gateway/job_storage.py
@@ -116,7 +116,7 @@
         keys = await self.accepted.read_keys()
         for orphan in orphans:
             if record.make_job_tombstone(orphan.job_id).key not in keys:
-                await self.outcomes.delete(list(orphan.outcome.keys))
+                await self.outcomes.delete(orphan.keys)
                 decision_log.log_request_event(
                     "job.outcomes_removed", orphan.job_id, outcome="orphaned"
                 )
--- a/pimentowick/gateway/retention.py
+++ b/pimentowick/gateway/retention.py
@@ -54,8 +54,7 @@
         orphans = [
             orphan
             for orphan in self._storage.job_table.list_orphans()
-            if self._owns(orphan.job_id)
-            and now - orphan.outcome.known_since > retention_s
+            if self._owns(orphan.job_id) and now - orphan.known_since > retention_s
         ]
         if not orphans:
             return
--- a/pimentowick/gateway/tests/test_retention.py
+++ b/pimentowick/gateway/tests/test_retention.py
@@ -162,8 +162,8 @@
         fake_store.put(writer.OUTCOMES, f"e/{JOB}", b"1")
         table = entry.storage.job_table
         await wait.wait_for(table.list_orphans, 10, 0.01)
-        (orphan,) = table.list_orphans()
-        orphan.outcome.known_since = float("-inf")
+        assert len(table.list_orphans()) == 1
+        table._outcomes[JOB].known_since = float("-inf")
         await entry.delete_expired(0.0)
         assert fake_store.get_partition(writer.OUTCOMES, 0).newest
 
@@ -231,3 +231,26 @@
         assert row["state"] == "dead"
 
     run_site_with(check, 0.5)
+
+
+def test_job_that_is_accepted_as_its_old_outcomes_are_deleted_keeps_its_results():
+    # Guards against a deletion that takes results which were written after the check
+    # that decided on it.
+    async def check(fake_store, entry):
+        fake_store.put(writer.OUTCOMES, f"f/{JOB}/0/w", b"1")
+        table = entry.storage.job_table
+        (orphan,) = await wait.wait_for(table.list_orphans, 10, 0.01)
+        read_keys = entry.storage.accepted.read_keys
+
+        async def accept_after_reading():
+            keys = await read_keys()
+            await entry.accept(time.time())
+            await entry.close_job()
+            return keys
+
+        entry.storage.accepted.read_keys = accept_after_reading
+        await entry.storage.remove_orphans([orphan])
+        newest = fake_store.get_partition(writer.OUTCOMES, 0).newest
+        assert f"i/{JOB}/0/w" in newest
+
+    run_with(check)
