Compare the hosts of jobs of earlier versions like those of routes

Operators would see in a rolling update: a job that was recorded under a Host header with a port or other letter case doesn't count in the quota of its route, and callers who read it without the port get 404 (found by the review).

Cause: the comparison took the port off one of the two names, and the quota compared the names exactly, as if all were those of routes.

Change: both go without their ports, in one function. A gateway of an earlier version still denies a job of such a header that a new one accepted, until it is updated.

--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from pimentowick.gateway import content, decision_log, record
+from pimentowick.gateway import content, decision_log, record, route
 
 __all__ = ["Item", "Job", "JobOutcome", "JobTable", "Orphan", "Result"]
 
@@ -339,7 +339,7 @@
         return sum(
             job.count_waiting_tokens()
             for job in self.open_jobs.values()
-            if job.host == host
+            if route.is_same_host(job.host, host)
             and job.workspace == workspace
             and job.path.startswith(path_prefix)
         )
--- a/pimentowick/gateway/route.py
+++ b/pimentowick/gateway/route.py
@@ -7,17 +7,19 @@
 __all__ = ["Configuration", "Kind", "Limits", "Route", "is_same_host"]
 
 
-def is_same_host(name, host):
-    """Return whether a Host header names a host, in any letter case and with any port.
+def is_same_host(one, other):
+    """Return whether two Host headers name a host, in any letter case, with any port.
 
     Examples:
         >>> is_same_host("desk.example", "Desk.Example:80")
         True
+        >>> is_same_host("desk.example:8080", "desk.example")
+        True
         >>> is_same_host("desk.example", "other.example")
         False
     """
-    name, host = name.lower(), host.lower()
-    return name in (host, host.partition(":")[0])
+    names = [host.lower().partition(":")[0] for host in (one, other)]
+    return names[0] == names[1]
 
 
 class Kind(enum.StrEnum):
--- a/pimentowick/gateway/tests/test_job_storage.py
+++ b/pimentowick/gateway/tests/test_job_storage.py
@@ -246,3 +246,14 @@
 async def cancel(task):
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+
+
+def test_job_of_an_earlier_release_counts_in_the_quota_of_its_route():
+    # Guards against a quota that is exceeded in a rolling update: earlier releases
+    # record the Host header of the submission, with its letter case and port.
+    body = content.Reference("b/0/w", 0, 1, 4)
+    items = [job.Item("i", "/p", {}, 7, body)]
+    made = record.make_job("j", "Desk.Example:80", "/lot/new", 0.0, items)
+    table = job.JobTable()
+    table.apply_job(made.key, made.value)
+    assert table.count_waiting_tokens("/lot/", "desk.example") == 7
