Count no time towards the end of a text in which its service had no unused slot

Cause: the time ran on from the first refusal until an event, whether others had room or not, and was looked at before a target was chosen.

Change: a pass that finds no unused slot in the service ends the count; the text is discarded only if no target that may continue it can be chosen, or the chosen one is failing.

--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -407,11 +407,16 @@
             startable[service] = batch_queue.compute_entry_share(
                 free_slots, own_pending, others
             )
+            if not free_slots:
+                _end_blocks(ready, service)
         for run in ready:
             if not startable[run.service] or self._hold_quarantined(run, now):
                 continue
-            self._restart_if_version_is_gone(run, now)
+            self._restart_if_version_is_gone(run)
             target = self._choose_target(run, now)
+            if _is_blocked(run, target, now):
+                self._restart_text(run, now)
+                target = self._choose_target(run, now)
             if target is None and run.transcript.last_event is not None:
                 # Targets of other versions may have room for the items behind it.
                 run.record_block(now)
@@ -430,19 +435,20 @@
             return False
         return self._table.has_version(origin.service, origin.software_version)
 
-    def _restart_if_version_is_gone(self, run, now):
+    def _restart_if_version_is_gone(self, run):
         """Discard the text of an item that no target may continue."""
         origin = run.transcript.origin
         if run.transcript.last_event is None:
             return
-        blocked_s = 0.0 if run.blocked_since is None else now - run.blocked_since
-        is_patient = (
-            run.unconfirmed < execution.MAX_UNCONFIRMED
-            and blocked_s < MAX_VERSION_WAIT_S
-        )
+        is_confirmable = run.unconfirmed < execution.MAX_UNCONFIRMED
         is_same_service = origin is not None and origin.service == run.service
-        if is_patient and is_same_service and self._can_continue(origin):
-            return
+        if not (is_confirmable and is_same_service and self._can_continue(origin)):
+            self._restart_text(run, time.monotonic())
+
+    def _restart_text(self, run, now):
+        """Discard the text of an item."""
+        origin = run.transcript.origin
+        blocked_s = 0.0 if run.blocked_since is None else now - run.blocked_since
         self._metrics.count_item("restarted")
         decision_log.log_request_event(
             "item.restarted",
@@ -717,6 +723,27 @@
         )
 
 
+def _is_blocked(run, target, now):
+    """Return whether an item has waited in vain for a target that may continue it.
+
+    Args:
+        run: The `execution.Run`.
+        target: The target that may continue its text now, or None.
+        now: Monotonic time, in seconds.
+    """
+    if run.transcript.last_event is None or run.blocked_since is None:
+        return False
+    has_waited = now - run.blocked_since >= MAX_VERSION_WAIT_S
+    return has_waited and (target is None or target.failures > 0)
+
+
+def _end_blocks(runs, service):
+    """Count the time no more in which no target of a service has an unused slot."""
+    for run in runs:
+        if run.service == service:
+            run.blocked_since = None
+
+
 def _compute_backoff_s(failures):
     return backoff.compute_delay(INITIAL_BACKOFF_S, MAX_BACKOFF_S, failures)
 
--- a/pimentowick/gateway/tests/test_stuck_items.py
+++ b/pimentowick/gateway/tests/test_stuck_items.py
@@ -371,3 +371,51 @@
         assert second.runs == {"job1-0": 1}
 
     run_with(check, servers)
+
+
+def test_text_goes_on_at_its_version_after_a_refusal_and_a_busy_time(monkeypatch):
+    # Guards against a text that is thrown away although a target of its version has an
+    # unused slot: time in which no target at all had one is no time in which others
+    # had room.
+    monkeypatch.setattr(runner, "MAX_VERSION_WAIT_S", 0.5)
+    server = replica.Replica("i-0", version="v1")
+    server.holds_last_event = True
+
+    async def check(site):
+        (gateway,) = site.gateways
+        listed = gateway.table.by_id[server.id]
+        handle_outcome = gateway.runner._handle_outcome
+
+        async def fill_after_refusal(run, outcome, sink):
+            await handle_outcome(run, outcome, sink)
+            if outcome.is_refusal:
+                listed.online += listed.slots
+
+        monkeypatch.setattr(gateway.runner, "_handle_outcome", fill_after_refusal)
+        assert (await submit(site)).status == 202
+        (run,) = await wait.wait_for(
+            lambda: [
+                run
+                for run in gateway.runner.list_runs()
+                if run.transcript.count_events() == 2
+            ],
+            WAIT_S,
+            POLL_S,
+        )
+        server.planned_behaviours = [replica.Behaviour("refuse")]
+        for connection in list(server.fault_injector.connections):
+            connection.close()
+        await wait.wait_for(lambda: listed.online == listed.slots, WAIT_S, POLL_S)
+        refused_at = time.monotonic()
+        await wait.wait_for(
+            lambda: time.monotonic() - refused_at > 2 * runner.MAX_VERSION_WAIT_S,
+            WAIT_S,
+            POLL_S,
+        )
+        assert run.transcript.count_events() == 2
+        listed.online -= listed.slots
+        server.release.set()
+        await wait_for_state(site, "done")
+        assert server.headers[-1].get("Last-Event-Id") == "2"
+
+    run_with(check, [server])
