Try an item whose condition a target does not meet at the others first

Callers would see: an item with a condition that one target meets, which is nearly full, is sent again and again to those that don't meet it (found by the review, since a 421 to such a request pauses no target any more).

Cause: nothing but the pause had kept the item from the same target.

Change: the targets that did not meet its condition are left out until all of its service are among them.

--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -56,6 +56,8 @@
         confirmations: Number of consecutive continuations that ended, without framing,
             before any event.
         waits_since: Monotonic time since which it has been queued.
+        unmet_targets: Identifiers of the targets that did not meet its condition, of
+            those that are not all of its service.
     """
 
     job: object
@@ -74,6 +76,7 @@
     connections: set = dataclasses.field(default_factory=set)
     confirmations: int = 0
     waits_since: float = dataclasses.field(default_factory=time.monotonic)
+    unmet_targets: set = dataclasses.field(default_factory=set)
     _fingerprint: str = ""
     _parts: tuple | None = None
 
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -469,6 +469,8 @@
         if run.transcript.last_event is not None:
             version = run.transcript.origin.software_version
         targets = self._table.list_targets(run.service, version)
+        untried = [each for each in targets if each.id not in run.unmet_targets]
+        targets = untried or targets
         if self._table.has_shared_hosts(run.service):
             return delay_choice.choose_for_item(
                 targets,
@@ -619,8 +621,18 @@
             self._crash_guard.cancel_trial(trials)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
+        if outcome.reason == upstream.CONDITION_NOT_MET:
+            self._record_unmet(run, target)
         await self._handle_outcome(run, outcome, sink)
 
+    def _record_unmet(self, run, target):
+        """Record that a target does not meet the condition of an item."""
+        run.unmet_targets.add(target.id)
+        listed = {each.id for each in self._table.list_targets(run.service)}
+        if listed <= run.unmet_targets:
+            # Each may meet it later.
+            run.unmet_targets.clear()
+
     async def _send(self, run, target):
         """Run an item; its parts have survived once it has sent events for a while."""
         timers = []
--- a/pimentowick/gateway/tests/test_misdirected.py
+++ b/pimentowick/gateway/tests/test_misdirected.py
@@ -9,6 +9,7 @@
 
 from pimentowick.fakes import platform_site, replica, wait
 from pimentowick.gateway import follower, target
+from pimentowick.gateway.policy import target_choice
 from pimentowick.gateway.tests import test_job_api
 from pimentowick.platform import store
 
@@ -186,3 +187,27 @@
     targets.apply(store.KeyedRecord("t", value, 6))
     assert is_in_use(table)
     assert table.by_id["t"].software_version == "v1"
+
+
+def test_item_whose_condition_another_target_meets_is_tried_there(monkeypatch):
+    # Guards against an item that is sent again and again to the least loaded target,
+    # which never meets its condition, while another one does and has unused slots.
+    def draw(targets, weigh, failure_domain):
+        return [max(targets, key=weigh)]
+
+    # With the target that meets it nearly full, a random draw seldom finds it.
+    monkeypatch.setattr(target_choice, "_draw", draw)
+
+    async def check(site):
+        (gateway,) = site.gateways
+        first, second = site.replicas
+        second.weights = OTHER_WEIGHTS
+        gateway.table.by_id[second.id].online += second.slots - 2
+        headers = {"X-Pimentowick-Expect-Version": OTHER_WEIGHTS}
+        await submit(site, "job1", headers)
+        await wait.wait_for(
+            lambda: second.runs or first.unmet_conditions >= 4, WAIT_S, POLL_S
+        )
+        assert second.runs
+
+    run_with(check)
