--- a/pimentowick/fakes/platform_store.py
+++ b/pimentowick/fakes/platform_store.py
@@ -15,6 +15,7 @@
 READ_HEADER = struct.Struct(">QQ")
 PAGE_ITEMS = 500
 MAX_STORED_BYTES = 400_000_000
+MAX_CALL_BYTES = 2_097_152
 MAX_PRODUCER_APPENDS = 5
 
 
@@ -69,6 +70,9 @@
             seconds later; their conditions are checked at that time.
         delayed_topic: Topic to which `append_delay_s` is limited; None for all.
         capacity_bytes: Total size of all records from which on appends get 507.
+        call_bytes: Total size of the records of an append above which it gets 413.
+        page_items: Number of newest records in a page.
+        read_records: Number of records that a read returns at most; None for all.
         calls: Number of requests by path.
         partitions: Partitions by topic and number.
         groups: Consumer groups by name.
@@ -80,6 +84,9 @@
         self.append_delay_s = None
         self.delayed_topic = None
         self.capacity_bytes = MAX_STORED_BYTES
+        self.call_bytes = MAX_CALL_BYTES
+        self.page_items = PAGE_ITEMS
+        self.read_records = None
         self.calls = collections.Counter()
         self.partitions = {}
         self.groups = {}
@@ -111,6 +118,12 @@
         content = bytes([len(name)]) + name + data
         return self.get_partition(topic, part).append([content])
 
+    def forget_history(self):
+        """Delete all records of keyed topics but the newest one of each key."""
+        for partition in self.partitions.values():
+            if partition.keyed:
+                partition.trim(partition.end)
+
     def count_bytes(self):
         """Return the total size of all records in bytes."""
         return sum(len(r) for p in self.partitions.values() for r in p.records)
@@ -183,6 +196,8 @@
     def _append(self):
         partition = self.find_partition()
         contents = list(_split_records(self.request.body))
+        if sum(map(len, contents)) > self.server.call_bytes:
+            return 413, {"error": "too large"}
         if self.server.count_bytes() >= self.server.capacity_bytes:
             return 507, {"error": "full"}
         rejection = self._check_producer(partition)
@@ -255,6 +270,7 @@
             except TimeoutError:
                 break
         contents = partition.records[start - partition.first :]
+        contents = contents[: self.server.read_records]
         body = READ_HEADER.pack(partition.end, partition.first)
         for content in contents:
             body += LENGTH_PREFIX.pack(len(content)) + content
@@ -275,12 +291,12 @@
                 "value": base64.b64encode(partition.newest[key][0]).decode(),
                 "offset": partition.newest[key][1],
             }
-            for key in keys[:PAGE_ITEMS]
+            for key in keys[: self.server.page_items]
         ]
         await self.respond(
             {
                 "items": items,
-                "has_more": len(keys) > PAGE_ITEMS,
+                "has_more": len(keys) > self.server.page_items,
                 "end": partition.end,
             }
         )
--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -22,6 +22,7 @@
 
     Attributes:
         kind: ``answer`` responds normally; ``refuse`` rejects the request as not run;
+            ``misdirect`` does so as if the replica were another one;
             ``fail`` responds 500 and ``impossible`` 422; ``vanish`` runs the request
             and closes the connection without a response; ``extra`` sends a second,
             unsolicited response; ``unsigned`` omits the replica's identifier;
@@ -64,7 +65,11 @@
     Attributes:
         planned_behaviours: `Behaviour` of each of the next requests; later ones are
             answered normally.
-        requests: Number of requests received, without those for another identifier.
+        weights: Version of its weights. A request that expects another one is rejected
+            with 421.
+        unmet_conditions: Number of requests that expected other weights.
+        requests: Number of requests received, without those for another identifier or
+            other weights.
         runs: Number of runs by request identifier.
         run_versions: Version of its software in each of these runs.
         headers: Headers of the requests that ran, in order.
@@ -79,8 +84,11 @@
         crash_parts: Parts of prompts whose requests do the same.
         sends_head: Whether it sends the head of an unframed stream before it crashes.
         reports: Number of reports that it has sent.
+        reports_start: Whether its reports say when it was started.
+        reports_in_time: Whether it sends its reports before the caller gives up.
         crashes: Number of crashes.
         on_crash: Function called after a crash with the previous identifier.
+        event_intervals_s: Pauses that differ from `event_interval_s`, by request path.
         slowdown: Slowdown of a shared host that responses report, in percent of the
             usual time; None for a host of its own.
     """
@@ -101,6 +109,8 @@
         self.slots = slots
         self.version = version
         self.started_ms = started_ms
+        self.weights = "1"
+        self.unmet_conditions = 0
         self.planned_behaviours = []
         self.requests = 0
         self.runs = collections.Counter()
@@ -116,8 +126,11 @@
         self.crash_parts = set()
         self.sends_head = False
         self.reports = 0
+        self.reports_start = True
+        self.reports_in_time = True
         self.crashes = 0
         self.on_crash = lambda previous_id: None
+        self.event_intervals_s = {}
         self.slowdown = None
         self._first_id = replica_id
         # Refusals to send before the next response, by connection.
@@ -171,24 +184,40 @@
 class _ReportHandler(faults.Handler):
     async def get(self):
         self.server.reports += 1
-        self.write({"num_running": self.server.running, **self.server.describe_run()})
+        if not self.server.reports_in_time:
+            await self.wait_for_disconnect()
+        run = self.server.describe_run() if self.server.reports_start else {}
+        self.write({"num_running": self.server.running, **run})
 
 
 class _Handler(faults.Handler):
     async def post(self):
         replica = self.server
+        if self.connection.closed():
+            # A run of the replica that has ended got the request, and not this one.
+            return
         expected = self.request.headers.get(
             HEADER_PREFIX + "Expect-Instance", replica.id
         )
         if expected != replica.id:
             self._refuse(421)
             return
+        expected_weights = self.request.headers.get(
+            HEADER_PREFIX + "Expect-Version", replica.weights
+        )
+        if expected_weights != replica.weights:
+            replica.unmet_conditions += 1
+            self._refuse(421)
+            return
         behaviour = (
             replica.planned_behaviours.pop(0)
             if replica.planned_behaviours
             else Behaviour()
         )
         replica.requests += 1
+        if behaviour.kind == "misdirect":
+            self._refuse(421)
+            return
         if behaviour.kind == "refuse":
             if behaviour.awaits_release:
                 await replica.release.wait()
@@ -332,6 +361,9 @@
     async def _stream_events(self, behaviour):
         self.set_header("Content-Type", "text/event-stream")
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        interval_s = self.server.event_intervals_s.get(
+            self.request.path, self.server.event_interval_s
+        )
         for sent, number in enumerate(range(first, self.server.events + 1)):
             if sent == behaviour.cut_after:
                 if behaviour.partial_event:
@@ -343,7 +375,7 @@
                 return
             if behaviour.kind == "wrong_order" and sent == 1:
                 continue
-            await asyncio.sleep(self.server.event_interval_s)
+            await asyncio.sleep(interval_s)
             if self.server.holds_last_event and number == self.server.events:
                 await self.server.release.wait()
             if self.closed.is_set():
--- a/pimentowick/gateway/content.py
+++ b/pimentowick/gateway/content.py
@@ -37,6 +37,8 @@
 KIBIBYTE = 1_024
 # Above this number of separate offset ranges, all contents of the job are read.
 MAX_LOG_READS = 4
+# Far more records than a partition ever gets.
+MAX_OFFSET = 10**12
 # Framing and key of a record.
 FRAME_OVERHEAD_BYTES = 300
 
@@ -99,6 +101,20 @@
         topic, partition = divmod(number, self._partition_count)
         return platform_store.make_topic_name(f"contents{topic}"), partition
 
+    def estimate_references(self, contents):
+        """Return references at least as large as those of contents to be written.
+
+        Args:
+            contents: Bytes by name.
+        """
+        return {
+            name: Reference(name, MAX_OFFSET, self._count_chunks(value), len(value))
+            for name, value in contents.items()
+        }
+
+    def _count_chunks(self, value):
+        return max(1, math.ceil(len(value) / self._record_bytes))
+
     async def put(self, job_id, contents, timeout_s):
         """Write contents of a job, with retries.
 
@@ -116,14 +132,14 @@
         references = {}
         deadline = time.monotonic() + timeout_s
         for batch in self._split_batches(job_id, contents):
-            records = [record for group in batch.values() for record in group]
+            records = [chunk for _, chunk in batch]
             end = await self._append(job_id, records, deadline)
-            offset = end - len(records)
-            for name, group in batch.items():
-                references[name] = Reference(
-                    name, offset, len(group), len(contents[name])
-                )
-                offset += len(group)
+            for offset, (name, _) in enumerate(batch, end - len(records)):
+                if name not in references:
+                    value = contents[name]
+                    references[name] = Reference(
+                        name, offset, self._count_chunks(value), len(value)
+                    )
         return references
 
     async def _append(self, job_id, records, deadline):
@@ -146,19 +162,27 @@
             backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
     def _split_batches(self, job_id, contents):
-        """Return the records by name, split into appends within the size limit."""
-        batches = [{}]
+        """Return pairs of name and record, split into appends within the size limit.
+
+        Only a content that exceeds the limit by itself is split. Its records may not be
+        consecutive and are then read by their keys.
+        """
+        batches = [[]]
         size = 0
         for name, value in contents.items():
-            if batches[-1] and size + len(value) > self._call_bytes:
-                batches.append({})
-                size = 0
-            batches[-1][name] = self._make_records(job_id, name, value)
-            size += len(value)
+            records = self._make_records(job_id, name, value)
+            needed = len(value)
+            for chunk in records:
+                if batches[-1] and size + needed > self._call_bytes:
+                    batches.append([])
+                    size = 0
+                batches[-1].append((name, chunk))
+                size += len(chunk.value)
+                needed = len(chunk.value)
         return batches
 
     def _make_records(self, job_id, name, value):
-        count = max(1, math.ceil(len(value) / self._record_bytes))
+        count = self._count_chunks(value)
         # An empty value is a tombstone, so each value starts with a marker byte.
         return [
             platform_store.KeyedRecord(
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -4,6 +4,7 @@
 import time
 
 from pimentowick.gateway import decision_log, upstream
+from pimentowick.gateway.policy import backoff
 
 __all__ = ["Health"]
 
@@ -17,6 +18,10 @@
 HEADERS_TIMEOUT_S = 1.0
 # A timeout reported by the target itself is not evidence of a failure.
 DEADLINE_STATUS = 504
+# Outcomes that say nothing of the target.
+NEUTRAL_REASONS = frozenset(
+    {upstream.NO_DESCRIPTOR, upstream.CALLER_GONE, upstream.CONDITION_NOT_MET}
+)
 
 
 class Health:
@@ -58,15 +63,14 @@
             outcome: The `upstream.Outcome`.
             seemed_free: Whether most of its slots seemed to be free.
         """
-        if outcome.reason in (upstream.NO_DESCRIPTOR, upstream.CALLER_GONE):
+        if outcome.reason in NEUTRAL_REASONS:
             return
         now = time.monotonic()
         if outcome.reason == upstream.OTHER_RUN:
             target.record_break(now)
             return
-        if outcome.reason == "misdirected":
-            # Another target now has this address; the registry will list it.
-            target.paused_until = float("inf")
+        if outcome.reason == upstream.MISDIRECTED:
+            target.hold(now)
             decision_log.log_event(
                 "target.paused", target=target.id, why=outcome.reason
             )
@@ -91,7 +95,7 @@
             target.failures = 0
             return
         target.failures += 1
-        pause = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** (target.failures - 1))
+        pause = backoff.compute_delay(MIN_BACKOFF_S, MAX_BACKOFF_S, target.failures)
         target.paused_until = max(target.paused_until, now + pause)
         decision_log.log_event(
             "target.paused",
--- a/pimentowick/gateway/job.py
+++ b/pimentowick/gateway/job.py
@@ -18,9 +18,12 @@
 
 import orjson
 
-from pimentowick.gateway import content, decision_log, record
+from pimentowick.gateway import content, decision_log, record, route
 
-__all__ = ["Item", "Job", "JobOutcome", "JobTable", "Result"]
+__all__ = ["Item", "Job", "JobOutcome", "JobTable", "Orphan", "Result"]
+
+# Tolerates clock skew between hosts, so that no item is abandoned early.
+CLOCK_SKEW_MARGIN_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,12 +69,14 @@
         failures: Sets of identifiers of failed runs, by item number.
         is_cancelled: Whether a caller has cancelled the job.
         keys: Keys of all outcome records.
+        known_since: Monotonic time at which this entry first read one of them.
     """
 
     rows: list = dataclasses.field(default_factory=list)
     failures: dict = dataclasses.field(default_factory=dict)
     is_cancelled: bool = False
     keys: list = dataclasses.field(default_factory=list)
+    known_since: float = dataclasses.field(default_factory=time.monotonic)
     _with_result: set = dataclasses.field(default_factory=set)
 
     def has_result(self, number):
@@ -94,6 +99,21 @@
             self.rows.append(row)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orphan:
+    """Outcome records of a job that is not in the table.
+
+    Attributes:
+        job_id: Identifier of the job.
+        keys: Keys of the records.
+        known_since: Monotonic time at which this entry first read one of them.
+    """
+
+    job_id: str
+    keys: tuple
+    known_since: float
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class Job:
     """One accepted batch job.
@@ -108,6 +128,9 @@
         workspace: Name of the workspace that owns the job, or None.
         received_at: Monotonic time at which the record was received, or minus infinity
             if it was part of a snapshot.
+        known_since: Monotonic time at which this entry first read the record.
+        closed_since: Monotonic time since which this entry has known it to be closed,
+            or None while it is open.
     """
 
     id: str
@@ -118,6 +141,8 @@
     outcome: JobOutcome = dataclasses.field(default_factory=JobOutcome)
     received_at: float = float("-inf")
     workspace: str | None = None
+    known_since: float = dataclasses.field(default_factory=time.monotonic)
+    closed_since: float | None = None
 
     @property
     def is_cancelled(self):
@@ -149,6 +174,19 @@
         """Return the number of failed runs of an item."""
         return len(self.outcome.failures.get(number, ()))
 
+    def compute_min_age_s(self, now, unix_now):
+        """Return a lower bound of the time since the job was accepted, in seconds.
+
+        Only for a job of a snapshot, after a restart, are the clocks of hosts compared.
+
+        Args:
+            now: Monotonic time, in seconds.
+            unix_now: Unix time, in seconds.
+        """
+        if self.received_at > float("-inf"):
+            return now - self.received_at
+        return unix_now - self.submitted_s - CLOCK_SKEW_MARGIN_S
+
     def count_waiting_tokens(self):
         """Return the total tokens of the items without a result."""
         if self.is_cancelled:
@@ -229,12 +267,34 @@
             if value:
                 outcome = self._outcomes.setdefault(job_id, JobOutcome())
                 outcome.apply(key, kind, tail, value)
-            elif job_id not in self.jobs:
-                # Outcome records are deleted after their job.
-                self._outcomes.pop(job_id, None)
+            else:
+                self._delete_outcome(job_id, key)
             if value and job_id in self.jobs:
                 self._update_open(self.jobs[job_id])
 
+    def _delete_outcome(self, job_id, key):
+        outcome = self._outcomes.get(job_id)
+        if outcome is not None:
+            outcome.keys[:] = [known for known in outcome.keys if known != key]
+        self._drop_empty_outcome(job_id)
+
+    def _drop_empty_outcome(self, job_id):
+        """Drop the outcome of a deleted job once all of its records are deleted, too.
+
+        The two partitions are independent, so that either may come first.
+        """
+        outcome = self._outcomes.get(job_id)
+        if job_id not in self.jobs and outcome is not None and not outcome.keys:
+            del self._outcomes[job_id]
+
+    def list_orphans(self):
+        """Return the `Orphan` objects, of deleted jobs or of jobs not read yet."""
+        return [
+            Orphan(job_id, tuple(outcome.keys), outcome.known_since)
+            for job_id, outcome in self._outcomes.items()
+            if job_id not in self.jobs and outcome.keys
+        ]
+
     def _add_job(self, job_id, data, received_at):
         outcome = self._outcomes.setdefault(job_id, JobOutcome())
         items = [_make_item(row) for row in data["items"]]
@@ -263,20 +323,23 @@
                 items=len(job.items),
             )
         self.open_jobs.pop(job_id, None)
-        self._outcomes.pop(job_id, None)
+        self._drop_empty_outcome(job_id)
 
     def _update_open(self, job):
         if job.is_open:
             self.open_jobs[job.id] = job
-        else:
-            self.open_jobs.pop(job.id, None)
+            job.closed_since = None
+            return
+        self.open_jobs.pop(job.id, None)
+        if job.closed_since is None:
+            job.closed_since = time.monotonic()
 
     def count_waiting_tokens(self, path_prefix, host, workspace=None):
         """Return the tokens of a workspace's unfinished items on a route."""
         return sum(
             job.count_waiting_tokens()
             for job in self.open_jobs.values()
-            if job.host == host
+            if route.is_same_host(job.host, host)
             and job.workspace == workspace
             and job.path.startswith(path_prefix)
         )
--- a/pimentowick/gateway/job_api.py
+++ b/pimentowick/gateway/job_api.py
@@ -1,13 +1,21 @@
 """HTTP interface of batch jobs: submit, read, cancel."""
 
+import asyncio
 import time
 import uuid
 
 from tornado import httputil
 
 from pimentowick import exception, verdict
-from pimentowick.gateway import content, decision_log, ledger, record, workspace
-from pimentowick.platform import message
+from pimentowick.gateway import (
+    content,
+    decision_log,
+    ledger,
+    record,
+    route,
+    workspace,
+)
+from pimentowick.platform import message, store
 
 __all__ = ["JobApi"]
 
@@ -37,6 +45,7 @@
         self._graceful_stop = graceful_stop
         self._storage = storage
         self._is_cut_off = is_cut_off
+        self._reading_jobs = asyncio.Lock()
 
     async def submit(self, exchange, route, call, caller_workspace):
         """Accept or refuse a job.
@@ -50,7 +59,15 @@
         """
         workspace_name = None if caller_workspace is None else caller_workspace.name
         job_id = workspace.scope_job_id(workspace_name, call.request_id)
-        if job_id not in self._storage.job_table.jobs and self._is_cut_off():
+        if call.request_id and job_id in self._storage.job_table.jobs:
+            # What is accepted stays so, whatever would be accepted now.
+            await self._confirm(exchange, job_id)
+            return
+        if not call.request_id or len(job_id.encode()) > record.MAX_JOB_ID_BYTES:
+            _log_decision("batch.refused", job_id, "bad_identifier")
+            await exchange.refuse(_make_bad_identifier())
+            return
+        if self._is_cut_off():
             await self._refuse_cut_off(exchange, job_id)
             return
         try:
@@ -61,7 +78,9 @@
             return
         tokens = sum(item.tokens for item in items)
         try:
-            await self._accept(exchange, route, job_id, workspace_name, items, bodies)
+            await self._accept(
+                route, exchange.path, job_id, workspace_name, items, bodies
+            )
         except exception.RefusedError as error:
             _log_decision("batch.refused", job_id, error.refusal.code, tokens=tokens)
             await exchange.refuse(error.refusal)
@@ -81,38 +100,98 @@
         )
         await exchange.answer(202, httputil.HTTPHeaders())
 
-    async def _accept(self, exchange, route, job_id, workspace_name, items, bodies):
+    async def confirm(self, exchange, job_id):
+        """Accept a job again if it is known; return whether it is."""
+        job = self._storage.job_table.jobs.get(job_id)
+        if job is None or not route.is_same_host(job.host, exchange.host):
+            return False
+        await self._confirm(exchange, job_id)
+        return True
+
+    async def _confirm(self, exchange, job_id):
+        """Answer a repeated submission of a job that this entry knows."""
+        job = self._storage.job_table.jobs[job_id]
+        _log_decision("batch.accepted", job_id, "repeated", items=len(job.items))
+        await exchange.answer(202, httputil.HTTPHeaders())
+
+    async def _accept(self, route, path, job_id, workspace_name, items, bodies):
+        """Record a job unless it is already accepted.
+
+        Raises:
+            RefusedError: The job exceeds the quota or the size of a record, and no
+                entry has accepted it.
+            LogError: The job may not be recorded.
+        """
+        began_at = time.monotonic()
+        deadline = began_at + SUBMIT_TIMEOUT_S
+        try:
+            await self._record(
+                route, path, job_id, workspace_name, items, bodies, deadline
+            )
+        except exception.RefusedError:
+            # Another entry may have accepted it, which the local state lacks.
+            if not await self._is_accepted(job_id, began_at):
+                raise
+
+    async def _is_accepted(self, job_id, began_at):
+        """Return whether any entry had accepted a job when this submission began.
+
+        Raises:
+            LogError: The store did not answer before the timeout.
+        """
+        jobs_feed = self._storage.accepted.feed
+        try:
+            async with asyncio.timeout(began_at + SUBMIT_TIMEOUT_S - time.monotonic()):
+                # Concurrent submissions share a read.
+                async with self._reading_jobs:
+                    if jobs_feed.fresh_at < began_at:
+                        await jobs_feed.refresh()
+        except TimeoutError:
+            raise exception.LogError(
+                "The accepted jobs were not read before the timeout."
+            ) from None
+        return job_id in self._storage.job_table.jobs
+
+    async def _record(
+        self, route, path, job_id, workspace_name, items, bodies, deadline
+    ):
         """Write the bodies of a job, then its record.
 
         Raises:
-            RefusedError: The job exceeds the quota.
+            RefusedError: The job exceeds the quota, by the local state, or the size of
+                a record.
             LogError: The job may not be recorded.
         """
-        deadline = time.monotonic() + SUBMIT_TIMEOUT_S
         storage = self._storage
         # The quota check needs the unfinished items of all jobs.
         await storage.load(SUBMIT_TIMEOUT_S)
         if job_id in storage.job_table.jobs:
             return
         tokens = sum(item.tokens for item in items)
-        self._check_quota(route, exchange.host, workspace_name, tokens)
+        self._check_quota(route, workspace_name, tokens)
         writer = uuid.uuid4().hex
         contents_by_name = {
             record.name_body(n, writer): body for n, body in enumerate(bodies)
         }
+
+        def make_record(references):
+            for name, item in zip(contents_by_name, items, strict=True):
+                item.body = references[name]
+            return record.make_job(
+                job_id, route.host, path, time.time(), items, workspace_name
+            )
+
+        estimated = storage.contents.estimate_references(contents_by_name)
+        self._check_record_size(make_record(estimated))
         references = await storage.contents.put(
             job_id, contents_by_name, deadline - time.monotonic()
         )
-        for name, item in zip(contents_by_name, items, strict=True):
-            item.body = references[name]
-        job_record = record.make_job(
-            job_id, exchange.host, exchange.path, time.time(), items, workspace_name
-        )
+        job_record = make_record(references)
 
         def build(job_table):
             if job_id in job_table.jobs:
                 return []
-            self._check_quota(route, exchange.host, workspace_name, tokens)
+            self._check_quota(route, workspace_name, tokens)
             return [job_record]
 
         try:
@@ -141,12 +220,23 @@
         _log_decision("batch.refused", job_id, "cut_off")
         await exchange.refuse(_make_unavailable(OTHER_ENTRY_RETRY_AFTER_S))
 
-    def _check_quota(self, route, host, workspace_name, tokens):
+    def _check_record_size(self, job_record):
+        """Raise `RefusedError` if the store takes no record as large as that of a job.
+
+        The paths and headers of all items stand in it.
+        """
+        size = store.measure_record(job_record)
+        limit = self._storage.max_record_bytes
+        if size > limit:
+            why = f"The paths and headers take {size} bytes of at most {limit}."
+            raise exception.RefusedError(verdict.Refusal(413, "too_large", why))
+
+    def _check_quota(self, route, workspace_name, tokens):
         """Raise `RefusedError` if a job exceeds the token quota of its route."""
         if not route.max_waiting_tokens:
             return
         waiting = self._storage.job_table.count_waiting_tokens(
-            route.path_prefix, host, workspace_name
+            route.path_prefix, route.host, workspace_name
         )
         if waiting + tokens > route.max_waiting_tokens:
             refusal = verdict.Refusal(
@@ -182,7 +272,7 @@
             for row in rows
         ]
         await exchange.answer_json(
-            message.encode_results(len(job.items), after, listed)
+            message.encode_results(len(job.items), after, _limit_page(listed))
         )
 
     async def _read_contents(self, job_id, references):
@@ -268,7 +358,7 @@
                 _log_decision("batch.unsure", job_id, "store_away", why=str(error))
                 raise exception.RefusedError(_make_unavailable()) from error
             job = storage.job_table.jobs.get(job_id)
-        if job is None or job.host != host:
+        if job is None or not route.is_same_host(job.host, host):
             _log_decision(
                 "batch.unknown", job_id, "not_found", age_s=storage.get_staleness_s()
             )
@@ -288,6 +378,16 @@
     return rows
 
 
+def _limit_page(listed):
+    """Return the listed results whose encoded texts fit, at least one."""
+    size = 0
+    for count, result in enumerate(listed):
+        size += message.measure_text(result.text)
+        if count and size > MAX_RESULTS_BYTES:
+            return listed[:count]
+    return listed
+
+
 def _read_position(text):
     try:
         return max(0, int(text))
@@ -303,6 +403,12 @@
     )
 
 
+def _make_bad_identifier():
+    return verdict.Refusal(
+        400, "bad_identifier", "The job has no identifier, or one that is too long."
+    )
+
+
 def _make_unavailable(retry_after=RETRY_AFTER_S):
     return verdict.Refusal(
         503,
--- a/pimentowick/gateway/route.py
+++ b/pimentowick/gateway/route.py
@@ -4,7 +4,22 @@
 import enum
 import random
 
-__all__ = ["Configuration", "Kind", "Limits", "Route"]
+__all__ = ["Configuration", "Kind", "Limits", "Route", "is_same_host"]
+
+
+def is_same_host(one, other):
+    """Return whether two Host headers name a host, in any letter case, with any port.
+
+    Examples:
+        >>> is_same_host("desk.example", "Desk.Example:80")
+        True
+        >>> is_same_host("desk.example:8080", "desk.example")
+        True
+        >>> is_same_host("desk.example", "other.example")
+        False
+    """
+    names = [host.lower().partition(":")[0] for host in (one, other)]
+    return names[0] == names[1]
 
 
 class Kind(enum.StrEnum):
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -4,6 +4,8 @@
 import collections
 import time
 
+from loguru import logger
+
 from pimentowick import exception
 from pimentowick.gateway import (
     decision_log,
@@ -17,6 +19,7 @@
     waiting_items,
 )
 from pimentowick.gateway.policy import (
+    backoff,
     batch_queue,
     delay_choice,
     preemption,
@@ -48,8 +51,9 @@
 MAX_LOGGED_PARTS = 16
 # Continuations without an event that show the end of an item without framing.
 CONFIRMING_RUNS = 3
-# Tolerates clock skew between hosts, so that no item is abandoned early.
-CLOCK_SKEW_MARGIN_S = 5.0
+# Longer than a target is paused after a failed connection. The targets of a version may
+# all be unreachable, or rest, for longer than an item may wait.
+MAX_VERSION_WAIT_S = 5.0
 
 
 class Runner:
@@ -342,18 +346,16 @@
         waiting = [
             run
             for run in self._runs.values()
-            if run.task is None
-            and run.not_before <= now
-            and run.transcript.body is not None
+            if run.task is None and run.not_before <= now
         ]
         ready = []
         for run in batch_queue.order_items(waiting, unix_now):
-            abandon_at = run.job.submitted_s + run.route.abandon_after_s
-            if unix_now > abandon_at + CLOCK_SKEW_MARGIN_S:
+            age_s = run.job.compute_min_age_s(now, unix_now)
+            if age_s > run.route.abandon_after_s:
                 self._spawn(run, self._record_abandoned(run, "abandoned"))
             elif run.transcript.failures >= run.route.max_attempts:
                 self._spawn(run, self._record_abandoned(run, "failed"))
-            else:
+            elif run.transcript.body is not None:
                 ready.append(run)
         self._publish_pending(ready, unix_now)
         if ready and now >= self._next_start_at:
@@ -405,13 +407,19 @@
             startable[service] = batch_queue.compute_entry_share(
                 free_slots, own_pending, others
             )
+            if not free_slots:
+                _end_blocks(ready, service)
         for run in ready:
             if not startable[run.service] or self._hold_quarantined(run, now):
                 continue
             self._restart_if_version_is_gone(run)
             target = self._choose_target(run, now)
+            if _is_blocked(run, target, now):
+                self._restart_text(run, now)
+                target = self._choose_target(run, now)
             if target is None and run.transcript.last_event is not None:
                 # Targets of other versions may have room for the items behind it.
+                run.record_block(now)
                 continue
             if target is None:
                 startable[run.service] = 0
@@ -432,8 +440,15 @@
         origin = run.transcript.origin
         if run.transcript.last_event is None:
             return
-        if self._can_continue(origin) and origin.service == run.service:
-            return
+        is_confirmable = run.unconfirmed < execution.MAX_UNCONFIRMED
+        is_same_service = origin is not None and origin.service == run.service
+        if not (is_confirmable and is_same_service and self._can_continue(origin)):
+            self._restart_text(run, time.monotonic())
+
+    def _restart_text(self, run, now):
+        """Discard the text of an item."""
+        origin = run.transcript.origin
+        blocked_s = 0.0 if run.blocked_since is None else now - run.blocked_since
         self._metrics.count_item("restarted")
         decision_log.log_request_event(
             "item.restarted",
@@ -442,15 +457,20 @@
             service=run.service,
             began_at=None if origin is None else origin.service,
             version=None if origin is None else origin.software_version,
+            unconfirmed=run.unconfirmed,
+            blocked_s=blocked_s,
             events=run.transcript.count_events(),
         )
         run.transcript.restart()
+        run.blocked_since = None
 
     def _choose_target(self, run, now):
         version = None
         if run.transcript.last_event is not None:
             version = run.transcript.origin.software_version
         targets = self._table.list_targets(run.service, version)
+        untried = [each for each in targets if each.id not in run.unmet_targets]
+        targets = untried or targets
         if self._table.has_shared_hosts(run.service):
             return delay_choice.choose_for_item(
                 targets,
@@ -486,10 +506,11 @@
             try:
                 await coroutine
             except exception.LogError as error:
-                run.not_before = time.monotonic() + INITIAL_BACKOFF_S
-                decision_log.log_request_event(
-                    "item.delayed", run.item.id, why=str(error)
-                )
+                self._delay(run, INITIAL_BACKOFF_S, error)
+            except Exception as error:
+                logger.exception("Unhandled error while running an item.")
+                run.failures += 1
+                self._delay(run, _compute_backoff_s(run.failures), error)
             finally:
                 if run.task is asyncio.current_task():
                     self._release_slot(run)
@@ -498,6 +519,11 @@
 
         run.task = asyncio.create_task(guard())
 
+    def _delay(self, run, pause_s, error):
+        """Start an item again after a pause."""
+        run.not_before = time.monotonic() + pause_s
+        decision_log.log_request_event("item.delayed", run.item.id, why=str(error))
+
     def _release_slot(self, run):
         if run.target is not None:
             run.target.batch -= 1
@@ -595,8 +621,18 @@
             self._crash_guard.cancel_trial(trials)
         run.service_time.record_run(sink.events, time.monotonic() - started_at)
         self._release_slot(run)
+        if outcome.reason == upstream.CONDITION_NOT_MET:
+            self._record_unmet(run, target)
         await self._handle_outcome(run, outcome, sink)
 
+    def _record_unmet(self, run, target):
+        """Record that a target does not meet the condition of an item."""
+        run.unmet_targets.add(target.id)
+        listed = {each.id for each in self._table.list_targets(run.service)}
+        if listed <= run.unmet_targets:
+            # Each may meet it later.
+            run.unmet_targets.clear()
+
     async def _send(self, run, target):
         """Run an item; its parts have survived once it has sent events for a while."""
         timers = []
@@ -674,14 +710,19 @@
             return
         if outcome.end == upstream.End.COMPLETE and outcome.status == 500:
             await run.transcript.record_failure(RECORD_TIMEOUT_S)
+        if outcome.is_unconfirmed:
+            run.unconfirmed += 1
+        if outcome.end == upstream.End.NOT_RUN:
+            run.record_block(time.monotonic())
         if sink.events:
             run.failures = 0
         run.failures += 1
-        backoff_s = INITIAL_BACKOFF_S * 2 ** (run.failures - 1)
-        if outcome.end == upstream.End.NOT_RUN:
+        backoff_s = _compute_backoff_s(run.failures)
+        is_unmet = outcome.reason == upstream.CONDITION_NOT_MET
+        if outcome.end == upstream.End.NOT_RUN and not is_unmet:
             backoff_s = UNREACHABLE_BACKOFF_S
             run.failures = 0
-        run.not_before = time.monotonic() + min(backoff_s, MAX_BACKOFF_S)
+        run.not_before = time.monotonic() + backoff_s
 
     async def _record_abandoned(self, run, reason):
         await run.transcript.abandon(RECORD_TIMEOUT_S)
@@ -694,6 +735,31 @@
         )
 
 
+def _is_blocked(run, target, now):
+    """Return whether an item has waited in vain for a target that may continue it.
+
+    Args:
+        run: The `execution.Run`.
+        target: The target that may continue its text now, or None.
+        now: Monotonic time, in seconds.
+    """
+    if run.transcript.last_event is None or run.blocked_since is None:
+        return False
+    has_waited = now - run.blocked_since >= MAX_VERSION_WAIT_S
+    return has_waited and (target is None or target.failures > 0)
+
+
+def _end_blocks(runs, service):
+    """Count the time no more in which no target of a service has an unused slot."""
+    for run in runs:
+        if run.service == service:
+            run.blocked_since = None
+
+
+def _compute_backoff_s(failures):
+    return backoff.compute_delay(INITIAL_BACKOFF_S, MAX_BACKOFF_S, failures)
+
+
 def _is_confirmed(run, outcome, sink):
     """Return whether enough runs of an item have found no event after its last one.
 
--- a/pimentowick/gateway/tests/test_job_api.py
+++ b/pimentowick/gateway/tests/test_job_api.py
@@ -7,7 +7,7 @@
 
 from pimentowick import exception
 from pimentowick.fakes import faults, platform_site, replica, wait
-from pimentowick.gateway import daemon, route_removal, runner
+from pimentowick.gateway import daemon, record, route_removal, runner
 
 BATCH = platform_site.make_route(
     "/lot/",
@@ -158,6 +158,25 @@
     run_with([replica.Replica()], check)
 
 
+def test_accepted_job_is_not_refused_by_the_quota_that_it_fills():
+    # The caller submits the job again, at an entry that has not read the first
+    # submission yet and still counts the items of a cancelled job.
+    async def check(site):
+        site.replicas[0].event_interval_s = 5.0
+        assert (await submit(site, make_body(9, tokens=100), "before")).status == 202
+        other = site.gateways[1]
+        jobs = other.storage.job_table.jobs
+        await wait.wait_for(lambda: "before" in jobs, 10, 0.01)
+        for name in ("ownership", "take over", "feed jobs", "feed outcomes"):
+            other._supervisor.stop_child(name)
+        assert (await site.call("DELETE", "/-/lots/before")).status == 200
+        assert (await submit(site, make_body(9, tokens=100))).status == 202
+        assert "job1" not in jobs
+        assert (await submit(site, make_body(9, tokens=100), entry=1)).status == 202
+
+    run_with([replica.Replica()], check, entries=2)
+
+
 def test_interrupted_run_resumes_after_its_last_event():
     # A target crashes in the middle of an event. The item resumes after the last whole
     # event, and no event is duplicated or lost.
@@ -238,6 +257,73 @@
     run_with([replica.Replica()], check)
 
 
+@pytest.mark.parametrize("submitted_as", ["desk.example", "Desk.Example:8080"])
+@pytest.mark.parametrize("read_as", ["desk.example", "DESK.example", "desk.example:80"])
+def test_job_is_found_under_each_form_of_its_host(submitted_as, read_as):
+    # A route is found whatever the letter case and the port are, but its job was not.
+    server = replica.Replica()
+
+    async def check(site):
+        answer = await site.call(
+            "POST",
+            "/lot/new",
+            make_body(1),
+            X_Pimentowick_Request_Id="job1",
+            Host=submitted_as,
+        )
+        assert answer.status == 202
+        answer = await site.call("GET", "/-/lots/job1", Host=read_as)
+        assert answer.status == 200
+        await read_all(site, 1)
+        assert server.headers[-1]["Host"] == platform_site.HOST
+
+    run_with([server], check)
+
+
+def test_quota_counts_jobs_under_each_form_of_their_host():
+    async def check(site):
+        site.replicas[0].event_interval_s = 5.0
+        assert (await submit(site, make_body(9, tokens=100))).status == 202
+        answer = await site.call(
+            "POST",
+            "/lot/new",
+            make_body(2, tokens=100),
+            X_Pimentowick_Request_Id="job2",
+            Host="DESK.example",
+        )
+        assert answer.status == 429
+
+    run_with([replica.Replica()], check)
+
+
+def test_page_of_texts_that_grow_as_they_are_encoded_is_limited():
+    # Quotation marks take two bytes in JSON; a page had nearly twice its maximum size.
+    async def check(site):
+        (gateway,) = site.gateways
+        (target,) = gateway.table.list_targets("lm")
+        target.paused_until = float("inf")
+        assert (await submit(site, make_body(4))).status == 202
+        storage = gateway.storage
+        job = storage.job_table.jobs["job1"]
+        texts = {record.name_text(number, "w"): b'"' * 250_000 for number in range(4)}
+        written = await storage.contents.put("job1", texts, 5)
+        results = [
+            record.make_result("job1", number, "w", True, text)
+            for number, text in enumerate(written.values())
+        ]
+        await storage.outcomes.put(lambda: [] if job.results else results, 5)
+        after = 0
+        while after < 4:
+            answer = await site.call("GET", f"/-/lots/job1?after={after}")
+            assert len(answer.body) <= 1_000_000
+            page = orjson.loads(answer.body)
+            assert page["next"] == after + len(page["results"]) > after
+            assert {row["text"] for row in page["results"]} == {'"' * 250_000}
+            after = page["next"]
+
+    run_with([replica.Replica()], check)
+
+
 def test_unknown_job_is_503_while_the_store_is_unavailable():
     # Another entry may have accepted the job during the outage.
     async def check(site):
@@ -354,6 +440,29 @@
     run_with([replica.Replica()], check)
 
 
+def test_accepted_job_is_confirmed_after_its_route_is_removed():
+    # The caller submits the job again; a 404 would tell it that the job is lost.
+    async def check(site):
+        site.replicas[0].event_interval_s = 5.0
+        assert (await submit(site, make_body(2))).status == 202
+        site.publish([route for route in ROUTES if route is not BATCH])
+        for gateway in site.gateways:
+            await wait.wait_for(
+                lambda gateway=gateway: len(gateway.configuration.current.routes) == 1,
+                10,
+                0.01,
+            )
+            jobs = gateway.storage.job_table.jobs
+            await wait.wait_for(lambda jobs=jobs: "job1" in jobs, 10, 0.01)
+        for entry in range(2):
+            again = await submit(site, make_body(2), entry=entry)
+            assert again.status == 202
+            other = await submit(site, make_body(2), "job2", entry=entry)
+            assert other.status == 404
+
+    run_with([replica.Replica()], check, entries=2)
+
+
 def test_jobs_run_after_their_route_is_restored():
     async def check(site):
         site.publish([route for route in ROUTES if route is not BATCH])
--- a/pimentowick/gateway/transcript.py
+++ b/pimentowick/gateway/transcript.py
@@ -41,7 +41,6 @@
     def __init__(self, storage, job, number):
         self._storage = storage
         self._job = job
-        self._run_id = uuid.uuid4().hex
         self._checkpoints = []
         self._recorded_count = 0
         self.item = job.items[number]
@@ -147,7 +146,8 @@
         """
         if not self.needs_run:
             return
-        name = record.name_text(self.number, self._run_id)
+        # The record of an earlier text may still land, and refers to it by name.
+        name = record.name_text(self.number, uuid.uuid4().hex)
         text = "\n".join(self.texts).encode()
         references = await self._storage.contents.put(
             self._job.id, {name: text}, timeout_s
@@ -176,7 +176,10 @@
         await self._storage.outcomes.put(build, timeout_s)
 
     async def _delete_unneeded(self):
-        """Delete the body and the checkpoints of an item that has a result."""
+        """Delete the body and the checkpoints of an item that need not run any more."""
+        current_job = self._storage.job_table.jobs.get(self._job.id)
+        if current_job is None or current_job.needs_run(self.number):
+            return
         try:
             references = [self.item.body, *self._checkpoints, *self._discarded]
             await self._storage.contents.delete(self._job.id, references)
@@ -230,16 +233,16 @@
     for name, value in contents.items():
         if name.startswith(prefix):
             try:
-                checkpoints[name] = orjson.loads(value)
-            except ValueError:
-                decision_log.log_event("item.piece_garbled", piece=name)
+                checkpoints[name] = _decode_checkpoint(value)
+            except (ValueError, TypeError, LookupError) as error:
+                decision_log.log_event("item.piece_garbled", piece=name, why=str(error))
     best, best_rank = ([], [], None, None), (False, 0)
     for name, checkpoint in checkpoints.items():
         chain = _build_chain(checkpoints, name)
         if chain is None:
             continue
         texts = [text for link in chain for text in checkpoints[link]["texts"]]
-        origin = _decode_origin(checkpoint.get("origin"))
+        origin = checkpoint["origin"]
         rank = (can_continue(origin), len(texts))
         if texts and rank > best_rank:
             best, best_rank = (chain, texts, checkpoint["last"], origin), rank
@@ -249,8 +252,22 @@
     return references, *best[1:]
 
 
-def _decode_origin(row):
-    return None if row is None else stream_origin.Origin(*row)
+def _decode_checkpoint(value):
+    """Return the fields of a checkpoint, with its `stream_origin.Origin` or None.
+
+    Raises:
+        ValueError, TypeError or LookupError: It is malformed.
+    """
+    fields = orjson.loads(value)
+    after, texts, last = fields["after"], fields["texts"], fields["last"]
+    names = [last] if after is None else [last, after]
+    if not isinstance(texts, list):
+        raise TypeError("The texts are no list.")
+    if not all(isinstance(each, str) for each in (*names, *texts)):
+        raise TypeError("A text or a name is no string.")
+    row = fields.get("origin")
+    origin = None if row is None else stream_origin.Origin(*row)
+    return {"after": after, "texts": texts, "last": last, "origin": origin}
 
 
 def _build_chain(checkpoints, name):
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -82,12 +82,18 @@
 
 
 REFUSED = "target_refused"
+# Another target may have the address now.
+MISDIRECTED = "misdirected"
+# The target does not meet a condition that the caller set.
+CONDITION_NOT_MET = "condition_not_met"
 # No descriptor could be had for a connection; the target is not to blame.
 NO_DESCRIPTOR = "no_descriptor"
 # The caller's connection was closed; the target is not to blame.
 CALLER_GONE = "caller_gone"
 # The target has restarted under its old identifier, or may have.
 OTHER_RUN = "other_run"
+# Beginning of the reasons for which the target did not say when it was started.
+REPORT_FAILED = "report_"
 # Nothing but the closed connection tells that the response has ended, which also closes
 # if the target crashes.
 UNFRAMED = "unframed"
@@ -146,6 +152,12 @@
         """Whether the expected target received the request and rejected it."""
         return self.end == End.NOT_RUN and self.reason == REFUSED
 
+    @property
+    def is_unconfirmed(self):
+        """Whether it was not sent, as it is uncertain which run would have got it."""
+        is_late = self.reason.startswith(REPORT_FAILED)
+        return self.end == End.NOT_RUN and (is_late or self.reason == OTHER_RUN)
+
     @property
     def is_survival(self):
         """Whether the target ran the request without a crash.
@@ -294,6 +306,7 @@
         needs_body: Whether the body is of use.
         fault: Reason code if the head is not that of a response, or None.
         is_caller_gone: Whether the sink's own connection was closed.
+        cancellation: The `asyncio.CancelledError` of a method of the sink, or None.
     """
 
     def __init__(self, request, sink, on_load, counted, stream, is_first):
@@ -312,6 +325,7 @@
         self.needs_body = True
         self.fault = None
         self.is_caller_gone = False
+        self.cancellation = None
         self._stream = stream
         self._interim_responses = 0
         self._unused_bytes = 0
@@ -353,7 +367,9 @@
         if not self.is_stray:
             self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
-            await self._sink.on_headers(start_line.code, headers, self.answer)
+            await self._pass_on(
+                self._sink.on_headers(start_line.code, headers, self.answer)
+            )
         if self.needs_body and not self._sink.can_continue:
             self._stream.abandon()
         is_refusal = self.answer.not_executed or self.answer.is_misdirected
@@ -391,13 +407,24 @@
             if self._unused_bytes > MAX_UNUSED_BYTES:
                 self._stream.abandon()
             return
+        await self._pass_on(self._sink.on_chunk(chunk))
+        if not self._sink.can_continue:
+            self._stream.abandon()
+
+    async def _pass_on(self, handling):
+        """Wait until the sink has handled part of the response.
+
+        Args:
+            handling: Coroutine of a method of the sink.
+        """
         try:
-            await self._sink.on_chunk(chunk)
+            await handling
         except iostream.StreamClosedError:
             self.is_caller_gone = True
             self._stream.abandon()
-            return
-        if not self._sink.can_continue:
+        except asyncio.CancelledError as error:
+            # Tornado would log it and go on as if the response were malformed.
+            self.cancellation = error
             self._stream.abandon()
 
     def finish(self):
@@ -456,6 +483,7 @@
 
     Args:
         stream: The open stream.
+        address: IP address and TCP port of the target.
         on_load: Function called with the load that comes with each response.
         counted: The `traffic.Traffic` that counts the bodies.
 
@@ -466,13 +494,14 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, stream, on_load, counted):
+    def __init__(self, stream, address, on_load, counted):
         self.number = next(self._numbers)
         self._opened_at = time.monotonic()
         self._request_count = 0
         # When the target was started, 0 if it does not say, None if it was not asked.
         self._started_ms = None
         self.stream = stream
+        self._address = address
         self._on_load = on_load
         self._traffic = counted
         self.idle_until = 0.0
@@ -495,7 +524,8 @@
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
         reader, received = await self._read_own(http, request, sink, received)
-        outcome = dataclasses.replace(self._classify(reader), received=received)
+        outcome = self._classify(request, reader)
+        outcome = dataclasses.replace(outcome, received=received)
         reusable = (
             reader.is_finished
             and reader.is_framed
@@ -523,7 +553,7 @@
             StreamClosedError: The target closed the connection.
             TimeoutError: It did not answer in time.
         """
-        if run_check is None or not run_check.started_ms:
+        if run_check is None or not run_check.is_asked:
             return True
         if self._started_ms is None:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
@@ -542,8 +572,8 @@
         self._request_count += 1
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine("GET", message.REPORT_PATH, "HTTP/1.1")
-        host, port = self.stream.socket.getpeername()
-        headers = httputil.HTTPHeaders({"Host": f"{host}:{port}"})
+        ip, port = self._address
+        headers = httputil.HTTPHeaders({"Host": f"{ip}:{port}"})
         http.write_headers(start_line, headers)
         http.finish()
         reader = _ReportReader(self.stream)
@@ -604,6 +634,7 @@
 
         Raises:
             StreamClosedError: The target closed the connection.
+            CancelledError: The request was cancelled.
         """
         reader = _Reader(
             request,
@@ -622,9 +653,11 @@
         finally:
             self.stream.end_head()
             reader.close()
+        if reader.cancellation is not None:
+            raise reader.cancellation
         return reader
 
-    def _classify(self, reader):
+    def _classify(self, request, reader):
         answer = reader.answer
         if reader.fault is not None:
             return Outcome(End.INCOMPLETE, reader.fault)
@@ -636,7 +669,9 @@
         if reader.is_stray:
             return Outcome(End.INCOMPLETE, "answer_to_another_request", reader.status)
         if answer.is_misdirected:
-            return Outcome(End.NOT_RUN, "misdirected", reader.status)
+            is_conditional = message.expects_version(request.headers)
+            reason = CONDITION_NOT_MET if is_conditional else MISDIRECTED
+            return Outcome(End.NOT_RUN, reason, reader.status)
         if answer.not_executed:
             return Outcome(End.NOT_RUN, REFUSED, reader.status)
         if reader.is_stopped and reader.needs_body:
@@ -688,7 +723,7 @@
         with contextlib.suppress(OSError):
             stream.close()
         raise
-    return Connection(stream, on_load, counted)
+    return Connection(stream, address, on_load, counted)
 
 
 def _set_options(sock):
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -4,6 +4,7 @@
 import binascii
 import dataclasses
 import enum
+import math
 import re
 import urllib.parse
 
@@ -28,13 +29,17 @@
     "encode_item_headers",
     "encode_request_headers",
     "encode_results",
+    "expects_version",
     "find_job_operation",
+    "measure_text",
     "remove_hop_headers",
 ]
 
 REQUEST_ID = "X-Pimentowick-Request-Id"
 DEADLINE = "X-Pimentowick-Deadline-Ms"
 EXPECT_INSTANCE = "X-Pimentowick-Expect-Instance"
+# A condition that callers set; other versions of a target reject the request.
+EXPECT_VERSION = "X-Pimentowick-Expect-Version"
 NOT_EXECUTED = "X-Pimentowick-Not-Executed"
 SERVER_STAMP = "X-Pimentowick-Server-Stamp"
 SERVER_LOAD = "X-Pimentowick-Server-Load"
@@ -67,6 +72,8 @@
     "content-length",
 }
 JOB_PATH = re.compile(r"^/-/(lots|items)/(.+)$")
+# Without the characters that end a request line.
+ITEM_PATH = re.compile(r"/[^\x00-\x20\x7f]*")
 MAX_ITEMS_PER_JOB = 200
 # Parts of a prompt that are considered; more are left out in the middle.
 MAX_PARTS = 128
@@ -129,7 +136,8 @@
         request_id: Identifier of the request that it answers, or "".
         is_signed: Whether the target's stamp is present, and not empty.
         not_executed: Whether the target states that the request did not run.
-        is_misdirected: Whether the address now belongs to another target.
+        is_misdirected: Whether the target is not the expected one. The reason may also
+            be a condition of the caller (see `expects_version`).
         load: The `target.ReportedLoad`, or None.
         has_encoding: Whether the body has a content encoding that was not requested.
         closes_connection: Whether the target closes the connection after the response.
@@ -147,10 +155,12 @@
 
 
 def _read_number(headers, name):
+    """Return the finite number in a header, or None."""
     try:
-        return float(headers.get(name, ""))
+        number = float(headers.get(name, ""))
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def decode_request_headers(headers):
@@ -316,6 +326,25 @@
     )
 
 
+def expects_version(headers):
+    """Return whether a caller sends a request on condition of a target's version.
+
+    Some servers treat underscores in header names as dashes.
+
+    Args:
+        headers: `tornado.httputil.HTTPHeaders` of the request.
+
+    Examples:
+        >>> expects_version(httputil.HTTPHeaders({"x_pimentowick-expect-version": "2"}))
+        True
+        >>> expects_version(httputil.HTTPHeaders({EXPECT_INSTANCE: "i-1"}))
+        False
+    """
+    return any(
+        name.lower().replace("_", "-") == EXPECT_VERSION.lower() for name in headers
+    )
+
+
 def decode_response_headers(status, headers):
     """Decode status and headers of a target's response into `ResponseHeaders`."""
     keep_alive = re.search(r"timeout=(\d+)", headers.get("Keep-Alive", ""))
@@ -409,14 +438,33 @@
     try:
         data = _Submission.model_validate(orjson.loads(body))
         bodies = [base64.b64decode(row.body, validate=True) for row in data.items]
-    except (ValueError, binascii.Error) as error:
+        items = [_decode_item(row) for row in data.items]
+    except (ValueError, binascii.Error, httputil.HTTPInputError) as error:
         raise exception.ValidationError(f"Batch job: {error}") from error
-    items = [job.Item(row.id, row.path, row.headers, row.tokens) for row in data.items]
     if len({item.id for item in items}) < len(items):
         raise exception.ValidationError("Batch job: an item stands twice.")
     return items, bodies
 
 
+def _decode_item(row):
+    """Return the `pimentowick.gateway.job.Item` of a row.
+
+    Raises:
+        ValueError, HTTPInputError: It cannot be sent to a target.
+    """
+    if not row.id:
+        raise ValueError("an item has no identifier")
+    if ITEM_PATH.fullmatch(row.path) is None:
+        raise ValueError(f"{row.path!r} is not the path of a request")
+    # Space around the value of a header is no part of it.
+    headers = {name: value.strip(" \t") for name, value in row.headers.items()}
+    checked = httputil.HTTPHeaders()
+    for name, value in [*headers.items(), (REQUEST_ID, row.id)]:
+        checked.add(name, value)
+        value.encode("latin-1")
+    return job.Item(row.id, row.path, headers, row.tokens)
+
+
 def find_job_operation(method, path):
     """Return the `JobOperation` and job id of a request, or None for other paths.
 
@@ -456,3 +504,13 @@
         for result in results
     ]
     return orjson.dumps({"total": total, "next": after + len(results), "results": rows})
+
+
+def measure_text(text):
+    """Return the size of the text of a result in the body that lists it, in bytes.
+
+    Examples:
+        >>> measure_text("one"), measure_text('"')
+        (5, 4)
+    """
+    return len(orjson.dumps(text))
--- a/pimentowick/platform/store.py
+++ b/pimentowick/platform/store.py
@@ -17,6 +17,7 @@
 from pimentowick import client, exception
 
 __all__ = [
+    "MAX_KEY_BYTES",
     "KeyedRecord",
     "OffsetConflictError",
     "Page",
@@ -25,10 +26,13 @@
     "Store",
     "UnknownOutcomeError",
     "make_topic_name",
+    "measure_record",
 ]
 
 RECORD_LENGTH = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
+# The length of a key takes one byte.
+MAX_KEY_BYTES = 255
 MAX_CONNECTIONS = 24
 # Exceeds a page of records or of newest values in base64.
 MAX_ANSWER_BYTES = 8_388_608
@@ -104,6 +108,16 @@
     return f"keyed.{name}"
 
 
+def measure_record(record):
+    """Return the size of a record, of which the store limits the maximum, in bytes.
+
+    Examples:
+        >>> measure_record(KeyedRecord("j/7c41", b"{}"))
+        9
+    """
+    return 1 + len(record.key.encode()) + len(record.value)
+
+
 def _encode_record(record):
     key = record.key.encode()
     content = bytes([len(key)]) + key + record.value
