--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -408,7 +408,7 @@
                 free_slots, own_pending, others
             )
             if not free_slots:
-                _end_blocks(ready, service)
+                _reset_blocks(ready, service)
         for run in ready:
             if not startable[run.service] or self._hold_quarantined(run, now):
                 continue
@@ -749,8 +749,8 @@
     return has_waited and (target is None or target.failures > 0)
 
 
-def _end_blocks(runs, service):
-    """Count the time no more in which no target of a service has an unused slot."""
+def _reset_blocks(runs, service):
+    """Forget how long texts were blocked, since their service has no unused slot."""
     for run in runs:
         if run.service == service:
             run.blocked_since = None
--- a/pimentowick/gateway/waiting_items.py
+++ b/pimentowick/gateway/waiting_items.py
@@ -48,9 +48,6 @@
         runs: The `execution.Run` objects of this entry.
         table: The `pimentowick.gateway.target.TargetTable`.
         now: Monotonic time, in seconds.
-
-    Returns:
-        Their number.
     """
     by_service = {}
     for run in runs:
@@ -75,7 +72,6 @@
             batch=sum(target.total_batch for target in usable),
             paused=sorted(target.id for target in targets if now < target.paused_until),
         )
-    return sum(map(len, by_service.values()))
 
 
 def _count_reasons(runs, now):
