Log where the body of a lost run ended

From the log of a request that ended `broken_off_unframed` nobody could tell whether its target had stopped within an event, before the first one, or after a whole one. That is what tells a cut answer from one that was taken for cut, so it is written with `online.lost` and `item.lost` before anything else is changed: the size of a body without framing, and whether it ended within an event.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -608,6 +608,8 @@
             target=target.id,
             parts=self._call.parts[:MAX_LOGGED_PARTS],
             events=events,
+            body_bytes=outcome.body_bytes,
+            ends_within_event=self._sink.ends_within_event,
             ran_s=time.monotonic() - self._sent_at,
             **delivery.describe(outcome.received),
         )
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -110,7 +110,7 @@
         reason: Reason code for the log.
         status: HTTP status of the response, or 0 without one.
         connected: Whether a connection to the target was open.
-        body_bytes: Size of the body that arrived.
+        body_bytes: Size of the body that arrived of an unframed response.
         is_target_alive: Whether the target was seen alive after an unframed response
             without a body.
         received: The `delivery.Delivery`, or None if the connection ended first.
