Ask targets that live on whether their answers without framing have ended

What callers saw: a stream got all its events and was closed without its end, and a plain answer was 502, whenever a target sent the answer without a length or chunks, announced that its connection closes, and closed it in order. Where the request may run once, nobody could make up for it.

Cause: since no answer is whole because its connection closed, as a killed process closes it in order, too. Before, every such answer was whole. Both decide by the closed connection alone, and it doesn't tell: the class is a state that is decided without asking the one who knows it.

Change: the target knows. The head of such an answer announces the close, so that a second connection, the witness, is taken from the pool (or opened) while the target is sending. A connection ends with the process that accepted it: an answer that comes on it after the end shows that the same run is alive, whatever has the address meanwhile, and without an identifier. If it is lost, a new connection counts only if the target says when it was started, and that is what it registered. Events go on at once; the end alone waits. A silent target is waited for until the caller's deadline if the request may not run again, else for 0.3 s.

Not whole, as before: a target that is gone, reset the connection, or was started again; an answer that ends within an event, or before anything of it; one whose request was not read. New: heads whose framing field was joined to another value, and bodies that begin like the rest of a head or like chunks, are malformed. Items are decided as before, by a run that goes on after the last event: a result stays for good, and nobody waits for milliseconds.

To let another run decide where one is allowed: the caller waits for a place and a prompt that is read again, and it helps nobody whose request may run once. To compare the identifier on a new connection: reports of the users' replicas name none, and an address may be used again.

The fake's crash is a new run with its own start; the raw target ends all its connections as it stops.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -36,6 +36,7 @@
             request.
         cut_after: Number of events or bytes after which the response is truncated.
         partial_event: Whether it is truncated in the middle of an event.
+        crashes: Whether the replica crashes as an ``unframed`` response ends.
         awaits_release: Whether it is truncated, refused, or preceded by a late refusal
             only once `Replica.release` is set.
         late_refusal: Whether a refusal that belongs to no request precedes the next
@@ -46,6 +47,7 @@
     data: bytes = b""
     cut_after: int | None = None
     partial_event: bool = False
+    crashes: bool = False
     awaits_release: bool = False
     late_refusal: str = ""
 
@@ -144,6 +146,8 @@
         """Break off all requests and continue under a new identifier."""
         self.crashes += 1
         previous_id, self.id = self.id, f"{self._first_id}.{self.crashes}"
+        if self.started_ms:
+            self.started_ms += 1
         for connection in list(self.fault_injector.connections):
             connection.close()
         self.on_crash(previous_id)
@@ -339,6 +343,8 @@
             events.append(f"id: {numbers[-1] + 1}\nda")
         stream = self.detach()
         await stream.write("\r\n".join([*lines, "", "".join(events)]).encode())
+        if behaviour.crashes:
+            self.server.crash()
         stream.close()
 
     async def _respond_endless(self, request_id):
--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -1,13 +1,17 @@
 """Pool of connections to one target."""
 
-import asyncio
-import contextlib
 import dataclasses
 import time
 
 from tornado import iostream
 
-from pimentowick.gateway import decision_log, descriptors, traffic, upstream
+from pimentowick.gateway import (
+    decision_log,
+    descriptors,
+    liveness,
+    traffic,
+    upstream,
+)
 from pimentowick.gateway.policy import connection_share
 
 __all__ = ["Pool"]
@@ -50,12 +54,13 @@
         self._traffic = counted or traffic.Traffic()
         self._idle = []
         self._busy = 0
+        self._lent = 0
         self.opened = 0
 
     @property
     def open(self):
         """Number of open connections."""
-        return self._busy + len(self._idle)
+        return self._busy + self._lent + len(self._idle)
 
     @property
     def idle(self):
@@ -88,39 +93,74 @@
         if refusal is not None:
             connection.close()
             return refusal
+        run_check = request.run_check
+        started_ms = 0 if run_check is None else run_check.started_ms
+        witness = liveness.Witness(self, started_ms)
+        try:
+            outcome = await self._exchange(connection, request, sink, witness)
+            if outcome.reason == upstream.UNFRAMED:
+                outcome = await self._inquire(outcome, request, sink, witness)
+        finally:
+            witness.close()
+        return outcome
+
+    async def _inquire(self, outcome, request, sink, witness):
+        """Return the outcome of an unframed response with its `liveness.Inquiry`."""
+        inquiry = request.inquiry
+        inquiry.body_bytes = outcome.body_bytes
+        if sink.may_be_whole:
+            timeout_s = upstream.REPORT_TIMEOUT_S
+            if request.waits_for_target:
+                timeout_s = None
+            await witness.ask(inquiry, timeout_s)
+        return dataclasses.replace(outcome, inquiry=inquiry)
+
+    async def _exchange(self, connection, request, sink, witness):
+        """Send a request on a connection, and keep that if it can be reused."""
         reusable = False
         try:
             outcome, reusable = await connection.exchange(
-                request, sink, self._get_policy()
+                request, sink, self._get_policy(), witness.prepare
             )
         except iostream.StreamClosedError:
             outcome = upstream.Outcome(upstream.End.INCOMPLETE, "closed")
         finally:
-            if reusable and len(self._idle) < self._compute_max_idle():
-                self._idle.append(connection)
-            else:
-                connection.close()
-        if outcome.reason == upstream.UNFRAMED and not outcome.body_bytes:
-            is_alive = await self._is_alive(request.run_check)
-            outcome = dataclasses.replace(outcome, is_target_alive=is_alive)
+            self._put_back(connection, reusable)
         return outcome
 
-    async def _is_alive(self, run_check):
-        """Return whether the target answers, and is still the run of a request.
+    async def lend(self, is_new=False):
+        """Return a connection for questions to the target; see `take_back`.
 
         Args:
-            run_check: The `pimentowick.gateway.target.RunCheck` of the request, or
-                None if any run may have got it.
+            is_new: Whether it must not be one that was idle.
+
+        Raises:
+            OSError, TimeoutError, StreamClosedError: None could be opened.
         """
-        try:
-            async with asyncio.timeout(upstream.REPORT_TIMEOUT_S):
-                connection = await self._connect()
-                with contextlib.closing(connection):
-                    started_ms = await connection.ask_start()
-        except (OSError, TimeoutError, iostream.StreamClosedError):
-            return False
-        known_ms = 0 if run_check is None else run_check.started_ms
-        return not known_ms or started_ms == known_ms
+        connection = None
+        while self._idle and connection is None and not is_new:
+            connection = self._idle.pop()
+            if not connection.is_reusable(time.monotonic()):
+                connection.close()
+                connection = None
+        connection = connection or await self._connect()
+        self._lent += 1
+        return connection
+
+    async def ask_run(self, connection):
+        """Ask the target on a lent connection; see `upstream.Connection.ask_run`."""
+        return await connection.ask_run(self._get_policy())
+
+    def take_back(self, connection):
+        """Take a lent connection back."""
+        self._lent -= 1
+        self._put_back(connection, connection.is_reusable(time.monotonic()))
+
+    def _put_back(self, connection, is_reusable):
+        if is_reusable and len(self._idle) < self._compute_max_idle():
+            self._idle.append(connection)
+        else:
+            connection.close()
 
     async def _check_run(self, connection, run_check):
         """Return the `Outcome` if a request must not be sent, or None."""
--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -178,6 +178,15 @@
         """Return whether the body has events; see `upstream.Sink`."""
         return status == 200
 
+    @property
+    def may_be_whole(self):
+        """Whether the text may have ended before this run; see `upstream.Sink`.
+
+        The end of a run with events is found by another one. A result stays for good,
+        and nobody waits for its last milliseconds.
+        """
+        return not self._received_bytes
+
     @property
     def can_continue(self):
         """Whether more of the body may complete the item; see `upstream.Sink`."""
--- a/pimentowick/gateway/liveness.py
+++ b/pimentowick/gateway/liveness.py
@@ -48,7 +48,7 @@
     """The question to a target whether it is still the run that sent a response.
 
     Attributes:
-        body_bytes: Size of the body that ended with its connection.
+        body_bytes: Size of a body that ended with its connection, or None without one.
         liveness: The `Liveness`, or None while it is not known.
         asked_on: ``witness`` for the connection that was open before the end, or
             ``new``.
@@ -57,7 +57,7 @@
         took_s: Time until the liveness was known, in seconds.
     """
 
-    body_bytes: int = 0
+    body_bytes: int | None = None
     liveness: Liveness | None = None
     asked_on: str = ""
     began_at: float | None = None
@@ -69,20 +69,24 @@
         return self.liveness == Liveness.SAME_RUN
 
     def describe(self):
-        """Return its fields for the log; none if the target was not asked.
+        """Return the fields of an unframed end for the log; none without one.
 
         Examples:
             >>> Inquiry().describe()
             {}
+            >>> Inquiry(30).describe()
+            {'end': 'not_asked', 'end_bytes': 30}
             >>> Inquiry(30, Liveness.GONE, "new", 1.0, 0.25).describe()
-            {'end': 'gone', 'end_asked_on': 'new', 'end_bytes': 30, 'end_took_s': 0.25}
+            {'end': 'gone', 'end_bytes': 30, 'end_asked_on': 'new', 'end_took_s': 0.25}
         """
-        if self.began_at is None:
+        if self.body_bytes is None:
             return {}
+        if self.began_at is None:
+            return {"end": "not_asked", "end_bytes": self.body_bytes}
         return {
             "end": "pending" if self.liveness is None else str(self.liveness),
-            "end_asked_on": self.asked_on,
             "end_bytes": self.body_bytes,
+            "end_asked_on": self.asked_on,
             "end_took_s": self.took_s,
         }
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -11,6 +11,7 @@
     admission,
     decision_log,
     delivery,
+    liveness,
     refusals,
     request_guard,
     response,
@@ -199,6 +200,8 @@
         self._slot = None
         self._status = 0
         self._run_check = None
+        # The `liveness.Inquiry` of the last run.
+        self._inquiry = liveness.Inquiry()
         self._sent = False
         self._sent_at = None
         self._has_queued = False
@@ -480,7 +483,9 @@
             None if self._workspace is None else self._workspace.name,
             self._strips_key,
         )
-        self._run_check = target.make_run_check(self._origin is not None)
+        self._run_check = target.make_run_check(
+            self._origin is not None, is_asked=self._route.resumable
+        )
         request = upstream.Request(
             self._call.request_id,
             self._exchange.method,
@@ -488,8 +493,10 @@
             headers,
             self._exchange.body,
             self._progress.connections,
-            self._run_check if self._route.resumable else None,
+            self._run_check,
+            waits_for_target=not self._may_run_again,
         )
+        self._inquiry = request.inquiry
         self._sent = True
         self._sent_at = time.monotonic()
         self.limit_to_stop()
@@ -534,6 +541,7 @@
                 sink.ends_within_event,
                 is_continuation=resume_after is not None,
             )
+        outcome = outcome.confirm_end(sink.has_content)
         self._metrics.count_responses(outcome)
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
@@ -608,9 +616,9 @@
             target=target.id,
             parts=self._call.parts[:MAX_LOGGED_PARTS],
             events=events,
-            body_bytes=outcome.body_bytes,
             ends_within_event=self._sink.ends_within_event,
             ran_s=time.monotonic() - self._sent_at,
+            **self._inquiry.describe(),
             **delivery.describe(outcome.received),
         )
 
@@ -633,15 +641,11 @@
             if outcome.is_refusal:
                 self._admission.grant_after_pause(self._slot.target)
             return self._retry_or_fail(self._progress.refusals < MAX_REFUSALS)
+        may_retry = self._may_run_again
         self._progress.runs += 1
         self._status = outcome.status
         if outcome.reason == upstream.CALLER_GONE:
             return _NextStep.FAIL
-        may_retry = (
-            self._route.can_retry
-            and self._progress.runs < self._route.max_attempts
-            and not self._guard.is_trial
-        )
         if outcome.end == upstream.End.INCOMPLETE:
             return self._retry_or_fail(may_retry)
         if self._sink.forwards_events:
@@ -657,6 +661,15 @@
         await self._sink.send_buffered()
         return _NextStep.DONE
 
+    @property
+    def _may_run_again(self):
+        """Whether the request may run at another target after the current run."""
+        return (
+            self._route.can_retry
+            and self._progress.runs + 1 < self._route.max_attempts
+            and not self._guard.is_trial
+        )
+
     def _finish_stream(self, may_retry):
         if not self._sink.is_complete():
             return self._retry_or_fail(may_retry)
@@ -851,6 +864,7 @@
             free=queue_state.free_slots,
             places=queue_state.slots,
             waiting=queue_state.queued,
+            **self._inquiry.describe(),
             **quarantined,
             **self._refusal_inputs,
         )
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -87,6 +87,18 @@
         self._buffered_bytes += len(chunk)
         self.buffered.append(chunk)
 
+    @property
+    def may_be_whole(self):
+        """Whether the response may be complete; see `upstream.Sink`."""
+        return not self.forwards_events or (self.events > 0 and self.is_complete())
+
+    @property
+    def has_content(self):
+        """Whether part of the response of the current target has arrived."""
+        if self.forwards_events:
+            return self.event_times.count > 0
+        return self._buffered_bytes > 0
+
     @property
     def can_continue(self):
         """Whether more of the body may complete the response; see `upstream.Sink`."""
--- a/pimentowick/gateway/runner.py
+++ b/pimentowick/gateway/runner.py
@@ -685,8 +685,8 @@
             target=target.id,
             parts=run.parts[:MAX_LOGGED_PARTS],
             events=sink.events,
-            body_bytes=outcome.body_bytes,
             ends_within_event=sink.ends_within_event,
+            **({} if outcome.inquiry is None else outcome.inquiry.describe()),
         )
 
     def _list_suspects(self, run, sink):
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -19,7 +19,7 @@
 from tornado import http1connection, httputil, iostream
 
 from pimentowick import response_head
-from pimentowick.gateway import decision_log, delivery, target
+from pimentowick.gateway import decision_log, delivery, liveness, target
 from pimentowick.platform import message
 
 __all__ = [
@@ -62,6 +62,8 @@
 # Well above a round trip to a busy target.
 REPORT_TIMEOUT_S = 0.3
 MAX_REPORT_BYTES = 65_536
+# Of a body that may be the rest of a damaged head.
+MAX_BEGINNING_BYTES = 8_192
 
 PARAMETERS = http1connection.HTTP1ConnectionParameters(
     max_header_size=MAX_HEADER_BYTES,
@@ -81,6 +83,7 @@
     """The response is missing or incomplete; the request may have run."""
 
 
+ANSWERED = "answered"
 REFUSED = "target_refused"
 # Another target may have the address now.
 MISDIRECTED = "misdirected"
@@ -97,6 +100,8 @@
 # Nothing but the closed connection tells that the response has ended, which also closes
 # if the target crashes.
 UNFRAMED = "unframed"
+# The target had not taken the whole request as its connection closed.
+UNREAD_REQUEST = "unread_request"
 # Reasons of incomplete responses whose connection the target closed.
 CLOSED_REASONS = frozenset({"closed", "cut_short", "reset"})
 
@@ -111,8 +116,7 @@
         status: HTTP status of the response, or 0 without one.
         connected: Whether a connection to the target was open.
         body_bytes: Size of the body that arrived of an unframed response.
-        is_target_alive: Whether the target was seen alive after an unframed response
-            without a body.
+        inquiry: The `liveness.Inquiry` after an unframed response, or None.
         received: The `delivery.Delivery`, or None if the connection ended first.
     """
 
@@ -121,7 +125,7 @@
     status: int = 0
     connected: bool = True
     body_bytes: int = 0
-    is_target_alive: bool = False
+    inquiry: liveness.Inquiry | None = None
     received: delivery.Delivery | None = None
 
     def check_events(self, count, ends_within_event, is_continuation=False):
@@ -142,6 +146,33 @@
             return self
         return dataclasses.replace(self, reason="cut_short")
 
+    def confirm_end(self, has_content):
+        """Return the outcome, which is complete if the target lives on.
+
+        A target that has announced that it closes its connection, and has closed it in
+        order, has sent an unframed response to its end unless it crashed.
+
+        Args:
+            has_content: Whether something of the response had arrived. Otherwise
+                nothing tells that the target had begun to send it.
+        """
+        if self.reason != UNFRAMED or not (has_content and self.is_target_alive):
+            return self
+        return dataclasses.replace(self, end=End.COMPLETE, reason=ANSWERED)
+
+    @property
+    def is_target_alive(self):
+        """Whether the run that sent an unframed response was alive after its end."""
+        return self.inquiry is not None and self.inquiry.is_alive
+
+    @property
+    def is_target_lost(self):
+        """Whether the run that sent an unframed response had ended with it."""
+        return self.inquiry is not None and self.inquiry.liveness in (
+            liveness.Liveness.GONE,
+            liveness.Liveness.OTHER_RUN,
+        )
+
     @property
     def may_be_crash(self):
         """Whether the target may have crashed during the request."""
@@ -179,8 +210,12 @@
         body: The body.
         connections: Numbers of the connections that carried it so far, shared by all
             attempts.
-        run_check: The `pimentowick.gateway.target.RunCheck`, or None if it does not
-            matter which run of the target gets the request.
+        run_check: The `pimentowick.gateway.target.RunCheck`, or None if nothing is
+            known of the run of the target.
+        waits_for_target: Whether the end of an unframed response waits for the target
+            to say that it is alive for as long as the request, since no other run can
+            take the place of this one.
+        inquiry: The `liveness.Inquiry` after an unframed response.
     """
 
     request_id: str
@@ -190,6 +225,8 @@
     body: bytes
     connections: set = dataclasses.field(default_factory=set)
     run_check: target.RunCheck | None = None
+    waits_for_target: bool = False
+    inquiry: liveness.Inquiry = dataclasses.field(default_factory=liveness.Inquiry)
 
 
 class Sink(abc.ABC):
@@ -208,6 +245,11 @@
         """Whether more of the body may complete the response."""
         return True
 
+    @property
+    def may_be_whole(self):
+        """Whether the response may be complete if it ends now."""
+        return True
+
     def needs_body(self, status):
         """Return whether the body of a response with an HTTP status is of use."""
         return True
@@ -294,6 +336,7 @@
         stream: The stream, which is closed once the rest of a response is of no use.
         is_first: Whether this is the first response on the connection. A refusal that
             names no request can't belong to an earlier one then.
+        on_unframed: Function called once the head of an unframed response has arrived.
 
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
@@ -303,13 +346,15 @@
         is_finished: Whether the response has arrived completely.
         is_framed: Whether the end of the body is known without closing the connection.
         body_bytes: Size of the body that was received.
+        beginning: The first bytes of an unframed body.
         needs_body: Whether the body is of use.
         fault: Reason code if the head is not that of a response, or None.
         is_caller_gone: Whether the sink's own connection was closed.
         cancellation: The `asyncio.CancelledError` of a method of the sink, or None.
     """
 
-    def __init__(self, request, sink, on_load, counted, stream, is_first):
+    def __init__(self, request, sink, on_load, counted, stream, is_first, on_unframed):
+        self._on_unframed = on_unframed
         self._request = request
         self._is_first = is_first
         self._sink = sink
@@ -322,6 +367,7 @@
         self.is_finished = False
         self.is_framed = True
         self.body_bytes = 0
+        self.beginning = b""
         self.needs_body = True
         self.fault = None
         self.is_caller_gone = False
@@ -359,11 +405,12 @@
         )
         self.is_stray = not self._is_own()
         self.needs_body = self._is_usable() and self._sink.needs_body(start_line.code)
-        has_end = self.is_framed or self.answer.closes_connection
-        if self.needs_body and not has_end:
-            self.fault = "missing_framing"
-            self._stream.abandon()
-            return
+        if self.needs_body and not self.is_framed:
+            self.fault = self._find_framing_fault(headers)
+            if self.fault is not None:
+                self._stream.abandon()
+                return
+            self._on_unframed()
         if not self.is_stray:
             self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
@@ -380,6 +427,17 @@
                 UNUSED_BODY_TIMEOUT_S, self._stream.abandon
             )
 
+    def _find_framing_fault(self, headers):
+        """Return a reason code if an unframed response has lost its framing, or None.
+
+        A target that frames its responses by closing its connection says so.
+        """
+        if not self.answer.closes_connection:
+            return "missing_framing"
+        if response_head.has_joined_framing(headers):
+            return "malformed_framing"
+        return None
+
     def _is_own(self):
         """Return whether the response belongs to the request."""
         if self.naming != delivery.Naming.NONE:
@@ -400,6 +458,9 @@
         self._traffic.received += len(chunk)
         self._stream.body_bytes += len(chunk)
         self.body_bytes += len(chunk)
+        if not self.is_framed:
+            missing = MAX_BEGINNING_BYTES - len(self.beginning)
+            self.beginning += chunk[:missing]
         if self.is_stopped:
             return
         if not self.needs_body:
@@ -448,12 +509,16 @@
 
     Attributes:
         body: The body.
+        idle_s: Keep-alive timeout of the target in seconds, or None.
+        is_finished: Whether the report has arrived completely.
         is_reusable: Whether the connection may carry another request.
     """
 
     def __init__(self, stream):
         self._stream = stream
         self.body = b""
+        self.idle_s = None
+        self.is_finished = False
         self.is_reusable = False
 
     def headers_received(self, start_line, headers):
@@ -463,7 +528,12 @@
             self._stream.abandon()
             return
         answer = message.decode_response_headers(start_line.code, headers)
+        if answer.request_id or answer.not_executed:
+            # The late response to another request.
+            self._stream.abandon()
+            return
         self.is_reusable = not answer.closes_connection
+        self.idle_s = answer.idle_s
 
     def data_received(self, chunk):
         self._stream.body_bytes += len(chunk)
@@ -472,7 +542,7 @@
             self._stream.abandon()
 
     def finish(self):
-        pass
+        self.is_finished = True
 
     def on_connection_close(self):
         self.is_reusable = False
@@ -506,13 +576,15 @@
         self._traffic = counted
         self.idle_until = 0.0
 
-    async def exchange(self, request, sink, policy):
+    async def exchange(self, request, sink, policy, on_unframed=lambda: None):
         """Send a request and pass its response to `sink`.
 
         Args:
             request: The `Request`.
             sink: The `Sink`.
             policy: The `connection_share.IdlePolicy` for the connection.
+            on_unframed: Function called once the head of a response has arrived whose
+                end only its connection will tell.
 
         Returns:
             The `Outcome`, and whether the connection can be reused.
@@ -523,8 +595,12 @@
         self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
-        reader, received = await self._read_own(http, request, sink, received)
+        reader, received = await self._read_own(
+            http, request, sink, received, on_unframed
+        )
         outcome = self._classify(request, reader)
+        if outcome.reason == UNFRAMED and not written.done():
+            outcome = dataclasses.replace(outcome, reason=UNREAD_REQUEST)
         outcome = dataclasses.replace(outcome, received=received)
         reusable = (
             reader.is_finished
@@ -561,14 +637,47 @@
         return run_check.compare(self._started_ms)
 
     async def ask_start(self):
-        """Ask the target when it was started.
+        """Ask the target when it was started, before another request.
 
         Returns:
             Unix time in milliseconds, or 0 if the target does not say.
 
+        Raises:
+            StreamClosedError: The target sent no complete response, or closes the
+                connection.
+        """
+        reader = await self._ask_report()
+        if not reader.is_reusable or self.stream.closed():
+            raise iostream.StreamClosedError
+        return message.decode_report(reader.body)
+
+    async def ask_run(self, policy):
+        """Ask the target which run it is; the connection may end with the answer.
+
+        Args:
+            policy: The `connection_share.IdlePolicy` for the connection.
+
+        Returns:
+            Unix time of its start in milliseconds, or 0 if it does not say.
+
         Raises:
             StreamClosedError: The target sent no complete response.
         """
+        self.idle_until = 0.0
+        if self.stream.has_unread_bytes():
+            raise iostream.StreamClosedError
+        reader = await self._ask_report()
+        if reader.is_reusable:
+            idle_s = policy.compute_idle_time(reader.idle_s)
+            self.idle_until = time.monotonic() + idle_s
+        return message.decode_report(reader.body)
+
+    async def _ask_report(self):
+        """Return the `_ReportReader` of a complete report.
+
+        Raises:
+            StreamClosedError: The target sent none.
+        """
         self._request_count += 1
         http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
         start_line = httputil.RequestStartLine("GET", message.REPORT_PATH, "HTTP/1.1")
@@ -582,9 +691,9 @@
             await http.read_response(reader)
         finally:
             self.stream.end_head()
-        if not reader.is_reusable or self.stream.closed():
+        if not reader.is_finished:
             raise iostream.StreamClosedError
-        return message.decode_report(reader.body)
+        return reader
 
     def _start_delivery(self, request):
         """Count a request; return its `delivery.Delivery` without a response."""
@@ -598,14 +707,14 @@
         request.connections.add(self.number)
         return received
 
-    async def _read_own(self, http, request, sink, received):
+    async def _read_own(self, http, request, sink, received, on_unframed):
         """Read responses up to that of the request; discard those before it.
 
         Returns:
             The `_Reader` of the last response, and the complete `delivery.Delivery`.
         """
         is_first = not received.earlier_requests
-        reader = await self._read(http, request, sink, is_first)
+        reader = await self._read(http, request, sink, is_first, on_unframed)
         strays = []
         for _ in range(MAX_STRAY_RESPONSES):
             if not (reader.is_finished and reader.is_stray and reader.is_framed):
@@ -614,7 +723,7 @@
             self._log_stray(request, reader, received)
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
             http.finish()
-            reader = await self._read(http, request, sink, is_first=False)
+            reader = await self._read(http, request, sink, False, on_unframed)
         return reader, dataclasses.replace(
             received, naming=reader.naming, strays=tuple(strays)
         )
@@ -629,7 +738,7 @@
             **delivery.describe(received),
         )
 
-    async def _read(self, http, request, sink, is_first):
+    async def _read(self, http, request, sink, is_first, on_unframed):
         """Read one response; return the `_Reader`.
 
         Raises:
@@ -643,6 +752,7 @@
             self._traffic,
             self.stream,
             is_first,
+            on_unframed,
         )
         self.stream.expect_head()
         try:
@@ -687,10 +797,12 @@
         if reader.needs_body and reader.is_framed and self.stream.has_foreign_bytes():
             return Outcome(End.INCOMPLETE, "excess_bytes", reader.status)
         if reader.needs_body and not reader.is_framed:
+            if response_head.is_rest_of_response(reader.beginning):
+                return Outcome(End.INCOMPLETE, "malformed_framing", reader.status)
             return Outcome(
                 End.INCOMPLETE, UNFRAMED, reader.status, body_bytes=reader.body_bytes
             )
-        return Outcome(End.COMPLETE, "answered", reader.status)
+        return Outcome(End.COMPLETE, ANSWERED, reader.status)
 
     def is_reusable(self, now):
         """Return whether another request may be sent."""
--- a/pimentowick/response_head.py
+++ b/pimentowick/response_head.py
@@ -10,7 +10,17 @@
     RFC 9112, section 6.3: Message Body Length.
 """
 
-__all__ = ["announces_close", "find_fault", "is_final", "is_framed", "is_interim"]
+import re
+
+__all__ = [
+    "announces_close",
+    "find_fault",
+    "has_joined_framing",
+    "is_final",
+    "is_framed",
+    "is_interim",
+    "is_rest_of_response",
+]
 
 SWITCHING_PROTOCOLS = 101
 # It has no content, but unlike 204 it says so with a length.
@@ -21,6 +31,13 @@
 MAX_STATUS = 599
 # No Content and Not Modified.
 BODILESS_STATUSES = frozenset({204, 304})
+FRAMING_FIELD = re.compile(r"(content-length|transfer-encoding):", re.IGNORECASE)
+# Fields up to one that frames the body, or the size of a chunk.
+REST_OF_RESPONSE = re.compile(
+    rb"(?:[!-9;-~]+:[^\r\n]*\r?\n)*(?:content-length|transfer-encoding):[^\r\n]*\r?\n"
+    rb"|[0-9a-f]+[ \t]*(?:;[^\r\n]*)?\r\n",
+    re.IGNORECASE,
+)
 
 
 def is_interim(status):
@@ -91,6 +108,36 @@
     return has_field or status in BODILESS_STATUSES or method == "HEAD"
 
 
+def has_joined_framing(headers):
+    """Return whether the field that frames the body is part of another one's value.
+
+    Examples:
+        >>> from tornado import httputil
+        >>> has_joined_framing(httputil.HTTPHeaders({"X-Odd": "1Content-Length: 3"}))
+        True
+        >>> has_joined_framing(httputil.HTTPHeaders({"X-Odd": "1"}))
+        False
+    """
+    return any(FRAMING_FIELD.search(value) for _, value in headers.get_all())
+
+
+def is_rest_of_response(body):
+    r"""Return whether a body without framing begins like what precedes a framed one.
+
+    It is the rest of the head if an empty line was added to that, and chunks if the
+    field that announces them was lost.
+
+    Examples:
+        >>> is_rest_of_response(b"X-Odd: 1\r\nContent-Length: 3\r\n\r\nabc")
+        True
+        >>> is_rest_of_response(b"3\r\nabc\r\n0\r\n\r\n")
+        True
+        >>> is_rest_of_response(b"id: 1\r\ndata: abc\r\n\r\n")
+        False
+    """
+    return REST_OF_RESPONSE.match(body) is not None
+
+
 def announces_close(headers):
     """Return whether a head says that its connection closes after the response.
 
