Trust no new connection to a target that has closed an idle one

What callers would have seen: half of an answer without framing as a whole one. A target ended after a part of it, and another process answered at its address at once.

Cause: the witness was taken from the idle connections; those that the target had closed were passed over, and a new connection was opened in their place, to whatever listened. That the target closes a connection before its idle timeout is what it does as it ends.

Change: such a connection counts as a lost witness. A new one then shows the same run only if the target says when it was started.

Evidence: test_process_that_has_the_address_of_a_lost_target_does_not_tell_its_end failed in both kinds before. The other tests of the file passed before, too: they fix what the wait for the end must keep (events at once, silence until the deadline, a planned stop, connections, fields of the log).

--- a/pimentowick/fakes/raw_target.py
+++ b/pimentowick/fakes/raw_target.py
@@ -64,7 +64,9 @@
         planned: The `Answer` objects of the next requests, in order.
         requests: Headers of the requests received.
         report: `Answer` to each request for its report; None for a sound one.
-        reports: Number of reports that it has sent.
+        reports: Number of requests for a report.
+        report_release: Event that is set while it sends its reports.
+        connections: Number of connections that it has accepted.
         address: ``IP:port`` once started.
     """
 
@@ -75,6 +77,9 @@
         self.requests = []
         self.report = None
         self.reports = 0
+        self.report_release = asyncio.Event()
+        self.report_release.set()
+        self.connections = 0
         self.address = None
         self._server = None
         self._writers = set()
@@ -116,6 +121,7 @@
             writer.close()
 
     async def _serve(self, reader, writer):
+        self.connections += 1
         self._writers.add(writer)
         try:
             while await self._answer(reader, writer) == Ending.KEEP:
@@ -134,6 +140,7 @@
         size = int(headers.get("content-length", 0))
         if head.startswith("GET /-/report "):
             self.reports += 1
+            await self.report_release.wait()
             report = self._make_report()
             writer.write(report.data)
             return report.ending
--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -135,18 +135,32 @@
             is_new: Whether it must not be one that was idle.
 
         Raises:
-            OSError, TimeoutError, StreamClosedError: None could be opened.
+            StreamClosedError: The target refused it, or has closed an idle connection
+                too early, as it does if it ends.
+            OSError, TimeoutError: None could be opened.
         """
-        connection = None
-        while self._idle and connection is None and not is_new:
-            connection = self._idle.pop()
-            if not connection.is_reusable(time.monotonic()):
-                connection.close()
-                connection = None
-        connection = connection or await self._connect()
+        connection = None if is_new else self._take_any_idle()
+        if connection is None:
+            connection = await self._connect()
         self._lent += 1
         return connection
 
+    def _take_any_idle(self):
+        """Return an idle connection, or None.
+
+        Raises:
+            StreamClosedError: The target has closed one too early.
+        """
+        now = time.monotonic()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable(now):
+                return connection
+            connection.close()
+            if now < connection.idle_until:
+                raise iostream.StreamClosedError
+        return None
+
     async def ask_run(self, connection):
         """Ask the target on a lent connection; see `upstream.Connection.ask_run`."""
         return await connection.ask_run(self._get_policy())
--- a/pimentowick/gateway/liveness.py
+++ b/pimentowick/gateway/liveness.py
@@ -7,8 +7,10 @@
     A connection ends with the process that accepted it. So a witness is a second
     connection to the target that is open while the response arrives: whatever comes
     back on it after the end was sent by the same process. It needs no identifier, and
-    it can't reach another target that has the address meanwhile. If it is lost, a new
-    connection shows the same run only if the target says when it was started.
+    it can't reach another target that has the address meanwhile. One that is opened as
+    the head of the response arrives reaches that process, too: no other one has its
+    address before it has ended and the new one has started. If the witness is lost, a
+    new connection shows the same run only if the target says when it was started.
 
 References:
     RFC 9112, section 6.3: Message Body Length.
@@ -115,9 +117,10 @@
         for _ in range(MAX_OPEN_ATTEMPTS):
             try:
                 return await self._pool.lend()
-            except CONNECTION_ERRORS as error:
-                if _is_refused(error):
-                    break
+            except TimeoutError:
+                continue
+            except (OSError, iostream.StreamClosedError):
+                break
         return None
 
     def close(self):
