Take answers of engines and services that say where they end

What callers saw: 502 target_lost for each generation of an engine, and each call of a service, that sends its answer without a length or chunks and ends it with its connection, though it had run and its answer had arrived whole. A call that may run once was lost. The models of such an engine were never known, as its load could not be read, and its refusals (404) counted as generations that may have run.

Cause: the client of the agent rejects each answer without framing, since a closed connection does not show that it is whole. It did not ask the body, which knows: a generation ends with a line of its own, whose number of tokens the entry and the jobs compare, and docs/PLATFORM.md has JSON in all other bodies. An object or array that is cut before its last bracket is not JSON, also if chunks or the rest of a head are in it.

Change: the engine's and the service's adapter read such answers, with HTTP/1.0 or an announced close, and take them for whole by these signs only. A service's answer needs the type application/json, as a line of another format may be followed by more. All other users of the client (the store, the log, the host list, entries, agents) reject as before.

Weighed: that the agent asks the target after the end, as the gateway does. The interface of a service has no path for it; a connection that is open before the answer blocks a service that serves one at a time; and with several workers another one would answer.

Left open: a cut in blanks behind the last bracket can't be seen, and answers of services that are not JSON stay lost without framing.

--- a/pimentowick/client.py
+++ b/pimentowick/client.py
@@ -10,7 +10,8 @@
 - After a timeout it stops reusing the open connections to that peer, since a fault that
   breaks one connection usually breaks the others as well.
 - It rejects responses that libcurl takes for complete although nothing says so: those
-  whose head is cut, or whose body has neither a length nor chunks.
+  whose head is cut, or whose body has neither a length nor chunks, unless the caller
+  can tell by the body that it is whole.
 """
 
 import asyncio
@@ -64,11 +65,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """A complete response to one request."""
+    """A complete response to one request.
+
+    Attributes:
+        status: HTTP status.
+        body: The body.
+        headers: Headers by name.
+        is_framed: Whether the end of the body was known without closing the connection;
+            always, unless the request was sent with ``needs_framing=False``.
+    """
 
     status: int
     body: bytes
     headers: dict
+    is_framed: bool = True
 
     def decode(self):
         """Return the decoded JSON body.
@@ -85,17 +95,25 @@
 class _TransferState:
     """State of one request, updated by libcurl's callbacks.
 
+    Args:
+        method: HTTP method.
+        needs_framing: Whether to reject a response without framing.
+
     Attributes:
         sent: Whether any byte of the request may have been sent.
         aborted: Whether the request has been aborted.
         has_head: Whether the head of the final response is complete.
+        is_framed: Whether the end of the body is known without closing the connection.
         fault: Reason code if it is not that of a response, or None.
     """
 
-    def __init__(self):
+    def __init__(self, method, needs_framing):
+        self._method = method
+        self._needs_framing = needs_framing
         self.sent = False
         self.aborted = False
         self.has_head = False
+        self.is_framed = True
         self.fault = None
         self._start_line = None
 
@@ -120,7 +138,10 @@
         elif not response_head.is_interim(self._start_line.code):
             self.has_head = True
             self.fault = response_head.find_fault(self._start_line, headers)
-            if not response_head.is_framed(self._start_line.code, headers):
+            self.is_framed = response_head.is_framed(
+                self._start_line.code, headers, self._method
+            )
+            if self._needs_framing and not self.is_framed:
                 self.fault = self.fault or "missing_framing"
 
     def allow_send(self, *addresses):
@@ -253,6 +274,7 @@
         headers=None,
         timeout_s=DEFAULT_TIMEOUT_S,
         new_connection=False,
+        needs_framing=True,
     ):
         """Send one request and return the complete `Response`.
 
@@ -264,11 +286,13 @@
             headers: Dictionary of headers.
             timeout_s: Timeout of the whole exchange, in seconds.
             new_connection: Whether to open a new connection instead of reusing one.
+            needs_framing: Whether to reject a response without framing. Set it to
+                False only if the body tells by itself whether it is whole.
 
         Raises:
             TransportError: If no complete response was received.
         """
-        transfer = _TransferState()
+        transfer = _TransferState(method, needs_framing)
         request = self._build_request(
             transfer, method, address, path, body, headers, timeout_s, new_connection
         )
@@ -295,7 +319,9 @@
             if not task.done():
                 self._abort(transfer, request)
         self._check_head(transfer, address)
-        return Response(response.code, response.body, response.headers)
+        return Response(
+            response.code, response.body, response.headers, transfer.is_framed
+        )
 
     def _check_head(self, transfer, address):
         """Raise a `TransportError` if the head of a response was cut."""
@@ -328,6 +354,7 @@
         timeout_s=3600.0,
         idle_s=5.0,
         new_connection=False,
+        needs_framing=True,
     ):
         """Send one request and return the `Stream` of its response.
 
@@ -340,8 +367,10 @@
             timeout_s: Timeout of the whole exchange, in seconds.
             idle_s: Maximum time without received data, in seconds.
             new_connection: Whether to open a new connection instead of reusing one.
+            needs_framing: Whether to reject a response without framing. Set it to
+                False only if its lines tell by themselves whether they are all.
         """
-        stream = Stream(self, address, idle_s)
+        stream = Stream(self, address, idle_s, _TransferState(method, needs_framing))
         request = self._build_request(
             stream.transfer,
             method,
@@ -443,11 +472,11 @@
     and one write for all of them.
     """
 
-    def __init__(self, client, address, idle_s):
+    def __init__(self, client, address, idle_s, transfer):
         self.address = address
         self.idle_s = idle_s
         self.status = None
-        self.transfer = _TransferState()
+        self.transfer = transfer
         self.task = None
         self._client = client
         self._request = None
@@ -554,7 +583,12 @@
             raise self._client._make_error(self.transfer, self.address, error)
         response = self.task.result()
         self._client._check_head(self.transfer, self.address)
-        return Response(response.code, b"".join(self._chunks), response.headers)
+        return Response(
+            response.code,
+            b"".join(self._chunks),
+            response.headers,
+            self.transfer.is_framed,
+        )
 
     def _take_lines(self):
         if not self._chunks:
--- a/pimentowick/external/engine.py
+++ b/pimentowick/external/engine.py
@@ -164,6 +164,8 @@
             # would be taken for the response to this generation. The engine runs on the
             # same host, where new connections are cheap.
             new_connection=True,
+            # The last line says that the generation has ended.
+            needs_framing=False,
         )
         ended = False
         try:
@@ -184,12 +186,20 @@
         if not ended:
             raise exception.RefusedError(_make_status_refusal(stream))
 
+    async def _fetch(self, method, path, body=None, **options):
+        """Send a control request and return the `pimentowick.client.Response`.
+
+        Its body is not used, or a JSON object, which tells by itself where it ends.
+        """
+        return await self._control.fetch(
+            method, self.address, path, body, needs_framing=False, **options
+        )
+
     async def cancel(self, request_id):
         """Cancel a generation; see `Engine.cancel`."""
         try:
-            await self._control.fetch(
+            await self._fetch(
                 "POST",
-                self.address,
                 "/cancel",
                 {"request_id": request_id},
                 timeout_s=CANCEL_TIMEOUT_S,
@@ -199,9 +209,7 @@
 
     async def read_load(self):
         """Return the engine's load; see `Engine.read_load`."""
-        response = await self._control.fetch(
-            "GET", self.address, "/load", timeout_s=LOAD_TIMEOUT_S
-        )
+        response = await self._fetch("GET", "/load", timeout_s=LOAD_TIMEOUT_S)
         if response.status != 200:
             raise exception.UnavailableError(f"The engine answered {response.status}.")
         data = response.decode()
@@ -215,11 +223,8 @@
 
     async def read_cache_events(self, start):
         """Return cache events; see `Engine.read_cache_events`."""
-        response = await self._control.fetch(
-            "GET",
-            self.address,
-            f"/cache-events?from={start}",
-            timeout_s=LOAD_TIMEOUT_S,
+        response = await self._fetch(
+            "GET", f"/cache-events?from={start}", timeout_s=LOAD_TIMEOUT_S
         )
         if response.status != 200:
             raise exception.UnavailableError(f"The engine answered {response.status}.")
@@ -232,9 +237,8 @@
 
     async def send_order(self, fence, action, **fields):
         """Send a placement order; see `Engine.send_order`."""
-        response = await self._control.fetch(
+        response = await self._fetch(
             "POST",
-            self.address,
             "/orders",
             {"fence": fence, "action": action, **fields},
             timeout_s=ORDER_TIMEOUT_S,
--- a/pimentowick/external/service.py
+++ b/pimentowick/external/service.py
@@ -3,6 +3,8 @@
 import abc
 import dataclasses
 
+import orjson
+
 from pimentowick import client as http_client
 from pimentowick import exception, verdict
 
@@ -22,6 +24,7 @@
         "x-http-reason",
     ]
 )
+JSON_TYPE = "application/json"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,20 +88,53 @@
                 # pooled connection would fail only at its deadline. The service runs
                 # on the same host, where new connections are cheap.
                 new_connection=True,
+                needs_framing=False,
             )
         except http_client.TransportError as error:
             if error.timed_out:
                 # A deadline that passed does not imply a failure of the service.
                 refusal = verdict.make_deadline_refusal(error.verdict)
                 raise exception.RefusedError(refusal) from error
-            raise exception.RefusedError(
-                verdict.Refusal(
-                    502, "target_lost", str(error), error.verdict, retry_after=1.0
-                )
-            ) from error
+            refusal = _make_loss_refusal(str(error), error.verdict)
+            raise exception.RefusedError(refusal) from error
+        if not (response.is_framed or _tells_its_end(response)):
+            refusal = _make_loss_refusal(
+                f"The answer from {self.address} may have broken off.",
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+            raise exception.RefusedError(refusal)
         forwarded = {
             name: value
             for name, value in response.headers.items()
             if name.lower() not in HOP_BY_HOP_HEADERS
         }
         return ServiceResponse(response.status, forwarded, response.body)
+
+
+def _make_loss_refusal(message, found):
+    return verdict.Refusal(502, "target_lost", message, found, retry_after=1.0)
+
+
+def _tells_its_end(response):
+    """Return whether a body tells by itself that it is whole.
+
+    The closing connection does not, as it closes in order if the service ends, too. A
+    JSON object or array that is cut before its last bracket is not JSON.
+
+    Examples:
+        >>> from tornado import httputil
+        >>> headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
+        >>> _tells_its_end(http_client.Response(200, b'{"run": 1}', headers))
+        True
+        >>> _tells_its_end(http_client.Response(200, b'{"run": 1', headers))
+        False
+        >>> _tells_its_end(http_client.Response(200, b"12", headers))
+        False
+    """
+    media_type, _, _ = response.headers.get("Content-Type", "").partition(";")
+    if media_type.strip().lower() != JSON_TYPE:
+        return False
+    try:
+        return isinstance(orjson.loads(response.body), dict | list)
+    except ValueError:
+        return False
