Ask a target anew if its witness was lost before the end of a response

What callers saw: 500 internal, or a stream that is broken off, instead of the answer that a later connection or another run would have completed, if a target closed the witness in order while its response without framing was still arriving (its idle timeout, or its end).

Cause: tornado notices the close of an idle connection by itself, and drops the socket. The question looked for unread bytes on that socket, and failed with an AttributeError, which is none of the errors after which a new connection is opened.

Evidence: test_response_ends_although_the_witness_was_lost_before and test_witness_is_lost_with_the_run failed before with that error, in the latter the run that sent the response ends. The other tests of the file, which passed before, hold what a witness and a new connection show, and that no connection is left open.

--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -664,7 +664,7 @@
             StreamClosedError: The target sent no complete response.
         """
         self.idle_until = 0.0
-        if self.stream.has_unread_bytes():
+        if self.stream.closed() or self.stream.has_unread_bytes():
             raise iostream.StreamClosedError
         reader = await self._ask_report()
         if reader.is_reusable:
