Count no malformed or late answer on the witness as a sign of life

What callers saw: a cut answer as a whole one, if the target that sent it without framing had crashed and an answer to an earlier request, still under way, came on the witness after the question; it was taken for the report.

Cause: the reader of reports closes the connection at such a head, or at a malformed one, but tornado goes on to read the body from its buffer and calls finish. The reader then counts as finished. The question before requests (ask_start) was not affected, as it asks for a connection that can be reused.

Change: a report on an abandoned connection isn't finished. By the same accident a report without framing was read to its end, which is kept on purpose: a target that frames none of its responses would be asked ten times a second until the caller's deadline. Such a report must announce its close, and is JSON only if it is whole; its connection is not used again.

--- a/pimentowick/gateway/tests/test_liveness.py
+++ b/pimentowick/gateway/tests/test_liveness.py
@@ -221,6 +221,63 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    "field", [b"X-Pimentowick-Request-Id: r0\r\n", b"X-Pimentowick-Not-Executed: 1\r\n"]
+)
+def test_answer_to_a_request_on_the_witness_is_no_report(field):
+    # A late response to the request that the connection carried before.
+    async def run():
+        report = raw_target.Answer(make_report(field), raw_target.Ending.KEEP)
+        async with open_pool(report=report) as (_, pool):
+            inquiry = await ask_pool(pool)
+            assert inquiry.liveness == liveness.Liveness.UNKNOWN
+            assert pool.open == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("started_ms", [STARTED_MS, 0])
+def test_report_without_framing_shows_that_its_target_lives(started_ms):
+    # Targets that never frame were asked until the deadline, ten times a second.
+    async def run():
+        data = make_report(broken_answers.CLOSES).replace(
+            b"Content-Length: 10\r\n", b""
+        )
+        report = raw_target.Answer(data, raw_target.Ending.CLOSE)
+        async with open_pool(report=report) as (server, pool):
+            witness = liveness.Witness(pool, started_ms)
+            inquiry = liveness.Inquiry(30)
+            witness.prepare()
+            await wait.wait_for(lambda: server._writers, WAIT_S, POLL_S)
+            await witness.ask(inquiry, WAIT_S)
+            witness.close()
+            assert inquiry.liveness == liveness.Liveness.SAME_RUN
+            assert (server.reports, pool.open) == (1, 0)
+
+    asyncio.run(run())
+
+
+MALFORMED_REPORTS = {
+    "another status": make_report().replace(b"200 OK", b"600 OK"),
+    "no framing": make_report().replace(b"Content-Length: 10\r\n", b""),
+    "two framings": make_report(b"Transfer-Encoding: chunked\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED_REPORTS)
+def test_malformed_report_shows_nothing(name):
+    # Nobody knows what sent it, and when.
+    async def run():
+        data = MALFORMED_REPORTS[name]
+        report = raw_target.Answer(data, raw_target.Ending.CLOSE)
+        async with open_pool(report=report) as (_, pool):
+            inquiry = await ask_pool(pool)
+            assert inquiry.liveness == liveness.Liveness.UNKNOWN
+            assert pool.open == 0
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.0005, 0.02])
 @pytest.mark.parametrize("is_asked", [False, True])
 def test_cancellation_leaves_no_connection_open(is_asked, delay_s):
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -504,6 +504,8 @@
 class _ReportReader(httputil.HTTPMessageDelegate):
     """Collects the body of a target's report.
 
+    A report without framing says whether it is whole, as one that is cut is not JSON.
+
     Args:
         stream: The stream, which is closed if the report is too long.
 
@@ -523,16 +525,18 @@
 
     def headers_received(self, start_line, headers):
         self._stream.end_head()
+        answer = message.decode_response_headers(start_line.code, headers)
         is_framed = response_head.is_framed(start_line.code, headers)
-        if not is_framed or response_head.find_fault(start_line, headers):
+        if response_head.find_fault(start_line, headers) or not (
+            is_framed or answer.closes_connection
+        ):
             self._stream.abandon()
             return
-        answer = message.decode_response_headers(start_line.code, headers)
         if answer.request_id or answer.not_executed:
             # The late response to another request.
             self._stream.abandon()
             return
-        self.is_reusable = not answer.closes_connection
+        self.is_reusable = is_framed and not answer.closes_connection
         self.idle_s = answer.idle_s
 
     def data_received(self, chunk):
@@ -542,7 +546,8 @@
             self._stream.abandon()
 
     def finish(self):
-        self.is_finished = True
+        # Tornado reads on from its buffer if the connection was closed at the head.
+        self.is_finished = not self._stream.is_abandoned
 
     def on_connection_close(self):
         self.is_reusable = False
