Take no connection that was tried long after the end for a witness

What callers saw: a cut answer as a whole one, if the target that sent it without framing could not be reached at first, e.g. as a link was cut, was started again meanwhile, and does not say when it was started.

Cause: the witness is tried up to three times, also after the response has ended, each attempt up to half a second. One that opens then was accepted by whatever process has the address by that time, but counted like one that was open while the target was sending.

Change: an attempt that begins over 0.1 s after the end opens a new connection as any other: it counts by the start that the target registered and reports. An attempt that began before counts however long it takes: a lost SYN is sent again only after the attempt's own timeout, so that the target has taken it by then, and short answers end before their witness is open.

Left open: within 0.1 s another process may accept the connection if it shares the listening socket.

--- a/pimentowick/gateway/liveness.py
+++ b/pimentowick/gateway/liveness.py
@@ -27,6 +27,9 @@
 RETRY_INTERVAL_S = 0.1
 # Attempts to open the witness while the response arrives.
 MAX_OPEN_ATTEMPTS = 3
+# A short response ends before its witness is open. No process is started again, and
+# accepts connections, within this time.
+MAX_LATE_S = 0.1
 CONNECTION_ERRORS = (OSError, TimeoutError, iostream.StreamClosedError)
 
 
@@ -104,6 +107,8 @@
         self._pool = pool
         self._started_ms = started_ms
         self._opening = None
+        # When the last attempt to open it began.
+        self._attempted_at = None
 
     def prepare(self):
         """Open the connection; call while the target is known to be alive."""
@@ -113,6 +118,7 @@
     async def _open(self):
         """Return the connection, or None if none could be opened."""
         for _ in range(MAX_OPEN_ATTEMPTS):
+            self._attempted_at = time.monotonic()
             try:
                 return await self._pool.lend()
             except CONNECTION_ERRORS as error:
@@ -152,14 +158,25 @@
         connection = await asyncio.shield(self._opening)
         if connection is None:
             return None
-        inquiry.asked_on = "witness"
+        is_witness = self._attempted_at < inquiry.began_at + MAX_LATE_S
+        inquiry.asked_on = "witness" if is_witness else "new"
         try:
             started_ms = await self._pool.ask_run(connection)
         except CONNECTION_ERRORS:
             return None
-        if self._started_ms and started_ms and started_ms != self._started_ms:
-            return Liveness.OTHER_RUN
-        return Liveness.SAME_RUN
+        return self._judge(started_ms, is_witness)
+
+    def _judge(self, started_ms, is_witness):
+        """Return the `Liveness` of a target that answers.
+
+        Args:
+            started_ms: Unix time of its start in milliseconds, or 0 if it does not say.
+            is_witness: Whether the connection is the witness.
+        """
+        if self._started_ms and started_ms:
+            is_same = started_ms == self._started_ms
+            return Liveness.SAME_RUN if is_same else Liveness.OTHER_RUN
+        return Liveness.SAME_RUN if is_witness else Liveness.UNKNOWN
 
     async def _ask_anew(self, inquiry):
         """Return the `Liveness` of the target at the end of a new connection."""
@@ -173,10 +190,7 @@
                 # It may be out of reach, or have too many connections, for a while.
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
-            if not (self._started_ms and started_ms):
-                return Liveness.UNKNOWN
-            is_same = started_ms == self._started_ms
-            return Liveness.SAME_RUN if is_same else Liveness.OTHER_RUN
+            return self._judge(started_ms, is_witness=False)
 
     async def _ask_once(self):
         connection = await self._pool.lend(is_new=True)
--- a/pimentowick/gateway/tests/test_liveness.py
+++ b/pimentowick/gateway/tests/test_liveness.py
@@ -144,6 +144,56 @@
     assert pool.asked == 3
 
 
+class SlowPool(Pool):
+    """Pool whose connections take some time to open."""
+
+    def __init__(self, delay_s, *lent):
+        super().__init__(*lent)
+        self.delay_s = delay_s
+
+    async def lend(self, is_new=False):
+        await asyncio.sleep(self.delay_s)
+        return await super().lend(is_new)
+
+
+@pytest.mark.parametrize(
+    ("started_ms", "answer", "expected"),
+    [
+        (0, 0, liveness.Liveness.UNKNOWN),
+        (STARTED_MS, 0, liveness.Liveness.UNKNOWN),
+        (STARTED_MS, STARTED_MS, liveness.Liveness.SAME_RUN),
+        (STARTED_MS, STARTED_MS + 1, liveness.Liveness.OTHER_RUN),
+    ],
+)
+def test_witness_that_opens_long_after_the_end_is_none(started_ms, answer, expected):
+    # The target may have been started again between two attempts.
+    async def run():
+        pool = SlowPool(1.5 * liveness.MAX_LATE_S, ConnectionResetError(), answer)
+        witness = liveness.Witness(pool, started_ms)
+        witness.prepare()
+        inquiry = liveness.Inquiry(30)
+        await witness.ask(inquiry, WAIT_S)
+        witness.close()
+        assert (inquiry.liveness, inquiry.asked_on) == (expected, "new")
+        assert not pool.open
+
+    asyncio.run(run())
+
+
+def test_witness_that_is_slow_to_open_is_one():
+    # Short answers of distant targets would be lost.
+    async def run():
+        pool = SlowPool(1.5 * liveness.MAX_LATE_S, 0)
+        witness = liveness.Witness(pool, 0)
+        witness.prepare()
+        inquiry = liveness.Inquiry(30)
+        await witness.ask(inquiry, WAIT_S)
+        witness.close()
+        assert inquiry.liveness == liveness.Liveness.SAME_RUN
+
+    asyncio.run(run())
+
+
 @contextlib.asynccontextmanager
 async def open_pool(started_ms=STARTED_MS, report=None):
     """Yield a target and the `connection_pool.Pool` of it."""
