Ask targets after the end of an answer, on a connection that shows the run

Cause: the connection that tells the run was held from the head on. What it has to show is that it was open before the answer ended, or that no other process can have the address yet.

Change: the target is asked after the end, on an idle connection of the pool or a new one, which then takes the place of the one that the answer has ended. A failed attempt is repeated with a growing pause.

A target that is known to be gone counts as a failed and crashed one. The beginning of a body is a chunk only if a line ends where the chunk does.

Weighed: one such connection for all answers of a target, held and asked again as it is lost: cheaper in questions, with more states than this. To ask each target for its start before a request that may run once: a question and a way to fail more for each connection.

Left open: within a second, a process that starts again on the address and names no start can't be told from the one before. An answer of a run that isn't registered yet, at a target to which no connection was open, is lost if it may run once.

--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -16,6 +16,10 @@
 
 __all__ = ["Pool"]
 
+# For a target to say that it has ended its response, while another run may take the
+# place of this one.
+END_TIMEOUT_S = 1.0
+
 
 class Pool:
     """Pool of connections to one target.
@@ -93,34 +97,27 @@
         if refusal is not None:
             connection.close()
             return refusal
-        run_check = request.run_check
-        started_ms = 0 if run_check is None else run_check.started_ms
-        witness = liveness.Witness(self, started_ms)
-        try:
-            outcome = await self._exchange(connection, request, sink, witness)
-            if outcome.reason == upstream.UNFRAMED:
-                outcome = await self._inquire(outcome, request, sink, witness)
-        finally:
-            witness.close()
+        outcome = await self._exchange(connection, request, sink)
+        if outcome.reason == upstream.UNFRAMED:
+            outcome = await self._inquire(outcome, request, sink)
         return outcome
 
-    async def _inquire(self, outcome, request, sink, witness):
+    async def _inquire(self, outcome, request, sink):
         """Return the outcome of an unframed response with its `liveness.Inquiry`."""
         inquiry = request.inquiry
         inquiry.body_bytes = outcome.body_bytes
         if sink.may_be_whole:
-            timeout_s = upstream.REPORT_TIMEOUT_S
-            if request.waits_for_target:
-                timeout_s = None
-            await witness.ask(inquiry, timeout_s)
+            check = liveness.LivenessCheck(self, outcome.started_ms, outcome.alive_at)
+            is_patient = request.waits_for_target
+            await check.ask(inquiry, None if is_patient else END_TIMEOUT_S)
         return dataclasses.replace(outcome, inquiry=inquiry)
 
-    async def _exchange(self, connection, request, sink, witness):
+    async def _exchange(self, connection, request, sink):
         """Send a request on a connection, and keep that if it can be reused."""
         reusable = False
         try:
             outcome, reusable = await connection.exchange(
-                request, sink, self._get_policy(), witness.prepare
+                request, sink, self._get_policy()
             )
         except iostream.StreamClosedError:
             outcome = upstream.Outcome(upstream.End.INCOMPLETE, "closed")
@@ -135,32 +132,18 @@
             is_new: Whether it must not be one that was idle.
 
         Raises:
-            StreamClosedError: The target refused it, or has closed an idle connection
-                too early, as it does if it ends.
-            OSError, TimeoutError: None could be opened.
+            OSError, TimeoutError, StreamClosedError: None could be opened.
         """
-        connection = None if is_new else self._take_any_idle()
-        if connection is None:
-            connection = await self._connect()
+        connection = None
+        while self._idle and connection is None and not is_new:
+            connection = self._idle.pop()
+            if not connection.is_reusable(time.monotonic()):
+                connection.close()
+                connection = None
+        connection = connection or await self._connect()
         self._lent += 1
         return connection
 
-    def _take_any_idle(self):
-        """Return an idle connection, or None.
-
-        Raises:
-            StreamClosedError: The target has closed one too early.
-        """
-        now = time.monotonic()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable(now):
-                return connection
-            connection.close()
-            if now < connection.idle_until:
-                raise iostream.StreamClosedError
-        return None
-
     async def ask_run(self, connection):
         """Ask the target on a lent connection; see `upstream.Connection.ask_run`."""
         return await connection.ask_run(self._get_policy())
--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -82,15 +82,14 @@
             return
         if outcome.connected and outcome.status != DEADLINE_STATUS:
             # A response without framing may well be sound.
-            is_complete = (
-                outcome.end == upstream.End.COMPLETE
-                or outcome.reason == upstream.UNFRAMED
+            may_be_sound = (
+                outcome.reason == upstream.UNFRAMED and not outcome.is_target_lost
             )
+            is_complete = outcome.end == upstream.End.COMPLETE or may_be_sound
             self._outliers.record_outcome(
                 target.id, is_complete and outcome.status < 500
             )
-        is_lost = outcome.may_be_crash or outcome.is_target_lost
-        if is_lost or not outcome.connected:
+        if outcome.may_be_crash or not outcome.connected:
             target.record_break(now)
         if outcome.end == upstream.End.COMPLETE or outcome.status:
             target.failures = 0
--- a/pimentowick/gateway/liveness.py
+++ b/pimentowick/gateway/liveness.py
@@ -4,13 +4,11 @@
     A response without framing ends with its connection, which also ends in order if the
     target's process does. Only the target can tell the two apart.
 
-    A connection ends with the process that accepted it. So a witness is a second
-    connection to the target that is open while the response arrives: whatever comes
-    back on it after the end was sent by the same process. It needs no identifier, and
-    it can't reach another target that has the address meanwhile. One that is opened as
-    the head of the response arrives reaches that process, too: no other one has its
-    address before it has ended and the new one has started. If the witness is lost, a
-    new connection shows the same run only if the target says when it was started.
+    A connection ends with the process that accepted it. So an answer on a connection
+    that was open before the response ended was sent by the run that sent the response.
+    A target that is asked on a later connection shows which run it is if it says when
+    it was started. If it does not, its identifier names one run, and no other process
+    has its address soon afterwards.
 
 References:
     RFC 9112, section 6.3: Message Body Length.
@@ -23,15 +21,15 @@
 
 from tornado import iostream
 
-__all__ = ["Inquiry", "Liveness", "Witness"]
+from pimentowick.gateway.policy import backoff
 
-# Between two attempts to reach a target that may be alive.
-RETRY_INTERVAL_S = 0.1
-# Attempts to open the witness while the response arrives.
-MAX_OPEN_ATTEMPTS = 3
-# A short response ends before its witness is open. No process is started again, and
-# accepts connections, within this time.
-MAX_LATE_S = 0.1
+__all__ = ["Inquiry", "Liveness", "LivenessCheck"]
+
+# No process has the address of one that has ended sooner.
+MIN_REUSE_S = 1.0
+# Between attempts to reach a target that may be alive; doubles with each.
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
 CONNECTION_ERRORS = (OSError, TimeoutError, iostream.StreamClosedError)
 
 
@@ -55,8 +53,7 @@
     Attributes:
         body_bytes: Size of a body that ended with its connection, or None without one.
         liveness: The `Liveness`, or None while it is not known.
-        asked_on: ``witness`` for the connection that was open before the end, or
-            ``new``.
+        asked_on: ``kept`` for a connection that had been open, or ``new``.
         began_at: Monotonic time at which the response ended, or None if the target was
             not asked.
         took_s: Time until the liveness was known, in seconds.
@@ -96,46 +93,20 @@
         }
 
 
-class Witness:
+class LivenessCheck:
     """Asks a target after the end of a response whether it is still the same run.
 
     Args:
         pool: The `connection_pool.Pool` of the target.
-        started_ms: Unix time of the start of the run in milliseconds, as registered; 0
-            if the identifier alone names the run.
+        started_ms: Unix time of the start of the run in milliseconds; 0 if the
+            identifier alone names the run.
+        alive_at: Latest monotonic time at which the run is known to have been alive.
     """
 
-    def __init__(self, pool, started_ms):
+    def __init__(self, pool, started_ms, alive_at):
         self._pool = pool
         self._started_ms = started_ms
-        self._opening = None
-        # When the last attempt to open it began.
-        self._attempted_at = None
-
-    def prepare(self):
-        """Open the connection; call while the target is known to be alive."""
-        if self._opening is None:
-            self._opening = asyncio.create_task(self._open())
-
-    async def _open(self):
-        """Return the connection, or None if none could be opened."""
-        for _ in range(MAX_OPEN_ATTEMPTS):
-            self._attempted_at = time.monotonic()
-            try:
-                return await self._pool.lend()
-            except TimeoutError:
-                continue
-            except (OSError, iostream.StreamClosedError):
-                break
-        return None
-
-    def close(self):
-        """Give the connection back to the pool."""
-        if self._opening is None or self._opening.cancel():
-            return
-        connection = self._opening.result()
-        if connection is not None:
-            self._pool.take_back(connection)
+        self._alive_at = alive_at
 
     async def ask(self, inquiry, timeout_s):
         """Find out whether the target is alive, and record it.
@@ -145,62 +116,45 @@
             timeout_s: Timeout in seconds, or None.
         """
         inquiry.began_at = time.monotonic()
+        found = Liveness.UNKNOWN
         try:
             async with asyncio.timeout(timeout_s):
-                liveness = await self._ask_witness(inquiry)
-                if liveness is None:
-                    liveness = await self._ask_anew(inquiry)
+                found = await self._ask_until_known(inquiry)
         except TimeoutError:
-            liveness = Liveness.UNKNOWN
-        inquiry.liveness = liveness
+            pass
+        inquiry.liveness = found
         inquiry.took_s = time.monotonic() - inquiry.began_at
 
-    async def _ask_witness(self, inquiry):
-        """Return the `Liveness`, or None if the connection was lost."""
-        self.prepare()
-        connection = await asyncio.shield(self._opening)
-        if connection is None:
-            return None
-        is_witness = self._attempted_at < inquiry.began_at + MAX_LATE_S
-        inquiry.asked_on = "witness" if is_witness else "new"
-        try:
-            started_ms = await self._pool.ask_run(connection)
-        except CONNECTION_ERRORS:
-            return None
-        return self._judge(started_ms, is_witness)
-
-    def _judge(self, started_ms, is_witness):
-        """Return the `Liveness` of a target that answers.
-
-        Args:
-            started_ms: Unix time of its start in milliseconds, or 0 if it does not say.
-            is_witness: Whether the connection is the witness.
-        """
-        if self._started_ms and started_ms:
-            is_same = started_ms == self._started_ms
-            return Liveness.SAME_RUN if is_same else Liveness.OTHER_RUN
-        return Liveness.SAME_RUN if is_witness else Liveness.UNKNOWN
-
-    async def _ask_anew(self, inquiry):
-        """Return the `Liveness` of the target at the end of a new connection."""
-        inquiry.asked_on = "new"
+    async def _ask_until_known(self, inquiry):
+        failures = 0
         while True:
             try:
-                started_ms = await self._ask_once()
+                return await self._ask_once(inquiry, is_new=failures > 0)
             except CONNECTION_ERRORS as error:
                 if _is_refused(error):
                     return Liveness.GONE
-                # It may be out of reach, or have too many connections, for a while.
-                await asyncio.sleep(RETRY_INTERVAL_S)
-                continue
-            return self._judge(started_ms, is_witness=False)
-
-    async def _ask_once(self):
-        connection = await self._pool.lend(is_new=True)
+            # It may be out of reach, or have too many connections, for a while.
+            failures += 1
+            delay_s = backoff.compute_delay(MIN_RETRY_S, MAX_RETRY_S, failures)
+            await asyncio.sleep(delay_s)
+
+    async def _ask_once(self, inquiry, is_new):
+        """Ask on one connection; return the `Liveness`."""
+        connection = await self._pool.lend(is_new)
         try:
-            return await self._pool.ask_run(connection)
+            is_kept = connection.opened_at < inquiry.began_at
+            inquiry.asked_on = "kept" if is_kept else "new"
+            is_later = connection.opened_at > self._alive_at
+            may_be_other = connection.opened_at > self._alive_at + MIN_REUSE_S
+            if may_be_other and not self._started_ms:
+                return Liveness.UNKNOWN
+            started_ms = await self._pool.ask_run(connection)
         finally:
             self._pool.take_back(connection)
+        if is_later and self._started_ms and started_ms:
+            is_same = started_ms == self._started_ms
+            return Liveness.SAME_RUN if is_same else Liveness.OTHER_RUN
+        return Liveness.UNKNOWN if may_be_other else Liveness.SAME_RUN
 
 
 def _is_refused(error):
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -90,7 +90,9 @@
     @property
     def may_be_whole(self):
         """Whether the response may be complete; see `upstream.Sink`."""
-        return not self.forwards_events or (self.events > 0 and self.is_complete())
+        if self.forwards_events:
+            return self.events > 0 and self.is_complete()
+        return self._buffered_bytes > 0
 
     @property
     def has_content(self):
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -13,7 +13,9 @@
 import dataclasses
 import enum
 import itertools
+import math
 import socket
+import struct
 import time
 
 from tornado import http1connection, httputil, iostream
@@ -62,8 +64,9 @@
 # Well above a round trip to a busy target.
 REPORT_TIMEOUT_S = 0.3
 MAX_REPORT_BYTES = 65_536
-# Of a body that may be the rest of a damaged head.
-MAX_BEGINNING_BYTES = 8_192
+# Offset of `tcpi_last_data_recv` in `struct tcp_info` of Linux, and size up to its end.
+LAST_DATA_RECEIVED_OFFSET = 52
+TCP_INFO_BYTES = 56
 
 PARAMETERS = http1connection.HTTP1ConnectionParameters(
     max_header_size=MAX_HEADER_BYTES,
@@ -116,6 +119,9 @@
         status: HTTP status of the response, or 0 without one.
         connected: Whether a connection to the target was open.
         body_bytes: Size of the body that arrived of an unframed response.
+        alive_at: Latest monotonic time at which the target is known to have been alive.
+        started_ms: Unix time of the start of the run that sent an unframed response in
+            milliseconds, as it said itself or else as registered; 0 if unknown.
         inquiry: The `liveness.Inquiry` after an unframed response, or None.
         received: The `delivery.Delivery`, or None if the connection ended first.
     """
@@ -125,6 +131,8 @@
     status: int = 0
     connected: bool = True
     body_bytes: int = 0
+    alive_at: float = float("-inf")
+    started_ms: int = 0
     inquiry: liveness.Inquiry | None = None
     received: delivery.Delivery | None = None
 
@@ -176,7 +184,8 @@
     @property
     def may_be_crash(self):
         """Whether the target may have crashed during the request."""
-        return self.end == End.INCOMPLETE and self.reason in CLOSED_REASONS
+        is_lost = self.reason in CLOSED_REASONS or self.is_target_lost
+        return self.end == End.INCOMPLETE and is_lost
 
     @property
     def is_refusal(self):
@@ -261,12 +270,15 @@
     Attributes:
         is_abandoned: Whether it was closed because of what the target sent.
         body_bytes: Size of the body that was received of the current response.
+        last_data_at: Monotonic time at which the last bytes had arrived before the peer
+            closed the connection; minus infinity while that is not known.
     """
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.is_abandoned = False
         self.body_bytes = 0
+        self.last_data_at = float("-inf")
         self._received_bytes = 0
         self._awaits_head = False
         self._head_timer = None
@@ -274,6 +286,8 @@
     def read_from_fd(self, buf):
         """Read bytes; see `tornado.iostream.BaseIOStream`."""
         count = super().read_from_fd(buf)
+        if count == 0:
+            self.last_data_at = time.monotonic() - _measure_silence(self.socket)
         if not count:
             return count
         if self._awaits_head:
@@ -336,7 +350,6 @@
         stream: The stream, which is closed once the rest of a response is of no use.
         is_first: Whether this is the first response on the connection. A refusal that
             names no request can't belong to an earlier one then.
-        on_unframed: Function called once the head of an unframed response has arrived.
 
     Attributes:
         status: HTTP status, or 0 before the headers arrive.
@@ -353,8 +366,7 @@
         cancellation: The `asyncio.CancelledError` of a method of the sink, or None.
     """
 
-    def __init__(self, request, sink, on_load, counted, stream, is_first, on_unframed):
-        self._on_unframed = on_unframed
+    def __init__(self, request, sink, on_load, counted, stream, is_first):
         self._request = request
         self._is_first = is_first
         self._sink = sink
@@ -410,7 +422,6 @@
             if self.fault is not None:
                 self._stream.abandon()
                 return
-            self._on_unframed()
         if not self.is_stray:
             self._on_load(self.answer.load)
         if not self.is_stray and not self.answer.not_executed:
@@ -459,7 +470,7 @@
         self._stream.body_bytes += len(chunk)
         self.body_bytes += len(chunk)
         if not self.is_framed:
-            missing = MAX_BEGINNING_BYTES - len(self.beginning)
+            missing = response_head.MAX_BEGINNING_BYTES - len(self.beginning)
             self.beginning += chunk[:missing]
         if self.is_stopped:
             return
@@ -564,6 +575,7 @@
 
     Attributes:
         number: Number of the connection, unique in this process.
+        opened_at: Monotonic time at which it was opened.
         idle_until: Monotonic time until which it may be reused.
     """
 
@@ -571,7 +583,7 @@
 
     def __init__(self, stream, address, on_load, counted):
         self.number = next(self._numbers)
-        self._opened_at = time.monotonic()
+        self.opened_at = time.monotonic()
         self._request_count = 0
         # When the target was started, 0 if it does not say, None if it was not asked.
         self._started_ms = None
@@ -581,15 +593,13 @@
         self._traffic = counted
         self.idle_until = 0.0
 
-    async def exchange(self, request, sink, policy, on_unframed=lambda: None):
+    async def exchange(self, request, sink, policy):
         """Send a request and pass its response to `sink`.
 
         Args:
             request: The `Request`.
             sink: The `Sink`.
             policy: The `connection_share.IdlePolicy` for the connection.
-            on_unframed: Function called once the head of a response has arrived whose
-                end only its connection will tell.
 
         Returns:
             The `Outcome`, and whether the connection can be reused.
@@ -600,13 +610,17 @@
         self._traffic.sent += len(request.body)
         written = http.write_headers(start_line, request.headers, request.body or None)
         http.finish()
-        reader, received = await self._read_own(
-            http, request, sink, received, on_unframed
-        )
+        sent_at = time.monotonic()
+        reader, received = await self._read_own(http, request, sink, received)
         outcome = self._classify(request, reader)
         if outcome.reason == UNFRAMED and not written.done():
             outcome = dataclasses.replace(outcome, reason=UNREAD_REQUEST)
-        outcome = dataclasses.replace(outcome, received=received)
+        outcome = dataclasses.replace(
+            outcome,
+            received=received,
+            alive_at=max(sent_at, self.stream.last_data_at),
+            started_ms=self._find_start(request.run_check),
+        )
         reusable = (
             reader.is_finished
             and reader.is_framed
@@ -641,6 +655,12 @@
                 self._started_ms = await self.ask_start()
         return run_check.compare(self._started_ms)
 
+    def _find_start(self, run_check):
+        """Return when the run at the other end was started, or 0 if that is unknown."""
+        if self._started_ms:
+            return self._started_ms
+        return 0 if run_check is None else run_check.started_ms
+
     async def ask_start(self):
         """Ask the target when it was started, before another request.
 
@@ -706,20 +726,20 @@
             self.number,
             self._request_count,
             self.number in request.connections,
-            time.monotonic() - self._opened_at,
+            time.monotonic() - self.opened_at,
         )
         self._request_count += 1
         request.connections.add(self.number)
         return received
 
-    async def _read_own(self, http, request, sink, received, on_unframed):
+    async def _read_own(self, http, request, sink, received):
         """Read responses up to that of the request; discard those before it.
 
         Returns:
             The `_Reader` of the last response, and the complete `delivery.Delivery`.
         """
         is_first = not received.earlier_requests
-        reader = await self._read(http, request, sink, is_first, on_unframed)
+        reader = await self._read(http, request, sink, is_first)
         strays = []
         for _ in range(MAX_STRAY_RESPONSES):
             if not (reader.is_finished and reader.is_stray and reader.is_framed):
@@ -728,7 +748,7 @@
             self._log_stray(request, reader, received)
             http = http1connection.HTTP1Connection(self.stream, True, PARAMETERS)
             http.finish()
-            reader = await self._read(http, request, sink, False, on_unframed)
+            reader = await self._read(http, request, sink, is_first=False)
         return reader, dataclasses.replace(
             received, naming=reader.naming, strays=tuple(strays)
         )
@@ -743,7 +763,7 @@
             **delivery.describe(received),
         )
 
-    async def _read(self, http, request, sink, is_first, on_unframed):
+    async def _read(self, http, request, sink, is_first):
         """Read one response; return the `_Reader`.
 
         Raises:
@@ -757,7 +777,6 @@
             self._traffic,
             self.stream,
             is_first,
-            on_unframed,
         )
         self.stream.expect_head()
         try:
@@ -843,6 +862,19 @@
     return Connection(stream, address, on_load, counted)
 
 
+def _measure_silence(sock):
+    """Return the seconds since the last bytes arrived; infinite if unknown.
+
+    They may have been read much later.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (silence_ms,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)
+    except (OSError, struct.error):
+        return math.inf
+    return silence_ms / 1000
+
+
 def _set_options(sock):
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/pimentowick/response_head.py
+++ b/pimentowick/response_head.py
@@ -31,13 +31,15 @@
 MAX_STATUS = 599
 # No Content and Not Modified.
 BODILESS_STATUSES = frozenset({204, 304})
+# Of the beginning of a body that is looked at.
+MAX_BEGINNING_BYTES = 8_192
 FRAMING_FIELD = re.compile(r"(content-length|transfer-encoding):", re.IGNORECASE)
-# Fields up to one that frames the body, or the size of a chunk.
-REST_OF_RESPONSE = re.compile(
-    rb"(?:[!-9;-~]+:[^\r\n]*\r?\n)*(?:content-length|transfer-encoding):[^\r\n]*\r?\n"
-    rb"|[0-9a-f]+[ \t]*(?:;[^\r\n]*)?\r\n",
+# Fields up to one that frames the body.
+REST_OF_HEAD = re.compile(
+    rb"(?:[!-9;-~]+:[^\r\n]*\r?\n)*(?:content-length|transfer-encoding):[^\r\n]*\r?\n",
     re.IGNORECASE,
 )
+CHUNK_SIZE = re.compile(rb"([0-9a-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n", re.IGNORECASE)
 
 
 def is_interim(status):
@@ -127,6 +129,9 @@
     It is the rest of the head if an empty line was added to that, and chunks if the
     field that announces them was lost.
 
+    Args:
+        body: The first `MAX_BEGINNING_BYTES` bytes of the body, or all of it.
+
     Examples:
         >>> is_rest_of_response(b"X-Odd: 1\r\nContent-Length: 3\r\n\r\nabc")
         True
@@ -134,8 +139,20 @@
         True
         >>> is_rest_of_response(b"id: 1\r\ndata: abc\r\n\r\n")
         False
+        >>> is_rest_of_response(b"42\r\n")
+        False
     """
-    return REST_OF_RESPONSE.match(body) is not None
+    return REST_OF_HEAD.match(body) is not None or _begins_with_chunk(body)
+
+
+def _begins_with_chunk(body):
+    size = CHUNK_SIZE.match(body)
+    if size is None:
+        return False
+    end = size.end() + int(size[1], 16)
+    if end > MAX_BEGINNING_BYTES - 2:
+        return len(body) == MAX_BEGINNING_BYTES
+    return body[end : end + 2] == b"\r\n"
 
 
 def announces_close(headers):
