Learn service times without the wait for the end of an answer

What callers would have seen: a target that says late that it has ended an answer would have counted as slow, and requests of its route would have been refused earlier in a stop. By the review: a report that came 2 s late gave 2.02 s for an answer of some milliseconds.

Change: the duration ends as the connection of the answer does. Without such an end nothing changes.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -575,10 +575,12 @@
         )
 
     def _record_performance(self, target, outcome):
-        now = time.monotonic()
         if outcome.end != upstream.End.COMPLETE or outcome.status != 200:
             return
-        duration_s = now - self._sent_at
+        now = time.monotonic()
+        # Without the time that the target took to say that it had ended its response.
+        ended_at = now if self._inquiry.began_at is None else self._inquiry.began_at
+        duration_s = ended_at - self._sent_at
         self._graceful_stop.record_duration(self._route.name, duration_s)
         if self._route.kind == route.Kind.STREAM:
             duration_s = self._sink.event_times.compute_interval_s()
