Let the soak send whole answers without framing, and check that they arrive

What the soak missed: its replicas framed all answers but for one planned kind, and that one was closed in order, with a part or all of its events, by a replica that lived on.

Now half of the requests, drawn by a hash of their identifiers so that a seed keeps its faults, get answers without framing: on the resumable and the once-only stream route, on two new routes with plain answers (idempotent, non-idempotent; callers and draws of their own), and as items of jobs. They last as long as framed ones, across all faults. A planned cut ends with a reset or a crash (draws of their own); at its full length it is whole. The fake notes what it sent whole and lived on after for 2 s; the soak reports such a request if it failed or was cut at a gateway that was neither killed nor frozen, was not sent in the first 3 s of a stop, and had not run for the route's timeout. A plain success must hold the whole body.

The end of a run (crash, restart, close) of a fake also takes the connections with it that wait in the kernel to be accepted, as the end of a process does: the new run answered them.

A check changed, as strict: crashes under a part are counted by the runs of its requests, each of which crashes its replica, and at replicas that have left, too. The count of all crashes would hold those that end answers without framing.

--- a/pimentowick/fakes/replica.py
+++ b/pimentowick/fakes/replica.py
@@ -4,6 +4,9 @@
 import collections
 import contextlib
 import dataclasses
+import socket
+import struct
+import time
 import weakref
 
 from tornado import iostream
@@ -14,6 +17,10 @@
 
 HEADER_PREFIX = "X-Pimentowick-"
 ENDLESS_BLOCK_BYTES = 16_384
+# Linger without waiting: closing the socket resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Time after an unframed response in which a caller may ask whether it was whole.
+LIVES_ON_S = 2.0
 
 
 @dataclasses.dataclass
@@ -28,7 +35,7 @@
             unsolicited response; ``unsigned`` omits the replica's identifier;
             ``crossed`` first sends a response to another request; ``wrong_order``
             leaves out an event; ``silent`` sends nothing and keeps the connection;
-            ``unframed`` streams with neither a length nor chunks, announces that its
+            ``unframed`` responds with neither a length nor chunks, announces that its
             connection closes, and closes;
             ``endless`` sends bytes that are no event until the caller closes; ``raw``
             sends `data` and closes.
@@ -37,6 +44,8 @@
         cut_after: Number of events or bytes after which the response is truncated.
         partial_event: Whether it is truncated in the middle of an event.
         crashes: Whether the replica crashes as an ``unframed`` response ends.
+        resets: Whether the connection of an ``unframed`` response that is truncated is
+            reset.
         awaits_release: Whether it is truncated, refused, or preceded by a late refusal
             only once `Replica.release` is set.
         late_refusal: Whether a refusal that belongs to no request precedes the next
@@ -48,6 +57,7 @@
     cut_after: int | None = None
     partial_event: bool = False
     crashes: bool = False
+    resets: bool = False
     awaits_release: bool = False
     late_refusal: str = ""
 
@@ -91,6 +101,11 @@
         crashes: Number of crashes.
         on_crash: Function called after a crash with the previous identifier.
         event_intervals_s: Pauses that differ from `event_interval_s`, by request path.
+        plain_paths: Paths of the requests that it answers without a stream.
+        is_unframed: Function from the identifier of a request to whether its normal
+            response is unframed.
+        whole_responses: Monotonic times at which unframed responses ended that it sent
+            whole, and lived on, by request identifier.
         slowdown: Slowdown of a shared host that responses report, in percent of the
             usual time; None for a host of its own.
     """
@@ -133,6 +148,9 @@
         self.crashes = 0
         self.on_crash = lambda previous_id: None
         self.event_intervals_s = {}
+        self.plain_paths = frozenset()
+        self.is_unframed = lambda request_id: False
+        self.whole_responses = {}
         self.slowdown = None
         self._first_id = replica_id
         # Refusals to send before the next response, by connection.
@@ -148,8 +166,7 @@
         previous_id, self.id = self.id, f"{self._first_id}.{self.crashes}"
         if self.started_ms:
             self.started_ms += 1
-        for connection in list(self.fault_injector.connections):
-            connection.close()
+        self.end_connections()
         self.on_crash(previous_id)
 
     def restart(self, version):
@@ -159,8 +176,17 @@
         """
         self.started_ms += 1
         self.version = version
-        for connection in list(self.fault_injector.connections):
-            connection.close()
+        self.end_connections()
+
+    def end_connections(self):
+        """Close all connections; see `pimentowick.fakes.server.Server`."""
+        super().end_connections()
+        latest = time.monotonic() - LIVES_ON_S
+        self.whole_responses = {
+            request_id: at
+            for request_id, at in self.whole_responses.items()
+            if at < latest
+        }
 
     def list_routes(self):
         """Return the routes of the replica."""
@@ -250,7 +276,8 @@
     async def _send_late_refusal(self, behaviour):
         """Send the refusal that an earlier request on the connection left."""
         late_refusals = self.server._late_refusals
-        if self.connection not in late_refusals:
+        self._follows_refusal = self.connection in late_refusals
+        if not self._follows_refusal:
             return
         if behaviour.awaits_release:
             await self.server.release.wait()
@@ -283,7 +310,10 @@
         if behaviour.kind == "vanish":
             self.close_connection()
             return
-        if behaviour.kind == "unframed":
+        is_normal = behaviour == Behaviour() and not self._follows_refusal
+        if behaviour.kind == "unframed" or (
+            is_normal and self.server.is_unframed(request_id)
+        ):
             await self._respond_unframed(behaviour, request_id)
             return
         if behaviour.kind == "endless":
@@ -303,15 +333,21 @@
         if behaviour.kind != "unsigned":
             self.set_header(HEADER_PREFIX + "Server-Stamp", self.server.id)
         if self.server.slowdown is not None:
-            load = (self.server.running, 0, self.server.slots, self.server.slowdown)
-            self.set_header(HEADER_PREFIX + "Server-Load", ",".join(map(str, load)))
+            self.set_header(HEADER_PREFIX + "Server-Load", self._describe_load())
         if behaviour.kind in ("fail", "impossible"):
             self.set_status(500 if behaviour.kind == "fail" else 422)
             return
-        if self.server.events:
-            await self._stream_events(behaviour)
-        else:
+        if self._is_plain():
             await self._respond_plain(behaviour, request_id)
+        else:
+            await self._stream_events(behaviour)
+
+    def _is_plain(self):
+        return not self.server.events or self.request.path in self.server.plain_paths
+
+    def _describe_load(self):
+        load = (self.server.running, 0, self.server.slots, self.server.slowdown)
+        return ",".join(map(str, load))
 
     def _has_crash_body(self):
         return self.request.body in self.server.crash_bodies
@@ -333,20 +369,45 @@
             "HTTP/1.1 200 OK",
             f"{HEADER_PREFIX}Request-Id: {request_id}",
             f"{HEADER_PREFIX}Server-Stamp: {self.server.id}",
-            "Content-Type: text/event-stream",
             "Connection: close",
         ]
-        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
-        numbers = list(range(first, self.server.events + 1))[: behaviour.cut_after]
-        events = [self._make_event(number) for number in numbers]
-        if behaviour.partial_event:
-            events.append(f"id: {numbers[-1] + 1}\nda")
+        if not self._is_plain():
+            lines.append("Content-Type: text/event-stream")
+        if self.server.slowdown is not None:
+            lines.append(f"{HEADER_PREFIX}Server-Load: {self._describe_load()}")
+        pieces, is_whole = self._make_pieces(behaviour)
         stream = self.detach()
-        await stream.write("\r\n".join([*lines, "", "".join(events)]).encode())
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write("\r\n".join([*lines, "", ""]).encode())
+            for piece in pieces:
+                await asyncio.sleep(self._get_interval())
+                await stream.write(piece)
+        if stream.closed():
+            return
         if behaviour.crashes:
             self.server.crash()
+        elif is_whole and not self._follows_refusal:
+            self.server.whole_responses[request_id] = time.monotonic()
+        elif behaviour.resets and not is_whole:
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
         stream.close()
 
+    def _make_pieces(self, behaviour):
+        """Return the parts of an unframed body, and whether it is whole."""
+        if self._is_plain():
+            body = self.request.body or b"nothing"
+            sent = body[: behaviour.cut_after]
+            middle = len(sent) // 2
+            return [sent[:middle], sent[middle:]], sent == body
+        numbers = self._list_numbers()
+        sent = numbers[: behaviour.cut_after]
+        pieces = [self._make_event(number).encode() for number in sent]
+        if behaviour.partial_event:
+            pieces.append(f"id: {sent[-1] + 1}\nda".encode())
+        return pieces, sent == numbers and not behaviour.partial_event
+
     async def _respond_endless(self, request_id):
         lines = [
             "HTTP/1.1 200 OK",
@@ -364,13 +425,19 @@
         kind = f"event: {self.server.version}\n" if self.server.names_version else ""
         return f"{kind}id: {number}\ndata: word {number}\n\n"
 
-    async def _stream_events(self, behaviour):
-        self.set_header("Content-Type", "text/event-stream")
+    def _list_numbers(self):
+        """Return the numbers of the events of a stream."""
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
-        interval_s = self.server.event_intervals_s.get(
+        return list(range(first, self.server.events + 1))
+
+    def _get_interval(self):
+        return self.server.event_intervals_s.get(
             self.request.path, self.server.event_interval_s
         )
-        for sent, number in enumerate(range(first, self.server.events + 1)):
+
+    async def _stream_events(self, behaviour):
+        self.set_header("Content-Type", "text/event-stream")
+        for sent, number in enumerate(self._list_numbers()):
             if sent == behaviour.cut_after:
                 if behaviour.partial_event:
                     self.write(f"id: {number}\nda")
@@ -381,7 +448,7 @@
                 return
             if behaviour.kind == "wrong_order" and sent == 1:
                 continue
-            await asyncio.sleep(interval_s)
+            await asyncio.sleep(self._get_interval())
             if self.server.holds_last_event and number == self.server.events:
                 await self.server.release.wait()
             if self.closed.is_set():
--- a/pimentowick/fakes/server.py
+++ b/pimentowick/fakes/server.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 
 from tornado import httpserver, netutil, web
 
@@ -42,6 +43,7 @@
         self.address = None
         self.fault_injector = faults.FaultInjector()
         self._http = None
+        self._sockets = []
 
     @abc.abstractmethod
     def list_routes(self):
@@ -55,24 +57,38 @@
 
     async def start(self):
         """Start listening and set `address`."""
-        sockets = netutil.bind_sockets(self.port, LOOPBACK, backlog=BACKLOG)
-        self.address = f"{LOOPBACK}:{sockets[0].getsockname()[1]}"
         self._http = _TrackingServer(self.make_application(), self.fault_injector)
-        self._http.add_sockets(sockets)
+        self.address = self._listen(self.port)
 
     def add_address(self):
         """Listen on another port as well, which faults can name; return its address."""
-        sockets = netutil.bind_sockets(0, LOOPBACK, backlog=BACKLOG)
+        return self._listen(0)
+
+    def _listen(self, port):
+        sockets = netutil.bind_sockets(port, LOOPBACK, backlog=BACKLOG)
+        self._sockets += sockets
         self._http.add_sockets(sockets)
         return f"{LOOPBACK}:{sockets[0].getsockname()[1]}"
 
+    def end_connections(self):
+        """Close all connections, as the end of a process does.
+
+        Callers may already send on connections that wait to be accepted.
+        """
+        for sock in self._sockets:
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    sock.accept()[0].close()
+        for connection in list(self.fault_injector.connections):
+            connection.close()
+
     async def close(self):
         """Stop listening and close all connections."""
         if self._http is None:
             return
+        self.end_connections()
+        self._sockets.clear()
         self._http.stop()
-        for connection in list(self.fault_injector.connections):
-            connection.close()
         closing = self._http.close_all_connections()
         await asyncio.wait_for(closing, CLOSE_TIMEOUT_S)
         self._http = None
--- a/pimentowick/soak/__main__.py
+++ b/pimentowick/soak/__main__.py
@@ -48,6 +48,7 @@
             findings = asyncio.run(coroutine)
             self.line(
                 f"seed {seed}: {findings.served} served, {findings.jobs} jobs, "
+                f"{findings.unframed} unframed, "
                 f"faults {' '.join(findings.faults)}; logs in {directory}"
             )
             counts = sorted(findings.watched.items())
--- a/pimentowick/soak/fault_injection.py
+++ b/pimentowick/soak/fault_injection.py
@@ -55,6 +55,8 @@
         # Draws of their own, so that a seed keeps its faults.
         self._answer_rng = random.Random()
         self._answer_rng.setstate(rng.getstate())
+        self._ending_rng = random.Random()
+        self._ending_rng.setstate(rng.getstate())
         self._change_rng = random.Random()
         self._change_rng.setstate(rng.getstate())
         self.injected = []
@@ -196,8 +198,12 @@
     def _draw_broken_answers(self):
         cut_after = self._answer_rng.randint(0, 12)
         drawn = self._answer_rng.sample(BROKEN_ANSWERS, BROKEN_ANSWER_COUNT)
+        # Replicas that live on do not close in order what they have not sent whole.
+        crashes = self._ending_rng.random() < 0.5
         return [
-            replica.Behaviour("unframed", cut_after=cut_after),
+            replica.Behaviour(
+                "unframed", cut_after=cut_after, crashes=crashes, resets=True
+            ),
             *(replica.Behaviour("raw", data=data) for data in drawn),
         ]
 
@@ -206,7 +212,6 @@
         part = f"bad{len(self.injected)}"
         for each in self._fleet.replicas:
             each.crash_parts.add(part)
-        before = self._count_crashes()
         for number in range(PART_REQUESTS):
             gateway = self._choose_gateway()
             headers = {
@@ -221,12 +226,17 @@
                     "POST", gateway.address, path, b"x", headers, timeout_s=2.0
                 )
             await asyncio.sleep(PART_INTERVAL_S)
-        crashes = self._count_crashes() - before
+        crashes = self._count_runs(f"{part}-")
         if crashes > MAX_PART_CRASHES:
             self.violations.append(f"{part}: {crashes} replicas crashed")
 
-    def _count_crashes(self):
-        return sum(each.crashes for each in self._fleet.replicas)
+    def _count_runs(self, prefix):
+        return sum(
+            count
+            for each in self._fleet.all_replicas
+            for request_id, count in each.runs.items()
+            if request_id.startswith(prefix)
+        )
 
     async def _rebalance_groups(self):
         for group in self._fleet.store.groups.values():
--- a/pimentowick/soak/fleet.py
+++ b/pimentowick/soak/fleet.py
@@ -8,12 +8,13 @@
 import signal
 import sys
 import time
+import zlib
 
 from pimentowick import client as http_client
 from pimentowick import exception
 from pimentowick.fakes import platform_site, platform_store, replica, wait
 
-__all__ = ["SLOW_PATH", "Fleet", "GatewayProcess"]
+__all__ = ["PLAIN_PATHS", "SLOW_PATH", "Fleet", "GatewayProcess"]
 
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
@@ -29,6 +30,8 @@
 # Items with this path run for a few seconds.
 SLOW_PATH = "/lot/slow"
 SLOW_EVENT_INTERVAL_S = 0.25
+# Requests with these paths are answered without a stream.
+PLAIN_PATHS = ("/fetch/1", "/confirm/1")
 
 
 def make_ip(number, pid):
@@ -219,6 +222,8 @@
         routes = [
             platform_site.make_route("/chat/", "stream", resumable=True),
             platform_site.make_route("/draft/", "stream"),
+            platform_site.make_route("/fetch/", "idempotent"),
+            platform_site.make_route("/confirm/", "non_idempotent"),
             platform_site.make_route("/lot/", "batch", **batch_fields),
             *added_routes,
         ]
@@ -238,6 +243,8 @@
         server.slowdown = self._slowdown
         server.names_version = True
         server.event_intervals_s = {SLOW_PATH: SLOW_EVENT_INTERVAL_S}
+        server.plain_paths = frozenset(PLAIN_PATHS)
+        server.is_unframed = _is_unframed
         await server.start()
         server.on_crash = functools.partial(self._register_again, server)
         self._register(server)
@@ -325,6 +332,10 @@
         await self.client.close()
 
 
+def _is_unframed(request_id):
+    return zlib.crc32(request_id.encode()) % 2 == 1
+
+
 def _make_replica(number, version, event_interval_s=0.02):
     return replica.Replica(
         f"i-{number}",
--- a/pimentowick/soak/run.py
+++ b/pimentowick/soak/run.py
@@ -27,6 +27,10 @@
 SERVED_TIMEOUT_S = 60.0
 ITEMS_PER_JOB = 6
 CALLER_COUNT = 6
+PLAIN_CALLER_COUNT = 2
+STREAM_PATHS = ("/chat/1", "/draft/1")
+ONCE_PATHS = frozenset({"/draft/1", "/confirm/1"})
+NO_ANSWER = "no answer"
 REQUEST_INTERVAL_S = 0.05
 EVENTS_PER_RESPONSE = 12
 # Of responses that last for a good part of a grace period.
@@ -55,7 +59,8 @@
     Attributes:
         seed: Seed of the run.
         faults: Kinds of the injected faults, in order.
-        served: Number of successful responses.
+        served: Number of successful responses with streams.
+        unframed: Number of requests that replicas answered whole without framing.
         jobs: Number of accepted jobs.
         violations: Descriptions of violated invariants.
         watched: Number of responses about jobs by method and status.
@@ -64,6 +69,7 @@
     seed: int
     faults: list = dataclasses.field(default_factory=list)
     served: int = 0
+    unframed: int = 0
     jobs: int = 0
     violations: list = dataclasses.field(default_factory=list)
     watched: dict = dataclasses.field(default_factory=dict)
@@ -74,6 +80,7 @@
         self.rng = random.Random(seed)
         # Draws of its own, so that a seed keeps its faults.
         self.overlap_rng = random.Random(f"overlap {seed}")
+        self.plain_rng = random.Random(f"plain {seed}")
         # Odd seeds run the decisions for services on shared hosts.
         self.fleet = fleet.Fleet(
             directory, gateways, slowdown=USUAL_PERCENT if seed % 2 else None
@@ -84,6 +91,8 @@
         # Requests without a complete answer that neither their timeout nor the end of a
         # stopping process explains.
         self.unanswered = set()
+        # Requests that a gateway failed or cut while it was neither killed nor frozen.
+        self.failed = set()
         self.at_most_once = set()
         self.accepted = {}
         # Versions of the events that callers got, by the first attempt.
@@ -100,7 +109,14 @@
                 for each in self.fleet.all_replicas:
                     each.event_interval_s = LONG_EVENT_INTERVAL_S
             callers = [
-                asyncio.create_task(self._send_requests()) for _ in range(CALLER_COUNT)
+                asyncio.create_task(self._send_requests(STREAM_PATHS, self.rng))
+                for _ in range(CALLER_COUNT)
+            ]
+            callers += [
+                asyncio.create_task(
+                    self._send_requests(fleet.PLAIN_PATHS, self.plain_rng)
+                )
+                for _ in range(PLAIN_CALLER_COUNT)
             ]
             callers.append(asyncio.create_task(self._submit_jobs()))
             self.watch.start()
@@ -126,6 +142,7 @@
             await self._check_jobs()
             self._check_executions()
             self._check_versions()
+            self._check_whole_responses()
             if is_planned:
                 self._check_answers()
         finally:
@@ -162,33 +179,46 @@
             timeout_s=REQUEST_TIMEOUT_S,
         )
 
-    async def _send_online(self, path, headers):
-        """Send an online request; note it if nothing explains why it is unanswered."""
-        gateway = self.rng.choice(self.fleet.gateways)
+    async def _send_online(self, path, headers, rng):
+        """Send an online request, and note it if it fails."""
+        gateway = rng.choice(self.fleet.gateways)
+        request_id = headers[REQUEST_ID_HEADER]
         sent_at = time.monotonic()
+        body = _make_body(request_id)
         try:
-            return await self._send("POST", path, b"x", headers, gateway)
+            response = await self._send("POST", path, body, headers, gateway)
         except exception.UnavailableError:
-            is_early = 0 <= sent_at - gateway.stop_began_at <= EARLY_S
-            has_timed_out = time.monotonic() - sent_at >= ROUTE_TIMEOUT_S
-            if not is_early and not has_timed_out:
-                self.unanswered.add(headers[REQUEST_ID_HEADER])
+            self._note_failure(request_id, path, gateway, sent_at, NO_ANSWER)
             raise
+        if response.status != 200:
+            self._note_failure(request_id, path, gateway, sent_at, response.status)
+        return response
+
+    def _note_failure(self, request_id, path, gateway, sent_at, outcome):
+        self.fleet.log(f"{request_id} for {path} got {outcome} at {gateway.ip}")
+        is_early = 0 <= sent_at - gateway.stop_began_at <= EARLY_S
+        has_timed_out = time.monotonic() - sent_at >= ROUTE_TIMEOUT_S
+        if is_early or has_timed_out:
+            return
+        if outcome == NO_ANSWER:
+            self.unanswered.add(request_id)
+        if not gateway.was_disrupted_since(sent_at):
+            self.failed.add(request_id)
 
-    async def _send_requests(self):
+    async def _send_requests(self, paths, rng):
         while not self._stopping.is_set():
             request_id = f"r{next(self._counter)}"
-            path = self.rng.choice(["/chat/1", "/draft/1"])
-            if path == "/draft/1":
+            path = rng.choice(paths)
+            if path in ONCE_PATHS:
                 self.at_most_once.add(request_id)
             headers = {REQUEST_ID_HEADER: request_id, DEADLINE_HEADER: "6000"}
             try:
-                response = await self._send_online(path, headers)
+                response = await self._send_online(path, headers, rng)
             except exception.UnavailableError:
                 if path == "/chat/1":
                     await self._take_up(request_id, path)
             else:
-                self._check_response(request_id, response)
+                self._check_response(request_id, path, response)
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
     async def _take_up(self, first_id, path):
@@ -200,7 +230,7 @@
             FIRST_ATTEMPT_HEADER: first_id,
         }
         try:
-            response = await self._send_online(path, headers)
+            response = await self._send_online(path, headers, self.rng)
         except exception.UnavailableError:
             return
         if response.status == 200:
@@ -215,8 +245,11 @@
             self._add_violation(f"{first_id}: one text holds events of {versions}")
         self.versions_seen.setdefault(first_id, set()).update(versions)
 
-    def _check_response(self, request_id, response):
-        if response.status == 200:
+    def _check_response(self, request_id, path, response):
+        if response.status == 200 and path in fleet.PLAIN_PATHS:
+            if response.body != _make_body(request_id):
+                self._add_violation(f"{request_id}: a success with {response.body!r}")
+        elif response.status == 200:
             self.findings.served += 1
             self._check_text(request_id, response.body, EXPECTED_BODY)
         elif response.status in (429, 503):
@@ -316,6 +349,15 @@
             if len(versions) > 1 and not is_item:
                 self._add_violation(f"{first_id}: holds events of {versions}")
 
+    def _check_whole_responses(self):
+        """Check that callers got what replicas sent whole without framing."""
+        whole = set()
+        for each in self.fleet.all_replicas:
+            whole.update(each.whole_responses)
+        self.findings.unframed = len(whole)
+        for request_id in self.failed & whole:
+            self._add_violation(f"{request_id}: sent whole without framing, and failed")
+
     def _check_answers(self):
         """Check that each request that was passed on got a complete answer."""
         for request_id in self.unanswered & set(self._count_runs()):
@@ -339,6 +381,10 @@
         self.findings.violations.append(violation)
 
 
+def _make_body(request_id):
+    return f"the question of {request_id}".encode()
+
+
 async def run_soak(seed, directory, kinds, count, gateways=3, overlaps=False):
     """Run a soak test.
 
--- a/pimentowick/soak/tests/test_soak.py
+++ b/pimentowick/soak/tests/test_soak.py
@@ -48,6 +48,7 @@
     findings = asyncio.run(run.run_soak(1, tmp_path, ["hang_up", "stop"], 6))
     assert not findings.violations
     assert findings.served > 0
+    assert findings.unframed > 0
 
 
 def test_concurrent_soaks_use_distinct_addresses():
