Ask a target which run it is before requests that may run once, too

Cause: only streams that may be resumed ask a new connection which run is at its other end. The end of another answer was judged by the registered start, which was that of a run before.

Change: each new connection to a target that registers a start is asked once, whatever it carries first. If a target does not say in time, a request that any run may get is sent all the same. A connection that told the end of an answer has been asked. Targets that register no start are never asked, as before.

Weighed: to take the start that other connections have told: the first answers after a start are lost. To ask with the head of the answer: a short one has ended by then.

The raw target keeps its port as it stops.

--- a/pimentowick/fakes/raw_target.py
+++ b/pimentowick/fakes/raw_target.py
@@ -82,6 +82,7 @@
         self.connections = 0
         self.address = None
         self._server = None
+        self._reservation = None
         self._writers = set()
 
     def make_registration(self, service, **changes):
@@ -112,8 +113,18 @@
         self.address = f"{LOOPBACK}:{port}"
 
     async def close(self):
-        """Stop listening."""
+        """Stop listening and release the port."""
         self._server.close()
+        if self._reservation is not None:
+            self._reservation.close()
+
+    def _stop(self):
+        """Stop listening, but let no other server have the port."""
+        self._server.close()
+        ip, _, port = self.address.rpartition(":")
+        self._reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reservation.bind((ip, int(port)))
 
     def end_run(self):
         """Close all connections in order."""
@@ -150,7 +161,7 @@
             await reader.readexactly(size)
         request_id = headers.get(f"{HEADER_PREFIX}request-id".lower(), "")
         if answer.ending == Ending.STOP:
-            self._server.close()
+            self._stop()
         writer.write(answer.data.replace(b"{id}", request_id.encode()))
         await writer.drain()
         if answer.ending == Ending.RESET:
--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -96,7 +96,18 @@
         refusal = await self._check_run(connection, request.run_check)
         if refusal is not None:
             connection.close()
-            return refusal
+            if not (request.run_check.is_optional and refusal.is_late_report):
+                return refusal
+            return await self._send_unchecked(request, sink)
+        return await self._send_on(connection, request, sink)
+
+    async def _send_unchecked(self, request, sink):
+        """Send a request whose target did not say in time which run it is."""
+        unchecked = dataclasses.replace(request.run_check, is_asked=False)
+        return await self._send(dataclasses.replace(request, run_check=unchecked), sink)
+
+    async def _send_on(self, connection, request, sink):
+        """Send a request on a connection; return its `Outcome`."""
         outcome = await self._exchange(connection, request, sink)
         if outcome.reason == upstream.UNFRAMED:
             outcome = await self._inquire(outcome, request, sink)
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -484,7 +484,7 @@
             self._strips_key,
         )
         self._run_check = target.make_run_check(
-            self._origin is not None, is_asked=self._route.resumable
+            self._origin is not None, is_optional=not self._route.resumable
         )
         request = upstream.Request(
             self._call.request_id,
--- a/pimentowick/gateway/target.py
+++ b/pimentowick/gateway/target.py
@@ -54,6 +54,8 @@
         software_version: Version of its software, as registered.
         is_required: Whether no other run may get the request.
         is_asked: Whether the target is asked which run it is.
+        is_optional: Whether the request is sent also if the target does not answer that
+            in time.
         is_confirmed: Whether the registered run gets the request.
     """
 
@@ -62,6 +64,7 @@
     is_required: bool
     is_confirmed: bool = False
     is_asked: bool = True
+    is_optional: bool = False
 
     def compare(self, started_ms):
         """Compare the run with that at the other end of a connection.
@@ -214,12 +217,13 @@
             return self.id
         return f"{self.id}@{self.registration.started_ms}"
 
-    def make_run_check(self, is_required, is_asked=True):
+    def make_run_check(self, is_required, is_asked=True, is_optional=False):
         """Return the `RunCheck` of a request.
 
         Args:
             is_required: Whether no other run than the registered one may get it.
             is_asked: Whether the target is asked which run it is.
+            is_optional: Whether the request is sent also if it does not answer in time.
         """
         registration = self.registration
         return RunCheck(
@@ -228,6 +232,7 @@
             is_required,
             is_confirmed=not registration.started_ms,
             is_asked=is_asked and registration.started_ms > 0,
+            is_optional=is_optional,
         )
 
     def record_break(self, now):
--- a/pimentowick/gateway/tests/test_unframed_answers.py
+++ b/pimentowick/gateway/tests/test_unframed_answers.py
@@ -245,20 +245,33 @@
     run_with(check, [Target(path, 0)])
 
 
+@pytest.mark.parametrize("kept", [0, 2])
 @pytest.mark.parametrize("path", PATHS)
-def test_run_that_is_not_registered_yet_may_tell_the_end(path):
+def test_run_that_is_not_registered_yet_may_tell_the_end(path, kept):
     # Its answers were lost until it had registered, if they may run once.
     async def check(site, server):
         server.started_ms += 1
-        server.planned += [broken.answer_soundly(path, {})] * 2
-        await asyncio.gather(*(broken.send(site, path, f"r{n}") for n in range(2)))
-        assert server.connections == 2
+        server.planned += [broken.answer_soundly(path, {})] * kept
+        await asyncio.gather(*(broken.send(site, path, f"r{n}") for n in range(kept)))
+        assert server.connections == kept
         broken.assert_whole(await broken.send(site, path, "r2"), path)
         assert sum(h["x-pimentowick-request-id"] == "r2" for h in server.requests) == 1
 
     run_with(check, [Target(path)])
 
 
+@pytest.mark.parametrize("path", ONCE_PATHS)
+def test_request_is_sent_to_a_target_that_does_not_say_which_run_it_is(path):
+    # It would be refused although any run may get it.
+    async def check(site, server):
+        server.planned.append(broken.answer_soundly(path, {}))
+        server.report_release.clear()
+        broken.assert_whole(await broken.send(site, path), path)
+        server.report_release.set()
+
+    run_with(check, [Target(path)])
+
+
 @pytest.mark.parametrize("path", ["/confirm/1"])
 def test_empty_answer_does_not_wait_for_its_target(path):
     # Nothing that the target says could make it whole.
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -195,8 +195,13 @@
     @property
     def is_unconfirmed(self):
         """Whether it was not sent, as it is uncertain which run would have got it."""
-        is_late = self.reason.startswith(REPORT_FAILED)
-        return self.end == End.NOT_RUN and (is_late or self.reason == OTHER_RUN)
+        is_other = self.end == End.NOT_RUN and self.reason == OTHER_RUN
+        return is_other or self.is_late_report
+
+    @property
+    def is_late_report(self):
+        """Whether it was not sent, as the target did not say which run it is."""
+        return self.end == End.NOT_RUN and self.reason.startswith(REPORT_FAILED)
 
     @property
     def is_survival(self):
@@ -695,7 +700,8 @@
         if reader.is_reusable:
             idle_s = policy.compute_idle_time(reader.idle_s)
             self.idle_until = time.monotonic() + idle_s
-        return message.decode_report(reader.body)
+        self._started_ms = message.decode_report(reader.body)
+        return self._started_ms
 
     async def _ask_report(self):
         """Return the `_ReportReader` of a complete report.
