Judge the time left of a stop by when a request was read

What callers saw: a stream whose body came in pieces or chunks across the stop of a gateway got its status and events, and was cut as the process ended. It had been passed on later than 3 s after SIGTERM, where a request is refused if it may not be finished.

Cause: a stopping gateway sends a request on if half of the answers of its route fit into the time left, provided that it arrived while the listener was open, and else only if nearly all of them fit. It took the arrival of the headers for that of the request, so that one that was read a second or two later still counted as early. Its body had used up the time that the listener's early close leaves for an answer.

Change: the estimate goes by when the request was read to its end. One that is read after the listener has closed is answered 503, not run, unless nearly all answers of its route fit. Where nothing is known of the route all stays as it was: half of the stop must be left.

Evidence: both forms of the new test (length, chunks) failed before.

--- a/pimentowick/gateway/exchange.py
+++ b/pimentowick/gateway/exchange.py
@@ -57,6 +57,8 @@
         sent_refusal: The `verdict.Refusal` that it was answered with, or None.
         workspace: Name of the caller's workspace, or None if unknown.
         received_at: Monotonic time at which the headers were read.
+        read_at: Monotonic time at which the body was read to its end; until then that
+            of the headers.
         started: Whether the headers of the response are sent.
         finished: Whether the response is complete or aborted.
         is_read: Whether the request has been read to its end.
@@ -73,7 +75,7 @@
         self.limit_refusal = None
         self.sent_refusal = None
         self.workspace = None
-        self.received_at = time.monotonic()
+        self.received_at = self.read_at = time.monotonic()
         self.started = False
         self.finished = False
         self.is_read = False
--- a/pimentowick/gateway/policy/graceful_stop.py
+++ b/pimentowick/gateway/policy/graceful_stop.py
@@ -13,7 +13,9 @@
     The listener closes early enough for usual requests to be finished. One that arrived
     before is refused only if it is more likely to be cut than not, and, if nothing is
     known of its route, not in the first half of the stop: too cautious an estimate
-    would refuse requests that the load balancer still sends here.
+    would refuse requests that the load balancer still sends here. Of those, one whose
+    body is read later has less time left: it is refused unless nearly all responses of
+    its route would be finished, if that is known.
 """
 
 import math
@@ -24,7 +26,7 @@
 
 # Share of the responses of a route that take no longer than expected.
 EXPECTED_SHARE = 0.99
-# The same for requests that arrived before the listener closed.
+# The same for requests that were read before the listener closed.
 EARLY_EXPECTED_SHARE = 0.5
 # Allowance for a response that takes longer than nearly all before it.
 DURATION_FACTOR = 1.5
@@ -42,17 +44,21 @@
     Examples:
         >>> stop = GracefulStop()
         >>> stop.begin(now=0.0, ends_at=8.0, accepts_until=2.5)
-        >>> stop.compute_latest_start("chat", received_at=4.0, deadline_at=9.0)
+        >>> stop.compute_latest_start("chat", 4.0, read_at=4.0, deadline_at=9.0)
         3.0
-        >>> stop.compute_latest_start("chat", received_at=2.0, deadline_at=9.0)
+        >>> stop.compute_latest_start("chat", 2.0, read_at=2.0, deadline_at=9.0)
+        4.0
+        >>> stop.compute_latest_start("chat", 2.0, read_at=4.0, deadline_at=9.0)
         4.0
         >>> for _ in range(20):
         ...     stop.record_duration("chat", 1.0)
-        >>> 6.0 < stop.compute_latest_start("chat", 4.0, 9.0) < 6.6
+        >>> 6.0 < stop.compute_latest_start("chat", 4.0, 4.0, 9.0) < 6.6
+        True
+        >>> 6.0 < stop.compute_latest_start("chat", 2.0, 4.0, 9.0) < 6.6
         True
-        >>> 6.6 < stop.compute_latest_start("chat", 2.0, 9.0) < 7.1
+        >>> 6.6 < stop.compute_latest_start("chat", 2.0, 2.0, 9.0) < 7.1
         True
-        >>> stop.compute_latest_start("chat", received_at=4.0, deadline_at=7.0)
+        >>> stop.compute_latest_start("chat", 4.0, read_at=4.0, deadline_at=7.0)
         7.0
     """
 
@@ -90,25 +96,27 @@
             self._durations[route_name] = durations
         durations.record(duration_s)
 
-    def compute_latest_start(self, route_name, received_at, deadline_at):
+    def compute_latest_start(self, route_name, received_at, read_at, deadline_at):
         """Return the monotonic time until which a request may be sent to a target.
 
         Args:
             route_name: Name of its route.
-            received_at: Monotonic time at which it arrived.
+            received_at: Monotonic time at which its headers were read.
+            read_at: Monotonic time at which it was read to its end.
             deadline_at: Monotonic time at which it is given up in any case.
         """
         if deadline_at <= self.ends_at:
             return deadline_at
-        limit_s = deadline_at - received_at
-        return self.ends_at - min(limit_s, self._expect_s(route_name, received_at))
+        expected_s = self._expect_s(route_name, received_at, read_at)
+        return self.ends_at - min(deadline_at - read_at, expected_s)
 
-    def _expect_s(self, route_name, received_at):
+    def _expect_s(self, route_name, received_at, read_at):
         durations = self._durations.get(route_name)
-        if received_at < self._accepts_until:
-            share, factor, unknown_s = EARLY_EXPECTED_SHARE, 1.0, self._half_s
+        unknown_s = self._half_s if received_at < self._accepts_until else math.inf
+        if read_at < self._accepts_until:
+            share, factor = EARLY_EXPECTED_SHARE, 1.0
         else:
-            share, factor, unknown_s = EXPECTED_SHARE, DURATION_FACTOR, math.inf
+            share, factor = EXPECTED_SHARE, DURATION_FACTOR
         expected_s = math.inf if durations is None else durations.estimate(share)
         return factor * expected_s if expected_s < math.inf else unknown_s
 
--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -235,7 +235,10 @@
 
     def _compute_latest_start(self):
         return self._graceful_stop.compute_latest_start(
-            self._route.name, self._exchange.received_at, self._deadline_at
+            self._route.name,
+            self._exchange.received_at,
+            self._exchange.read_at,
+            self._deadline_at,
         )
 
     async def run(self):
--- a/pimentowick/gateway/request_reader.py
+++ b/pimentowick/gateway/request_reader.py
@@ -1,6 +1,7 @@
 """Reading of callers' requests within the limits on their size and on memory."""
 
 import asyncio
+import time
 
 from tornado import httputil
 
@@ -88,6 +89,7 @@
             self._exchange.end_request()
             return
         self._exchange.is_read = True
+        self._exchange.read_at = time.monotonic()
         self._exchange.body = b"".join(self._chunks)
         self._exchange.limit_refusal = self._limit_refusal
         self._chunks.clear()
--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -215,6 +215,46 @@
     run_with([server], check)
 
 
+@pytest.mark.parametrize(
+    ("framing", "beginning", "rest"),
+    [
+        ("Content-Length: 5", "he", "llo"),
+        ("Transfer-Encoding: chunked", "2\r\nhe\r\n", "3\r\nllo\r\n0\r\n\r\n"),
+    ],
+    ids=["length", "chunked"],
+)
+def test_planned_stop_runs_no_late_body_whose_response_it_would_truncate(
+    monkeypatch, framing, beginning, rest
+):
+    # Guards against a stop that takes a request for an early one by its headers, and
+    # truncates its response because the body was read late.
+    monkeypatch.setattr(daemon, "BALANCER_REMOVAL_S", 0.0)
+    server = replica.Replica(events=30, event_interval_s=0.1)
+    head = (
+        f"POST /chat/1 HTTP/1.1\r\nHost: {platform_site.HOST}\r\n"
+        "X-Pimentowick-Request-Id: r\r\nX-Pimentowick-Deadline-Ms: 8000\r\n"
+        f"{framing}\r\n\r\n{beginning}"
+    )
+
+    async def check(site, gateway):
+        # Most responses of the route are short.
+        for duration_s in [0.1] * 10 + [3.0] * 2:
+            gateway._graceful_stop.record_duration("chat", duration_s)
+        host, _, port = gateway.settings.callers_address.partition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(head.encode())
+        await wait_true(lambda: gateway._caller_server._busy)
+        draining = asyncio.create_task(gateway.drain())
+        await asyncio.sleep(1.0)
+        writer.write(rest.encode())
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+        assert not server.runs
+        await draining
+        writer.close()
+
+    run_with([server], check)
+
+
 def test_reloading_settings_interrupts_no_request(tmp_path, monkeypatch):
     server = replica.Replica(events=20, event_interval_s=0.02)
 
