Complete a stream that may have ended by a continuation without an event

What callers saw: a resumable stream without framing got all its events and was closed without its end, though each of its targets was alive. Its first target was slow to say so; the stream went on at another one, which had no further event, and each further attempt ended in the same way (`broken_off_unframed`).

Cause: a continuation without an event is no proof by itself, as its target may not have begun to send it. But here the run before had ended in order, after a whole event, at a target of which nothing else is known than that it is slow.

Change: the two together are an end: a run that ended in order and whose target did not say in time that it lives, and one that goes on after it, has no event, and lives. Not if the first one is known to have ended, or had reset its connection.

Evidence: test_empty_continuation_of_a_stream_that_may_have_ended_completes_it failed before; the tests of continuations after a target that stopped, restarted or reset hold unchanged.

--- a/pimentowick/gateway/relay.py
+++ b/pimentowick/gateway/relay.py
@@ -202,6 +202,8 @@
         self._run_check = None
         # The `liveness.Inquiry` of the last run.
         self._inquiry = liveness.Inquiry()
+        # Whether the last run ended in order, and its target did not say that it lives.
+        self._may_have_ended = False
         self._sent = False
         self._sent_at = None
         self._has_queued = False
@@ -544,7 +546,10 @@
                 sink.ends_within_event,
                 is_continuation=resume_after is not None,
             )
-        outcome = outcome.confirm_end(sink.has_content)
+        outcome = outcome.confirm_end(sink.has_content or self._may_have_ended)
+        if outcome.end != upstream.End.NOT_RUN:
+            has_content = sink.has_content or self._may_have_ended
+            self._may_have_ended = has_content and outcome.is_end_unknown
         self._metrics.count_responses(outcome)
         if outcome.end == upstream.End.NOT_RUN:
             self._sent = self._progress.runs > 0
--- a/pimentowick/gateway/tests/test_unframed_answers.py
+++ b/pimentowick/gateway/tests/test_unframed_answers.py
@@ -162,6 +162,29 @@
     run_with(check, [Target(path, 0), Target(path, 0)])
 
 
+def test_empty_continuation_of_a_stream_that_may_have_ended_completes_it():
+    # A target that is slow to say that it lives cut its stream, although the next one
+    # had no further event.
+    path = "/chat/1"
+
+    async def check(site, *servers):
+        silent = []
+
+        def fall_silent(server, headers):
+            if not silent:
+                silent.append(server)
+                server.report_release.clear()
+            return make_answer(path, int(headers.get("last-event-id", 0)))
+
+        for server in servers:
+            server.answer = functools.partial(fall_silent, server)
+        broken.assert_whole(await broken.send(site, path), path)
+        assert [len(server.requests) for server in servers] == [1, 1]
+        silent[0].report_release.set()
+
+    run_with(check, [Target(path, 0), Target(path, 0)])
+
+
 def test_events_do_not_wait_for_the_end():
     # They are late if they come more than some milliseconds after the target sent them.
     async def check(site, server):
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -161,8 +161,9 @@
         order, has sent an unframed response to its end unless it crashed.
 
         Args:
-            has_content: Whether something of the response had arrived. Otherwise
-                nothing tells that the target had begun to send it.
+            has_content: Whether something of the response had arrived, or it goes on
+                after one that may have been whole. Otherwise nothing tells that the
+                target had begun to send it.
         """
         if self.reason != UNFRAMED or not (has_content and self.is_target_alive):
             return self
@@ -173,6 +174,15 @@
         """Whether the run that sent an unframed response was alive after its end."""
         return self.inquiry is not None and self.inquiry.is_alive
 
+    @property
+    def is_end_unknown(self):
+        """Whether an unframed response may be whole, and its target is silent."""
+        return (
+            self.reason == UNFRAMED
+            and self.inquiry is not None
+            and self.inquiry.liveness == liveness.Liveness.UNKNOWN
+        )
+
     @property
     def is_target_lost(self):
         """Whether the run that sent an unframed response had ended with it."""
