Suspect a request of a crash if its target ended with its answer

What callers saw: a request that crashes its targets, in answers without framing whose connections the kernel closes in order, was sent to one target after the other and never quarantined. Their other callers lost their answers.

Cause: a close within a framed answer counts as a possible crash, a close of an unframed one does not, as most targets live on. That the target was found to be gone, or another run, was used for its health, but not for the guard.

Change: such an outcome may be a crash. The health reads the same property now.

Evidence: test_request_whose_target_ended_is_suspected_of_a_crash, 4 of 4 failed before; its counterpart for a target that lives on passed and holds. 742 tests of the files that name the guard or the quarantine passed.

Left open: a target that ends as planned right after its last answer is counted as well, as it is in a framed answer that it breaks off; two such attempts quarantine a request. An item with events asks no target, so that its crashes still do not count if they look like this.

--- a/pimentowick/gateway/health.py
+++ b/pimentowick/gateway/health.py
@@ -89,8 +89,7 @@
             self._outliers.record_outcome(
                 target.id, is_complete and outcome.status < 500
             )
-        is_lost = outcome.may_be_crash or outcome.is_target_lost
-        if is_lost or not outcome.connected:
+        if outcome.may_be_crash or not outcome.connected:
             target.record_break(now)
         if outcome.end == upstream.End.COMPLETE or outcome.status:
             target.failures = 0
--- a/pimentowick/gateway/tests/test_unframed_kinds.py
+++ b/pimentowick/gateway/tests/test_unframed_kinds.py
@@ -230,3 +230,24 @@
         assert queue_state.free_slots == queue_state.slots
 
     broken.run_with(check, path)
+
+
+@pytest.mark.parametrize("ending", [raw_target.Ending.STOP, raw_target.Ending.RESTART])
+@pytest.mark.parametrize("path", broken.ONCE_PATHS)
+def test_request_whose_target_ended_is_suspected_of_a_crash(path, ending):
+    # It would crash one target after the other.
+    async def check(site, planned, servers):
+        planned.append(make_answer(get_body(path), ending=ending))
+        assert await broken.find_suspects(site, path, b"deadly")
+
+    broken.run_with(check, path, started_ms=broken.STARTED_MS)
+
+
+@pytest.mark.parametrize("path", broken.ONCE_PATHS)
+def test_request_whose_target_lives_on_is_not_suspected_of_a_crash(path):
+    # It would be quarantined after a few of them.
+    async def check(site, planned, servers):
+        planned.append(make_answer(get_body(path)))
+        assert not await broken.find_suspects(site, path, b"sound")
+
+    broken.run_with(check, path)
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -176,7 +176,8 @@
     @property
     def may_be_crash(self):
         """Whether the target may have crashed during the request."""
-        return self.end == End.INCOMPLETE and self.reason in CLOSED_REASONS
+        has_closed = self.reason in CLOSED_REASONS or self.is_target_lost
+        return self.end == End.INCOMPLETE and has_closed
 
     @property
     def is_refusal(self):
