Pass on no stream whose first event became part of its head

What callers saw: a stream that began with its second event and counted as whole, and items listed as done without their first one, if the empty line between a head and its events was lost. Streams with a length were continued at the end, so that they looked whole, too.

Cause: the parser takes lines that end with a line feed alone for fields of the head, here "id: 1" and "data: ...", up to the empty line behind the first event. A stream may begin with any id, and what follows is a sound event. With a length or chunks the body ends elsewhere, which was noticed, but only at its end, when the events had been passed on; without, the target lives on and its answer counts as whole.

Change: fields of events in the head of a stream, or of the answer to an item, mean that it is out of order, before anything of it is passed on. It runs again where it may.

Evidence: 5 of the 6 cases of test_event_that_became_part_of_the_head_is_not_left_out failed before; in the sixth, a stream with a length that runs once, the caller got the events, but no end.

--- a/pimentowick/gateway/execution.py
+++ b/pimentowick/gateway/execution.py
@@ -163,6 +163,9 @@
         self.last_received_at = time.monotonic()
         if not answer.is_signed or answer.has_encoding:
             self.is_in_order = False
+        if status == 200 and message.has_event_field(headers):
+            # Its first event would be missing.
+            self.is_in_order = False
 
     async def on_chunk(self, chunk):
         """Parse events from a chunk of the body; see `upstream.Sink`."""
--- a/pimentowick/gateway/response.py
+++ b/pimentowick/gateway/response.py
@@ -73,6 +73,8 @@
             and answer.is_signed
             and not answer.has_encoding
         )
+        # Its first event would be missing.
+        self.out_of_order = self.forwards_events and message.has_event_field(headers)
         length = headers.get("Content-Length", "")
         if length.isdecimal() and not self.forwards_events:
             self._announced_bytes = int(length)
--- a/pimentowick/gateway/tests/test_unframed_kinds.py
+++ b/pimentowick/gateway/tests/test_unframed_kinds.py
@@ -251,3 +251,20 @@
         assert not await broken.find_suspects(site, path, b"sound")
 
     broken.run_with(check, path)
+
+
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 60\r\n"])
+@pytest.mark.parametrize("path", [*broken.STREAM_PATHS, "/lot/1"])
+def test_event_that_became_part_of_the_head_is_not_left_out(path, framing):
+    # Without its empty line, a head takes the first event for its last fields.
+    fields = HEAD + framing
+    data = broken_answers.make_answer(fields=fields, body=b"".join(EVENTS))
+    if path != "/lot/1":
+        broken.check_broken(path, raw_target.Answer(data))
+        return
+
+    async def check(site, planned, servers):
+        planned.append(raw_target.Answer(data))
+        assert await broken.run_item(site) == ("done", broken.TEXT)
+
+    broken.run_with(check, path)
--- a/pimentowick/platform/message.py
+++ b/pimentowick/platform/message.py
@@ -49,9 +49,8 @@
 MAX_WAIT = "X-Pimentowick-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
 # Fields of events. The last one is a header that a stream may repeat within an event.
-EVENT_FIELDS = frozenset(
-    {b"id", b"data", b"event", b"retry", b"x-pimentowick-weight-versions"}
-)
+STANDARD_EVENT_FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
+EVENT_FIELDS = STANDARD_EVENT_FIELDS | {b"x-pimentowick-weight-versions"}
 RESUMES = "Resumes"
 # What a replica says of itself.
 REPORT_PATH = "/-/report"
@@ -382,6 +381,21 @@
     return target.ReportedLoad(*figures[:3], slowdown)
 
 
+def has_event_field(headers):
+    """Return whether a head has a field that belongs to an event.
+
+    It has if the empty line between it and the first event was lost.
+
+    Examples:
+        >>> from tornado import httputil
+        >>> has_event_field(httputil.HTTPHeaders({"Date": "now", "Id": "1"}))
+        True
+        >>> has_event_field(httputil.HTTPHeaders({"Date": "now"}))
+        False
+    """
+    return any(name.lower().encode() in STANDARD_EVENT_FIELDS for name in headers)
+
+
 def decode_report(body):
     """Return when a target was started, from its report.
 
