Take no rest of a head for a body that its connection ends

What callers saw: a body that began with the last fields of the head, or an empty line, as the whole answer of a target that lives on, if its head had ended too early: by an added line end, or a byte that became one. It showed in heads without framing, with fields behind the one that announces the close, and in framed ones whose framing lost its first letter.

Cause: since a living target's answer without framing counts as whole, nothing but the beginning of the body tells that the head was damaged. The check knew only rests with a whole field that frames the body.

Change: an empty line, fields up to another empty line (but for those of events), and a field that frames the body but for its first letter are the rest of a head, too.

Cost: sound bodies that begin with a line end, or with lines like fields of a head and an empty one, each with a carriage return, are lost without framing, as all were before.

Tests: the property test of damaged answers judged what the pool says, which is never complete for an answer without framing, so that such damage could not fail it. It judges the outcome after the target was asked, with the sink that callers have, and covers answers without framing and streams now. Nothing was taken out.

One kind of stream still passes an empty line on before its first event, and then ends without its end.

--- a/pimentowick/gateway/tests/test_damaged_answers.py
+++ b/pimentowick/gateway/tests/test_damaged_answers.py
@@ -1,6 +1,7 @@
 """A sound answer that is damaged at one place of its head."""
 
 import asyncio
+import dataclasses
 
 import hypothesis
 import pytest
@@ -8,7 +9,8 @@
 from tornado import httputil
 
 from pimentowick.fakes import broken_answers, raw_target
-from pimentowick.gateway import connection_pool, upstream
+from pimentowick.gateway import connection_pool, response, upstream
+from pimentowick.gateway.policy import memory_budget
 
 BODY = broken_answers.BODY
 LENGTH = broken_answers.make_answer()
@@ -16,12 +18,35 @@
     broken_answers.CHUNKED, broken_answers.encode_chunks([BODY[:9], BODY[9:]])
 )
 CLOSING = broken_answers.FIELDS + broken_answers.CLOSES
+# A field behind the one that announces the close.
+DATED = CLOSING + b"Date: Tue, 08 Dec 2026 00:13:49 GMT\r\n"
 SOUND = [
     LENGTH,
     CHUNKS,
     LENGTH.replace(broken_answers.FIELDS, CLOSING),
     CHUNKS.replace(broken_answers.FIELDS, CLOSING),
 ]
+EVENTS = b"".join(broken_answers.EVENTS)
+FRAMED_EVENTS = [
+    b"Content-Length: %d\r\n\r\n%s" % (len(EVENTS), EVENTS),
+    broken_answers.make_chunks(broken_answers.EVENTS),
+    # An event that is split, and events that share a chunk.
+    broken_answers.make_chunks([EVENTS[:9], EVENTS[9:]]),
+]
+SOUND_STREAMS = [
+    broken_answers.make_answer(fields=fields, body=body)
+    for fields in (broken_answers.FIELDS, CLOSING)
+    for body in FRAMED_EVENTS
+]
+# Their connection tells where they end.
+UNFRAMED = [
+    broken_answers.make_answer(fields=fields, body=b"\r\n" + BODY)
+    for fields in (CLOSING, DATED)
+]
+UNFRAMED_STREAMS = [
+    broken_answers.make_answer(fields=fields, body=b"\r\n" + EVENTS)
+    for fields in (CLOSING, DATED)
+]
 
 
 def split_lines(data):
@@ -31,8 +56,8 @@
 
 
 @strategies.composite
-def damaged_answers(draw):
-    data = draw(strategies.sampled_from(SOUND))
+def damaged_answers(draw, answers):
+    data = draw(strategies.sampled_from(answers))
     size = data.index(b"\r\n\r\n") + 4
     lines, body = split_lines(data)
     number = draw(strategies.integers(0, len(lines) - 1))
@@ -56,37 +81,60 @@
     return b"".join(lines) + body
 
 
-class CollectingSink(upstream.Sink):
+class Exchange:
+    """What a caller gets of an answer that is passed on as it arrives."""
+
     def __init__(self):
+        self.started = False
         self.body = b""
+        self.account = memory_budget.Account(memory_budget.MemoryBudget(), "caller", 0)
 
-    async def on_headers(self, status, headers, answer):
+    async def wait_for_room(self):
         pass
 
-    async def on_chunk(self, chunk):
-        self.body += chunk
+    async def start(self, status, headers, data):
+        self.started = True
+        self.body += data
 
+    async def write(self, data):
+        self.body += data
 
-async def receive(data, method="GET"):
-    """Return the outcome of a request, and the body that came with it."""
+
+async def receive(data, method="GET", is_stream=False):
+    """Return the outcome of a request, and the body that came with it.
+
+    The target lives on after its answer, and says so if it is asked.
+    """
     server = raw_target.RawTarget(lambda headers: raw_target.Answer(data))
     await server.start()
     ip, _, port = server.address.rpartition(":")
     pool = connection_pool.Pool(ip, int(port))
     headers = httputil.HTTPHeaders({"X-Pimentowick-Request-Id": "r1"})
-    sink = CollectingSink()
+    exchange = Exchange()
+    sink = response.CallerSink(exchange, is_stream)
     request = upstream.Request("r1", method, "/x", headers, b"")
     outcome = await pool.send(request, sink)
     pool.close()
     await server.close()
-    return outcome, sink.body
+    outcome = judge(outcome, sink)
+    return outcome, exchange.body if sink.forwards_events else b"".join(sink.buffered)
+
+
+def judge(outcome, sink):
+    """Return an outcome after all that is checked before its answer counts as whole."""
+    if sink.forwards_events:
+        outcome = outcome.check_events(sink.event_times.count, sink.ends_within_event)
+    outcome = outcome.confirm_end(sink.has_content)
+    if sink.forwards_events and not (sink.events and sink.is_complete()):
+        return dataclasses.replace(outcome, end=upstream.End.INCOMPLETE)
+    return outcome
 
 
 def is_success(outcome):
     return outcome.end == upstream.End.COMPLETE and 200 <= outcome.status < 300
 
 
-@pytest.mark.parametrize("data", SOUND)
+@pytest.mark.parametrize("data", [*SOUND, *UNFRAMED])
 def test_sound_answer_is_complete(data):
     # Otherwise the other tests of this file could not fail.
     outcome, body = asyncio.run(receive(data))
@@ -94,8 +142,21 @@
     assert body == BODY
 
 
-@hypothesis.settings(max_examples=400, deadline=None, derandomize=True, database=None)
-@hypothesis.given(damaged_answers())
+@pytest.mark.parametrize("data", [*SOUND_STREAMS, *UNFRAMED_STREAMS])
+def test_sound_stream_is_complete(data):
+    # The same for events.
+    outcome, body = asyncio.run(receive(data, is_stream=True))
+    assert is_success(outcome)
+    assert body == EVENTS
+
+
+DAMAGED = hypothesis.settings(
+    max_examples=400, deadline=None, derandomize=True, database=None
+)
+
+
+@DAMAGED
+@hypothesis.given(damaged_answers(SOUND))
 def test_damaged_answer_is_complete_with_its_body_or_not_at_all(data):
     # Callers would get another body as the answer of the target.
     outcome, body = asyncio.run(receive(data))
@@ -103,6 +164,66 @@
         assert body == BODY
 
 
+@DAMAGED
+@hypothesis.given(damaged_answers(UNFRAMED))
+def test_damaged_answer_without_framing_is_complete_with_its_body_or_not_at_all(data):
+    # What follows the damaged head is all taken for the body.
+    outcome, body = asyncio.run(receive(data))
+    if is_success(outcome):
+        assert body == BODY
+
+
+@DAMAGED
+@hypothesis.given(damaged_answers(SOUND_STREAMS))
+def test_damaged_stream_is_complete_with_its_events_or_not_at_all(data):
+    # The frames of chunks, or the rest of a head, would be passed on as events.
+    outcome, body = asyncio.run(receive(data, is_stream=True))
+    if is_success(outcome):
+        assert body == EVENTS
+
+
+@DAMAGED
+@hypothesis.given(damaged_answers(UNFRAMED_STREAMS))
+def test_damaged_stream_without_framing_is_complete_with_its_events_or_not_at_all(data):
+    # The same for events whose end the connection tells.
+    outcome, body = asyncio.run(receive(data, is_stream=True))
+    if is_success(outcome):
+        assert body == EVENTS
+
+
+CLOSES = broken_answers.CLOSES
+DATE = b"Date: Tue, 08 Dec 2026 00:13:49 GMT\r\n"
+# Heads that end too early. What is left of them begins the body.
+EARLY_ENDS = {
+    "empty line doubled": UNFRAMED[0].replace(CLOSES, CLOSES + b"\r\n"),
+    "line feed before the empty line": UNFRAMED[0].replace(
+        CLOSES, CLOSES[:-1] + b"\n\n"
+    ),
+    "line feed in the empty line": UNFRAMED[0].replace(b"\r\n\r\n", b"\r\n\n\n"),
+    "empty line before a field": UNFRAMED[1].replace(DATE, b"\r\n" + DATE),
+    "line feed in a field": UNFRAMED[1].replace(DATE, b"\n" + DATE[1:]),
+    "line feed in a length": SOUND[2].replace(b"Content-", b"\nontent-"),
+    "line feed in a coding": SOUND[3].replace(b"Transfer-", b"\nransfer-"),
+}
+
+
+@pytest.mark.parametrize("damage", EARLY_ENDS)
+def test_rest_of_a_head_is_no_body(damage):
+    # The target lives on, so that all of it counted as its answer.
+    outcome, _ = asyncio.run(receive(EARLY_ENDS[damage]))
+    assert outcome.reason == "malformed_framing"
+
+
+@pytest.mark.parametrize(
+    "data", [stream.replace(b"\r\n\r\n", b"\r\n", 1) for stream in UNFRAMED_STREAMS]
+)
+def test_stream_whose_first_event_is_in_its_head_is_not_passed_on(data):
+    # It began with the second event.
+    outcome, body = asyncio.run(receive(data, is_stream=True))
+    assert not is_success(outcome)
+    assert not body
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/pimentowick/response_head.py
+++ b/pimentowick/response_head.py
@@ -32,9 +32,13 @@
 # No Content and Not Modified.
 BODILESS_STATUSES = frozenset({204, 304})
 FRAMING_FIELD = re.compile(r"(content-length|transfer-encoding):", re.IGNORECASE)
-# Fields up to one that frames the body, or the size of a chunk.
+# The line that ends a head; fields up to one that frames the body, whose first letter
+# may be lost, or up to the end of the head, unless they are an event's; or the size of
+# a chunk.
 REST_OF_RESPONSE = re.compile(
-    rb"(?:[!-9;-~]+:[^\r\n]*\r?\n)*(?:content-length|transfer-encoding):[^\r\n]*\r?\n"
+    rb"\r?\n"
+    rb"|(?:[!-9;-~]+:[^\r\n]*\r?\n)*(?:c?ontent-length|t?ransfer-encoding):[^\r\n]*\r?\n"
+    rb"|(?!(?:id|data|event|retry):)(?:[!-9;-~]+:[^\r\n]*\r\n)+\r\n"
     rb"|[0-9a-f]+[ \t]*(?:;[^\r\n]*)?\r\n",
     re.IGNORECASE,
 )
@@ -130,6 +134,8 @@
     Examples:
         >>> is_rest_of_response(b"X-Odd: 1\r\nContent-Length: 3\r\n\r\nabc")
         True
+        >>> is_rest_of_response(b"X-Odd: 1\r\n\r\nabc")
+        True
         >>> is_rest_of_response(b"3\r\nabc\r\n0\r\n\r\n")
         True
         >>> is_rest_of_response(b"id: 1\r\ndata: abc\r\n\r\n")
