Ask no target again whose answer could not help

What callers saw: 504 at their deadline, or a stream that ends there, instead of the 502 that was certain at once, if the witness was lost, the target says nothing of its start, and it resets connections or lets them time out. It was asked ten times a second meanwhile.

Cause: a new connection shows the run only by its start; without one, only a refusal tells more than nothing. All other errors led to another attempt, also then.

Evidence: test_target_that_names_no_start_is_not_asked_again failed before: it was asked a third time.

--- a/pimentowick/gateway/liveness.py
+++ b/pimentowick/gateway/liveness.py
@@ -187,6 +187,9 @@
             except CONNECTION_ERRORS as error:
                 if _is_refused(error):
                     return Liveness.GONE
+                if not self._started_ms:
+                    # No answer could show that it is the same run.
+                    return Liveness.UNKNOWN
                 # It may be out of reach, or have too many connections, for a while.
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
--- a/pimentowick/gateway/tests/test_liveness.py
+++ b/pimentowick/gateway/tests/test_liveness.py
@@ -144,6 +144,14 @@
     assert pool.asked == 3
 
 
+def test_target_that_names_no_start_is_not_asked_again():
+    # Its caller would wait until the deadline, though no answer could help.
+    inquiry, pool = ask(LOST, LOST, started_ms=0, timeout_s=WAIT_S)
+    assert inquiry.liveness == liveness.Liveness.UNKNOWN
+    assert inquiry.took_s < WAIT_S / 2
+    assert pool.asked == 2
+
+
 class SlowPool(Pool):
     """Pool whose connections take some time to open."""
 
