Test that bytes which wait for a silent target are released

The body of an answer without framing is held while its target is asked, up to the caller's deadline. The test holds that it counts for the memory budget meanwhile and not afterwards. It passed on the code as it is.

--- a/pimentowick/gateway/tests/test_unframed_kinds.py
+++ b/pimentowick/gateway/tests/test_unframed_kinds.py
@@ -268,3 +268,24 @@
         assert await broken.run_item(site) == ("done", broken.TEXT)
 
     broken.run_with(check, path)
+
+
+def test_bytes_that_wait_for_a_silent_target_are_released():
+    # They are held while it is asked, up to the deadline.
+    async def check(site, planned, servers):
+        for server in servers:
+            server.report = raw_target.Answer(b"", KEEP)
+        budget = site.gateways[0]._caller_server.held.budget
+        planned.append(make_answer(bytes(1_000_000)))
+        task = asyncio.create_task(broken.send(site, "/confirm/1"))
+        await wait.wait_for(
+            lambda: sum(server.reports for server in servers),
+            broken.WAIT_S,
+            broken.POLL_S,
+        )
+        assert budget.held >= 1_000_000
+        assert (await task).status == 504
+        await wait.wait_for(lambda: not budget.held, broken.WAIT_S, broken.POLL_S)
+        broken.assert_whole(await broken.send(site, "/confirm/1", "r2"), "/confirm/1")
+
+    broken.run_with(check, "/confirm/1")
