Close connections that are given back to a pool after it was closed

What targets saw: connections of a gateway that stay open and idle after the target was removed, until the target closes them, if a request or a question was in progress then.

Cause: a pool closes its idle connections when its target is removed, and is forgotten. A connection that came back later was kept for a next request, which no longer exists, and nobody closed it when it expired. Witnesses make this more frequent, as one is open for each answer without framing.

Evidence: test_witness_of_a_pool_that_was_closed_is_not_kept failed before; 573 tests of the files that name the pools passed.

--- a/pimentowick/gateway/connection_pool.py
+++ b/pimentowick/gateway/connection_pool.py
@@ -55,6 +55,7 @@
         self._idle = []
         self._busy = 0
         self._lent = 0
+        self._is_closed = False
         self.opened = 0
 
     @property
@@ -157,7 +158,8 @@
         self._put_back(connection, connection.is_reusable(time.monotonic()))
 
     def _put_back(self, connection, is_reusable):
-        if is_reusable and len(self._idle) < self._compute_max_idle():
+        may_keep = is_reusable and not self._is_closed
+        if may_keep and len(self._idle) < self._compute_max_idle():
             self._idle.append(connection)
         else:
             connection.close()
@@ -196,7 +198,8 @@
         return True
 
     def close(self):
-        """Close the idle connections."""
+        """Close the idle connections, and the others as they are given back."""
+        self._is_closed = True
         for connection in self._idle:
             connection.close()
         self._idle.clear()
--- a/pimentowick/gateway/tests/test_liveness.py
+++ b/pimentowick/gateway/tests/test_liveness.py
@@ -384,6 +384,23 @@
     asyncio.run(run())
 
 
+def test_witness_of_a_pool_that_was_closed_is_not_kept():
+    # Nobody would close it, as the target was removed.
+    async def run():
+        async with open_pool() as (server, pool):
+            witness = liveness.Witness(pool, STARTED_MS)
+            witness.prepare()
+            inquiry = liveness.Inquiry(30)
+            await witness.ask(inquiry, WAIT_S)
+            pool.close()
+            witness.close()
+            assert inquiry.liveness == liveness.Liveness.SAME_RUN
+            assert pool.open == 0
+            await wait.wait_for(lambda: not server._writers, WAIT_S, POLL_S)
+
+    asyncio.run(run())
+
+
 class ClosingTarget(raw_target.RawTarget):
     """Target that closes its other connections in the middle of a response."""
 
