--- a/pimentowick/gateway/tests/test_liveness.py
+++ b/pimentowick/gateway/tests/test_liveness.py
@@ -341,3 +341,17 @@
             assert inquiry.liveness == liveness.Liveness.OTHER_RUN
 
     asyncio.run(run())
+
+
+def test_connection_of_a_pool_that_was_closed_is_not_kept():
+    # Nobody would close it, as the target was removed.
+    async def run():
+        async with open_pool() as (server, pool):
+            connection = await pool.lend()
+            await pool.ask_run(connection)
+            pool.close()
+            pool.take_back(connection)
+            assert pool.open == 0
+            await wait.wait_for(lambda: not server._writers, WAIT_S, POLL_S)
+
+    asyncio.run(run())
--- a/pimentowick/response_head.py
+++ b/pimentowick/response_head.py
@@ -34,9 +34,12 @@
 # Of the beginning of a body that is looked at.
 MAX_BEGINNING_BYTES = 8_192
 FRAMING_FIELD = re.compile(r"(content-length|transfer-encoding):", re.IGNORECASE)
-# Fields up to one that frames the body.
+# The line that ends a head; fields up to one that frames the body, whose first letter
+# may be lost, or up to the end of the head, unless they are an event's.
 REST_OF_HEAD = re.compile(
-    rb"(?:[!-9;-~]+:[^\r\n]*\r?\n)*(?:content-length|transfer-encoding):[^\r\n]*\r?\n",
+    rb"\r?\n"
+    rb"|(?:[!-9;-~]+:[^\r\n]*\r?\n)*(?:c?ontent-length|t?ransfer-encoding):[^\r\n]*\r?\n"
+    rb"|(?!(?:[^\r\n]+\r\n)*?(?:id|data|event|retry):)(?:[!-9;-~]+:[^\r\n]*\r\n)+\r\n",
     re.IGNORECASE,
 )
 CHUNK_SIZE = re.compile(rb"([0-9a-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n", re.IGNORECASE)
@@ -135,6 +138,8 @@
     Examples:
         >>> is_rest_of_response(b"X-Odd: 1\r\nContent-Length: 3\r\n\r\nabc")
         True
+        >>> is_rest_of_response(b"X-Odd: 1\r\n\r\nabc")
+        True
         >>> is_rest_of_response(b"3\r\nabc\r\n0\r\n\r\n")
         True
         >>> is_rest_of_response(b"id: 1\r\ndata: abc\r\n\r\n")
