Test that the kernel tells when the last bytes of an answer arrived

An answer that is read late would otherwise look as if its target had just lived, so that another process at its address could tell its end.

--- a/pimentowick/gateway/tests/test_upstream.py
+++ b/pimentowick/gateway/tests/test_upstream.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import math
+import socket
+import time
 
 import pytest
 from tornado import httputil, iostream
@@ -82,3 +85,28 @@
                 await connection.ask_start()
 
     asyncio.run(asyncio.wait_for(run(), WAIT_S))
+
+
+def open_pair():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        sender = socket.create_connection(listener.getsockname())
+        return sender, listener.accept()[0]
+
+
+def test_time_of_the_last_bytes_is_known_although_they_are_read_late():
+    # An answer that its caller reads slowly would look as if its target had just lived.
+    sender, receiver = open_pair()
+    with sender, receiver:
+        began_at = time.monotonic()
+        sender.send(b"x")
+        time.sleep(0.2)
+        receiver.recv(1)
+        silence_s = upstream._measure_silence(receiver)
+        assert 0.1 < silence_s < time.monotonic() - began_at + 0.1
+
+
+def test_time_of_the_last_bytes_is_unknown_without_the_kernel(monkeypatch):
+    # The target would count as alive at the end of each answer.
+    with socket.socket() as sock:
+        monkeypatch.setattr(upstream, "TCP_INFO_BYTES", 8)
+        assert upstream._measure_silence(sock) == math.inf
