Count the grace period of a stop from its signal

What callers see: on a starved machine a stopping gateway is killed before it has given up its requests, so that their connections end without an answer or a log line.

Cause: the time of SIGTERM was that at which the event loop called its handler. The loop does so after the callbacks that are due, and these take long on a starved machine. The platform's grace period runs meanwhile, and 0.4 s of it are kept in reserve.

Change: a handler of the interpreter records the time, since it runs between two instructions of the main thread, and the stop counts from there. `gateway.draining` says how late it began.

The new test failed before (0.0 s instead of 0.3 s). A process that gets no processor time at all learns of its signal no sooner.

--- a/pimentowick/gateway/daemon.py
+++ b/pimentowick/gateway/daemon.py
@@ -370,12 +370,19 @@
             await asyncio.sleep(STARTUP_CHECK_INTERVAL_S)
         await deferred_feed.run()
 
-    async def drain(self):
-        """Leave the load balancer's rotation and finish the requests in flight."""
-        began_at = time.monotonic()
+    async def drain(self, began_at=None):
+        """Leave the load balancer's rotation and finish the requests in flight.
+
+        Args:
+            began_at: Monotonic time at which the grace period began; now if None.
+        """
+        if began_at is None:
+            began_at = time.monotonic()
         self._draining = True
         decision_log.log_event(
-            "gateway.draining", busy=self._caller_server.active_requests
+            "gateway.draining",
+            busy=self._caller_server.active_requests,
+            late_s=time.monotonic() - began_at,
         )
         listens_until = began_at + BALANCER_REMOVAL_S
         ends_at = began_at + self.settings.stop_grace_s - SHUTDOWN_MARGIN_S
@@ -647,13 +654,39 @@
     asyncio.run(_run(Gateway(settings)))
 
 
+class _StopSignal:
+    """The first signal to stop, and when it came.
+
+    A busy event loop calls its own signal handlers late, while the grace period runs.
+    So the time is recorded by a handler of the interpreter.
+    """
+
+    def __init__(self):
+        self._received = asyncio.Event()
+        self._received_at = None
+
+    def watch(self, loop, number):
+        """Watch for a signal."""
+        loop.add_signal_handler(number, self._received.set)
+        signal.signal(number, self._record)
+        signal.siginterrupt(number, False)
+
+    def _record(self, _number, _frame):
+        if self._received_at is None:
+            self._received_at = time.monotonic()
+
+    async def wait(self):
+        """Wait for the signal; return the monotonic time at which it came."""
+        await self._received.wait()
+        return self._received_at
+
+
 async def _run(gateway):
-    stopped = asyncio.Event()
+    stop_signal = _StopSignal()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+        stop_signal.watch(loop, number)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.start()
-    await stopped.wait()
-    await gateway.drain()
+    await gateway.drain(await stop_signal.wait())
     await gateway.close()
--- a/pimentowick/gateway/tests/test_daemon.py
+++ b/pimentowick/gateway/tests/test_daemon.py
@@ -1,5 +1,7 @@
 import asyncio
 import os
+import signal
+import time
 
 import orjson
 import pytest
@@ -12,6 +14,7 @@
 from pimentowick.gateway.policy import outlier_detection
 from pimentowick.platform import node, operator
 
+BLOCKED_S = 0.3
 ROUTES = [platform_site.make_route("/chat/", "stream", resumable=True)]
 
 
@@ -151,6 +154,36 @@
     run_with([server], check)
 
 
+class StoppedProcess:
+    """Records how late the stop of a process begins."""
+
+    late_s = None
+
+    def reload(self):
+        pass
+
+    async def start(self):
+        asyncio.get_running_loop().call_soon(self._block)
+
+    def _block(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(BLOCKED_S)
+
+    async def drain(self, began_at=None):
+        now = time.monotonic()
+        self.late_s = now - (now if began_at is None else began_at)
+
+    async def close(self):
+        pass
+
+
+def test_grace_period_begins_with_the_signal_if_the_event_loop_is_busy():
+    # Guards against a process that is killed before it has given up its requests.
+    process = StoppedProcess()
+    asyncio.run(daemon._run(process))
+    assert process.late_s >= BLOCKED_S
+
+
 def test_planned_stop_accepts_no_request_that_it_would_truncate():
     # With too few ready entries the load balancer keeps sending requests to this one. A
     # stream that starts just before the end of the grace period would be truncated.
