Take the refusal of a question without an identifier for a sign of life

Cause: plain services have no report. A refusal that names no request was taken for a late one of an earlier request, and dropped; made that strict. Before, the question went on by accident.

Change: a 400 is such an answer. Late refusals of requests, which have identifiers, bear another status, or name their request, and are still dropped.

Evidence: the 16 cases of test_service_without_reports_tells_the_end_of_its_answers failed before, on kept and new connections, with and without a start; 113 tests of the files on liveness, unframed answers and runs of targets pass.

--- a/pimentowick/gateway/tests/test_unframed_answers.py
+++ b/pimentowick/gateway/tests/test_unframed_answers.py
@@ -94,6 +94,29 @@
     run_with(check, [Target(path, started_ms)])
 
 
+# Of services that have no report, and reject each request without an identifier.
+REFUSED_REPORT = (
+    b"HTTP/1.1 400 Bad Request\r\nX-Pimentowick-Not-Executed: 1\r\n"
+    b"Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("kept", [0, 2])
+@pytest.mark.parametrize("started_ms", [0, STARTED_MS])
+@pytest.mark.parametrize("path", PATHS)
+def test_service_without_reports_tells_the_end_of_its_answers(path, started_ms, kept):
+    # Its refusal was taken for a late one, and the answer for lost.
+    async def check(site, server):
+        server.planned += [broken.answer_soundly(path, {})] * kept
+        await asyncio.gather(*(broken.send(site, path, f"r{n}") for n in range(kept)))
+        broken.assert_whole(await broken.send(site, path, "r2"), path)
+        assert len(server.requests) == kept + 1
+
+    server = Target(path, started_ms)
+    server.report = raw_target.Answer(REFUSED_REPORT, raw_target.Ending.KEEP)
+    run_with(check, [server])
+
+
 @pytest.mark.parametrize("path", ONCE_PATHS)
 def test_log_tells_what_the_end_of_an_answer_was_decided_from(path, ended):
     # An operator could not tell why a stream had no end.
--- a/pimentowick/gateway/upstream.py
+++ b/pimentowick/gateway/upstream.py
@@ -64,6 +64,8 @@
 # Well above a round trip to a busy target.
 REPORT_TIMEOUT_S = 0.3
 MAX_REPORT_BYTES = 65_536
+# Of the refusal of a request without an identifier, which a question for a report is.
+MISSING_ID_STATUS = 400
 # Offset of `tcpi_last_data_recv` in `struct tcp_info` of Linux, and size up to its end.
 LAST_DATA_RECEIVED_OFFSET = 52
 TCP_INFO_BYTES = 56
@@ -558,7 +560,8 @@
         ):
             self._stream.abandon()
             return
-        if answer.request_id or answer.not_executed:
+        is_answer = start_line.code == MISSING_ID_STATUS or not answer.not_executed
+        if answer.request_id or not is_answer:
             # The late response to another request.
             self._stream.abandon()
             return
