Let tests share the site of raw targets from a module of its own

Two test modules used a third one as their library. Moved word for word: routes, sound answers, the caller and the checks.

--- a/pimentowick/gateway/tests/test_broken_answers.py
+++ b/pimentowick/gateway/tests/test_broken_answers.py
@@ -1,231 +1,45 @@
 """Targets whose answers are broken: statuses, heads, framing, ends."""
 
 import asyncio
-import base64
-import contextlib
 import dataclasses
 import functools
 import itertools
 
-import orjson
 import pytest
 from tornado import httputil
 
-from pimentowick.fakes import broken_answers, platform_site, raw_target, wait
+from pimentowick.fakes import broken_answers, raw_target
 from pimentowick.gateway import connection_pool, runner, target, upstream
+from pimentowick.gateway.tests import raw_site
 
-ROUTES = [
-    platform_site.make_route("/fetch/", "idempotent", max_attempts=2),
-    platform_site.make_route("/confirm/", "non_idempotent", max_attempts=1),
-    platform_site.make_route("/chat/", "stream", resumable=True, max_attempts=3),
-    platform_site.make_route("/draft/", "stream", max_attempts=1),
-    platform_site.make_route(
-        "/lot/", "batch", run_target_ms=60_000, retention_s=60, max_attempts=3
-    ),
-]
-PLAIN_PATHS = ["/fetch/1", "/confirm/1"]
-STREAM_PATHS = ["/chat/1", "/draft/1"]
-# Requests that run once, so that a broken answer can't be replaced.
-ONCE_PATHS = ["/confirm/1", "/draft/1"]
 UPLOAD_BYTES = 3_000_000
-STARTED_MS = 5
-WAIT_S = 15.0
-POLL_S = 0.01
-
-
-SOUND = {
-    "/fetch/": broken_answers.make_answer(),
-    "/confirm/": broken_answers.make_answer(),
-    "/chat/": broken_answers.make_answer(
-        body=broken_answers.make_chunks(broken_answers.EVENTS)
-    ),
-    "/draft/": broken_answers.make_answer(
-        body=broken_answers.make_chunks(broken_answers.EVENTS)
-    ),
-    "/lot/": broken_answers.make_answer(
-        body=broken_answers.make_chunks(broken_answers.EVENTS)
-    ),
-}
-WHOLE_BODY = {
-    "/fetch/": broken_answers.BODY,
-    "/confirm/": broken_answers.BODY,
-    "/chat/": b"".join(broken_answers.EVENTS),
-    "/draft/": b"".join(broken_answers.EVENTS),
-}
-
-
-def answer_soundly(path, headers):
-    """Return the answer of a sound target, from the next event on."""
-    if get_prefix(path) in ("/fetch/", "/confirm/"):
-        return raw_target.Answer(broken_answers.make_answer(), raw_target.Ending.KEEP)
-    rest = broken_answers.EVENTS[int(headers.get("last-event-id", 0)) :]
-    data = broken_answers.make_answer(body=broken_answers.make_chunks(rest))
-    return raw_target.Answer(data, raw_target.Ending.KEEP)
-
-
-def get_prefix(path):
-    return path[: path.rindex("/") + 1]
-
-
-@dataclasses.dataclass(frozen=True)
-class Received:
-    """What a caller read until its connection ended.
-
-    Attributes:
-        status: Status of the answer, or 0 without one.
-        headers: Its headers.
-        body: As much of its body as arrived.
-        is_whole: Whether the answer says that this is all of it.
-    """
-
-    status: int
-    headers: httputil.HTTPHeaders
-    body: bytes
-    is_whole: bool
-
-    @property
-    def is_success(self):
-        return self.is_whole and 200 <= self.status < 300
-
-
-def parse_received(data):
-    head, separator, rest = data.partition(b"\r\n\r\n")
-    if not separator:
-        return Received(0, httputil.HTTPHeaders(), data, False)
-    line, _, fields = head.decode("latin1").partition("\r\n")
-    headers = httputil.HTTPHeaders.parse(fields)
-    status = int(line.split(" ")[1])
-    if "Content-Length" in headers:
-        is_whole = len(rest) == int(headers["Content-Length"])
-        return Received(status, headers, rest, is_whole)
-    if "Transfer-Encoding" not in headers:
-        return Received(status, headers, rest, True)
-    body = b""
-    while rest:
-        size, _, rest = rest.partition(b"\r\n")
-        if not int(size, 16):
-            return Received(status, headers, body, rest == b"\r\n")
-        body += rest[: int(size, 16)]
-        rest = rest[int(size, 16) + 2 :]
-    return Received(status, headers, body, False)
-
-
-async def send(site, path, request_id="r1", body=b"question"):
-    ip, _, port = site.gateways[0].settings.callers_address.rpartition(":")
-    reader, writer = await asyncio.open_connection(ip, int(port))
-    with contextlib.closing(writer):
-        writer.write(
-            f"POST {path} HTTP/1.1\r\nHost: {platform_site.HOST}\r\n"
-            f"X-Pimentowick-Request-Id: {request_id}\r\nConnection: close\r\n"
-            f"X-Pimentowick-Deadline-Ms: 4000\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode()
-            + body
-        )
-        data = b""
-        with contextlib.suppress(ConnectionResetError):
-            async with asyncio.timeout(WAIT_S):
-                while received := await reader.read(65_536):
-                    data += received
-    return parse_received(data)
-
-
-def run_with(check, path, targets=2, started_ms=0):
-    """Run a check on a site whose targets share the planned answers."""
-    planned = []
-
-    async def run():
-        servers = [
-            raw_target.RawTarget(functools.partial(answer_soundly, path), started_ms)
-            for _ in range(targets)
-        ]
-        async with contextlib.AsyncExitStack() as stack:
-            for server in servers:
-                server.planned = planned
-                await server.start()
-                stack.push_async_callback(server.close)
-            site = await stack.enter_async_context(open_site(servers))
-            await check(site, planned, servers)
-
-    asyncio.run(run())
-
-
-@contextlib.asynccontextmanager
-async def open_site(servers):
-    site = platform_site.Site([], ROUTES)
-    try:
-        await site.start()
-        for number, server in enumerate(servers):
-            row = server.make_registration(platform_site.SERVICE)
-            site.store.put("keyed.servers", f"i-{number}", row)
-        table = site.gateways[0].table
-        await wait.wait_for(lambda: len(table.by_id) == len(servers), WAIT_S, POLL_S)
-        yield site
-    finally:
-        await site.close()
-
-
-def assert_whole(received, path):
-    assert received.is_success, received
-    assert received.status == 200
-    assert received.body == WHOLE_BODY[get_prefix(path)]
-    assert received.headers["X-Pimentowick-Server-Stamp"] == "s"
-
-
-def check_broken(path, *answers):
-    """Check what a caller gets of a request whose first answers are broken.
-
-    It gets the whole answer of another run where the request may be repeated, and else
-    nothing that counts as a whole answer of the target.
-    """
-
-    async def check(site, planned, servers):
-        planned += answers
-        received = await send(site, path)
-        if path in ONCE_PATHS:
-            assert not received.is_success, received
-            assert received.status in (200, 502), received
-            assert sum(len(server.requests) for server in servers) == 1
-        else:
-            assert_whole(received, path)
-        planned.clear()
-        assert_whole(await send(site, path, "r2"), path)
-
-    restarts = raw_target.Ending.RESTART in {answer.ending for answer in answers}
-    run_with(check, path, started_ms=STARTED_MS if restarts else 0)
 
 
-def check_whole(path, answer):
-    """Check that a caller gets an answer whole, by one run."""
-
-    async def check(site, planned, servers):
-        planned.append(answer)
-        assert_whole(await send(site, path), path)
-        assert sum(len(server.requests) for server in servers) == 1
-
-    run_with(check, path)
-
-
-@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS + raw_site.STREAM_PATHS)
 def test_sound_answer_is_passed_on(path):
     # Otherwise the other tests of this file could not fail.
     async def check(site, planned, servers):
-        assert_whole(await send(site, path), path)
+        raw_site.assert_whole(await raw_site.send(site, path), path)
 
-    run_with(check, path)
+    raw_site.run_with(check, path)
 
 
 @pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
 @pytest.mark.parametrize("status", broken_answers.STATUSES)
-@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS + raw_site.STREAM_PATHS)
 def test_status_outside_the_protocol_reaches_no_caller(path, status, interim):
     # Callers got "0 Unknown" with the body of the target.
-    data = SOUND[get_prefix(path)].replace(b"200 OK", status + b" Odd")
-    check_broken(path, raw_target.Answer(interim + data, raw_target.Ending.KEEP))
+    data = raw_site.SOUND[raw_site.get_prefix(path)].replace(
+        b"200 OK", status + b" Odd"
+    )
+    raw_site.check_broken(
+        path, raw_target.Answer(interim + data, raw_target.Ending.KEEP)
+    )
 
 
 def damage_framing(path, damage, closes):
     """Return an answer whose framing is lost, and that may announce its close."""
-    sound = SOUND[get_prefix(path)].replace(
+    sound = raw_site.SOUND[raw_site.get_prefix(path)].replace(
         broken_answers.FIELDS, closes + broken_answers.FIELDS
     )
     return raw_target.Answer(broken_answers.damage_framing(sound, damage))
@@ -235,7 +49,7 @@
 # close that it has announced.
 HARMLESS_DAMAGES = [
     (path, damage, broken_answers.CLOSES)
-    for path in PLAIN_PATHS
+    for path in raw_site.PLAIN_PATHS
     for damage in ("changed name", "dropped")
 ]
 
@@ -245,7 +59,7 @@
     [
         case
         for case in itertools.product(
-            PLAIN_PATHS + STREAM_PATHS,
+            raw_site.PLAIN_PATHS + raw_site.STREAM_PATHS,
             broken_answers.DAMAGES,
             [b"", broken_answers.CLOSES],
         )
@@ -254,22 +68,13 @@
 )
 def test_answer_whose_framing_is_lost_is_not_taken_for_whole(path, damage, closes):
     # Callers got frames, the rest of the head or a part of the body as a whole answer.
-    check_broken(path, damage_framing(path, damage, closes))
+    raw_site.check_broken(path, damage_framing(path, damage, closes))
 
 
 @pytest.mark.parametrize(("path", "damage", "closes"), HARMLESS_DAMAGES)
 def test_answer_that_is_sound_without_its_framing_is_whole(path, damage, closes):
     # It would be lost to its caller if it may run once.
-    check_whole(path, damage_framing(path, damage, closes))
-
-
-# What tells that the connection did not close because the answer had ended: that it was
-# reset, or that the target ended, too.
-BREAKS = [
-    raw_target.Ending.RESET,
-    raw_target.Ending.STOP,
-    raw_target.Ending.RESTART,
-]
+    raw_site.check_whole(path, damage_framing(path, damage, closes))
 
 
 @pytest.mark.parametrize(
@@ -278,36 +83,40 @@
         (b"", 0, raw_target.Ending.CLOSE),
         (b"", 10, raw_target.Ending.CLOSE),
         (broken_answers.CLOSES, 0, raw_target.Ending.CLOSE),
-        *((broken_answers.CLOSES, size, each) for size in (0, 10) for each in BREAKS),
+        *(
+            (broken_answers.CLOSES, size, each)
+            for size in (0, 10)
+            for each in raw_site.BREAKS
+        ),
     ],
 )
-@pytest.mark.parametrize("path", PLAIN_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS)
 def test_plain_answer_without_framing_may_be_cut(path, ending, size, closes):
     # A closed connection does not tell whether the body was complete.
     data = broken_answers.make_answer(
         fields=broken_answers.FIELDS + closes, body=b"\r\n" + broken_answers.BODY[:size]
     )
-    check_broken(path, raw_target.Answer(data, ending))
+    raw_site.check_broken(path, raw_target.Answer(data, ending))
 
 
 @pytest.mark.parametrize(
     ("count", "ending"),
     [
         (0, raw_target.Ending.CLOSE),
-        *((count, ending) for count in (0, 1, 3) for ending in BREAKS),
+        *((count, ending) for count in (0, 1, 3) for ending in raw_site.BREAKS),
     ],
 )
-@pytest.mark.parametrize("path", STREAM_PATHS)
+@pytest.mark.parametrize("path", raw_site.STREAM_PATHS)
 def test_stream_without_framing_may_be_cut(path, count, ending):
     # A closed connection does not tell whether there were more events.
     body = b"\r\n" + b"".join(broken_answers.EVENTS[:count])
     data = broken_answers.make_answer(
         fields=broken_answers.FIELDS + broken_answers.CLOSES, body=body
     )
-    check_broken(path, raw_target.Answer(data, ending))
+    raw_site.check_broken(path, raw_target.Answer(data, ending))
 
 
-@pytest.mark.parametrize("ending", BREAKS)
+@pytest.mark.parametrize("ending", raw_site.BREAKS)
 def test_stream_without_framing_is_continued_after_its_last_event(ending):
     # Running it anew would send its events twice.
     async def check(site, planned, servers):
@@ -316,11 +125,11 @@
             fields=broken_answers.FIELDS + broken_answers.CLOSES, body=body
         )
         planned.append(raw_target.Answer(data, ending))
-        assert (await send(site, "/chat/1")).is_success
+        assert (await raw_site.send(site, "/chat/1")).is_success
         sent = [headers for server in servers for headers in server.requests]
         assert sorted(row.get("last-event-id", "") for row in sent) == ["", "3"]
 
-    run_with(check, "/chat/1", started_ms=STARTED_MS)
+    raw_site.run_with(check, "/chat/1", started_ms=raw_site.STARTED_MS)
 
 
 def answer_without_framing(headers):
@@ -333,45 +142,23 @@
     )
 
 
-@pytest.mark.parametrize("ending", BREAKS)
+@pytest.mark.parametrize("ending", raw_site.BREAKS)
 def test_stream_of_targets_that_never_frame_looks_cut_after_its_events(ending):
     # That a continuation has no events, and no end either, does not show a whole one.
     async def check(site, planned, servers):
         for server in servers:
             server.answer = answer_without_framing
         planned.append(dataclasses.replace(answer_without_framing({}), ending=ending))
-        received = await send(site, "/chat/1")
+        received = await raw_site.send(site, "/chat/1")
         assert not received.is_whole, received
         assert received.body == b"".join(broken_answers.EVENTS)
 
-    run_with(check, "/chat/1", targets=3, started_ms=STARTED_MS)
-
-
-async def run_item(site):
-    """Run a job of one item; return its result."""
-    item = {
-        "id": "item",
-        "path": "/lot/1",
-        "headers": {},
-        "body": base64.b64encode(b"x").decode(),
-        "tokens": 10,
-    }
-    body = orjson.dumps({"items": [item]})
-    accepted = await send(site, "/lot/new", "job", body)
-    assert accepted.status == 202
+    raw_site.run_with(check, "/chat/1", targets=3, started_ms=raw_site.STARTED_MS)
 
-    async def read():
-        answer = await site.call("GET", "/-/lots/job?after=0")
-        return answer.decode()["results"] if answer.status == 200 else None
 
-    (result,) = await wait.wait_for(read, WAIT_S, POLL_S)
-    return result["state"], result["text"]
-
-
-TEXT = "word 1\nword 2\nword 3"
 # Answers to an item that are not whole, or not known to be.
 BROKEN_ITEMS = {
-    "status 000": SOUND["/lot/"].replace(b"200 OK", b"000 OK"),
+    "status 000": raw_site.SOUND["/lot/"].replace(b"200 OK", b"000 OK"),
     "cut": broken_answers.make_answer(
         fields=broken_answers.FIELDS + broken_answers.CLOSES,
         body=b"\r\n" + broken_answers.EVENTS[0],
@@ -381,12 +168,12 @@
         body=b"\r\n" + b"".join(broken_answers.EVENTS),
     ),
     **{
-        damage: broken_answers.damage_framing(SOUND["/lot/"], damage)
+        damage: broken_answers.damage_framing(raw_site.SOUND["/lot/"], damage)
         for damage in broken_answers.DAMAGES
     },
     **{
         f"{damage}, closes": broken_answers.damage_framing(
-            SOUND["/lot/"].replace(
+            raw_site.SOUND["/lot/"].replace(
                 broken_answers.FIELDS, broken_answers.CLOSES + broken_answers.FIELDS
             ),
             damage,
@@ -401,9 +188,9 @@
     # It was listed as done with what had arrived.
     async def check(site, planned, servers):
         planned.append(raw_target.Answer(BROKEN_ITEMS[answer]))
-        assert await run_item(site) == ("done", TEXT)
+        assert await raw_site.run_item(site) == ("done", raw_site.TEXT)
 
-    run_with(check, "/lot/1")
+    raw_site.run_with(check, "/lot/1")
 
 
 def test_item_of_targets_that_never_frame_is_listed_as_done():
@@ -411,12 +198,12 @@
     async def check(site, planned, servers):
         for server in servers:
             server.answer = answer_without_framing
-        assert await run_item(site) == ("done", TEXT)
+        assert await raw_site.run_item(site) == ("done", raw_site.TEXT)
         runs = sum(len(server.requests) for server in servers)
         assert runs == 1 + runner.CONFIRMING_RUNS
         assert sum(server.reports for server in servers) == runner.CONFIRMING_RUNS
 
-    run_with(check, "/lot/1")
+    raw_site.run_with(check, "/lot/1")
 
 
 @pytest.mark.parametrize(
@@ -435,13 +222,13 @@
         planned.append(first)
         planned.append(raw_target.Answer(head, ending))
         if path == "/lot/1":
-            assert await run_item(site) == ("done", TEXT)
+            assert await raw_site.run_item(site) == ("done", raw_site.TEXT)
             return
-        received = await send(site, path)
+        received = await raw_site.send(site, path)
         assert received.is_success, received
         assert received.body == b"".join(broken_answers.EVENTS)
 
-    run_with(check, path, targets=3)
+    raw_site.run_with(check, path, targets=3)
 
 
 # Answers whose head contradicts itself or the body that follows.
@@ -462,60 +249,68 @@
 }
 
 
-@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS + raw_site.STREAM_PATHS)
 @pytest.mark.parametrize("answer", CONTRADICTIONS)
 def test_head_that_contradicts_its_body_reaches_no_caller(answer, path):
     # A body where there is none, frames of another version, a signature of nobody.
     changed, replacement, framing = CONTRADICTIONS[answer]
-    chunks = [broken_answers.BODY] if path in PLAIN_PATHS else broken_answers.EVENTS
+    chunks = (
+        [broken_answers.BODY] if path in raw_site.PLAIN_PATHS else broken_answers.EVENTS
+    )
     body = b"".join(chunks)
     if framing == broken_answers.CHUNKED:
         body = broken_answers.encode_chunks(chunks)
     else:
         framing = b"Content-Length: %d" % len(body)
     data = broken_answers.change_framing(framing, body).replace(changed, replacement)
-    check_broken(path, raw_target.Answer(data, raw_target.Ending.KEEP))
+    raw_site.check_broken(path, raw_target.Answer(data, raw_target.Ending.KEEP))
 
 
-@pytest.mark.parametrize("path", PLAIN_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS)
 def test_answer_without_content_is_passed_on(path):
     # The checks of its framing must not reject a sound one.
     async def check(site, planned, servers):
         head = broken_answers.make_answer(start=b"HTTP/1.1 205 Reset Content", body=b"")
         data = head + b"Content-Length: 0\r\n\r\n"
         planned.append(raw_target.Answer(data, raw_target.Ending.KEEP))
-        received = await send(site, path)
+        received = await raw_site.send(site, path)
         assert (received.status, received.body, received.is_whole) == (205, b"", True)
 
-    run_with(check, path)
+    raw_site.run_with(check, path)
 
 
-@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS + raw_site.STREAM_PATHS)
 @pytest.mark.parametrize("answer", broken_answers.MALFORMED_HEADS)
 def test_malformed_head_reaches_no_caller(answer, path):
     # A line of it would be passed on, or the body would be another one.
-    check_broken(path, raw_target.Answer(broken_answers.MALFORMED_HEADS[answer]))
+    raw_site.check_broken(
+        path, raw_target.Answer(broken_answers.MALFORMED_HEADS[answer])
+    )
 
 
-@pytest.mark.parametrize("path", PLAIN_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS)
 @pytest.mark.parametrize("answer", broken_answers.MALFORMED_FRAMINGS)
 def test_body_with_malformed_framing_is_not_whole(answer, path):
     # It is not known which bytes are the body.
-    check_broken(path, raw_target.Answer(broken_answers.MALFORMED_FRAMINGS[answer]))
+    raw_site.check_broken(
+        path, raw_target.Answer(broken_answers.MALFORMED_FRAMINGS[answer])
+    )
 
 
 @pytest.mark.parametrize("ending", [raw_target.Ending.CLOSE, raw_target.Ending.RESET])
-@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+@pytest.mark.parametrize("path", raw_site.PLAIN_PATHS + raw_site.STREAM_PATHS)
 @pytest.mark.parametrize("answer", broken_answers.CUT_ANSWERS)
 def test_answer_that_stops_before_its_end_is_not_whole(answer, path, ending):
     # Callers would get a 200 with an empty or short body, framed as whole.
-    check_broken(path, raw_target.Answer(broken_answers.CUT_ANSWERS[answer], ending))
+    raw_site.check_broken(
+        path, raw_target.Answer(broken_answers.CUT_ANSWERS[answer], ending)
+    )
 
 
 @pytest.mark.parametrize("closes", [b"", broken_answers.CLOSES])
 @pytest.mark.parametrize("start", [b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK"])
 @pytest.mark.parametrize("ending", [raw_target.Ending.CLOSE, raw_target.Ending.RESET])
-@pytest.mark.parametrize("path", ONCE_PATHS)
+@pytest.mark.parametrize("path", raw_site.ONCE_PATHS)
 def test_part_of_an_answer_during_an_upload_is_not_whole(path, ending, start, closes):
     # A target answers before it has read a long body, sends a part, and closes.
     events = (
@@ -529,20 +324,14 @@
 
         async def check(site, planned, servers, answer=answer):
             planned.append(answer)
-            received = await send(site, path, body=bytes(UPLOAD_BYTES))
+            received = await raw_site.send(site, path, body=bytes(UPLOAD_BYTES))
             assert not received.is_success, received
             assert sum(len(server.requests) for server in servers) == 1
 
-        run_with(check, path)
+        raw_site.run_with(check, path)
 
 
-async def find_suspects(site, path, body):
-    """Return what is suspected to crash targets after one request."""
-    await send(site, path, body=body)
-    return site.gateways[0].crash_guard.build_report().crashes
-
-
-@pytest.mark.parametrize("path", ONCE_PATHS)
+@pytest.mark.parametrize("path", raw_site.ONCE_PATHS)
 @pytest.mark.parametrize(
     "answer",
     [
@@ -557,20 +346,20 @@
     # It would be quarantined after a few of them, though its targets live on.
     async def check(site, planned, servers):
         planned.append(raw_target.Answer(answer))
-        assert not await find_suspects(site, path, b"sound")
+        assert not await raw_site.find_suspects(site, path, b"sound")
 
-    run_with(check, path)
+    raw_site.run_with(check, path)
 
 
-@pytest.mark.parametrize("path", ONCE_PATHS)
+@pytest.mark.parametrize("path", raw_site.ONCE_PATHS)
 @pytest.mark.parametrize("answer", ["nothing", "part of a field", "part of a chunk"])
 def test_request_whose_connection_closes_is_suspected_of_a_crash(answer, path):
     # Otherwise a request that crashes its targets would reach all of them.
     async def check(site, planned, servers):
         planned.append(raw_target.Answer(broken_answers.CUT_ANSWERS[answer]))
-        assert await find_suspects(site, path, b"deadly")
+        assert await raw_site.find_suspects(site, path, b"deadly")
 
-    run_with(check, path)
+    raw_site.run_with(check, path)
 
 
 REPORT = raw_target.make_report(b'{"born":5}')
@@ -589,7 +378,9 @@
 def test_broken_report_confirms_no_run_of_a_target(name):
     # A stream would go on at a run of which nothing is known.
     async def run():
-        server = raw_target.RawTarget(functools.partial(answer_soundly, "/fetch/1"))
+        server = raw_target.RawTarget(
+            functools.partial(raw_site.answer_soundly, "/fetch/1")
+        )
         data = BROKEN_REPORTS.get(name, REPORT)
         server.report = raw_target.Answer(data)
         if name == "sound":
--- a/pimentowick/gateway/tests/test_unframed_answers.py
+++ b/pimentowick/gateway/tests/test_unframed_answers.py
@@ -9,12 +9,12 @@
 
 from pimentowick.fakes import broken_answers, platform_site, raw_target, wait
 from pimentowick.gateway import connection_pool, decision_log, liveness
-from pimentowick.gateway.tests import test_broken_answers as broken
+from pimentowick.gateway.tests import raw_site
 
 HEAD = broken_answers.FIELDS + broken_answers.CLOSES
 EVENTS = broken_answers.EVENTS
-PATHS = broken.PLAIN_PATHS + broken.STREAM_PATHS
-ONCE_PATHS = broken.ONCE_PATHS
+PATHS = raw_site.PLAIN_PATHS + raw_site.STREAM_PATHS
+ONCE_PATHS = raw_site.ONCE_PATHS
 STARTED_MS = 5
 # Well above the time for which the end of an answer waits if it may be repeated.
 LONG_S = 1.5 * connection_pool.END_TIMEOUT_S
@@ -23,7 +23,7 @@
 def make_answer(path, first=0, last=None):
     """Return the answer of a target that never frames its answers."""
     body = broken_answers.BODY[first:last]
-    if path in broken.STREAM_PATHS:
+    if path in raw_site.STREAM_PATHS:
         body = b"".join(EVENTS[first:last])
     data = broken_answers.make_answer(fields=HEAD, body=b"\r\n" + body)
     return raw_target.Answer(data)
@@ -45,7 +45,7 @@
         for server in servers:
             await server.start()
             stack.push_async_callback(server.close)
-        yield await stack.enter_async_context(broken.open_site(servers))
+        yield await stack.enter_async_context(raw_site.open_site(servers))
 
 
 def run_with(check, servers):
@@ -88,7 +88,7 @@
 def test_whole_answer_of_a_target_that_lives_on_is_passed_on_whole(path, started_ms):
     # Callers got streams that ended without their end, and 502 for plain answers.
     async def check(site, server):
-        broken.assert_whole(await broken.send(site, path), path)
+        raw_site.assert_whole(await raw_site.send(site, path), path)
         assert len(server.requests) == 1
 
     run_with(check, [Target(path, started_ms)])
@@ -107,9 +107,9 @@
 def test_service_without_reports_tells_the_end_of_its_answers(path, started_ms, kept):
     # Its refusal was taken for a late one, and the answer for lost.
     async def check(site, server):
-        server.planned += [broken.answer_soundly(path, {})] * kept
-        await asyncio.gather(*(broken.send(site, path, f"r{n}") for n in range(kept)))
-        broken.assert_whole(await broken.send(site, path, "r2"), path)
+        server.planned += [raw_site.answer_soundly(path, {})] * kept
+        await asyncio.gather(*(raw_site.send(site, path, f"r{n}") for n in range(kept)))
+        raw_site.assert_whole(await raw_site.send(site, path, "r2"), path)
         assert len(server.requests) == kept + 1
 
     server = Target(path, started_ms)
@@ -121,13 +121,13 @@
 def test_log_tells_what_the_end_of_an_answer_was_decided_from(path, ended):
     # An operator could not tell why a stream had no end.
     async def check(site, server):
-        await broken.send(site, path)
+        await raw_site.send(site, path)
         half = make_answer(path, last=1).data
         server.planned.append(raw_target.Answer(half, raw_target.Ending.STOP))
-        await broken.send(site, path, "r2")
+        await raw_site.send(site, path, "r2")
         whole, cut = ended
         assert (whole["end"], whole["end_asked_on"]) == ("same_run", "new")
-        assert whole["end_bytes"] == len(broken.WHOLE_BODY[broken.get_prefix(path)])
+        assert whole["end_bytes"] == len(raw_site.WHOLE_BODY[raw_site.get_prefix(path)])
         assert cut["outcome"].endswith("unframed")
         assert cut["end"] == "gone"
 
@@ -139,12 +139,12 @@
     # Silence is no reason to cut an answer that can't be had again.
     async def check(site, server):
         server.report_release.clear()
-        sending = asyncio.create_task(broken.send(site, path))
-        await wait.wait_for(lambda: server.reports, broken.WAIT_S, broken.POLL_S)
+        sending = asyncio.create_task(raw_site.send(site, path))
+        await wait.wait_for(lambda: server.reports, raw_site.WAIT_S, raw_site.POLL_S)
         await asyncio.sleep(LONG_S)
         assert not sending.done()
         server.report_release.set()
-        broken.assert_whole(await sending, path)
+        raw_site.assert_whole(await sending, path)
 
     run_with(check, [Target(path)])
 
@@ -154,7 +154,7 @@
     # Nobody knows whether the answer was whole.
     async def check(site, server):
         server.report_release.clear()
-        received = await broken.send(site, path)
+        received = await raw_site.send(site, path)
         assert not received.is_success, received
         assert received.status in (200, 504)
         assert ended[0]["end"] == "pending"
@@ -171,14 +171,14 @@
 
         def fall_silent(server, headers):
             if silent:
-                return broken.answer_soundly(path, headers)
+                return raw_site.answer_soundly(path, headers)
             silent.append(server)
             server.report_release.clear()
             return make_answer(path)
 
         for server in servers:
             server.answer = functools.partial(fall_silent, server)
-        broken.assert_whole(await broken.send(site, path), path)
+        raw_site.assert_whole(await raw_site.send(site, path), path)
         assert [len(server.requests) for server in servers] == [1, 1]
         silent[0].report_release.set()
 
@@ -201,7 +201,7 @@
 
         for server in servers:
             server.answer = functools.partial(fall_silent, server)
-        broken.assert_whole(await broken.send(site, path), path)
+        raw_site.assert_whole(await raw_site.send(site, path), path)
         assert [len(server.requests) for server in servers] == [1, 1]
         silent[0].report_release.set()
 
@@ -214,7 +214,7 @@
         server.report_release.clear()
         reader, writer = await open_stream(site, "/draft/1")
         with contextlib.closing(writer):
-            async with asyncio.timeout(broken.WAIT_S):
+            async with asyncio.timeout(raw_site.WAIT_S):
                 data = await reader.readuntil(EVENTS[-1])
                 assert b"\r\n0\r\n\r\n" not in data
                 server.report_release.set()
@@ -229,8 +229,8 @@
     # Each new connection takes time of the target, and is limited in number.
     async def check(site, server):
         for number in range(5):
-            received = await broken.send(site, path, f"r{number}")
-            broken.assert_whole(received, path)
+            received = await raw_site.send(site, path, f"r{number}")
+            raw_site.assert_whole(received, path)
         # One ends with each answer, and the one that told its end carries the next.
         assert server.connections <= 1 + 5
 
@@ -246,12 +246,12 @@
 
     async def check(site, server):
         # Leaves two connections open.
-        server.planned += [broken.answer_soundly(path, {})] * 2
-        await asyncio.gather(*(broken.send(site, path, f"r{n}") for n in range(2)))
+        server.planned += [raw_site.answer_soundly(path, {})] * 2
+        await asyncio.gather(*(raw_site.send(site, path, f"r{n}") for n in range(2)))
         assert server.connections == 2
         half = make_answer(path, last=1).data
         server.planned.append(raw_target.Answer(half, raw_target.Ending.RESTART))
-        received = await broken.send(site, path, "r2")
+        received = await raw_site.send(site, path, "r2")
         assert not received.is_success, received
 
     run_with(check, [Target(path, 0)])
@@ -261,17 +261,17 @@
 def test_end_is_told_on_a_connection_that_was_open_before(path, monkeypatch):
     # A target that was silent for long before it closed the connection, as its caller
     # reads slowly, could not tell it on a new one.
-    monkeypatch.setattr(liveness, "MIN_REUSE_S", -broken.WAIT_S)
+    monkeypatch.setattr(liveness, "MIN_REUSE_S", -raw_site.WAIT_S)
 
     async def check(site, server):
-        server.planned += [broken.answer_soundly(path, {})] * 2
-        await asyncio.gather(*(broken.send(site, path, f"r{n}") for n in range(2)))
+        server.planned += [raw_site.answer_soundly(path, {})] * 2
+        await asyncio.gather(*(raw_site.send(site, path, f"r{n}") for n in range(2)))
         assert server.connections == 2
         gateway = site.gateways[0]
         target = next(iter(gateway.table.by_id.values()))
         for connection in gateway.pools.get(target)._idle:
-            connection.opened_at -= 2 * broken.WAIT_S
-        broken.assert_whole(await broken.send(site, path, "r2"), path)
+            connection.opened_at -= 2 * raw_site.WAIT_S
+        raw_site.assert_whole(await raw_site.send(site, path, "r2"), path)
         assert server.connections == 2
 
     run_with(check, [Target(path, 0)])
@@ -284,7 +284,7 @@
     async def check(site, server):
         short = make_answer(path, last=1)
         server.planned.append(short)
-        received = await broken.send(site, path)
+        received = await raw_site.send(site, path)
         assert received.is_success
         assert received.body == short.data.partition(b"\r\n\r\n")[2]
 
@@ -297,10 +297,10 @@
     # Its answers were lost until it had registered, if they may run once.
     async def check(site, server):
         server.started_ms += 1
-        server.planned += [broken.answer_soundly(path, {})] * kept
-        await asyncio.gather(*(broken.send(site, path, f"r{n}") for n in range(kept)))
+        server.planned += [raw_site.answer_soundly(path, {})] * kept
+        await asyncio.gather(*(raw_site.send(site, path, f"r{n}") for n in range(kept)))
         assert server.connections == kept
-        broken.assert_whole(await broken.send(site, path, "r2"), path)
+        raw_site.assert_whole(await raw_site.send(site, path, "r2"), path)
         assert sum(h["x-pimentowick-request-id"] == "r2" for h in server.requests) == 1
 
     run_with(check, [Target(path)])
@@ -310,9 +310,9 @@
 def test_request_is_sent_to_a_target_that_does_not_say_which_run_it_is(path):
     # It would be refused although any run may get it.
     async def check(site, server):
-        server.planned.append(broken.answer_soundly(path, {}))
+        server.planned.append(raw_site.answer_soundly(path, {}))
         server.report_release.clear()
-        broken.assert_whole(await broken.send(site, path), path)
+        raw_site.assert_whole(await raw_site.send(site, path), path)
         server.report_release.set()
 
     run_with(check, [Target(path)])
@@ -323,7 +323,7 @@
     # Nothing that the target says could make it whole.
     async def check(site, server):
         server.planned.append(make_answer(path, last=0))
-        received = await broken.send(site, path)
+        received = await raw_site.send(site, path)
         assert received.status == 502
         assert not server.reports
 
@@ -335,14 +335,14 @@
     # Streams that run once ended without their end around a planned stop.
     async def check(site, server):
         server.report_release.clear()
-        sending = asyncio.create_task(broken.send(site, path))
-        await wait.wait_for(lambda: server.reports, broken.WAIT_S, broken.POLL_S)
+        sending = asyncio.create_task(raw_site.send(site, path))
+        await wait.wait_for(lambda: server.reports, raw_site.WAIT_S, raw_site.POLL_S)
         stopping = asyncio.create_task(site.gateways[0].drain())
         await wait.wait_for(
-            lambda: site.gateways[0]._draining, broken.WAIT_S, broken.POLL_S
+            lambda: site.gateways[0]._draining, raw_site.WAIT_S, raw_site.POLL_S
         )
         server.report_release.set()
-        broken.assert_whole(await sending, path)
+        raw_site.assert_whole(await sending, path)
         await stopping
 
     run_with(check, [Target(path, 0)])
@@ -354,8 +354,8 @@
     async def check(site, server):
         server.report_release.clear()
         began_at = time.monotonic()
-        sending = asyncio.create_task(broken.send(site, path))
-        await wait.wait_for(lambda: server.reports, broken.WAIT_S, broken.POLL_S)
+        sending = asyncio.create_task(raw_site.send(site, path))
+        await wait.wait_for(lambda: server.reports, raw_site.WAIT_S, raw_site.POLL_S)
         await site.gateways[0].drain()
         received = await sending
         assert not received.is_success, received
